--- /dev/null
+++ b/cmake/modules.cmake
@@ -0,0 +1,46 @@
+add_compile_definitions(BOOST_ASIO_NO_DEPRECATED ELPP_NO_DEFAULT_LOG_FILE ELPP_THREAD_SAFE)
+set(SNIPESTALL_WARNINGS -Wall -Wextra -Wpedantic -Werror -Wno-error=maybe-uninitialized)
+
+# snipestall_module(NAME LIBS...): one target a module, from src/snipestall/NAME/*.cpp; its
+# *_test.cpp files make the test program NAME_test.
+function(snipestall_module name)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/snipestall/${name}/*.cpp)
+  set(tests ${sources})
+  list(FILTER sources EXCLUDE REGEX "_test\\.cpp$")
+  list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
+  if(NOT sources)
+    add_library(snipestall_${name} INTERFACE)
+    target_include_directories(snipestall_${name} INTERFACE ${CMAKE_SOURCE_DIR}/include)
+    target_link_libraries(snipestall_${name} INTERFACE ${ARGN})
+    return()
+  endif()
+  add_library(snipestall_${name} STATIC ${sources})
+  target_include_directories(snipestall_${name}
+    PUBLIC ${CMAKE_SOURCE_DIR}/include
+    PRIVATE ${CMAKE_SOURCE_DIR}/src)
+  target_compile_options(snipestall_${name} PRIVATE ${SNIPESTALL_WARNINGS})
+  target_link_libraries(snipestall_${name} PUBLIC ${ARGN})
+  if(tests)
+    snipestall_test(${name}_test "unit" snipestall_${name} ${tests})
+  endif()
+endfunction()
+
+# snipestall_test(NAME LABEL LIB SOURCES...): a GoogleTest program.
+function(snipestall_test name label lib)
+  add_executable(${name} ${ARGN})
+  target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/src)
+  target_compile_options(${name} PRIVATE ${SNIPESTALL_WARNINGS})
+  target_link_libraries(${name} PRIVATE ${lib} GTest::gmock GTest::gtest_main)
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES LABELS ${label} TIMEOUT 300)
+endfunction()
+
+# snipestall_program(NAME LIBS... ): DIR/NAME*.cpp files become the program NAME.
+function(snipestall_program name)
+  cmake_parse_arguments(arg "" "" "SOURCES;LIBS" ${ARGN})
+  add_executable(${name} ${arg_SOURCES})
+  target_include_directories(${name} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
+  target_compile_options(${name} PRIVATE ${SNIPESTALL_WARNINGS})
+  target_link_libraries(${name} PRIVATE ${arg_LIBS})
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
--- /dev/null
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "snipestall/base/event_info.hpp"
+
+#include <span>
+
+namespace snipestall::events {
+
+// Numbers are never reused. 1xx process, 2xx settings, 3xx platform, 4xx membership and peers,
+// 5xx requests, 6xx backend servers, 7xx operators, 8xx stand-ins and tools.
+extern const EventInfo ProcessStarted;
+extern const EventInfo ProcessStopping;
+extern const EventInfo ProcessStopped;
+extern const EventInfo SettingsFaulty;
+extern const EventInfo ListenFailed;
+extern const EventInfo UnexpectedException;
+extern const EventInfo SettingsApplied;
+extern const EventInfo SettingsRefused;
+extern const EventInfo SettingsStale;
+extern const EventInfo PlatformUnavailable;
+extern const EventInfo PlatformRecovered;
+extern const EventInfo OutcomeSettled;
+extern const EventInfo PeerUp;
+extern const EventInfo PeerSuspected;
+extern const EventInfo PeerLeaving;
+extern const EventInfo HandoverStarted;
+extern const EventInfo HandoverDone;
+extern const EventInfo StewardLeaseTaken;
+extern const EventInfo StewardLeaseLost;
+extern const EventInfo RequestAccepted;
+extern const EventInfo RequestRefused;
+extern const EventInfo RequestCompleted;
+extern const EventInfo RequestFailed;
+extern const EventInfo RequestOutcomeUnknown;
+extern const EventInfo RequestResumed;
+extern const EventInfo RequestTakenOver;
+extern const EventInfo ClaimLost;
+extern const EventInfo ClaimAbandoned;
+extern const EventInfo RequestQuarantined;
+extern const EventInfo ServerUp;
+extern const EventInfo ServerLeaving;
+extern const EventInfo ServerLost;
+extern const EventInfo ServerEjected;
+extern const EventInfo ServerOrdered;
+extern const EventInfo OperatorChange;
+extern const EventInfo OperatorRefused;
+extern const EventInfo OperatorDrain;
+
+/// Every event, by number.
+std::span<const EventInfo *const> all();
+
+} // namespace snipestall::events
--- /dev/null
+++ b/include/snipestall/base/log.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "snipestall/base/event_info.hpp"
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace snipestall {
+
+/// One named value of a log line. Never a prompt, an answer or a key.
+struct LogField
+{
+    std::string_view name;
+    std::string value;
+};
+
+enum class LogFormat {
+    Text,
+    Json,
+};
+
+/// Sets up the process's log: standard error, one event a line.
+void initLog(LogFormat format, Severity least);
+
+/// Writes one numbered event.
+///
+///     logEvent(events::PeerUp, { { "peer", name } });
+void logEvent(const EventInfo &event, std::initializer_list<LogField> fields);
+
+} // namespace snipestall
--- /dev/null
+++ b/include/snipestall/peer/claim_keeper.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "snipestall/base/result.hpp"
+#include "snipestall/peer/claim_key.hpp"
+#include "snipestall/peer/claim_outcome.hpp"
+#include "snipestall/wire/task.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace snipestall {
+class Clock;
+}
+namespace snipestall::platform {
+class TableService;
+}
+
+namespace snipestall::peer {
+
+struct ClaimRequest
+{
+    ClaimKey key;
+    std::string request;
+    std::string attempt;
+    std::string bodyHash;
+    /// Past this the claim is worth nothing to its caller and must settle as Unsettled.
+    std::chrono::steady_clock::time_point deadline;
+};
+
+struct ClaimOptions
+{
+    /// How long claims gather before they are written in one transaction.
+    std::chrono::milliseconds batchWindow { 5 };
+    std::size_t maxBatch = 64;
+    /// Rows are kept this long, then removed in batches.
+    std::chrono::hours lifetime { 24 };
+};
+
+struct ClaimCounters
+{
+    std::uint64_t claims = 0;
+    std::uint64_t transactions = 0;
+    std::uint64_t settledByReading = 0;
+    std::uint64_t abandoned = 0;
+};
+
+/// Conditional inserts of (customer, service, key) into the platform's table, many in one
+/// transaction, so that platform writes follow batches and not requests. The row is the permission
+/// to send: whoever inserted it may send once, nobody else ever. Rows:
+///
+///     claims/<hour>/<sha256 of key> {"request":..,"attempt":..,"body":..,"state":..,"outcome":..}
+///
+/// with an index so that a repeat in a later hour finds an earlier row; see
+/// docs/design/at-most-once.md.
+class ClaimKeeper
+{
+public:
+    static std::unique_ptr<ClaimKeeper> create(boost::asio::io_context &io,
+                                               platform::TableService &table, const Clock &clock,
+                                               std::string instance, ClaimOptions options = {});
+    ~ClaimKeeper();
+
+    wire::Task<ClaimOutcome> claim(ClaimRequest request);
+    /// Stores what came of a granted claim; retried in the background until the table takes it.
+    void storeOutcome(ClaimKey key, std::string attempt, StoredOutcome outcome);
+    /// What is known of a key; nothing if no row is there; Unavailable if the table is down.
+    wire::Task<Result<std::optional<ClaimOutcome>>> lookup(ClaimKey key);
+    /// Removes rows older than the lifetime, at most one batch a call. Run now and then.
+    wire::Task<void> removeExpired();
+
+    [[nodiscard]] ClaimCounters counters() const;
+
+private:
+    struct State;
+    explicit ClaimKeeper(std::shared_ptr<State> state);
+
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace snipestall::peer
--- /dev/null
+++ b/include/snipestall/platform/object_store.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "snipestall/base/result.hpp"
+#include "snipestall/wire/task.hpp"
+
+#include <string>
+
+namespace snipestall::platform {
+
+/// The platform's object store: whole values by name.
+class ObjectStore
+{
+public:
+    virtual ~ObjectStore() = default;
+
+    virtual wire::Task<Result<void>> put(std::string name, std::string bytes) = 0;
+    /// NotFound if there is none.
+    virtual wire::Task<Result<std::string>> get(std::string name) = 0;
+};
+
+} // namespace snipestall::platform
--- /dev/null
+++ b/include/snipestall/settings/tree.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "snipestall/settings/effective_settings.hpp"
+#include "snipestall/settings/fault.hpp"
+
+#include <tl/expected.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace snipestall::settings {
+
+/// A checked settings document. Immutable; a change makes another Tree.
+///
+///     auto tree = Tree::parse(yaml);
+///     if (!tree) report(tree.error());
+///     auto view = tree->effective("samsun-hall", 7);
+class Tree
+{
+public:
+    /// Every fault in one go.
+    static tl::expected<Tree, std::vector<Fault>> parse(std::string_view yaml);
+
+    Tree(const Tree &);
+    Tree(Tree &&) noexcept;
+    Tree &operator=(const Tree &);
+    Tree &operator=(Tree &&) noexcept;
+    ~Tree();
+
+    /// Canonical text: the same content gives the same bytes.
+    [[nodiscard]] std::string toYaml() const;
+    /// SHA-256 of toYaml(), lower-case hex.
+    [[nodiscard]] std::string hash() const;
+
+    /// The view of one data centre.
+    [[nodiscard]] std::shared_ptr<const EffectiveSettings> effective(std::string_view dataCentre,
+                                                                     std::uint64_t version) const;
+    [[nodiscard]] std::vector<std::string> dataCentres() const;
+
+private:
+    struct Content;
+    explicit Tree(std::shared_ptr<const Content> content);
+
+    std::shared_ptr<const Content> m_content;
+};
+
+} // namespace snipestall::settings
--- /dev/null
+++ b/scripts/format.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Formats every source in place; with --check only reports.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mode=(-i)
+[ "${1:-}" = --check ] && mode=(--dry-run --Werror)
+git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp' | grep -v generated |
+    xargs -r -P 8 -n 20 clang-format "${mode[@]}"
--- /dev/null
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -0,0 +1,176 @@
+#include "snipestall/base/event_catalogue.hpp"
+
+#include <array>
+
+namespace snipestall::events {
+
+const EventInfo ProcessStarted { 100, Severity::Info, "process-started",
+                                 "The daemon listens and serves.", "None." };
+const EventInfo ProcessStopping {
+    101, Severity::Info, "process-stopping",
+    "A graceful shutdown began: no new work is accepted, work in progress goes on.",
+    "Wait for 102; a second signal does not cut it short."
+};
+const EventInfo ProcessStopped { 102, Severity::Info, "process-stopped",
+                                 "Every request in progress ended or was handed over.", "None." };
+const EventInfo SettingsFaulty { 110, Severity::Error, "local-settings-faulty",
+                                 "The local settings file has faults; the process exits with 2.",
+                                 "Mend each listed path, check with snipestalld --check." };
+const EventInfo ListenFailed { 111, Severity::Error, "listen-failed",
+                               "A listener could not be opened.",
+                               "Free the port or change it in the local settings file." };
+const EventInfo UnexpectedException { 190, Severity::Error, "unexpected-exception",
+                                      "A broken invariant was caught at the edge of the loop; the "
+                                      "request it belongs to ended as failed or unknown.",
+                                      "Report it with the lines around it." };
+const EventInfo SettingsApplied { 200, Severity::Info, "settings-applied",
+                                  "A newer version of the settings is in force on this instance.",
+                                  "None." };
+const EventInfo SettingsRefused {
+    201, Severity::Error, "settings-refused",
+    "A settings document failed its checks or its hash and was not applied.",
+    "Compare snipestallctl history with the version named."
+};
+const EventInfo SettingsStale {
+    202, Severity::Warning, "settings-stale",
+    "Neither the platform nor a peer has confirmed the settings for longer than the stated time.",
+    "Check the connection to the platform and between data centres."
+};
+const EventInfo PlatformUnavailable {
+    300, Severity::Warning, "platform-unavailable",
+    "The platform's service does not answer; serving goes on without it.",
+    "Check the platform. Keyed non-idempotent requests are refused as not run meanwhile."
+};
+const EventInfo PlatformRecovered { 301, Severity::Info, "platform-recovered",
+                                    "The platform's service answers again.", "None." };
+const EventInfo OutcomeSettled {
+    302, Severity::Info, "outcome-settled",
+    "A write whose answer was lost has been settled by reading it back.", "None."
+};
+const EventInfo PeerUp { 400, Severity::Info, "peer-up", "A peer instance answers.", "None." };
+const EventInfo PeerSuspected { 401, Severity::Warning, "peer-suspected",
+                                "A peer instance has been silent for longer than its term.",
+                                "Check the instance if it stays silent." };
+const EventInfo PeerLeaving { 402, Severity::Info, "peer-leaving",
+                              "A peer instance is shutting down or under notice.", "None." };
+const EventInfo HandoverStarted { 410, Severity::Info, "handover-started",
+                                  "This instance hands its accepted requests over.", "None." };
+const EventInfo HandoverDone { 411, Severity::Info, "handover-done",
+                               "The hand-over ended; the line says how many were taken.", "None." };
+const EventInfo StewardLeaseTaken { 420, Severity::Info, "steward-lease-taken",
+                                    "This instance gives the data centre's orders from now on.",
+                                    "None." };
+const EventInfo StewardLeaseLost {
+    421, Severity::Warning, "steward-lease-lost",
+    "This instance gives no more orders: its lease ended or could not be renewed.",
+    "None; another instance takes the lease when the platform answers."
+};
+const EventInfo RequestAccepted { 500, Severity::Debug, "request-accepted",
+                                  "A request is accepted and recorded with the buddy.", "None." };
+const EventInfo RequestRefused {
+    501, Severity::Info, "request-refused", "A request was refused; no byte of it left.",
+    "Look at the reason; raise the limit or the capacity if it repeats."
+};
+const EventInfo RequestCompleted { 502, Severity::Debug, "request-completed",
+                                   "A request was answered in full.", "None." };
+const EventInfo RequestFailed { 503, Severity::Warning, "request-failed",
+                                "A request was run and failed.",
+                                "Look at the reason and the backend server named." };
+const EventInfo RequestOutcomeUnknown {
+    504, Severity::Warning, "request-outcome-unknown",
+    "A non-idempotent request may or may not have run; it is not sent again.",
+    "Ask the backend service for the key named."
+};
+const EventInfo RequestResumed { 505, Severity::Info, "request-resumed",
+                                 "A stream goes on from its offset on another backend server.",
+                                 "None." };
+const EventInfo RequestTakenOver { 506, Severity::Info, "request-taken-over",
+                                   "A request of a lost or leaving instance was taken over.",
+                                   "None." };
+const EventInfo ClaimLost {
+    510, Severity::Info, "claim-lost",
+    "Another instance holds the claim on this key; the request is not sent here.", "None."
+};
+const EventInfo ClaimAbandoned {
+    511, Severity::Warning, "claim-abandoned",
+    "A claim whose write could not be settled was given up and never dispatched.",
+    "None; the row is marked when the platform answers."
+};
+const EventInfo RequestQuarantined {
+    520, Severity::Warning, "request-quarantined",
+    "A request took down two backend servers and is not run again.",
+    "Tell the customer; the fingerprint is in the line."
+};
+const EventInfo ServerUp { 600, Severity::Info, "server-up", "A backend server can be given work.",
+                           "None." };
+const EventInfo ServerLeaving { 601, Severity::Info, "server-leaving",
+                                "A backend server is leaving and gets no new work.", "None." };
+const EventInfo ServerLost { 602, Severity::Warning, "server-lost",
+                             "A backend server does not answer.",
+                             "Check it if it does not come back." };
+const EventInfo ServerEjected {
+    603, Severity::Warning, "server-ejected",
+    "A backend server is much slower than its pool and is passed over for a while.",
+    "Check it if this repeats."
+};
+const EventInfo ServerOrdered { 610, Severity::Info, "server-ordered",
+                                "The steward ordered a start, a release, a load or a role.",
+                                "None." };
+const EventInfo OperatorChange { 700, Severity::Info, "operator-change",
+                                 "An operator changed the settings.", "None." };
+const EventInfo OperatorRefused { 701, Severity::Warning, "operator-refused",
+                                  "An operator's change was refused.",
+                                  "The line says why; nothing was applied." };
+const EventInfo OperatorDrain { 702, Severity::Info, "operator-drain",
+                                "An operator asked this instance to drain.", "None." };
+
+namespace {
+
+const std::array AllEvents {
+    &ProcessStarted,
+    &ProcessStopping,
+    &ProcessStopped,
+    &SettingsFaulty,
+    &ListenFailed,
+    &UnexpectedException,
+    &SettingsApplied,
+    &SettingsRefused,
+    &SettingsStale,
+    &PlatformUnavailable,
+    &PlatformRecovered,
+    &OutcomeSettled,
+    &PeerUp,
+    &PeerSuspected,
+    &PeerLeaving,
+    &HandoverStarted,
+    &HandoverDone,
+    &StewardLeaseTaken,
+    &StewardLeaseLost,
+    &RequestAccepted,
+    &RequestRefused,
+    &RequestCompleted,
+    &RequestFailed,
+    &RequestOutcomeUnknown,
+    &RequestResumed,
+    &RequestTakenOver,
+    &ClaimLost,
+    &ClaimAbandoned,
+    &RequestQuarantined,
+    &ServerUp,
+    &ServerLeaving,
+    &ServerLost,
+    &ServerEjected,
+    &ServerOrdered,
+    &OperatorChange,
+    &OperatorRefused,
+    &OperatorDrain,
+};
+
+} // namespace
+
+std::span<const EventInfo *const> all()
+{
+    return AllEvents;
+}
+
+} // namespace snipestall::events
--- /dev/null
+++ b/src/snipestall/base/log.cpp
@@ -0,0 +1,78 @@
+#include "snipestall/base/log.hpp"
+
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <easylogging++.h>
+
+#include <array>
+#include <sstream>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace snipestall {
+
+namespace {
+
+struct LogState
+{
+    LogFormat format = LogFormat::Text;
+    Severity least = Severity::Info;
+};
+
+LogState &state()
+{
+    static LogState instance;
+    return instance;
+}
+
+constexpr std::array<std::string_view, 4> SeverityNames { "debug", "info", "warning", "error" };
+
+std::string_view severityName(Severity severity)
+{
+    return SeverityNames.at(static_cast<std::size_t>(severity));
+}
+
+std::string asJson(const EventInfo &event, std::initializer_list<LogField> fields)
+{
+    boost::json::object line;
+    line["severity"] = severityName(event.severity);
+    line["event"] = event.number;
+    line["name"] = event.name;
+    for (const LogField &field : fields)
+        line[field.name] = field.value;
+    return boost::json::serialize(line);
+}
+
+std::string asText(const EventInfo &event, std::initializer_list<LogField> fields)
+{
+    std::ostringstream line;
+    line << severityName(event.severity) << " SN" << event.number << ' ' << event.name;
+    for (const LogField &field : fields)
+        line << ' ' << field.name << '=' << boost::json::serialize(boost::json::value(field.value));
+    return line.str();
+}
+
+} // namespace
+
+void initLog(LogFormat format, Severity least)
+{
+    state() = { format, least };
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    configuration.setGlobally(el::ConfigurationType::Format,
+                              format == LogFormat::Json ? "%msg"
+                                                        : "%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
+    el::Loggers::reconfigureAllLoggers(configuration);
+}
+
+void logEvent(const EventInfo &event, std::initializer_list<LogField> fields)
+{
+    if (event.severity < state().least)
+        return;
+    const bool json = state().format == LogFormat::Json;
+    LOG(INFO) << (json ? asJson(event, fields) : asText(event, fields));
+}
+
+} // namespace snipestall
--- /dev/null
+++ b/src/snipestall/wire/http_client.cpp
@@ -0,0 +1,252 @@
+#include "snipestall/wire/http_client.hpp"
+
+#include "snipestall/wire/http_stream.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace snipestall::wire {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t MaxIdlePerEndpoint = 16;
+constexpr std::uint64_t MaxAnswerBytes = 64ULL * 1024 * 1024;
+constexpr std::size_t ReadBytes = 16 * 1024;
+
+struct Connection
+{
+    explicit Connection(asio::io_context &io)
+        : stream(io)
+    { }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+};
+
+using ConnectionPtr = std::unique_ptr<Connection>;
+
+tl::unexpected<Error> lost(const Endpoint &endpoint, const beast::error_code &ec)
+{
+    const bool timedOut = ec == beast::error::timeout;
+    return fail(timedOut ? ErrorKind::DeadlineExceeded : ErrorKind::OutcomeUnknown,
+                endpoint.toString() + " broke off: " + ec.message()
+                    + "; whether it ran must be read back");
+}
+
+/// A kept connection that the server has closed reads as ended; using it would lose the request.
+bool stillOpen(Connection &connection)
+{
+    auto &socket = connection.stream.socket();
+    beast::error_code ec;
+    socket.non_blocking(true, ec);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec == asio::error::would_block;
+}
+
+} // namespace
+
+struct HttpClient::State
+{
+    explicit State(asio::io_context &context)
+        : io(context)
+    { }
+
+    ConnectionPtr takeIdle(const Endpoint &endpoint);
+    void giveBack(const Endpoint &endpoint, ConnectionPtr connection);
+
+    asio::io_context &io;
+    std::map<Endpoint, std::vector<ConnectionPtr>> idle;
+};
+
+ConnectionPtr HttpClient::State::takeIdle(const Endpoint &endpoint)
+{
+    auto &kept = idle[endpoint];
+    while (!kept.empty()) {
+        ConnectionPtr connection = std::move(kept.back());
+        kept.pop_back();
+        if (stillOpen(*connection))
+            return connection;
+    }
+    return nullptr;
+}
+
+void HttpClient::State::giveBack(const Endpoint &endpoint, ConnectionPtr connection)
+{
+    // Bytes beyond the answer belong to nobody: the connection can't be trusted any more.
+    if (connection->buffer.size() != 0)
+        return;
+    auto &kept = idle[endpoint];
+    connection->stream.expires_never();
+    if (kept.size() < MaxIdlePerEndpoint)
+        kept.push_back(std::move(connection));
+}
+
+namespace {
+
+/// Reads one answer; returns its connection to the pool only when it was read to its end.
+template<typename State>
+class TcpStreamAnswer final : public HttpStream
+{
+public:
+    TcpStreamAnswer(std::shared_ptr<State> state, Endpoint endpoint, ConnectionPtr connection,
+                    std::chrono::milliseconds idleTimeout)
+        : m_state(std::move(state))
+        , m_endpoint(std::move(endpoint))
+        , m_connection(std::move(connection))
+        , m_idleTimeout(idleTimeout)
+    {
+        m_parser.body_limit(MaxAnswerBytes);
+    }
+
+    Task<beast::error_code> readHead()
+    {
+        m_connection->stream.expires_after(m_idleTimeout);
+        auto [ec, bytes] = co_await http::async_read_header(
+            m_connection->stream, m_connection->buffer, m_parser, UseTuple);
+        if (ec)
+            co_return ec;
+        const auto &message = m_parser.get();
+        m_head.status = message.result_int();
+        for (const auto &field : message)
+            m_head.fields.set(std::string(field.name_string()), std::string(field.value()));
+        co_return ec;
+    }
+
+    [[nodiscard]] const HttpResponse &head() const override { return m_head; }
+
+    Task<Result<std::optional<std::string>>> read() override
+    {
+        std::string bytes(ReadBytes, '\0');
+        while (!m_parser.is_done()) {
+            if (m_connection == nullptr)
+                co_return lost(m_endpoint, asio::error::operation_aborted);
+            m_parser.get().body().data = bytes.data();
+            m_parser.get().body().size = bytes.size();
+            m_connection->stream.expires_after(m_idleTimeout);
+            auto [ec, transferred] = co_await http::async_read_some(
+                m_connection->stream, m_connection->buffer, m_parser, UseTuple);
+            if (ec == http::error::need_buffer)
+                ec = {};
+            if (ec)
+                co_return lost(m_endpoint, ec);
+            const std::size_t got = bytes.size() - m_parser.get().body().size;
+            if (got == 0)
+                continue;
+            bytes.resize(got);
+            co_return std::optional<std::string>(std::move(bytes));
+        }
+        release();
+        co_return std::optional<std::string>();
+    }
+
+    void close() override
+    {
+        if (m_connection != nullptr)
+            m_connection->stream.close();
+    }
+
+private:
+    void release()
+    {
+        if (m_connection == nullptr)
+            return;
+        if (m_parser.get().keep_alive())
+            m_state->giveBack(m_endpoint, std::move(m_connection));
+        m_connection.reset();
+    }
+
+    std::shared_ptr<State> m_state;
+    Endpoint m_endpoint;
+    ConnectionPtr m_connection;
+    std::chrono::milliseconds m_idleTimeout;
+    http::response_parser<http::buffer_body> m_parser;
+    HttpResponse m_head;
+};
+
+http::request<http::string_body> toMessage(const Endpoint &endpoint, HttpRequest &&request)
+{
+    http::request<http::string_body> message;
+    message.method_string(request.method);
+    message.target(request.target);
+    message.version(11);
+    message.set(http::field::host, endpoint.toString());
+    for (const auto &[name, value] : request.fields.all())
+        message.set(name, value);
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+HttpClient::HttpClient(asio::io_context &io)
+    : m_state(std::make_shared<State>(io))
+{ }
+
+HttpClient::~HttpClient() = default;
+
+Task<Result<std::unique_ptr<HttpStream>>> HttpClient::open(Endpoint endpoint, HttpRequest request,
+                                                           HttpCallOptions options)
+{
+    const auto state = m_state;
+    ConnectionPtr connection = options.freshConnection ? nullptr : state->takeIdle(endpoint);
+    if (connection == nullptr) {
+        connection = std::make_unique<Connection>(state->io);
+        beast::error_code bad;
+        const tcp::endpoint remote(asio::ip::make_address(endpoint.host, bad), endpoint.port);
+        connection->stream.expires_after(options.connectTimeout);
+        auto [ec] = co_await connection->stream.async_connect(remote, UseTuple);
+        if (ec)
+            co_return fail(ErrorKind::Unavailable,
+                           "can't connect to " + endpoint.toString() + ": " + ec.message()
+                               + "; check that it runs");
+        connection->stream.socket().set_option(tcp::no_delay(true), bad);
+    }
+    if (options.beforeSend && !options.beforeSend())
+        co_return fail(ErrorKind::Unavailable, "given up before a byte was sent; nothing ran");
+    const auto message = toMessage(endpoint, std::move(request));
+    connection->stream.expires_after(options.idleTimeout);
+    auto [ec, sent] = co_await http::async_write(connection->stream, message, UseTuple);
+    if (ec)
+        co_return lost(endpoint, ec);
+    auto answer = std::make_unique<TcpStreamAnswer<State>>(state, endpoint, std::move(connection),
+                                                           options.idleTimeout);
+    const beast::error_code headError = co_await answer->readHead();
+    if (headError)
+        co_return lost(endpoint, headError);
+    co_return std::unique_ptr<HttpStream>(std::move(answer));
+}
+
+Task<Result<HttpResponse>> HttpClient::fetch(Endpoint endpoint, HttpRequest request,
+                                             HttpCallOptions options)
+{
+    auto stream = co_await open(std::move(endpoint), std::move(request), std::move(options));
+    if (!stream)
+        co_return tl::unexpected<Error>(std::move(stream.error()));
+    HttpResponse response = (*stream)->head();
+    while (true) {
+        auto bytes = co_await (*stream)->read();
+        if (!bytes)
+            co_return tl::unexpected<Error>(std::move(bytes.error()));
+        if (!bytes->has_value())
+            break;
+        response.body += **bytes;
+    }
+    co_return response;
+}
+
+} // namespace snipestall::wire
--- /dev/null
+++ b/src/snipestall/wire/http_server.cpp
@@ -0,0 +1,293 @@
+#include "snipestall/wire/http_server.hpp"
+
+#include "snipestall/wire/http_exchange.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace snipestall::wire {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint32_t MaxHeaderBytes = 32 * 1024;
+/// An idle or half-sent request may hold a connection this long; then it is closed.
+constexpr std::chrono::seconds ReadPatience { 60 };
+/// A caller that takes no bytes for this long is gone; it can come back at its offset.
+constexpr std::chrono::seconds WritePatience { 30 };
+
+HttpRequest toRequest(http::request<http::string_body> &&message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message)
+        request.fields.set(std::string(field.name_string()), std::string(field.value()));
+    request.body = std::move(message.body());
+    return request;
+}
+
+template<typename Message>
+void copyFields(const HttpFields &from, Message &to)
+{
+    for (const auto &[name, value] : from.all())
+        to.set(name, value);
+}
+
+/// One exchange over a plain TCP connection.
+class TcpExchange final : public HttpExchange
+{
+public:
+    TcpExchange(beast::tcp_stream &stream, HttpRequest request, bool keepAlive)
+        : m_stream(stream)
+        , m_request(std::move(request))
+        , m_keepAlive(keepAlive)
+    { }
+
+    ~TcpExchange() override { m_watch.emit(asio::cancellation_type::all); }
+
+    [[nodiscard]] const HttpRequest &request() const override { return m_request; }
+    [[nodiscard]] bool keepAlive() const { return m_keepAlive && m_ended && !m_aborted; }
+    [[nodiscard]] bool ended() const { return m_ended || m_aborted; }
+    void closeAfter() { m_keepAlive = false; }
+
+    Task<void> respond(HttpResponse response) override
+    {
+        http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
+        copyFields(response.fields, message);
+        message.keep_alive(m_keepAlive);
+        message.body() = std::move(response.body);
+        message.prepare_payload();
+        m_stream.expires_after(WritePatience);
+        co_await http::async_write(m_stream, message, asio::use_awaitable);
+        m_ended = true;
+    }
+
+    Task<void> beginStream(HttpResponse head) override
+    {
+        http::response<http::empty_body> message(static_cast<http::status>(head.status), 11);
+        copyFields(head.fields, message);
+        message.keep_alive(m_keepAlive);
+        message.chunked(true);
+        http::response_serializer<http::empty_body> serializer(message);
+        m_stream.expires_after(WritePatience);
+        co_await http::async_write_header(m_stream, serializer, asio::use_awaitable);
+    }
+
+    Task<void> write(std::string chunk) override
+    {
+        if (chunk.empty())
+            co_return;
+        m_stream.expires_after(WritePatience);
+        const auto buffers = http::make_chunk(asio::buffer(chunk));
+        co_await asio::async_write(m_stream, buffers, asio::use_awaitable);
+    }
+
+    Task<void> finish() override
+    {
+        m_stream.expires_after(WritePatience);
+        const auto last = http::make_chunk_last();
+        co_await asio::async_write(m_stream, last, asio::use_awaitable);
+        m_ended = true;
+    }
+
+    void abort() override
+    {
+        m_aborted = true;
+        beast::error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        m_stream.close();
+    }
+
+    // A caller that hangs up while its request waits in a queue would otherwise hold a slot that
+    // nobody wants. A readable socket without a byte in it is the end of the stream.
+    void onPeerClosed(std::function<void()> callback) override
+    {
+        auto &socket = m_stream.socket();
+        socket.async_wait(
+            tcp::socket::wait_read,
+            asio::bind_cancellation_slot(
+                m_watch.slot(), [&socket, callback = std::move(callback)](beast::error_code ec) {
+                    if (ec)
+                        return;
+                    char byte = 0;
+                    socket.non_blocking(true);
+                    beast::error_code peeked;
+                    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peeked);
+                    if (peeked && peeked != asio::error::would_block)
+                        callback();
+                }));
+    }
+
+private:
+    beast::tcp_stream &m_stream;
+    HttpRequest m_request;
+    bool m_keepAlive;
+    bool m_ended = false;
+    bool m_aborted = false;
+    asio::cancellation_signal m_watch;
+};
+
+HttpResponse refusal(int status, const std::string &message)
+{
+    return HttpResponse::json(
+        status, R"({"error":{"type":"invalid_request","message":")" + message + "\"}}");
+}
+
+} // namespace
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
+{
+    State(asio::io_context &context, Handler h, HttpServerOptions o)
+        : io(context)
+        , acceptor(context)
+        , handler(std::move(h))
+        , options(std::move(o))
+    { }
+
+    Task<void> acceptLoop();
+    Task<void> serve(tcp::socket socket);
+    Task<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer);
+
+    asio::io_context &io;
+    tcp::acceptor acceptor;
+    Handler handler;
+    HttpServerOptions options;
+    bool stopping = false;
+    std::size_t connections = 0;
+};
+
+Task<void> HttpServer::State::acceptLoop()
+{
+    const auto self = shared_from_this();
+    while (!stopping) {
+        auto [ec, socket] = co_await acceptor.async_accept(UseTuple);
+        if (ec == asio::error::operation_aborted || stopping)
+            co_return;
+        if (ec)
+            continue;
+        beast::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        asio::co_spawn(io, serve(std::move(socket)), asio::detached);
+    }
+}
+
+Task<void> HttpServer::State::serve(tcp::socket socket)
+{
+    const auto self = shared_from_this();
+    ++connections;
+    try {
+        beast::tcp_stream stream(std::move(socket));
+        beast::flat_buffer buffer;
+        bool more = true;
+        while (more)
+            more = co_await serveOne(stream, buffer);
+        beast::error_code ignored;
+        stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    } catch (const boost::system::system_error &) {
+        // The peer hung up or stayed silent: nobody is left to be told.
+    }
+    --connections;
+}
+
+Task<bool> HttpServer::State::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+{
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(options.maxBody);
+    parser.header_limit(MaxHeaderBytes);
+    stream.expires_after(ReadPatience);
+    auto [ec, bytes] = co_await http::async_read(stream, buffer, parser, UseTuple);
+    if (ec == http::error::body_limit || ec == http::error::header_limit) {
+        TcpExchange exchange(stream, {}, false);
+        co_await exchange.respond(refusal(413, "the body is too large; send a shorter one"));
+        co_return false;
+    }
+    if (ec && ec.category() == http::make_error_code(http::error::bad_version).category()
+        && ec != http::error::end_of_stream && ec != http::error::partial_message) {
+        TcpExchange exchange(stream, {}, false);
+        co_await exchange.respond(refusal(400, "malformed HTTP; send an HTTP/1.1 request"));
+        co_return false;
+    }
+    if (ec)
+        co_return false;
+    const bool keepAlive = parser.get().keep_alive() && !stopping;
+    TcpExchange exchange(stream, toRequest(parser.release()), keepAlive);
+    stream.expires_never();
+    co_await handler(exchange);
+    if (!exchange.ended())
+        exchange.abort();
+    co_return exchange.keepAlive() && !stopping;
+}
+
+HttpServer::HttpServer(std::shared_ptr<State> state)
+    : m_state(std::move(state))
+{ }
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::create(asio::io_context &io,
+                                                       const Endpoint &endpoint, Handler handler,
+                                                       HttpServerOptions options)
+{
+    auto state = std::make_shared<State>(io, std::move(handler), std::move(options));
+    beast::error_code ec;
+    const auto address = asio::ip::make_address(endpoint.host, ec);
+    const tcp::endpoint local(address, endpoint.port);
+    const auto listen = [&] {
+        if (!ec)
+            state->acceptor.open(local.protocol(), ec);
+        if (!ec)
+            state->acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+        if (!ec)
+            state->acceptor.bind(local, ec);
+        if (!ec)
+            state->acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    };
+    listen();
+    if (ec)
+        return fail(ErrorKind::Unavailable,
+                    "can't listen on " + endpoint.toString() + ": " + ec.message()
+                        + "; free the port or choose another in the local settings");
+    asio::co_spawn(io, state->acceptLoop(), asio::detached);
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
+}
+
+Endpoint HttpServer::endpoint() const
+{
+    beast::error_code ignored;
+    const auto local = m_state->acceptor.local_endpoint(ignored);
+    return { local.address().to_string(), local.port() };
+}
+
+void HttpServer::stopAccepting()
+{
+    m_state->stopping = true;
+    beast::error_code ignored;
+    m_state->acceptor.close(ignored);
+}
+
+std::size_t HttpServer::connections() const
+{
+    return m_state->connections;
+}
+
+} // namespace snipestall::wire
--- /dev/null
+++ b/src/snipestall/wire/http_test.cpp
@@ -0,0 +1,124 @@
+#include "snipestall/wire/http_client.hpp"
+#include "snipestall/wire/http_exchange.hpp"
+#include "snipestall/wire/http_server.hpp"
+#include "snipestall/wire/http_stream.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <gtest/gtest.h>
+
+namespace snipestall::wire {
+namespace {
+
+class HttpTest : public testing::Test
+{
+protected:
+    Endpoint listen(HttpServer::Handler handler, HttpServerOptions options = {})
+    {
+        auto server =
+            HttpServer::create(m_io, { "127.0.0.1", 0 }, std::move(handler), std::move(options));
+        m_server = std::move(server.value());
+        return m_server->endpoint();
+    }
+
+    Result<HttpResponse> fetch(const Endpoint &endpoint, HttpRequest request,
+                               HttpCallOptions options = {})
+    {
+        Result<HttpResponse> result = fail(ErrorKind::Internal, "not finished");
+        boost::asio::co_spawn(
+            m_io,
+            [&]() -> Task<void> {
+                result = co_await m_client.fetch(endpoint, std::move(request), options);
+                if (m_server)
+                    m_server->stopAccepting();
+                m_io.stop();
+            },
+            boost::asio::detached);
+        m_io.restart();
+        m_io.run();
+        return result;
+    }
+
+    boost::asio::io_context m_io;
+    HttpClient m_client { m_io };
+    std::unique_ptr<HttpServer> m_server;
+};
+
+TEST_F(HttpTest, AnswersARequestWithItsBody)
+{
+    const Endpoint endpoint = listen([](HttpExchange &exchange) -> Task<void> {
+        HttpResponse response = HttpResponse::json(200, exchange.request().body);
+        co_await exchange.respond(std::move(response));
+    });
+    HttpRequest request { "POST", "/echo?x=1", {}, "hello" };
+    const auto response = fetch(endpoint, request);
+    ASSERT_TRUE(response.has_value()) << response.error().message;
+    EXPECT_EQ(response->body, "hello");
+}
+
+TEST_F(HttpTest, StreamsChunksToTheEnd)
+{
+    const Endpoint endpoint = listen([](HttpExchange &exchange) -> Task<void> {
+        HttpResponse head;
+        co_await exchange.beginStream(std::move(head));
+        for (int i = 0; i < 50; ++i)
+            co_await exchange.write(std::to_string(i) + ",");
+        co_await exchange.finish();
+    });
+    const auto response = fetch(endpoint, {});
+    ASSERT_TRUE(response.has_value()) << response.error().message;
+    EXPECT_EQ(response->body.substr(0, 8), "0,1,2,3,");
+    EXPECT_EQ(response->body.substr(response->body.size() - 3), "49,");
+}
+
+// A backend server dies in the middle of its answer. A client that takes what came for the whole
+// would hand a cut answer to the caller; it must see an error instead.
+TEST_F(HttpTest, ACutBodyIsAnErrorAndNotAnAnswer)
+{
+    const Endpoint endpoint = listen([](HttpExchange &exchange) -> Task<void> {
+        HttpResponse head;
+        co_await exchange.beginStream(std::move(head));
+        co_await exchange.write("half");
+        exchange.abort();
+    });
+    const auto response = fetch(endpoint, {});
+    ASSERT_FALSE(response.has_value());
+    EXPECT_EQ(response.error().kind, ErrorKind::OutcomeUnknown);
+}
+
+TEST_F(HttpTest, ARefusedConnectionPromisesThatNothingRan)
+{
+    Endpoint nobody = listen([](HttpExchange &) -> Task<void> { co_return; });
+    m_server.reset();
+    const auto response = fetch(nobody, {});
+    ASSERT_FALSE(response.has_value());
+    EXPECT_EQ(response.error().kind, ErrorKind::Unavailable);
+}
+
+TEST_F(HttpTest, ALargeBodyIsRefusedWith413)
+{
+    HttpServerOptions options;
+    options.maxBody = 10;
+    const Endpoint endpoint = listen(
+        [](HttpExchange &exchange) -> Task<void> {
+            HttpResponse response;
+            co_await exchange.respond(std::move(response));
+        },
+        options);
+    HttpRequest request { "POST", "/", {}, std::string(100, 'x') };
+    const auto response = fetch(endpoint, request);
+    ASSERT_TRUE(response.has_value()) << response.error().message;
+    EXPECT_EQ(response->status, 413);
+}
+
+TEST(EndpointTest, ParsesIpNumbersOnly)
+{
+    EXPECT_EQ(Endpoint::parse("127.0.0.1:80")->port, 80);
+    EXPECT_EQ(Endpoint::parse("[::1]:80")->toString(), "[::1]:80");
+    for (const auto *bad : { "localhost:80", "127.0.0.1", "127.0.0.1:x", ":80" })
+        EXPECT_FALSE(Endpoint::parse(bad).has_value()) << bad;
+}
+
+} // namespace
+} // namespace snipestall::wire
