--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,5 +1,7 @@
 add_compile_definitions(BOOST_ASIO_NO_DEPRECATED ELPP_NO_DEFAULT_LOG_FILE ELPP_THREAD_SAFE)
-set(SNIPESTALL_WARNINGS -Wall -Wextra -Wpedantic -Werror -Wno-error=maybe-uninitialized)
+# GCC 12 takes the frame allocator of asio's awaitable for a mismatched pair.
+set(SNIPESTALL_WARNINGS -Wall -Wextra -Wpedantic -Werror -Wno-error=maybe-uninitialized
+  -Wno-mismatched-new-delete)
 
 # snipestall_module(NAME LIBS...): one target a module, from src/snipestall/NAME/*.cpp; its
 # *_test.cpp files make the test program NAME_test.
--- /dev/null
+++ b/include/snipestall/entry/dispatcher.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "snipestall/base/result.hpp"
+#include "snipestall/entry/command_sink.hpp"
+#include "snipestall/entry/request.hpp"
+#include "snipestall/wire/task.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace snipestall::peer {
+class ClaimKeeper;
+class ForwardCall;
+class PeerNetwork;
+class RecordKeeper;
+} // namespace snipestall::peer
+namespace snipestall::wire {
+class HttpClient;
+class HttpStream;
+} // namespace snipestall::wire
+
+namespace snipestall::entry {
+
+class BackendDirectory;
+class PolicyLoop;
+class RequestStore;
+struct Backend;
+
+/// What the dispatcher works with; all outlive it.
+struct DispatcherLinks
+{
+    boost::asio::io_context *io = nullptr;
+    RequestStore *store = nullptr;
+    PolicyLoop *policy = nullptr;
+    BackendDirectory *backends = nullptr;
+    wire::HttpClient *http = nullptr;
+    peer::PeerNetwork *network = nullptr;
+    peer::ClaimKeeper *claims = nullptr;
+    peer::RecordKeeper *records = nullptr;
+};
+
+struct DispatchCounters
+{
+    std::uint64_t attempts = 0;
+    std::uint64_t forwards = 0;
+    std::uint64_t wrongAttempt = 0;
+    std::uint64_t recomputedTokens = 0;
+};
+
+/// Runs attempts: carries out what the policy decides and tells it what came of it.
+class Dispatcher final : public CommandSink
+{
+public:
+    /// `name` and `incarnation` make attempt ids that no other process gives.
+    Dispatcher(std::string name, std::uint64_t incarnation);
+    ~Dispatcher() override;
+
+    void connect(DispatcherLinks links) { m_links = links; }
+
+    /// A new request: the policy decides what becomes of it. `accepted`: it was accepted before,
+    /// here or elsewhere, and no limit refuses it.
+    void arrive(const RequestPtr &request, bool accepted);
+    /// Nobody wants its answer any more.
+    void cancel(const RequestPtr &request);
+    /// The request is recorded with its buddy; to be awaited before anything is promised.
+    wire::Task<void> accept(RequestPtr request);
+    /// Ends a request here; tells readers and the policy.
+    void finish(const RequestPtr &request, FinalAnswer answer);
+
+    /// Peers that forwards may go to.
+    void addPeer(policy::PeerHandle handle, const std::string &name);
+
+    void execute(const policy::Dispatch &command) override;
+    void execute(const policy::ForwardTo &command) override;
+    void execute(const policy::Refuse &command) override;
+    void execute(const policy::CancelAttempt &command) override;
+    void execute(const policy::MoveStream &command) override;
+    void execute(const policy::StartInstance &command) override;
+    void execute(const policy::ReleaseInstance &command) override;
+
+    [[nodiscard]] const DispatchCounters &counters() const { return m_counters; }
+
+private:
+    struct Attempt;
+
+    wire::Task<void> runOnServer(RequestPtr request, policy::AttemptHandle handle, Backend server,
+                                 std::string kv);
+    wire::Task<void> runOnPeer(RequestPtr request, policy::AttemptHandle handle, std::string peer);
+    wire::Task<void> move(RequestPtr request, policy::MoveStream command, Backend from,
+                          Backend target);
+    wire::Task<bool> mayRun(Attempt &attempt);
+    wire::Task<bool> claim(Attempt &attempt);
+    wire::Task<void> awaitOutcome(RequestPtr request);
+    wire::Task<void> readModel(Attempt &attempt);
+    wire::Task<void> readPlain(Attempt &attempt);
+    wire::Task<void> readTokens(Attempt &attempt, wire::HttpStream &stream);
+    wire::Task<void> readForward(Attempt &attempt, peer::ForwardCall &call);
+    wire::Task<void> attemptBroke(Attempt &attempt, Error error);
+    wire::Task<void> replicate(RequestPtr request);
+    bool takeToken(Attempt &attempt, const std::string &data);
+    void answered(Attempt &attempt, int status, std::string contentType, std::string body);
+    void declined(Attempt &attempt, std::chrono::milliseconds retryAfter);
+    void ended(Attempt &attempt, policy::AttemptResult result,
+               std::chrono::milliseconds retryAfter = {});
+    [[nodiscard]] std::string attemptId(policy::AttemptHandle handle) const;
+
+    std::string m_name;
+    std::uint64_t m_incarnation;
+    DispatcherLinks m_links;
+    DispatchCounters m_counters;
+    std::map<policy::PeerHandle, std::string> m_peers;
+    /// Which server each attempt under way runs on, for moves.
+    std::map<policy::AttemptHandle, policy::ServerHandle> m_onServer;
+};
+
+} // namespace snipestall::entry
--- /dev/null
+++ b/include/snipestall/peer/peer_handler.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "snipestall/wire/task.hpp"
+
+#include <memory>
+
+namespace snipestall::peer::v1 {
+class FetchSettingsRequest;
+class FindRequestRequest;
+class ForwardRequest;
+class HandoverReply;
+class HandoverRequest;
+class HeartbeatReply;
+class HeartbeatRequest;
+class HoldReply;
+class HoldRequest;
+class SettingsDocument;
+} // namespace snipestall::peer::v1
+
+namespace snipestall::peer {
+
+class ForwardSink;
+
+/// What this instance does for its peers. Every call runs on the loop's thread.
+class PeerHandler
+{
+public:
+    virtual ~PeerHandler() = default;
+
+    virtual v1::HeartbeatReply onHeartbeat(const v1::HeartbeatRequest &request) = 0;
+    virtual v1::HoldReply onHold(const v1::HoldRequest &request) = 0;
+    virtual v1::HandoverReply onHandover(const v1::HandoverRequest &request) = 0;
+    virtual v1::SettingsDocument onFetchSettings(const v1::FetchSettingsRequest &request) = 0;
+    virtual void onForward(const v1::ForwardRequest &request,
+                           std::shared_ptr<ForwardSink> sink) = 0;
+    virtual void onFindRequest(const v1::FindRequestRequest &request,
+                               std::shared_ptr<ForwardSink> sink) = 0;
+};
+
+} // namespace snipestall::peer
--- /dev/null
+++ b/src/snipestall/entry/attempt_on_peer.cpp
@@ -0,0 +1,128 @@
+#include "snipestall/entry/dispatcher.hpp"
+#include "snipestall/entry/policy_loop.hpp"
+#include "snipestall/entry/request_store.hpp"
+#include "snipestall/peer/forward_call.hpp"
+#include "snipestall/peer/peer_client.hpp"
+#include "snipestall/peer/peer_network.hpp"
+
+#include "attempt.hpp"
+#include "peer.pb.h"
+
+#include <utility>
+
+namespace snipestall::entry {
+
+using peer::v1::ForwardEvent;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// The owner's own deadline comes first; this only frees a call to an owner that froze.
+constexpr milliseconds GraceAfterDeadline { 500 };
+
+FinalAnswer answerOf(const ForwardEvent &event)
+{
+    FinalAnswer answer;
+    answer.status = static_cast<int>(event.status());
+    answer.contentType = event.content_type();
+    answer.reason = event.reason();
+    return answer;
+}
+
+} // namespace
+
+wire::Task<void> Dispatcher::runOnPeer(RequestPtr request, policy::AttemptHandle handle,
+                                       std::string peer)
+{
+    Attempt attempt;
+    attempt.request = request;
+    attempt.handle = handle;
+    attempt.id = attemptId(handle);
+    ++m_counters.forwards;
+    request->cancels()[handle.value] = [&attempt] { attempt.cancelled = true; };
+    co_await accept(request);
+    peer::PeerClient *client = m_links.network->client(peer);
+    if (attempt.cancelled || request->finished() || client == nullptr)
+        co_return ended(attempt, policy::AttemptResult::NotSent);
+    // See mayRun: nobody sends a non-idempotent request a second time.
+    if (!request->spec().idempotent && request->maybeSent()) {
+        FinalAnswer answer;
+        answer.outcome = Outcome::Unknown;
+        answer.status = 504;
+        answer.reason = "an earlier attempt may have run";
+        co_return finish(request, std::move(answer));
+    }
+    peer::v1::ForwardRequest call;
+    *call.mutable_record() = request->record(true, request->nextOffset());
+    call.mutable_record()->clear_output();
+    call.mutable_record()->set_output_offset(request->nextOffset());
+    call.set_attempt(attempt.id);
+    call.set_sender(m_name);
+    const auto left = std::chrono::duration_cast<milliseconds>(request->spec().deadline
+                                                               - std::chrono::steady_clock::now());
+    ++request->uncertain;
+    const auto stream = client->forward(call, std::max(left, milliseconds(0)) + GraceAfterDeadline);
+    request->cancels()[handle.value] = [&attempt, raw = stream.get()] {
+        attempt.cancelled = true;
+        raw->cancel();
+    };
+    co_await readForward(attempt, *stream);
+    // Whatever has not been said to be not run may have run.
+    if (request->uncertain > 0) {
+        --request->uncertain;
+        request->markSent();
+    }
+    ended(attempt, policy::AttemptResult::Cut);
+}
+
+wire::Task<void> Dispatcher::readForward(Attempt &attempt, peer::ForwardCall &call)
+{
+    const RequestPtr request = attempt.request;
+    while (true) {
+        auto next = co_await call.read();
+        if (attempt.cancelled || request->finished())
+            co_return;
+        if (!next || !next->has_value())
+            co_return;
+        const ForwardEvent &event = **next;
+        if (event.attempt() != attempt.id) {
+            ++m_counters.wrongAttempt;
+            co_return;
+        }
+        FinalAnswer answer = answerOf(event);
+        switch (event.kind()) {
+        case ForwardEvent::SENDING:
+            request->markSent();
+            break;
+        case ForwardEvent::CHUNK:
+            if (!request->append(event.offset(), event.data()))
+                co_return;
+            m_links.policy->post(policy::TokensProduced { request->handle(), attempt.handle, 1 });
+            break;
+        case ForwardEvent::END:
+            answer.outcome = Outcome::Completed;
+            answer.body = event.data();
+            ended(attempt, policy::AttemptResult::Completed);
+            request->finish(std::move(answer));
+            co_return;
+        case ForwardEvent::NOT_RUN:
+            --request->uncertain;
+            co_return declined(attempt, milliseconds(event.retry_after_ms()));
+        case ForwardEvent::UNKNOWN:
+            answer.outcome = Outcome::Unknown;
+            answer.body = event.data();
+            co_return finish(request, std::move(answer));
+        case ForwardEvent::FAILED:
+            request->markSent();
+            if (event.server_died())
+                request->crashedServers().insert(event.server());
+            co_return ended(attempt,
+                            event.server_died() ? policy::AttemptResult::ServerDied
+                                                : policy::AttemptResult::Cut);
+        default:
+            break;
+        }
+    }
+}
+
+} // namespace snipestall::entry
--- /dev/null
+++ b/src/snipestall/entry/attempt_on_server.cpp
@@ -0,0 +1,414 @@
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
+#include "snipestall/entry/backend_directory.hpp"
+#include "snipestall/entry/dispatcher.hpp"
+#include "snipestall/entry/policy_loop.hpp"
+#include "snipestall/entry/request_store.hpp"
+#include "snipestall/peer/claim_keeper.hpp"
+#include "snipestall/wire/event_stream_parser.hpp"
+#include "snipestall/wire/http_client.hpp"
+#include "snipestall/wire/http_stream.hpp"
+
+#include "attempt.hpp"
+#include "body_hash.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace snipestall::entry {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+/// An engine that is silent for this long in mid-stream is taken for lost; the slowest token of a
+/// healthy one takes well under a second.
+constexpr milliseconds TokenSilence { 5000 };
+constexpr milliseconds ProbeTimeout { 300 };
+constexpr milliseconds ExportTimeout { 3000 };
+constexpr milliseconds DefaultRetryAfter { 1000 };
+constexpr milliseconds OutcomePoll { 200 };
+constexpr int StatusUnavailable = 503;
+constexpr int StatusGatewayTimeout = 504;
+constexpr int FirstErrorStatus = 400;
+
+milliseconds retryAfterOf(const wire::HttpResponse &response)
+{
+    const std::string text = response.fields.find("Retry-After").value_or("");
+    int seconds = 0;
+    std::from_chars(text.data(), text.data() + text.size(), seconds);
+    return seconds > 0 ? milliseconds(std::chrono::seconds(seconds)) : DefaultRetryAfter;
+}
+
+milliseconds timeLeft(const Request &request)
+{
+    const auto left = request.spec().deadline - steady_clock::now();
+    return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(left));
+}
+
+wire::HttpRequest engineRequest(const Request &request, const std::string &attempt,
+                                const std::string &kv)
+{
+    const RequestSpec &spec = request.spec();
+    json::object body;
+    body["model"] = spec.model;
+    body["prompt"] = spec.body;
+    body["max_tokens"] = spec.maxTokens;
+    body["stream"] = true;
+    body["request"] = spec.id;
+    body["attempt"] = attempt;
+    body["resume_from"] = request.nextOffset();
+    body["priority"] = static_cast<int>(spec.urgency);
+    if (!kv.empty())
+        body["kv"] = kv;
+    wire::HttpRequest call;
+    call.method = "POST";
+    call.target = "/v1/completions";
+    call.fields.set("Content-Type", "application/json");
+    call.body = json::serialize(body);
+    return call;
+}
+
+wire::HttpRequest plainRequest(const Request &request, const std::string &attempt)
+{
+    const RequestSpec &spec = request.spec();
+    wire::HttpRequest call;
+    call.method = spec.method;
+    call.target = spec.target;
+    call.body = spec.body;
+    if (!spec.contentType.empty())
+        call.fields.set("Content-Type", spec.contentType);
+    if (!spec.idempotencyKey.empty())
+        call.fields.set("Idempotency-Key", spec.idempotencyKey);
+    call.fields.set("Snipestall-Request", spec.id);
+    call.fields.set("Snipestall-Attempt", attempt);
+    return call;
+}
+
+FinalAnswer unknown(std::string reason)
+{
+    FinalAnswer answer;
+    answer.outcome = Outcome::Unknown;
+    answer.status = StatusGatewayTimeout;
+    answer.reason = std::move(reason);
+    return answer;
+}
+
+} // namespace
+
+wire::Task<void> Dispatcher::runOnServer(RequestPtr request, policy::AttemptHandle handle,
+                                         Backend server, std::string kv)
+{
+    Attempt attempt;
+    attempt.request = request;
+    attempt.handle = handle;
+    attempt.id = attemptId(handle);
+    attempt.server = std::move(server);
+    attempt.kv = std::move(kv);
+    ++m_counters.attempts;
+    m_onServer[handle] = attempt.server.handle;
+    request->cancels()[handle.value] = [&attempt] { attempt.cancelled = true; };
+    const bool may = co_await mayRun(attempt);
+    if (may) {
+        if (request->spec().kind == settings::ServiceKind::Model)
+            co_await readModel(attempt);
+        else
+            co_await readPlain(attempt);
+    }
+    ended(attempt, policy::AttemptResult::NotSent);
+}
+
+/// Whether this attempt may be sent at all. False: it has been ended or finished already.
+wire::Task<bool> Dispatcher::mayRun(Attempt &attempt)
+{
+    const RequestPtr request = attempt.request;
+    co_await accept(request);
+    if (attempt.cancelled || request->finished())
+        co_return false;
+    if (request->spec().idempotent)
+        co_return true;
+    // A non-idempotent request goes out once. Whatever made the policy try again, a byte that may
+    // have left settles it: what became of it is unknown, and nobody sends it a second time.
+    if (request->maybeSent()) {
+        finish(request, unknown("an earlier attempt may have run"));
+        co_return false;
+    }
+    if (!request->spec().idempotencyKey.empty())
+        co_return co_await claim(attempt);
+    co_return true;
+}
+
+wire::Task<bool> Dispatcher::claim(Attempt &attempt)
+{
+    const RequestPtr request = attempt.request;
+    const RequestSpec &spec = request->spec();
+    peer::ClaimRequest claim;
+    claim.key = { spec.customer, spec.service, spec.idempotencyKey };
+    claim.request = spec.id;
+    claim.attempt = attempt.id;
+    claim.bodyHash = bodyHash(spec.body);
+    claim.deadline = spec.deadline;
+    const peer::ClaimOutcome outcome = co_await m_links.claims->claim(claim);
+    if (request->finished())
+        co_return false;
+    if (outcome.verdict == peer::ClaimVerdict::Granted)
+        co_return true;
+    if (outcome.verdict == peer::ClaimVerdict::Unsettled) {
+        FinalAnswer answer;
+        answer.outcome = Outcome::NotRun;
+        answer.status = StatusUnavailable;
+        answer.reason = "the platform's table does not answer: a request that must not run twice "
+                        "can't be claimed";
+        answer.retryAfter = DefaultRetryAfter;
+        finish(request, std::move(answer));
+        co_return false;
+    }
+    logEvent(events::ClaimLost, { { "request", spec.id }, { "holder", outcome.holderRequest } });
+    if (outcome.bodyHash != claim.bodyHash) {
+        FinalAnswer answer;
+        answer.outcome = Outcome::NotRun;
+        answer.status = 409;
+        answer.reason = "this Idempotency-Key was used with another body; choose a new key";
+        finish(request, std::move(answer));
+        co_return false;
+    }
+    // The slot is given back while the other attempt's outcome is waited for.
+    m_links.policy->post(policy::RequestCancelled { request->handle() });
+    attempt.over = true;
+    request->cancels().erase(attempt.handle.value);
+    m_onServer.erase(attempt.handle);
+    co_await awaitOutcome(request);
+    co_return false;
+}
+
+wire::Task<void> Dispatcher::awaitOutcome(RequestPtr request)
+{
+    const RequestSpec &spec = request->spec();
+    while (!request->finished() && steady_clock::now() < spec.deadline) {
+        const peer::ClaimKey key { spec.customer, spec.service, spec.idempotencyKey };
+        const auto found = co_await m_links.claims->lookup(key);
+        if (found && found->has_value() && (*found)->outcome) {
+            const peer::StoredOutcome &stored = *(*found)->outcome;
+            FinalAnswer answer;
+            answer.outcome = outcomeFrom(stored.outcome);
+            answer.status = stored.status;
+            answer.contentType = stored.contentType;
+            answer.body = stored.body;
+            finish(request, std::move(answer));
+            co_return;
+        }
+        co_await wire::sleepFor(OutcomePoll);
+    }
+    finish(request, unknown("another attempt holds this key and its outcome is not known"));
+}
+
+wire::Task<void> Dispatcher::readModel(Attempt &attempt)
+{
+    const RequestPtr request = attempt.request;
+    wire::HttpCallOptions options;
+    options.idleTimeout = std::min(TokenSilence, timeLeft(*request));
+    options.freshConnection = !request->spec().idempotent;
+    options.beforeSend = [&attempt] {
+        const Request &r = *attempt.request;
+        const bool late = steady_clock::now() >= r.spec().deadline;
+        if (attempt.cancelled || r.finished() || late)
+            return false;
+        attempt.request->markSent();
+        return true;
+    };
+    wire::HttpRequest call = engineRequest(*request, attempt.id, attempt.kv);
+    auto stream = co_await m_links.http->open(attempt.server.endpoint, std::move(call), options);
+    if (!stream) {
+        co_await attemptBroke(attempt, stream.error());
+        co_return;
+    }
+    const wire::HttpResponse head = (*stream)->head();
+    if (head.status == StatusUnavailable)
+        co_return declined(attempt, retryAfterOf(head));
+    if (head.status >= FirstErrorStatus) {
+        answered(attempt, head.status, "application/json", "");
+        co_return;
+    }
+    // Answers to an abandoned attempt may still arrive on its connection. They are another
+    // request's, or another try's: dropped, and the connection with them.
+    if (head.fields.find("Snipestall-Attempt").value_or("") != attempt.id) {
+        ++m_counters.wrongAttempt;
+        co_return ended(attempt, policy::AttemptResult::Cut);
+    }
+    wire::HttpStream *raw = stream->get();
+    request->cancels()[attempt.handle.value] = [&attempt, raw] {
+        attempt.cancelled = true;
+        raw->close();
+    };
+    co_await readTokens(attempt, *raw);
+}
+
+wire::Task<void> Dispatcher::readTokens(Attempt &attempt, wire::HttpStream &stream)
+{
+    wire::EventStreamParser parser;
+    while (!attempt.cancelled && !attempt.over) {
+        auto bytes = co_await stream.read();
+        if (attempt.cancelled)
+            co_return;
+        if (!bytes) {
+            co_await attemptBroke(attempt, bytes.error());
+            co_return;
+        }
+        if (!bytes->has_value())
+            co_return ended(attempt, policy::AttemptResult::Cut);
+        for (const wire::StreamEvent &event : parser.feed(**bytes)) {
+            if (attempt.over || !takeToken(attempt, event.data))
+                co_return ended(attempt, policy::AttemptResult::Cut);
+        }
+    }
+    // The proper end of the body follows the end event; reading it frees the connection.
+    if (!attempt.cancelled)
+        co_await stream.read();
+}
+
+/// False if the event doesn't belong here: another attempt's, or a gap.
+bool Dispatcher::takeToken(Attempt &attempt, const std::string &data)
+{
+    boost::system::error_code bad;
+    const json::value value = json::parse(data, bad);
+    if (bad || !value.is_object())
+        return false;
+    const json::object &token = value.get_object();
+    const json::value *id = token.if_contains("attempt");
+    if (id == nullptr || !id->is_string() || id->get_string() != attempt.id) {
+        ++m_counters.wrongAttempt;
+        return false;
+    }
+    const RequestPtr request = attempt.request;
+    if (token.contains("end")) {
+        if (const json::value *again = token.if_contains("recomputed"))
+            m_counters.recomputedTokens += again->to_number<std::uint64_t>();
+        answered(attempt, 200, "", "");
+        return true;
+    }
+    const json::value *offset = token.if_contains("offset");
+    const json::value *text = token.if_contains("text");
+    if (offset == nullptr || text == nullptr || !text->is_string())
+        return false;
+    if (!request->append(offset->to_number<std::uint64_t>(), std::string(text->get_string())))
+        return false;
+    m_links.policy->post(policy::TokensProduced { request->handle(), attempt.handle, 1 });
+    return true;
+}
+
+wire::Task<void> Dispatcher::readPlain(Attempt &attempt)
+{
+    const RequestPtr request = attempt.request;
+    wire::HttpCallOptions options;
+    options.idleTimeout = timeLeft(*request);
+    options.freshConnection = !request->spec().idempotent;
+    options.beforeSend = [&attempt] {
+        const Request &r = *attempt.request;
+        const bool late = steady_clock::now() >= r.spec().deadline;
+        if (attempt.cancelled || r.finished() || late)
+            return false;
+        attempt.request->markSent();
+        return true;
+    };
+    wire::HttpRequest call = plainRequest(*request, attempt.id);
+    auto response = co_await m_links.http->fetch(attempt.server.endpoint, std::move(call), options);
+    if (!response) {
+        co_await attemptBroke(attempt, response.error());
+        co_return;
+    }
+    const std::string echo = response->fields.find("Snipestall-Attempt").value_or(attempt.id);
+    if (echo != attempt.id) {
+        ++m_counters.wrongAttempt;
+        co_return ended(attempt, policy::AttemptResult::Cut);
+    }
+    if (response->status == StatusUnavailable)
+        co_return declined(attempt, retryAfterOf(*response));
+    answered(attempt, response->status, response->fields.find("Content-Type").value_or(""),
+             std::move(response->body));
+}
+
+void Dispatcher::answered(Attempt &attempt, int status, std::string contentType, std::string body)
+{
+    const RequestPtr request = attempt.request;
+    const RequestSpec &spec = request->spec();
+    FinalAnswer answer;
+    const bool refused = spec.kind == settings::ServiceKind::Model && status >= FirstErrorStatus;
+    answer.outcome = refused ? Outcome::Failed : Outcome::Completed;
+    answer.status = status;
+    answer.contentType = std::move(contentType);
+    answer.body = std::move(body);
+    if (refused)
+        answer.reason = "the backend server answered " + std::to_string(status);
+    ended(attempt, refused ? policy::AttemptResult::Rejected : policy::AttemptResult::Completed);
+    const bool claimed = !spec.idempotent && !spec.idempotencyKey.empty();
+    if (claimed) {
+        const peer::ClaimKey key { spec.customer, spec.service, spec.idempotencyKey };
+        const peer::StoredOutcome stored { answer.status, answer.contentType, answer.body,
+                                           std::string(toString(answer.outcome)) };
+        m_links.claims->storeOutcome(key, attempt.id, stored);
+    }
+    request->finish(std::move(answer));
+}
+
+/// The call failed. Whether bytes had left, and whether the server lives, decides what it means.
+wire::Task<void> Dispatcher::attemptBroke(Attempt &attempt, Error error)
+{
+    if (attempt.cancelled || attempt.request->finished())
+        co_return;
+    m_links.backends->suspect(attempt.server.handle);
+    if (error.kind == ErrorKind::Unavailable)
+        co_return ended(attempt, policy::AttemptResult::NotSent);
+    wire::HttpRequest probe;
+    probe.target = "/load";
+    wire::HttpCallOptions options;
+    options.connectTimeout = ProbeTimeout;
+    options.idleTimeout = ProbeTimeout;
+    options.freshConnection = true;
+    const auto answer = co_await m_links.http->fetch(attempt.server.endpoint, probe, options);
+    const bool died = !answer && answer.error().kind == ErrorKind::Unavailable;
+    if (attempt.cancelled || attempt.request->finished())
+        co_return;
+    if (died)
+        attempt.request->crashedServers().insert(attempt.server.listed.name);
+    ended(attempt, died ? policy::AttemptResult::ServerDied : policy::AttemptResult::Cut);
+}
+
+wire::Task<void> Dispatcher::move(RequestPtr request, policy::MoveStream command, Backend from,
+                                  Backend target)
+{
+    std::string kv;
+    const bool exports = command.method == policy::MoveMethod::ExportKv && from.endpoint.port != 0;
+    if (exports) {
+        json::object body;
+        body["attempt"] = attemptId(command.from);
+        wire::HttpRequest call;
+        call.method = "POST";
+        call.target = "/kv/export";
+        call.body = json::serialize(body);
+        wire::HttpCallOptions options;
+        options.idleTimeout = ExportTimeout;
+        const auto response = co_await m_links.http->fetch(from.endpoint, std::move(call), options);
+        boost::system::error_code bad;
+        const json::value parsed =
+            response ? json::parse(response->body, bad) : json::value(nullptr);
+        const bool exported = response && response->status == 200 && !bad && parsed.is_object();
+        if (exported && parsed.get_object().contains("kv"))
+            kv = std::string(parsed.at("kv").as_string());
+    }
+    if (request->finished())
+        co_return;
+    const auto old = request->cancels().find(command.from.value);
+    if (old != request->cancels().end()) {
+        const auto cancel = std::move(old->second);
+        request->cancels().erase(old);
+        cancel();
+    }
+    co_await runOnServer(request, command.attempt, std::move(target), std::move(kv));
+}
+
+} // namespace snipestall::entry
--- /dev/null
+++ b/src/snipestall/entry/caller_come_back.cpp
@@ -0,0 +1,170 @@
+#include "snipestall/base/rendezvous.hpp"
+#include "snipestall/entry/caller_api.hpp"
+#include "snipestall/entry/request_store.hpp"
+#include "snipestall/peer/forward_call.hpp"
+#include "snipestall/peer/membership.hpp"
+#include "snipestall/peer/peer_client.hpp"
+#include "snipestall/peer/peer_network.hpp"
+#include "snipestall/wire/http_exchange.hpp"
+
+#include "answer_writer.hpp"
+#include "caller_call.hpp"
+#include "peer.pb.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace snipestall::entry {
+
+using peer::v1::ForwardEvent;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::string_view RequestsPrefix = "/v1/requests/";
+/// A home that died is suspected and its requests adopted within this.
+constexpr milliseconds SearchTime { 8000 };
+constexpr milliseconds SearchPause { 250 };
+constexpr milliseconds FollowTimeout { 3600000 };
+/// The buddy is the first in rendezvous order; more are asked since views of who lives differ.
+constexpr std::size_t MaxAsked = 4;
+
+std::uint64_t offsetOf(const wire::HttpRequest &request)
+{
+    // Last-Event-ID names the last offset that the caller has, as browsers send it.
+    const std::string last = request.fields.find("Last-Event-ID").value_or("");
+    std::uint64_t offset = 0;
+    const char *end = last.data() + last.size();
+    const auto [stop, code] = std::from_chars(last.data(), end, offset);
+    return code == std::errc {} && stop == end ? offset + 1 : 0;
+}
+
+} // namespace
+
+wire::Task<void> CallerApi::comeBack(Call &call)
+{
+    const std::string id(call.request.path().substr(RequestsPrefix.size()));
+    call.from = offsetOf(call.request);
+    const RequestPtr request = co_await locate(id, call.customer, 0);
+    if (request == nullptr) {
+        auto response = errorResponse(404, "", "not_found",
+                                      "no request '" + id
+                                          + "' of yours is known; answers are "
+                                            "kept for a short while only");
+        co_await call.exchange.respond(std::move(response));
+        co_return;
+    }
+    // Tokens beyond what is known here came from an instance that died before a copy had them;
+    // joining others to them would make an answer of two halves that don't fit.
+    const bool ahead = request->finished() && call.from > request->nextOffset();
+    if (ahead) {
+        auto response = errorResponse(409, "", "offset_ahead", "come back with a smaller offset");
+        response.fields.set("Snipestall-Next-Offset", std::to_string(request->nextOffset()));
+        co_await call.exchange.respond(std::move(response));
+        co_return;
+    }
+    const std::string accept = call.request.fields.find("Accept").value_or("");
+    const bool stream = accept.find("text/event-stream") != std::string::npos
+        || call.request.fields.find("Last-Event-ID").has_value();
+    co_await answer(call, request, stream, call.request.query("form") != "completion");
+}
+
+/// Here, at its home, or with the instances that may hold its copy; a home that has just died is
+/// waited for until one of them has taken over.
+wire::Task<RequestPtr> CallerApi::locate(std::string id, std::string customer, std::uint64_t offset)
+{
+    const std::string home = id.substr(0, id.find('~'));
+    const auto until = steady_clock::now() + SearchTime;
+    while (true) {
+        const RequestPtr local = m_links.store->find(id);
+        if (local != nullptr && !local->moved)
+            co_return local->spec().customer == customer ? local : nullptr;
+        const peer::Member *member = m_links.members->find(home);
+        const std::string dataCentre =
+            member != nullptr ? member->dataCentre : m_links.members->dataCentre();
+        std::vector<std::string> asked = m_links.members->membersOf(dataCentre);
+        std::erase(asked, home);
+        asked = rendezvousOrder(id, asked);
+        asked.resize(std::min(asked.size(), MaxAsked));
+        if (member != nullptr)
+            asked.insert(asked.begin(), home);
+        for (const std::string &peer : asked) {
+            RequestPtr found = co_await askPeer(peer, id, customer, offset);
+            if (found != nullptr)
+                co_return found;
+        }
+        const bool homeLives = member != nullptr && member->state == peer::MemberState::Live;
+        const bool stranger = member == nullptr && home != m_links.members->self();
+        if (homeLives || stranger || steady_clock::now() >= until)
+            co_return nullptr;
+        co_await wire::sleepFor(SearchPause);
+    }
+}
+
+wire::Task<RequestPtr> CallerApi::askPeer(std::string peer, std::string id, std::string customer,
+                                          std::uint64_t offset)
+{
+    peer::PeerClient *client = m_links.network->client(peer);
+    if (client == nullptr)
+        co_return nullptr;
+    peer::v1::FindRequestRequest question;
+    question.set_request(id);
+    question.set_customer(customer);
+    question.set_offset(offset);
+    const std::shared_ptr<peer::ForwardCall> call = client->findRequest(question, FollowTimeout);
+    auto first = co_await call->read();
+    const bool found = first && first->has_value() && (*first)->kind() == ForwardEvent::ACCEPTED;
+    if (!found)
+        co_return nullptr;
+    RequestSpec spec;
+    spec.id = id;
+    spec.customer = customer;
+    spec.service = (*first)->reason();
+    spec.model = (*first)->server();
+    spec.kind = spec.model.empty() ? settings::ServiceKind::Plain : settings::ServiceKind::Model;
+    const RequestPtr mirror =
+        Request::create(m_links.io->get_executor(), std::move(spec), policy::RequestHandle {});
+    boost::asio::co_spawn(*m_links.io, follow(mirror, call), boost::asio::detached);
+    co_return mirror;
+}
+
+/// Fills a copy of a request that lives elsewhere, for one caller who reads it here.
+wire::Task<void> CallerApi::follow(RequestPtr mirror, std::shared_ptr<peer::ForwardCall> call)
+{
+    while (!mirror->finished()) {
+        auto next = co_await call->read();
+        if (!next || !next->has_value())
+            break;
+        const ForwardEvent &event = **next;
+        if (event.kind() == ForwardEvent::CHUNK) {
+            mirror->append(event.offset(), event.data());
+            mirror->release(mirror->progress());
+            continue;
+        }
+        FinalAnswer answer;
+        answer.status = static_cast<int>(event.status());
+        answer.contentType = event.content_type();
+        answer.body = event.data();
+        answer.reason = event.reason();
+        answer.retryAfter = milliseconds(event.retry_after_ms());
+        if (event.kind() == ForwardEvent::END)
+            answer.outcome = Outcome::Completed;
+        if (event.kind() == ForwardEvent::NOT_RUN)
+            answer.outcome = Outcome::NotRun;
+        if (event.kind() == ForwardEvent::UNKNOWN)
+            answer.outcome = Outcome::Unknown;
+        mirror->finish(std::move(answer));
+        mirror->release(mirror->progress());
+    }
+    // The instance that answered is lost: the caller's stream is cut and it comes back once more.
+    if (!mirror->finished())
+        mirror->moved = true;
+    mirror->changed().notifyAll();
+}
+
+} // namespace snipestall::entry
--- /dev/null
+++ b/src/snipestall/entry/dispatcher.cpp
@@ -0,0 +1,259 @@
+#include "snipestall/entry/dispatcher.hpp"
+
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
+#include "snipestall/base/rendezvous.hpp"
+#include "snipestall/entry/backend_directory.hpp"
+#include "snipestall/entry/policy_loop.hpp"
+#include "snipestall/entry/request_store.hpp"
+#include "snipestall/peer/record_keeper.hpp"
+
+#include "attempt.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace snipestall::entry {
+
+namespace {
+
+constexpr std::size_t PrefixBlock = 64;
+/// Deeper prefixes add bytes to each event and hardly a hit.
+constexpr std::size_t MaxPrefixBlocks = 32;
+
+std::vector<std::uint64_t> prefixChain(const std::string &prompt)
+{
+    std::vector<std::uint64_t> chain;
+    const std::size_t blocks = std::min(prompt.size() / PrefixBlock, MaxPrefixBlocks);
+    for (std::size_t block = 1; block <= blocks; ++block)
+        chain.push_back(stableHash(std::string_view(prompt).substr(0, block * PrefixBlock)));
+    return chain;
+}
+
+policy::RequestArrived arrival(const Request &request, bool accepted)
+{
+    const RequestSpec &spec = request.spec();
+    policy::RequestArrived event;
+    event.request = request.handle();
+    event.customer = spec.customer;
+    event.service = spec.service;
+    event.urgency = spec.urgency;
+    event.promptTokens = spec.promptTokens;
+    event.maxTokens = spec.maxTokens;
+    event.deadline = PolicyLoop::toPolicy(spec.deadline);
+    event.idempotent = spec.idempotent;
+    if (spec.kind == settings::ServiceKind::Model)
+        event.prefix = prefixChain(spec.body);
+    event.forwarded = request.forwarded;
+    event.accepted = accepted;
+    event.resumeOffset = static_cast<std::uint32_t>(request.nextOffset());
+    return event;
+}
+
+/// What a refusal means to the caller, by what is known of its attempts.
+FinalAnswer refusal(const Request &request, const policy::Refuse &command)
+{
+    FinalAnswer answer;
+    answer.retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(command.retryAfter);
+    answer.reason = std::string(policy::toString(command.reason));
+    if (!request.maybeSent()) {
+        answer.outcome = Outcome::NotRun;
+        const bool limit = command.reason == policy::RefusalReason::RateLimit
+            || command.reason == policy::RefusalReason::TokenLimit
+            || command.reason == policy::RefusalReason::ConcurrencyLimit;
+        const bool unknown = command.reason == policy::RefusalReason::UnknownService;
+        answer.status = unknown ? 404 : limit ? 429 : 503;
+        return answer;
+    }
+    const bool mayRepeat = request.spec().idempotent;
+    answer.outcome = mayRepeat ? Outcome::Failed : Outcome::Unknown;
+    answer.status = command.reason == policy::RefusalReason::Quarantined ? 422 : 504;
+    if (!mayRepeat)
+        answer.retryAfter = {};
+    return answer;
+}
+
+void logRefusal(const Request &request, const FinalAnswer &answer)
+{
+    const EventInfo *event = &events::RequestRefused;
+    if (answer.outcome == Outcome::Unknown)
+        event = &events::RequestOutcomeUnknown;
+    if (answer.outcome == Outcome::Failed)
+        event = &events::RequestFailed;
+    logEvent(*event,
+             { { "request", request.spec().id },
+               { "customer", request.spec().customer },
+               { "reason", answer.reason } });
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(std::string name, std::uint64_t incarnation)
+    : m_name(std::move(name))
+    , m_incarnation(incarnation)
+{ }
+
+Dispatcher::~Dispatcher() = default;
+
+std::string Dispatcher::attemptId(policy::AttemptHandle handle) const
+{
+    return m_name + "/" + std::to_string(m_incarnation) + "/" + std::to_string(handle.value);
+}
+
+void Dispatcher::arrive(const RequestPtr &request, bool accepted)
+{
+    m_links.store->add(request);
+    policy::RequestArrived event = arrival(*request, accepted);
+    event.crashes = static_cast<std::uint32_t>(request->crashedServers().size());
+    m_links.policy->post(std::move(event));
+    if (!request->forwarded)
+        boost::asio::co_spawn(*m_links.io, replicate(request), boost::asio::detached);
+}
+
+void Dispatcher::cancel(const RequestPtr &request)
+{
+    if (request->finished())
+        return;
+    FinalAnswer answer;
+    answer.outcome = request->maybeSent() ? Outcome::Failed : Outcome::NotRun;
+    answer.status = 499;
+    answer.reason = "cancelled";
+    finish(request, std::move(answer));
+}
+
+void Dispatcher::finish(const RequestPtr &request, FinalAnswer answer)
+{
+    if (!request->finish(std::move(answer)))
+        return;
+    m_links.policy->post(policy::RequestCancelled { request->handle() });
+    const auto cancels = std::exchange(request->cancels(), {});
+    for (const auto &[attempt, cancel] : cancels)
+        cancel();
+}
+
+wire::Task<void> Dispatcher::accept(RequestPtr request)
+{
+    if (!request->forwarded)
+        co_await m_links.records->hold(request);
+}
+
+// Output is shown to the caller only once the buddy has it. Without that, a caller that had read
+// further than the copy of an instance that died would be given a continuation generated anew
+// from an earlier token: an answer joined of two that don't fit.
+wire::Task<void> Dispatcher::replicate(RequestPtr request)
+{
+    while (true) {
+        const std::uint64_t progress = request->progress();
+        if (progress > request->released()) {
+            co_await m_links.records->hold(request);
+            request->release(progress);
+            continue;
+        }
+        if (request->finished())
+            co_return;
+        co_await request->changed().wait();
+    }
+}
+
+void Dispatcher::addPeer(policy::PeerHandle handle, const std::string &name)
+{
+    m_peers[handle] = name;
+}
+
+void Dispatcher::execute(const policy::Dispatch &command)
+{
+    const RequestPtr request = m_links.store->find(command.request);
+    const Backend *server = m_links.backends->find(command.server);
+    if (request == nullptr || request->finished())
+        return;
+    if (server == nullptr) {
+        m_links.policy->post(policy::AttemptEnded {
+            command.request, command.attempt, policy::AttemptResult::NotSent, {} });
+        return;
+    }
+    boost::asio::co_spawn(*m_links.io, runOnServer(request, command.attempt, *server, {}),
+                          boost::asio::detached);
+}
+
+void Dispatcher::execute(const policy::ForwardTo &command)
+{
+    const RequestPtr request = m_links.store->find(command.request);
+    if (request == nullptr || request->finished())
+        return;
+    boost::asio::co_spawn(*m_links.io, runOnPeer(request, command.attempt, m_peers[command.peer]),
+                          boost::asio::detached);
+}
+
+void Dispatcher::execute(const policy::Refuse &command)
+{
+    const RequestPtr request = m_links.store->find(command.request);
+    if (request == nullptr || request->finished())
+        return;
+    FinalAnswer answer = refusal(*request, command);
+    logRefusal(*request, answer);
+    finish(request, std::move(answer));
+}
+
+void Dispatcher::execute(const policy::CancelAttempt &command)
+{
+    const RequestPtr request = m_links.store->find(command.request);
+    if (request == nullptr)
+        return;
+    const auto it = request->cancels().find(command.attempt.value);
+    if (it == request->cancels().end())
+        return;
+    const auto cancel = std::move(it->second);
+    request->cancels().erase(it);
+    cancel();
+}
+
+void Dispatcher::execute(const policy::MoveStream &command)
+{
+    const RequestPtr request = m_links.store->find(command.request);
+    const Backend *target = m_links.backends->find(command.target);
+    if (request == nullptr || request->finished())
+        return;
+    if (target == nullptr) {
+        m_links.policy->post(policy::AttemptEnded {
+            command.request, command.attempt, policy::AttemptResult::NotSent, {} });
+        return;
+    }
+    const auto running = m_onServer.find(command.from);
+    const Backend *from =
+        running == m_onServer.end() ? nullptr : m_links.backends->find(running->second);
+    logEvent(events::RequestResumed,
+             { { "request", request->spec().id }, { "server", target->listed.name } });
+    boost::asio::co_spawn(*m_links.io,
+                          move(request, command, from == nullptr ? Backend {} : *from, *target),
+                          boost::asio::detached);
+}
+
+void Dispatcher::execute(const policy::StartInstance &)
+{
+    // Orders belong to the steward; the node carries them out once it holds the lease.
+}
+
+void Dispatcher::execute(const policy::ReleaseInstance &) { }
+
+void Dispatcher::ended(Attempt &attempt, policy::AttemptResult result,
+                       std::chrono::milliseconds retryAfter)
+{
+    if (std::exchange(attempt.over, true))
+        return;
+    attempt.request->cancels().erase(attempt.handle.value);
+    m_onServer.erase(attempt.handle);
+    if (attempt.cancelled || attempt.request->finished())
+        return;
+    m_links.policy->post(
+        policy::AttemptEnded { attempt.request->handle(), attempt.handle, result, retryAfter });
+}
+
+void Dispatcher::declined(Attempt &attempt, std::chrono::milliseconds retryAfter)
+{
+    ended(attempt, policy::AttemptResult::Declined, retryAfter);
+}
+
+} // namespace snipestall::entry
--- /dev/null
+++ b/src/snipestall/peer/record_keeper.cpp
@@ -0,0 +1,354 @@
+#include "snipestall/peer/record_keeper.hpp"
+
+#include "snipestall/base/rendezvous.hpp"
+#include "snipestall/peer/membership.hpp"
+#include "snipestall/peer/peer_client.hpp"
+#include "snipestall/peer/peer_network.hpp"
+#include "snipestall/peer/record_source.hpp"
+#include "snipestall/wire/signal.hpp"
+
+#include "peer.pb.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <map>
+#include <set>
+#include <utility>
+
+namespace snipestall::peer {
+
+using wire::Task;
+
+namespace {
+
+/// Longer than a heartbeat's jitter, short against a first-token target: a buddy that is slower
+/// than this is passed over.
+constexpr std::chrono::milliseconds HoldTimeout { 400 };
+constexpr std::chrono::milliseconds HandoverTimeout { 3000 };
+constexpr std::size_t MaxBatch = 256;
+constexpr std::chrono::milliseconds ForgetDelay { 500 };
+
+} // namespace
+
+struct RecordKeeper::State
+{
+    /// What one buddy has of one request of ours.
+    struct Held
+    {
+        std::shared_ptr<RecordSource> source;
+        std::string buddy;
+        std::uint64_t buddyIncarnation = 0;
+        bool whole = false;
+        std::uint64_t progress = 0;
+    };
+
+    struct Buddy
+    {
+        std::set<std::string> pending;
+        std::vector<std::string> forget;
+        bool sending = false;
+    };
+
+    /// A copy that we keep for a home.
+    struct Copy
+    {
+        v1::RequestRecord record;
+        std::string home;
+        std::uint64_t homeIncarnation = 0;
+    };
+
+    State(boost::asio::io_context &context, Membership &m, PeerNetwork &n, std::uint64_t own,
+          OrphanHandler handler)
+        : io(context)
+        , members(m)
+        , network(n)
+        , incarnation(own)
+        , onOrphan(std::move(handler))
+        , changed(context.get_executor())
+    { }
+
+    std::string chooseBuddy(const std::string &id, const std::set<std::string> &failed) const;
+    void enqueue(const std::string &buddy, const std::string &id);
+    Task<void> send(std::shared_ptr<State> self, std::string buddy);
+    Task<void> flushForgets(std::shared_ptr<State> self, std::string buddy);
+    v1::HoldRequest makeBatch(Buddy &buddy, std::vector<std::string> &ids);
+    void adopt(const std::string &home, std::uint64_t homeIncarnation);
+
+    boost::asio::io_context &io;
+    Membership &members;
+    PeerNetwork &network;
+    std::uint64_t incarnation;
+    OrphanHandler onOrphan;
+    wire::Signal changed;
+    std::map<std::string, Held> held;
+    std::map<std::string, Buddy> buddies;
+    std::map<std::string, Copy> copies;
+    /// Buddies that failed lately, by request.
+    std::map<std::string, std::set<std::string>> failures;
+};
+
+std::string RecordKeeper::State::chooseBuddy(const std::string &id,
+                                             const std::set<std::string> &failed) const
+{
+    std::vector<std::string> candidates;
+    for (std::string &name : members.livePeers()) {
+        if (!failed.contains(name))
+            candidates.push_back(std::move(name));
+    }
+    return rendezvousPick(id, candidates).value_or("");
+}
+
+void RecordKeeper::State::enqueue(const std::string &buddy, const std::string &id)
+{
+    Buddy &entry = buddies[buddy];
+    entry.pending.insert(id);
+}
+
+v1::HoldRequest RecordKeeper::State::makeBatch(Buddy &buddy, std::vector<std::string> &ids)
+{
+    v1::HoldRequest request;
+    request.set_holder_of(members.self());
+    request.set_incarnation(incarnation);
+    while (!buddy.pending.empty() && ids.size() < MaxBatch) {
+        const std::string id = *buddy.pending.begin();
+        buddy.pending.erase(buddy.pending.begin());
+        const auto it = held.find(id);
+        if (it == held.end())
+            continue;
+        const Held &entry = it->second;
+        *request.add_records() = entry.source->record(!entry.whole, entry.progress);
+        ids.push_back(id);
+    }
+    for (std::string &id : buddy.forget)
+        request.add_forget(std::move(id));
+    buddy.forget.clear();
+    return request;
+}
+
+Task<void> RecordKeeper::State::send([[maybe_unused]] std::shared_ptr<State> self, std::string name)
+{
+    Buddy &buddy = buddies[name];
+    if (buddy.sending)
+        co_return;
+    buddy.sending = true;
+    while (!buddy.pending.empty() || !buddy.forget.empty()) {
+        std::vector<std::string> ids;
+        v1::HoldRequest request = makeBatch(buddy, ids);
+        std::map<std::string, std::uint64_t> reached;
+        for (const std::string &id : ids)
+            reached[id] = held.at(id).source->progress();
+        PeerClient *client = network.client(name);
+        Result<v1::HoldReply> reply = fail(ErrorKind::Unavailable, "no address");
+        if (client != nullptr)
+            reply = co_await client->hold(std::move(request), HoldTimeout);
+        const bool accepted = reply && reply->accepted();
+        for (const std::string &id : ids) {
+            const auto it = held.find(id);
+            if (it == held.end() || it->second.buddy != name)
+                continue;
+            if (accepted) {
+                it->second.whole = true;
+                it->second.progress = reached[id];
+            } else {
+                failures[id].insert(name);
+                it->second.buddy.clear();
+            }
+        }
+        changed.notifyAll();
+    }
+    buddy.sending = false;
+}
+
+// Forgetting is no hurry: it gathers, so that an ended request costs no call of its own.
+Task<void> RecordKeeper::State::flushForgets(std::shared_ptr<State> self, std::string buddy)
+{
+    co_await wire::sleepFor(ForgetDelay);
+    co_await send(self, std::move(buddy));
+}
+
+// The home is gone: its requests are ours now. The map is emptied of them first, since taking one
+// over gives it a home here and a buddy of its own.
+void RecordKeeper::State::adopt(const std::string &home, std::uint64_t homeIncarnation)
+{
+    std::vector<v1::RequestRecord> orphans;
+    for (auto it = copies.begin(); it != copies.end();) {
+        const bool theirs =
+            it->second.home == home && it->second.homeIncarnation <= homeIncarnation;
+        if (theirs)
+            orphans.push_back(std::move(it->second.record));
+        it = theirs ? copies.erase(it) : std::next(it);
+    }
+    for (const v1::RequestRecord &record : orphans)
+        onOrphan(record);
+}
+
+RecordKeeper::RecordKeeper(boost::asio::io_context &io, Membership &members, PeerNetwork &network,
+                           std::uint64_t incarnation, OrphanHandler onOrphan)
+    : m_state(std::make_shared<State>(io, members, network, incarnation, std::move(onOrphan)))
+{
+    const std::weak_ptr<State> weak = m_state;
+    members.subscribe([weak](const Member &member, MemberState) {
+        const auto state = weak.lock();
+        if (!state)
+            return;
+        if (member.state == MemberState::Suspected)
+            state->adopt(member.name, member.incarnation);
+        // A new incarnation remembers nothing: what the former one accepted is for its buddies.
+        if (member.state == MemberState::Live && member.incarnation > 0)
+            state->adopt(member.name, member.incarnation - 1);
+        state->changed.notifyAll();
+    });
+}
+
+RecordKeeper::~RecordKeeper() = default;
+
+Task<bool> RecordKeeper::hold(std::shared_ptr<RecordSource> source)
+{
+    const auto state = m_state;
+    const std::string id = source->requestId();
+    const std::uint64_t wanted = source->progress();
+    State::Held &first = state->held[id];
+    first.source = source;
+    while (true) {
+        const auto it = state->held.find(id);
+        if (it == state->held.end())
+            co_return false;
+        State::Held &entry = it->second;
+        const Member *buddy = state->members.find(entry.buddy);
+        const bool usable = buddy != nullptr && buddy->state == MemberState::Live
+            && buddy->incarnation == entry.buddyIncarnation;
+        if (usable && entry.whole && entry.progress >= wanted)
+            co_return true;
+        if (!usable) {
+            const auto failed = state->failures.find(id);
+            const std::string chosen = state->chooseBuddy(
+                id, failed == state->failures.end() ? std::set<std::string> {} : failed->second);
+            entry.whole = false;
+            entry.progress = 0;
+            entry.buddy = chosen;
+            if (chosen.empty())
+                co_return false;
+            entry.buddyIncarnation = state->members.find(chosen)->incarnation;
+        }
+        const std::string name = entry.buddy;
+        state->enqueue(name, id);
+        if (!state->buddies[name].sending)
+            boost::asio::co_spawn(state->io, state->send(state, name), boost::asio::detached);
+        co_await state->changed.wait();
+    }
+}
+
+void RecordKeeper::forget(const std::string &requestId)
+{
+    const auto it = m_state->held.find(requestId);
+    if (it == m_state->held.end())
+        return;
+    const std::string buddy = it->second.buddy;
+    m_state->held.erase(it);
+    m_state->failures.erase(requestId);
+    if (buddy.empty())
+        return;
+    m_state->buddies[buddy].forget.push_back(requestId);
+    if (m_state->buddies[buddy].forget.size() == 1)
+        boost::asio::co_spawn(m_state->io, m_state->flushForgets(m_state, buddy),
+                              boost::asio::detached);
+}
+
+Task<std::vector<std::string>>
+RecordKeeper::handOver(std::vector<std::shared_ptr<RecordSource>> sources)
+{
+    const auto state = m_state;
+    std::map<std::string, std::vector<std::shared_ptr<RecordSource>>> byTarget;
+    for (const auto &source : sources) {
+        const std::string target = state->chooseBuddy(source->requestId(), {});
+        if (!target.empty())
+            byTarget[target].push_back(source);
+    }
+    std::vector<std::string> taken;
+    for (const auto &[target, group] : byTarget) {
+        PeerClient *client = state->network.client(target);
+        if (client == nullptr)
+            continue;
+        v1::HandoverRequest request;
+        request.set_from(state->members.self());
+        request.set_incarnation(state->incarnation);
+        for (const auto &source : group)
+            *request.add_records() = source->record(true, 0);
+        auto reply = co_await client->handover(std::move(request), HandoverTimeout);
+        if (!reply)
+            continue;
+        taken.insert(taken.end(), reply->taken().begin(), reply->taken().end());
+    }
+    co_return taken;
+}
+
+v1::HoldReply RecordKeeper::onHold(const v1::HoldRequest &request)
+{
+    v1::HoldReply reply;
+    reply.set_leaving(m_state->members.selfLeaving());
+    for (const std::string &id : request.forget())
+        m_state->copies.erase(id);
+    // A buddy that leaves itself would keep the copy for seconds at most.
+    if (m_state->members.selfLeaving())
+        return reply;
+    for (const v1::RequestRecord &update : request.records()) {
+        State::Copy &copy = m_state->copies[update.request()];
+        if (update.whole()) {
+            copy.record = update;
+        } else if (copy.record.whole()) {
+            const auto have =
+                copy.record.output_offset() + static_cast<std::uint64_t>(copy.record.output_size());
+            // A repeated update overlaps; a gap means that an update was lost: ask for all of it.
+            if (update.output_offset() > have)
+                return reply;
+            const int skip = static_cast<int>(have - update.output_offset());
+            for (int i = skip; i < update.output_size(); ++i)
+                copy.record.add_output(update.output(i));
+            if (update.maybe_sent())
+                copy.record.set_maybe_sent(true);
+            if (update.finished()) {
+                copy.record.set_finished(true);
+                copy.record.set_status(update.status());
+                copy.record.set_outcome(update.outcome());
+                copy.record.set_reason(update.reason());
+                copy.record.set_final_body(update.final_body());
+                copy.record.set_final_content_type(update.final_content_type());
+            }
+        } else {
+            m_state->copies.erase(update.request());
+            return reply;
+        }
+        copy.home = request.holder_of();
+        copy.homeIncarnation = request.incarnation();
+    }
+    reply.set_accepted(true);
+    return reply;
+}
+
+v1::HandoverReply RecordKeeper::onHandover(const v1::HandoverRequest &request)
+{
+    v1::HandoverReply reply;
+    reply.set_leaving(m_state->members.selfLeaving());
+    if (m_state->members.selfLeaving())
+        return reply;
+    for (const v1::RequestRecord &record : request.records()) {
+        m_state->copies.erase(record.request());
+        m_state->onOrphan(record);
+        reply.add_taken(record.request());
+    }
+    return reply;
+}
+
+const v1::RequestRecord *RecordKeeper::copy(const std::string &requestId) const
+{
+    const auto it = m_state->copies.find(requestId);
+    return it == m_state->copies.end() ? nullptr : &it->second.record;
+}
+
+std::size_t RecordKeeper::copies() const
+{
+    return m_state->copies.size();
+}
+
+} // namespace snipestall::peer
