--- a/include/snipestall/settings/tree.hpp
+++ b/include/snipestall/settings/tree.hpp
@@ -12,6 +12,8 @@
 
 namespace snipestall::settings {
 
+struct Document;
+
 /// A checked settings document. Immutable; a change makes another Tree.
 ///
 ///     auto tree = Tree::parse(yaml);
@@ -38,6 +40,8 @@
     [[nodiscard]] std::shared_ptr<const EffectiveSettings> effective(std::string_view dataCentre,
                                                                      std::uint64_t version) const;
     [[nodiscard]] std::vector<std::string> dataCentres() const;
+    /// What is written, path by path.
+    [[nodiscard]] const Document &document() const;
 
 private:
     struct Content;
--- /dev/null
+++ b/src/snipestall/settings/document_reader.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "snipestall/settings/document.hpp"
+#include "snipestall/settings/fault.hpp"
+
+#include <string_view>
+#include <vector>
+
+namespace snipestall::settings {
+
+/// A document as far as it can be read, and what is wrong with the rest.
+struct ReadDocument
+{
+    Document document;
+    std::vector<Fault> faults;
+};
+
+/// Holds a YAML text to the schema, value by value.
+ReadDocument readDocument(std::string_view yaml);
+
+} // namespace snipestall::settings
--- /dev/null
+++ b/src/snipestall/settings/effective_builder.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+namespace snipestall::settings {
+
+struct Document;
+struct EffectiveSettings;
+
+/// Resolves a checked document for one data centre.
+std::shared_ptr<const EffectiveSettings>
+buildEffective(const Document &document, std::string_view dataCentre, std::uint64_t version);
+
+} // namespace snipestall::settings
