--- /dev/null
+++ b/src/snipestall/settings/explain_effective.cpp
@@ -0,0 +1,109 @@
+#include "snipestall/settings/explain_effective.hpp"
+
+#include "snipestall/settings/document.hpp"
+#include "snipestall/settings/schema.hpp"
+#include "snipestall/settings/tree.hpp"
+
+#include "limit_division.hpp"
+#include "path.hpp"
+#include "resolver.hpp"
+
+namespace snipestall::settings {
+namespace {
+
+using Values = std::vector<ResolvedValue>;
+
+bool asksFor(const std::string &wanted, const std::string &name)
+{
+    return wanted.empty() || wanted == name;
+}
+
+/// Every setting of the chain's most special place that is inherited along it.
+void addChain(Values &values, const Document &document, const Chain &chain, const std::string &name)
+{
+    for (const SettingInfo &setting : schema()) {
+        const bool isInherited = contains(setting.places, chain.front().place)
+            || contains(setting.places, chain.back().place);
+        if (!isInherited || setting.key.empty())
+            continue;
+        ResolvedValue value = resolve(document, chain, setting.key);
+        value.key = joinPath(name, setting.key);
+        values.push_back(std::move(value));
+    }
+}
+
+std::string shareSource(const Document &document, const EffectiveQuery &query)
+{
+    const std::string own = "customers/" + query.customer + "/shares";
+    return document.find(joinPath(own, query.dataCentre)) ? own
+                                                          : "data_centres/" + query.dataCentre;
+}
+
+void addLocalLimits(Values &values, const Document &document, const EffectiveQuery &query,
+                    const std::string &name)
+{
+    const Chain chain = leafChain(query.dataCentre, query.customer, query.service);
+    const double share = shareOf(document, query.customer, query.dataCentre);
+    const std::string from = "share of " + shareSource(document, query);
+    values.push_back({ joinPath(name, "local/share"), share, from });
+    for (const auto *key : { "limits/requests_per_second", "limits/tokens_per_second" }) {
+        const double whole = std::get<double>(resolve(document, chain, key).value);
+        values.push_back({ joinPath(name, "local/" + std::string(key)), whole * share, from });
+    }
+    const Value whole = resolve(document, chain, "limits/concurrency").value;
+    const std::uint32_t part =
+        divideCount(document, query.customer, query.dataCentre, std::get<std::uint32_t>(whole));
+    values.push_back({ joinPath(name, "local/limits/concurrency"), part, from });
+}
+
+void addServices(Values &values, const Document &document, const EffectiveQuery &query)
+{
+    for (const std::string &service : document.names("services")) {
+        if (asksFor(query.service, service))
+            addChain(values, document, serviceChain(query.dataCentre, service),
+                     joinPath("services", service));
+    }
+}
+
+void addClasses(Values &values, const Document &document, const std::string &dataCentre)
+{
+    const std::string section = joinPath(joinPath("data_centres", dataCentre), "classes");
+    for (const std::string &name : document.names(section))
+        addChain(values, document, classChain(dataCentre, name), joinPath("classes", name));
+}
+
+void addCustomer(Values &values, const Document &document, const EffectiveQuery &query,
+                 const std::string &customer)
+{
+    const std::string section = joinPath(joinPath("customers", customer), "services");
+    for (const std::string &service : document.names(section)) {
+        if (!asksFor(query.service, service))
+            continue;
+        const std::string name = joinPath(section, service);
+        addChain(values, document, leafChain(query.dataCentre, customer, service), name);
+        const EffectiveQuery one { query.dataCentre, customer, service };
+        addLocalLimits(values, document, one, name);
+    }
+}
+
+} // namespace
+
+std::vector<ResolvedValue> explainEffective(const Tree &tree, const EffectiveQuery &query)
+{
+    Values values;
+    const Document &document = tree.document();
+    if (!document.has(joinPath("data_centres", query.dataCentre)))
+        return values;
+    if (query.customer.empty()) {
+        addServices(values, document, query);
+        if (query.service.empty())
+            addClasses(values, document, query.dataCentre);
+    }
+    for (const std::string &customer : document.names("customers")) {
+        if (asksFor(query.customer, customer))
+            addCustomer(values, document, query, customer);
+    }
+    return values;
+}
+
+} // namespace snipestall::settings
--- a/src/snipestall/settings/schema.cpp
+++ b/src/snipestall/settings/schema.cpp
@@ -30,12 +30,16 @@
     PlaceInfo { Place::Operator, "operators/*", "One operator of this fleet." },
 };
 
+constexpr PlaceSet only(Place place)
+{
+    return static_cast<PlaceSet>(place);
+}
+
 constexpr PlaceSet AllLevels =
     Place::Fleet | Place::DataCentre | Place::Customer | Place::CustomerService;
 constexpr PlaceSet LimitLevels = Place::Fleet | Place::Customer | Place::CustomerService;
 constexpr PlaceSet ServiceLevels = Place::Service | Place::DataCentreService;
 constexpr PlaceSet ClassLevels = Place::Class | Place::DataCentreClass;
-constexpr auto only = [](Place place) { return static_cast<PlaceSet>(place); };
 
 constexpr std::array Settings {
     SettingInfo { "latency/first_token", ValueType::Duration, "time", 1, Hour, "1200ms", AllLevels,
@@ -69,7 +73,7 @@
     SettingInfo { "key_hashes", ValueType::KeyHashes, "", 0, 16, "[]",
                   Place::Customer | Place::Operator,
                   "SHA-256 of each bearer key that is accepted, so that keys can be rotated "
-                  "without a gap. Make one with: printf %s KEY | sha256sum" },
+                  "without a gap. Make a key and its hash with: snipestallctl new-key" },
     SettingInfo { "kind", ValueType::Choice, "", 0, 0, "model", only(Place::Service),
                   "model: a pool of engines that stream tokens. plain: a request/answer service.",
                   "model|plain" },
--- a/src/snipestall/settings/setting_info.cpp
+++ b/src/snipestall/settings/setting_info.cpp
@@ -10,7 +10,11 @@
 
 std::string durationText(double milliseconds)
 {
-    return toText(std::chrono::milliseconds(static_cast<std::int64_t>(milliseconds)));
+    constexpr std::int64_t PerHour = 3'600'000;
+    const auto whole = static_cast<std::int64_t>(milliseconds);
+    if (whole % PerHour == 0)
+        return std::to_string(whole / PerHour) + "h";
+    return toText(std::chrono::milliseconds(whole));
 }
 
 std::string rangeText(const SettingInfo &setting)
--- a/src/snipestall/settings/tree_edits.cpp
+++ b/src/snipestall/settings/tree_edits.cpp
@@ -120,6 +120,21 @@
     return found;
 }
 
+// A thing that went takes everything under it along, so edits below it would find nothing to take
+// away. Paths come in order, so a thing that came is there before its values are set.
+std::vector<Edit> editsBetween(const Tree &before, const Tree &after)
+{
+    std::vector<Edit> edits;
+    for (const Difference &difference : differences(before, after)) {
+        const bool isUnderRemoved = std::any_of(edits.begin(), edits.end(), [&](const Edit &edit) {
+            return !edit.value && pathsTouch(edit.path, difference.path);
+        });
+        if (!isUnderRemoved)
+            edits.push_back({ difference.path, difference.after });
+    }
+    return edits;
+}
+
 bool touch(std::span<const Difference> a, std::span<const Edit> b)
 {
     return std::any_of(a.begin(), a.end(), [&](const Difference &theirs) {
--- a/src/snipestall/settings/tree_test.cpp
+++ b/src/snipestall/settings/tree_test.cpp
@@ -198,6 +198,18 @@
     EXPECT_EQ(edited.error().size(), edits.size());
 }
 
+TEST(TreeEditsTest, EditsBetweenTwoTreesLeadFromOneToTheOther)
+{
+    const auto a = Tree::parse(example("karadeniz")).value();
+    const auto b = Tree::parse(example("midlands")).value();
+    for (const auto &[from, to] : { std::pair(a, b), std::pair(b, a) }) {
+        const auto made = withEdits(from, editsBetween(from, to));
+        ASSERT_TRUE(made.has_value()) << made.error().front().path;
+        EXPECT_EQ(made->hash(), to.hash());
+    }
+    EXPECT_TRUE(editsBetween(a, a).empty());
+}
+
 // One operator removes a customer while another changes a value of it. If the second change were
 // rebased, the customer would come back with nothing but that one value; it must be a conflict.
 TEST(TreeEditsTest, ARemovedCustomerTouchesEditsOfItsValues)
--- a/src/snipestall/settings/value.cpp
+++ b/src/snipestall/settings/value.cpp
@@ -18,9 +18,14 @@
 
 std::string TextWriter::operator()(double value) const
 {
+    constexpr double LeastPlain = 1e-6;
+    constexpr double MostPlain = 1e15;
+    const bool isPlain = value == 0 || (value >= LeastPlain && value < MostPlain);
+    const auto format = isPlain ? std::chars_format::fixed : std::chars_format::scientific;
     std::array<char, 64> buffer {};
-    const auto [end, error] = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value);
-    return { buffer.data(), end };
+    char *const begin = buffer.data();
+    const auto [end, error] = std::to_chars(begin, begin + buffer.size(), value, format);
+    return { begin, end };
 }
 
 std::string TextWriter::operator()(std::chrono::milliseconds value) const
