Claims, and settings in the table: first whole form

Cause: the thin path needs claims settled by the table and settings changed through it. Change: ClaimKeeper writes many claims in one transaction and settles each by its row's own token; conflicts and lost answers are read back; grants after the deadline are taken back and the row is marked abandoned; outcomes and marks are written in the background; rows expire by batch rows. SettingsStore writes head, version, change and audit rows in one transaction; a change's own row settles lost answers and repeats.

--- a/include/snipestall/peer/claim_keeper.hpp
+++ b/include/snipestall/peer/claim_keeper.hpp
@@ -39,6 +39,12 @@
     std::size_t maxBatch = 64;
     /// Rows are kept this long, then removed in batches.
     std::chrono::hours lifetime { 24 };
+    /// Transactions of one instance under way at once: a slow table then holds up one batch, not
+    /// all, and an instance can't fill the table's write budget with waiting work.
+    std::size_t maxInFlight = 4;
+    /// First and longest pause before the table is asked again.
+    std::chrono::milliseconds firstPause { 20 };
+    std::chrono::milliseconds longestPause { 2000 };
 };
 
 struct ClaimCounters
@@ -47,16 +53,26 @@
     std::uint64_t transactions = 0;
     std::uint64_t settledByReading = 0;
     std::uint64_t abandoned = 0;
+    /// Rows written or deleted, by every transaction that this keeper asked for.
+    std::uint64_t rowWrites = 0;
+    std::uint64_t reads = 0;
+    std::uint64_t granted = 0;
+    std::uint64_t held = 0;
+    std::uint64_t unsettled = 0;
+    std::uint64_t outcomesStored = 0;
+    std::uint64_t outcomesPending = 0;
+    std::uint64_t rowsExpired = 0;
 };
 
 /// Conditional inserts of (customer, service, key) into the platform's table, many in one
 /// transaction, so that platform writes follow batches and not requests. The row is the permission
 /// to send: whoever inserted it may send once, nobody else ever. Rows:
 ///
-///     claims/<hour>/<sha256 of key> {"request":..,"attempt":..,"body":..,"state":..,"outcome":..}
+///     claims/<sha256 of key>           {"request":..,"attempt":..,"token":..,"body":..,"state":..}
+///     claim-batches/<hour>/<batch>     the claim rows that one transaction wrote
 ///
-/// with an index so that a repeat in a later hour finds an earlier row; see
-/// docs/design/at-most-once.md.
+/// A claim's row has one name for its whole life, so a repeat finds it in whatever hour; expiry
+/// goes by the batch rows of an hour. See docs/design/at-most-once.md.
 class ClaimKeeper
 {
 public:
--- a/include/snipestall/peer/settings_store.hpp
+++ b/include/snipestall/peer/settings_store.hpp
@@ -37,9 +37,11 @@
 ///
 ///     settings/head          {"version":N,"hash":H,"change":ID}
 ///     settings/v/<20 digits> {"hash":H,"change":ID,"yaml":...}
+///     settings/c/<change id> {"version":N}
 ///     audit/<20 digits>      AuditRecord as JSON
 ///
-/// A lost answer is settled by reading the head and the version row that carries the change's id.
+/// All four are written in one transaction against the head's row version. A lost answer, and a
+/// repeat at any later time, is settled by reading the row of the change's id.
 class SettingsStore
 {
 public:
--- a/include/snipestall/peer/stored_outcome.hpp
+++ b/include/snipestall/peer/stored_outcome.hpp
@@ -12,6 +12,8 @@
     std::string body;
     /// As in the Snipestall-Outcome header: "completed", "failed" or "unknown".
     std::string outcome;
+    /// The body was longer than the table keeps: a repeat learns what came of it, not the body.
+    bool bodyDropped = false;
 };
 
 } // namespace snipestall::peer
--- /dev/null
+++ b/src/snipestall/peer/claim_context.cpp
@@ -0,0 +1,65 @@
+#include "snipestall/peer/claim_context.hpp"
+
+#include "snipestall/base/rendezvous.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace snipestall::peer {
+
+using std::chrono::milliseconds;
+
+ClaimContext::ClaimContext(boost::asio::io_context &context, platform::TableService &service,
+                           const Clock &source, const std::string &instance, ClaimOptions chosen)
+    : io(context)
+    , table(service)
+    , clock(source)
+    , options(chosen)
+    , m_tokenPrefix(instance + "." + std::to_string(source.wallNow().time_since_epoch().count()))
+    , m_random(stableHash(m_tokenPrefix))
+{
+    // Two starts of one instance name within one tick of the wall clock still differ.
+    m_tokenPrefix += "." + std::to_string(source.steadyNow().time_since_epoch().count());
+}
+
+std::string ClaimContext::nextToken()
+{
+    return m_tokenPrefix + "." + std::to_string(++m_tokens);
+}
+
+wire::Task<void> ClaimContext::pause(int tries)
+{
+    constexpr int MostDoublings = 16;
+    const milliseconds doubled = options.firstPause * (1 << std::min(tries, MostDoublings));
+    const milliseconds whole = std::min(doubled, options.longestPause);
+    const auto half = static_cast<std::uint64_t>(whole.count()) / 2;
+    const milliseconds jitter(static_cast<std::int64_t>(m_random.below(half + 1)));
+    co_await pauseFor(whole / 2 + jitter);
+}
+
+wire::Task<void> ClaimContext::pauseFor(milliseconds time)
+{
+    boost::asio::steady_timer timer(io, time);
+    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
+wire::Task<Result<platform::TransactionOutcome>>
+ClaimContext::transact(platform::Transaction transaction)
+{
+    ++counters.transactions;
+    counters.rowWrites += transaction.writes.size();
+    co_return co_await table.transact(std::move(transaction));
+}
+
+wire::Task<Result<std::vector<platform::Row>>>
+ClaimContext::read(std::vector<platform::RowKey> keys)
+{
+    ++counters.reads;
+    co_return co_await table.read(std::move(keys));
+}
+
+} // namespace snipestall::peer
--- /dev/null
+++ b/src/snipestall/peer/claim_context.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "snipestall/base/clock.hpp"
+#include "snipestall/base/random.hpp"
+#include "snipestall/peer/claim_keeper.hpp"
+#include "snipestall/platform/table_service.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace snipestall::peer {
+
+/// What the parts of a ClaimKeeper share.
+class ClaimContext
+{
+public:
+    ClaimContext(boost::asio::io_context &io, platform::TableService &table, const Clock &clock,
+                 const std::string &instance, ClaimOptions options);
+
+    /// A name that no other call, instance or earlier run of this instance has given out.
+    std::string nextToken();
+    /// Pause before the table is asked again; doubles by try, half of it random so that instances
+    /// that lost the table together do not come back to it together.
+    wire::Task<void> pause(int tries);
+    wire::Task<void> pauseFor(std::chrono::milliseconds time);
+
+    // The table's calls, counted.
+    wire::Task<Result<platform::TransactionOutcome>> transact(platform::Transaction transaction);
+    wire::Task<Result<std::vector<platform::Row>>> read(std::vector<platform::RowKey> keys);
+
+    boost::asio::io_context &io;
+    platform::TableService &table;
+    const Clock &clock;
+    ClaimOptions options;
+    ClaimCounters counters;
+    /// The keeper is gone: nothing may touch the table any more.
+    bool stopped = false;
+
+private:
+    std::string m_tokenPrefix;
+    std::uint64_t m_tokens = 0;
+    Random m_random;
+};
+
+} // namespace snipestall::peer
--- /dev/null
+++ b/src/snipestall/peer/claim_keeper.cpp
@@ -0,0 +1,261 @@
+#include "snipestall/peer/claim_keeper.hpp"
+
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
+#include "snipestall/peer/claim_batch.hpp"
+#include "snipestall/peer/claim_context.hpp"
+#include "snipestall/peer/claim_expiry.hpp"
+#include "snipestall/peer/claim_updates.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace snipestall::peer {
+
+using platform::RowKey;
+using wire::Task;
+
+struct ClaimKeeper::State : std::enable_shared_from_this<State>
+{
+    explicit State(std::shared_ptr<ClaimContext> shared)
+        : context(std::move(shared))
+        , updates(std::make_shared<ClaimUpdates>(context))
+    { }
+
+    PendingClaimPtr admit(ClaimRequest request);
+    ClaimOutcome conclude(const PendingClaimPtr &claim);
+
+    void enqueue(PendingClaimPtr claim);
+    Task<void> flushAfterWindow();
+    void flush();
+    Task<void> runBatch(std::vector<PendingClaimPtr> claims);
+
+    void dropped(const PendingClaimPtr &claim, bool mayBeWritten);
+    void abandon(const PendingClaim &claim);
+    void release(const RowKey &key);
+
+    std::shared_ptr<ClaimContext> context;
+    std::shared_ptr<ClaimUpdates> updates;
+    std::deque<PendingClaimPtr> queue;
+    /// Keys with a claim under way here, and those that wait for it to be settled.
+    std::map<RowKey, std::deque<PendingClaimPtr>> underWay;
+    std::size_t batches = 0;
+    bool windowOpen = false;
+};
+
+PendingClaimPtr ClaimKeeper::State::admit(ClaimRequest request)
+{
+    ++context->counters.claims;
+    auto claim = std::make_shared<PendingClaim>(context->io, std::move(request));
+    claim->row.request = claim->request.request;
+    claim->row.attempt = claim->request.attempt;
+    claim->row.bodyHash = claim->request.bodyHash;
+    claim->row.token = context->nextToken();
+    claim->settled.expires_after(claim->request.deadline - context->clock.steadyNow());
+    // Two claims of one key in one transaction would both see their conditions hold. The second
+    // waits until the first is settled and then finds its row.
+    const auto [waiters, first] = underWay.try_emplace(claim->rowKey);
+    if (first) {
+        enqueue(claim);
+    } else {
+        claim->readFirst = true;
+        waiters->second.push_back(claim);
+    }
+    return claim;
+}
+
+void ClaimKeeper::State::enqueue(PendingClaimPtr claim)
+{
+    queue.push_back(std::move(claim));
+    if (queue.size() >= context->options.maxBatch) {
+        flush();
+        return;
+    }
+    if (std::exchange(windowOpen, true))
+        return;
+    boost::asio::co_spawn(
+        context->io, [self = shared_from_this()] { return self->flushAfterWindow(); },
+        boost::asio::detached);
+}
+
+Task<void> ClaimKeeper::State::flushAfterWindow()
+{
+    const auto self = shared_from_this();
+    co_await context->pauseFor(context->options.batchWindow);
+    windowOpen = false;
+    flush();
+}
+
+void ClaimKeeper::State::flush()
+{
+    while (!queue.empty() && batches < context->options.maxInFlight && !context->stopped) {
+        const std::size_t count = std::min(queue.size(), context->options.maxBatch);
+        const auto end = queue.begin() + static_cast<std::ptrdiff_t>(count);
+        std::vector<PendingClaimPtr> claims(queue.begin(), end);
+        queue.erase(queue.begin(), end);
+        ++batches;
+        boost::asio::co_spawn(
+            context->io,
+            [self = shared_from_this(), claims = std::move(claims)] {
+                return self->runBatch(claims);
+            },
+            boost::asio::detached);
+    }
+}
+
+Task<void> ClaimKeeper::State::runBatch(std::vector<PendingClaimPtr> claims)
+{
+    const auto self = shared_from_this();
+    ClaimBatch batch(
+        context, std::move(claims),
+        [this](const PendingClaimPtr &claim, bool mayBeWritten) { dropped(claim, mayBeWritten); });
+    co_await batch.run();
+    --batches;
+    flush();
+}
+
+void ClaimKeeper::State::dropped(const PendingClaimPtr &claim, bool mayBeWritten)
+{
+    if (mayBeWritten)
+        abandon(*claim);
+    if (claim->givenUp) {
+        release(claim->rowKey);
+        return;
+    }
+    // Its caller has not noticed yet that the deadline has passed.
+    claim->outcome = ClaimOutcome {};
+    claim->settled.cancel();
+}
+
+// A frozen process wakes with the answer to its write in hand, long after its caller was told that
+// the request did not run. A grant counts only before the deadline; a later one is taken back.
+ClaimOutcome ClaimKeeper::State::conclude(const PendingClaimPtr &claim)
+{
+    if (!claim->outcome) {
+        claim->givenUp = true;
+        ++context->counters.unsettled;
+        return {};
+    }
+    ClaimOutcome outcome = std::move(*claim->outcome);
+    const bool tooLate = context->clock.steadyNow() >= claim->request.deadline;
+    if (outcome.verdict == ClaimVerdict::Granted && tooLate) {
+        abandon(*claim);
+        outcome = {};
+    }
+    release(claim->rowKey);
+    switch (outcome.verdict) {
+    case ClaimVerdict::Granted:
+        ++context->counters.granted;
+        break;
+    case ClaimVerdict::Held:
+        ++context->counters.held;
+        logEvent(events::ClaimLost,
+                 { { "request", claim->request.request }, { "holder", outcome.holderRequest } });
+        break;
+    case ClaimVerdict::Unsettled:
+        ++context->counters.unsettled;
+        break;
+    }
+    return outcome;
+}
+
+void ClaimKeeper::State::abandon(const PendingClaim &claim)
+{
+    logEvent(events::ClaimAbandoned,
+             { { "request", claim.request.request }, { "attempt", claim.request.attempt } });
+    ClaimUpdate update;
+    update.kind = ClaimUpdate::Kind::Abandon;
+    update.rowKey = claim.rowKey;
+    update.row = claim.row;
+    updates->add(std::move(update));
+}
+
+void ClaimKeeper::State::release(const RowKey &key)
+{
+    const auto found = underWay.find(key);
+    auto &waiters = found->second;
+    while (!waiters.empty() && waiters.front()->givenUp)
+        waiters.pop_front();
+    if (waiters.empty()) {
+        underWay.erase(found);
+        return;
+    }
+    PendingClaimPtr next = std::move(waiters.front());
+    waiters.pop_front();
+    enqueue(std::move(next));
+}
+
+std::unique_ptr<ClaimKeeper> ClaimKeeper::create(boost::asio::io_context &io,
+                                                 platform::TableService &table, const Clock &clock,
+                                                 std::string instance, ClaimOptions options)
+{
+    auto context = std::make_shared<ClaimContext>(io, table, clock, instance, options);
+    auto state = std::make_shared<State>(std::move(context));
+    return std::unique_ptr<ClaimKeeper>(new ClaimKeeper(std::move(state)));
+}
+
+ClaimKeeper::ClaimKeeper(std::shared_ptr<State> state)
+    : m_state(std::move(state))
+{ }
+
+ClaimKeeper::~ClaimKeeper()
+{
+    m_state->context->stopped = true;
+}
+
+Task<ClaimOutcome> ClaimKeeper::claim(ClaimRequest request)
+{
+    const auto state = m_state;
+    const PendingClaimPtr claim = state->admit(std::move(request));
+    if (!claim->outcome)
+        co_await claim->settled.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    co_return state->conclude(claim);
+}
+
+void ClaimKeeper::storeOutcome(ClaimKey key, std::string attempt, StoredOutcome outcome)
+{
+    ClaimUpdate update;
+    update.rowKey = claimRowKey(key);
+    update.row.attempt = std::move(attempt);
+    update.row.outcome = std::move(outcome);
+    m_state->updates->add(std::move(update));
+}
+
+Task<Result<std::optional<ClaimOutcome>>> ClaimKeeper::lookup(ClaimKey key)
+{
+    const auto context = m_state->context;
+    std::vector<RowKey> keys { claimRowKey(key) };
+    const auto rows = co_await context->read(std::move(keys));
+    if (!rows)
+        co_return tl::unexpected<Error>(rows.error());
+    if (rows->empty())
+        co_return std::optional<ClaimOutcome>();
+    auto row = decodeClaim(rows->front());
+    if (!row)
+        co_return tl::unexpected<Error>(row.error());
+    // Given up before it was sent: nobody holds the key.
+    if (row->state == ClaimState::Abandoned)
+        co_return std::optional<ClaimOutcome>();
+    co_return std::optional<ClaimOutcome>(heldBy(std::move(*row)));
+}
+
+Task<void> ClaimKeeper::removeExpired()
+{
+    const auto context = m_state->context;
+    co_await removeExpiredBatch(context);
+}
+
+ClaimCounters ClaimKeeper::counters() const
+{
+    return m_state->context->counters;
+}
+
+} // namespace snipestall::peer
--- /dev/null
+++ b/src/snipestall/peer/claim_updates.cpp
@@ -0,0 +1,182 @@
+#include "snipestall/peer/claim_updates.hpp"
+
+#include "snipestall/peer/claim_context.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace snipestall::peer {
+
+using platform::Row;
+using platform::RowKey;
+using platform::Transaction;
+
+namespace {
+
+/// Bodies in one transaction: a table's limit for one call is commonly a few megabytes.
+constexpr std::size_t MaxBatchBytes = 1024 * 1024;
+
+/// A row's new value and the version it replaces.
+struct Change
+{
+    std::string value;
+    std::uint64_t expectedVersion = 0;
+    bool isNew = false;
+};
+
+/// Nothing if the outcome is in already or the row is no longer this attempt's.
+std::optional<Change> storeOutcome(const ClaimUpdate &update, const Row *row)
+{
+    if (row == nullptr)
+        return std::nullopt;
+    auto current = decodeClaim(*row);
+    if (!current || current->attempt != update.row.attempt || current->state != ClaimState::Claimed)
+        return std::nullopt;
+    current->state = ClaimState::Done;
+    current->outcome = update.row.outcome;
+    return Change { encodeClaim(*current), row->version, false };
+}
+
+// A write whose answer was lost may still be on its way and land after this. An abandoned row put
+// in its place makes its condition fail, so the key is not left claimed by nobody.
+std::optional<Change> abandon(const ClaimUpdate &update, const Row *row)
+{
+    if (row == nullptr) {
+        ClaimRow marked = update.row;
+        marked.state = ClaimState::Abandoned;
+        return Change { encodeClaim(marked), 0, true };
+    }
+    auto current = decodeClaim(*row);
+    if (!current || current->token != update.row.token || current->state != ClaimState::Claimed)
+        return std::nullopt;
+    current->state = ClaimState::Abandoned;
+    return Change { encodeClaim(*current), row->version, false };
+}
+
+std::optional<Change> changeFor(const ClaimUpdate &update, const Row *row)
+{
+    return update.kind == ClaimUpdate::Kind::Abandon ? abandon(update, row)
+                                                     : storeOutcome(update, row);
+}
+
+} // namespace
+
+ClaimUpdates::ClaimUpdates(std::shared_ptr<ClaimContext> context)
+    : m_context(std::move(context))
+{ }
+
+void ClaimUpdates::add(ClaimUpdate update)
+{
+    if (update.kind == ClaimUpdate::Kind::StoreOutcome)
+        ++m_context->counters.outcomesPending;
+    m_updates.push_back(std::move(update));
+    if (std::exchange(m_running, true))
+        return;
+    boost::asio::co_spawn(
+        m_context->io, [self = shared_from_this()] { return self->run(); }, boost::asio::detached);
+}
+
+wire::Task<void> ClaimUpdates::run()
+{
+    const auto self = shared_from_this();
+    int failures = 0;
+    while (!m_updates.empty() && !m_context->stopped) {
+        if (failures == 0)
+            co_await m_context->pauseFor(m_context->options.batchWindow);
+        else
+            co_await m_context->pause(failures - 1);
+        if (m_context->stopped)
+            break;
+        const bool taken = co_await pass();
+        failures = taken ? 0 : failures + 1;
+    }
+    m_running = false;
+}
+
+std::vector<RowKey> ClaimUpdates::nextKeys() const
+{
+    std::vector<RowKey> keys;
+    std::size_t bytes = 0;
+    for (const ClaimUpdate &update : m_updates) {
+        bytes += update.row.outcome ? update.row.outcome->body.size() : 0;
+        const bool full = keys.size() == m_context->options.maxBatch || bytes > MaxBatchBytes;
+        const bool repeated = std::ranges::find(keys, update.rowKey) != keys.end();
+        if ((full || repeated) && !keys.empty())
+            break;
+        keys.push_back(update.rowKey);
+    }
+    return keys;
+}
+
+wire::Task<bool> ClaimUpdates::pass()
+{
+    std::vector<RowKey> keys = nextKeys();
+    const std::size_t count = keys.size();
+    const auto rows = co_await m_context->read(std::move(keys));
+    if (!rows || m_context->stopped)
+        co_return false;
+    Transaction transaction = prepare(*rows, count);
+    const std::size_t written = transaction.conditions.size();
+    if (written == 0)
+        co_return true;
+    const auto outcome = co_await m_context->transact(std::move(transaction));
+    // On a conflict or a lost answer the next pass reads the rows and finishes what is in.
+    if (outcome && outcome->committed)
+        finishFirst(written);
+    co_return outcome.has_value();
+}
+
+/// Writes for the first `count` updates, which stay first; those with nothing left to write go.
+Transaction ClaimUpdates::prepare(const std::vector<Row> &rows, std::size_t count)
+{
+    const WallTime now = m_context->clock.wallNow();
+    Transaction transaction;
+    std::vector<RowKey> added;
+    std::vector<ClaimUpdate> kept;
+    for (std::size_t i = 0; i < count; ++i) {
+        ClaimUpdate update = std::move(m_updates.front());
+        m_updates.pop_front();
+        const auto found = std::ranges::find(rows, update.rowKey, &Row::key);
+        update.row.hour = claimHour(now);
+        const auto change = changeFor(update, found == rows.end() ? nullptr : &*found);
+        if (!change) {
+            finish(update);
+            continue;
+        }
+        if (change->isNew)
+            added.push_back(update.rowKey);
+        transaction.conditions.push_back({ update.rowKey, change->expectedVersion });
+        transaction.writes.push_back({ update.rowKey, change->value });
+        kept.push_back(std::move(update));
+    }
+    m_updates.insert(m_updates.begin(), kept.begin(), kept.end());
+    if (!added.empty()) {
+        RowKey batch = claimBatchKey(now, m_context->nextToken());
+        transaction.writes.push_back({ std::move(batch), encodeBatch(added) });
+    }
+    return transaction;
+}
+
+void ClaimUpdates::finishFirst(std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        finish(m_updates.front());
+        m_updates.pop_front();
+    }
+}
+
+void ClaimUpdates::finish(const ClaimUpdate &update)
+{
+    if (update.kind == ClaimUpdate::Kind::Abandon) {
+        ++m_context->counters.abandoned;
+        return;
+    }
+    --m_context->counters.outcomesPending;
+    ++m_context->counters.outcomesStored;
+}
+
+} // namespace snipestall::peer
--- /dev/null
+++ b/src/snipestall/peer/settings_rows.cpp
@@ -0,0 +1,121 @@
+#include "snipestall/peer/settings_rows.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace snipestall::peer {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view SettingsTable = "settings";
+constexpr std::string_view AuditTable = "audit";
+
+/// Fixed width, so that the table's order by key is the order of versions.
+std::string padded(std::uint64_t version)
+{
+    std::string digits = std::to_string(version);
+    constexpr std::size_t Width = 20;
+    return std::string(Width - digits.size(), '0') + digits;
+}
+
+template<typename T, typename Decoder>
+Result<T> decode(const platform::Row &row, Decoder decoder)
+{
+    try {
+        const json::value parsed = json::parse(row.value);
+        return decoder(parsed.as_object());
+    } catch (const std::exception &damaged) {
+        return fail(ErrorKind::Internal,
+                    "row " + row.key.table + "/" + row.key.key + " can't be read: " + damaged.what()
+                        + "; look at it in the platform's table");
+    }
+}
+
+} // namespace
+
+platform::RowKey headKey()
+{
+    return { std::string(SettingsTable), "head" };
+}
+
+platform::RowKey versionKey(std::uint64_t version)
+{
+    return { std::string(SettingsTable), "v/" + padded(version) };
+}
+
+platform::RowKey auditKey(std::uint64_t version)
+{
+    return { std::string(AuditTable), padded(version) };
+}
+
+platform::RowKey changeKey(const std::string &changeId)
+{
+    return { std::string(SettingsTable), "c/" + changeId };
+}
+
+std::string encodeHead(const SettingsDocument &document, const std::string &changeId)
+{
+    json::object object;
+    object["version"] = document.version;
+    object["hash"] = document.hash;
+    object["change"] = changeId;
+    return json::serialize(object);
+}
+
+std::string encodeVersion(const SettingsDocument &document, const std::string &changeId)
+{
+    json::object object;
+    object["hash"] = document.hash;
+    object["change"] = changeId;
+    object["yaml"] = document.yaml;
+    return json::serialize(object);
+}
+
+std::string encodeChange(std::uint64_t version)
+{
+    json::object object;
+    object["version"] = version;
+    return json::serialize(object);
+}
+
+const platform::Row *findRow(std::span<const platform::Row> rows, const platform::RowKey &key)
+{
+    const auto found = std::ranges::find(rows, key, &platform::Row::key);
+    return found == rows.end() ? nullptr : &*found;
+}
+
+Result<SettingsHead> decodeHead(const platform::Row *row)
+{
+    if (row == nullptr)
+        return SettingsHead {};
+    return decode<SettingsHead>(*row, [row](const json::object &object) {
+        SettingsHead head;
+        head.version = object.at("version").to_number<std::uint64_t>();
+        head.hash = std::string(object.at("hash").as_string());
+        head.rowVersion = row->version;
+        return head;
+    });
+}
+
+Result<SettingsDocument> decodeVersion(std::uint64_t version, const platform::Row &row)
+{
+    return decode<SettingsDocument>(row, [version](const json::object &object) {
+        SettingsDocument document;
+        document.version = version;
+        document.hash = std::string(object.at("hash").as_string());
+        document.yaml = std::string(object.at("yaml").as_string());
+        return document;
+    });
+}
+
+Result<std::uint64_t> decodeChange(const platform::Row &row)
+{
+    return decode<std::uint64_t>(row, [](const json::object &object) {
+        return object.at("version").to_number<std::uint64_t>();
+    });
+}
+
+} // namespace snipestall::peer
--- /dev/null
+++ b/src/snipestall/platform/fake_table_service.hpp
@@ -0,0 +1,160 @@
+#pragma once
+
+#include "snipestall/platform/table_service.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace snipestall::platform {
+
+/// The platform's table in memory, for tests, with its faults on command.
+class FakeTableService final : public TableService
+{
+public:
+    explicit FakeTableService(boost::asio::io_context &io)
+        : m_thaw(io, boost::asio::steady_timer::time_point::max())
+    { }
+
+    /// Calls fail as Unavailable and have no effect.
+    bool down = false;
+    /// The next so many transactions take effect and their answers are lost.
+    int loseAnswers = 0;
+    /// The next so many transactions are lost before they take effect; their callers can't tell.
+    int loseRequests = 0;
+    /// Called at the start of each transaction and read: lets a test act at that very moment.
+    std::function<void()> beforeCall;
+    /// Called after a transaction has taken effect and before its answer goes back.
+    std::function<void()> beforeAnswer;
+    /// A transaction delivered late, as by a slow network: held here until deliverLate().
+    int holdRequests = 0;
+
+    int transactions = 0;
+    int reads = 0;
+    std::map<RowKey, Row> rows;
+
+    /// Transactions take effect, and then nobody answers until thaw().
+    void freeze() { m_frozen = true; }
+    void thaw()
+    {
+        m_frozen = false;
+        m_thaw.cancel();
+    }
+
+    /// Carries out what holdRequests held back, long after its caller gave up on the answer.
+    void deliverLate()
+    {
+        for (const Transaction &late : std::exchange(m_late, {}))
+            apply(late);
+    }
+
+    wire::Task<Result<TransactionOutcome>> transact(Transaction transaction) override
+    {
+        ++transactions;
+        if (beforeCall)
+            beforeCall();
+        if (down)
+            co_return fail(ErrorKind::Unavailable, "down; wait");
+        if (holdRequests > 0) {
+            --holdRequests;
+            m_late.push_back(std::move(transaction));
+            co_return fail(ErrorKind::DeadlineExceeded, "slow; read back");
+        }
+        if (loseRequests > 0) {
+            --loseRequests;
+            co_return fail(ErrorKind::OutcomeUnknown, "lost; read back");
+        }
+        TransactionOutcome outcome = apply(transaction);
+        if (beforeAnswer)
+            beforeAnswer();
+        co_await whileFrozen();
+        if (loseAnswers > 0) {
+            --loseAnswers;
+            co_return fail(ErrorKind::OutcomeUnknown, "answer lost; read back");
+        }
+        co_return outcome;
+    }
+
+    wire::Task<Result<std::vector<Row>>> read(std::vector<RowKey> keys) override
+    {
+        ++reads;
+        if (beforeCall)
+            beforeCall();
+        if (down)
+            co_return fail(ErrorKind::Unavailable, "down; wait");
+        co_await whileFrozen();
+        std::vector<Row> found;
+        for (const RowKey &key : keys) {
+            const auto row = rows.find(key);
+            if (row != rows.end())
+                found.push_back(row->second);
+        }
+        co_return found;
+    }
+
+    wire::Task<Result<std::vector<Row>>> scan(std::string table, std::string prefix,
+                                              std::string after, std::size_t limit) override
+    {
+        if (down)
+            co_return fail(ErrorKind::Unavailable, "down; wait");
+        std::vector<Row> found;
+        for (const auto &[key, row] : rows) {
+            const bool wanted =
+                key.table == table && key.key.starts_with(prefix) && key.key > after;
+            if (wanted && found.size() < limit)
+                found.push_back(row);
+        }
+        co_return found;
+    }
+
+    TransactionOutcome apply(const Transaction &transaction)
+    {
+        TransactionOutcome outcome;
+        for (const Condition &condition : transaction.conditions) {
+            const auto row = rows.find(condition.key);
+            const Row current = row == rows.end() ? Row { condition.key, {}, 0 } : row->second;
+            if (current.version != condition.version)
+                outcome.conflicts.push_back(current);
+        }
+        outcome.committed = outcome.conflicts.empty();
+        if (!outcome.committed)
+            return outcome;
+        for (const Write &write : transaction.writes) {
+            if (write.value)
+                rows[write.key] = { write.key, *write.value, ++m_lastVersion };
+            else
+                rows.erase(write.key);
+        }
+        return outcome;
+    }
+
+    [[nodiscard]] std::size_t rowsIn(const std::string &table) const
+    {
+        std::size_t count = 0;
+        for (const auto &[key, row] : rows)
+            count += key.table == table ? 1 : 0;
+        return count;
+    }
+
+private:
+    wire::Task<void> whileFrozen()
+    {
+        while (m_frozen)
+            co_await m_thaw.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+
+    bool m_frozen = false;
+    std::uint64_t m_lastVersion = 0;
+    std::vector<Transaction> m_late;
+    boost::asio::steady_timer m_thaw;
+};
+
+} // namespace snipestall::platform
