Policy core: thin whole of admitting, queueing, placing, forwarding

Cause: World had a header and no body; entry needs a decision maker.

Change: tables (requests, flows, servers, pools, peers) and systems over them: admission with limits of the leaf and expected wait against the deadline, a queue by deadline slack and weighted virtual time in two lanes, a free-slot index by instance class and load, forwarding on summaries that are spent once, retries with backoff, sticky leaving. Limits are divided evenly over the live instances of the data centre.

Weighed: one ordered set of all queued requests by slack alone (a flood of short deadlines takes the pool) and fair shares alone (no slack). Both indices are kept; pressing requests go first within a bounded lead.

Not in yet: adaptive concurrency, prefix cache, crash quarantine, ejection, moving streams, capacity, load reports.

--- /dev/null
+++ b/src/snipestall/policy/admission.cpp
@@ -0,0 +1,182 @@
+#include "snipestall/policy/admission.hpp"
+
+#include "snipestall/policy/lifecycle.hpp"
+#include "snipestall/policy/limits.hpp"
+#include "snipestall/policy/state.hpp"
+#include "snipestall/policy/wait_estimate.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+
+namespace snipestall::policy {
+namespace {
+
+/// Load: a flood that outruns every refusal by wait. Bounds memory to a few megabytes a pool.
+constexpr std::size_t MaxQueued = 16384;
+
+/// One customer may fill half of it; the other half stays open to the others.
+constexpr std::size_t MaxQueuedPerFlow = MaxQueued / 2;
+
+/// Callers that come back sooner than this only cost a second refusal.
+constexpr Duration LeastRetryAfter = std::chrono::milliseconds(200);
+
+/// For what another instance can serve at once.
+constexpr Duration RetryElsewhere = std::chrono::milliseconds(200);
+
+constexpr Duration RetryUnknown = std::chrono::seconds(5);
+
+/// One hop to a peer and back inside a data centre, with its queueing.
+constexpr Duration HopTime = std::chrono::milliseconds(5);
+
+void fillIn(Request &request, const RequestArrived &event)
+{
+    request.handle = event.request;
+    request.urgency = event.urgency;
+    request.promptTokens = event.promptTokens;
+    request.maxTokens = event.maxTokens;
+    request.idempotent = event.idempotent;
+    request.forwarded = event.forwarded;
+    request.accepted = event.accepted;
+    request.prefix = event.prefix;
+    request.deadline = event.deadline;
+    request.produced = event.resumeOffset;
+    request.crashes = event.crashes;
+}
+
+bool isShortUrgent(const Request &request)
+{
+    const std::uint32_t shortTokens = request.pool->settings.shortTokens;
+    const bool isShort = request.promptTokens + request.maxTokens <= shortTokens;
+    return isShort && request.urgency == Urgency::Urgent;
+}
+
+Request &addRow(State &state, const RequestArrived &event)
+{
+    Request &request = state.requests[event.request];
+    fillIn(request, event);
+    request.pool = &state.pool(event.service);
+    request.flow = &state.flow(*request.pool, event.customer);
+    request.arrived = state.now;
+    request.shortUrgent = isShortUrgent(request);
+    if (request.deadline == Time {})
+        request.deadline = state.now + request.flow->leaf.deadline;
+    ++request.flow->live;
+    estimate(state, request);
+    return request;
+}
+
+/// The wait here, or at the peer that would start it first.
+std::optional<Duration> shortestWait(const State &state, const Request &request)
+{
+    std::optional<Duration> wait = expectedWait(*request.pool, request);
+    if (request.forwarded)
+        return wait;
+    const auto peer = state.peers.best(state.now, request.pool->service);
+    if (peer && (!wait || peer->wait + HopTime < *wait))
+        wait = peer->wait + HopTime;
+    return wait;
+}
+
+struct Verdict
+{
+    RefusalReason reason = RefusalReason::NoCapacity;
+    Duration retryAfter {};
+};
+
+std::optional<Verdict> checkQueueBounds(const Request &request)
+{
+    const bool poolFull = request.pool->queue.size() >= MaxQueued;
+    const bool flowFull = request.flow->queued() >= MaxQueuedPerFlow;
+    if (!poolFull && !flowFull)
+        return std::nullopt;
+    const Duration wait = expectedWait(*request.pool, request).value_or(LeastRetryAfter);
+    return Verdict { RefusalReason::QueueFull, std::max(wait, LeastRetryAfter) };
+}
+
+/// No server here or at any peer: wait for a replacement if the deadline leaves time for its
+/// start and nobody is sitting in front of the answer.
+std::optional<Verdict> checkWithoutCapacity(const State &state, const Request &request)
+{
+    const Duration startTime = request.pool->settings.startTime;
+    const bool timeForStart = state.now + startTime < request.giveUpAt;
+    if (timeForStart && request.urgency != Urgency::Urgent)
+        return std::nullopt;
+    return Verdict { RefusalReason::NoCapacity, std::max(startTime / 4, LeastRetryAfter) };
+}
+
+/// Load: more work than the pool can finish in time, as after a wave of reclaims. Harm: what
+/// can't make its deadline takes the slots of what can, and its caller learns it too late to go
+/// elsewhere. Come back once the queue has drained to where the deadline would have been met.
+std::optional<Verdict> checkWait(const State &state, const Request &request)
+{
+    const std::optional<Duration> wait = shortestWait(state, request);
+    if (!wait)
+        return checkWithoutCapacity(state, request);
+    const Duration over = state.now + *wait - request.giveUpAt;
+    if (over <= Duration::zero())
+        return std::nullopt;
+    return Verdict { RefusalReason::Late, std::max(over, LeastRetryAfter) };
+}
+
+std::optional<Verdict> checkLimits(State &state, const Request &request)
+{
+    if (request.forwarded)
+        return std::nullopt;
+    const std::optional<LimitReached> reached = checkLimit(state, request);
+    if (!reached)
+        return std::nullopt;
+    return Verdict { reached->reason, std::max(reached->wait, LeastRetryAfter) };
+}
+
+std::optional<Verdict> verdictOn(State &state, const Request &request)
+{
+    if (request.accepted)
+        return std::nullopt;
+    if (state.leaving)
+        return Verdict { RefusalReason::Leaving, RetryElsewhere };
+    if (!request.pool->known || (!request.flow->known && !request.forwarded))
+        return Verdict { RefusalReason::UnknownService, RetryUnknown };
+    if (const auto verdict = checkLimits(state, request))
+        return verdict;
+    if (const auto verdict = checkQueueBounds(request))
+        return verdict;
+    return checkWait(state, request);
+}
+
+/// A name that no settings know gets no rows, or callers could fill the tables with names.
+bool refuseUnknown(State &state, const RequestArrived &event)
+{
+    if (event.accepted || state.pools.contains(event.service))
+        return false;
+    const Duration retryAfter = state.jittered(RetryUnknown);
+    state.emit(Refuse { event.request, RefusalReason::UnknownService, retryAfter });
+    return true;
+}
+
+} // namespace
+
+void onRequestArrived(State &state, const RequestArrived &event)
+{
+    if (state.requests.contains(event.request) || refuseUnknown(state, event))
+        return;
+    Request &request = addRow(state, event);
+    const std::optional<Verdict> verdict = verdictOn(state, request);
+    if (verdict) {
+        refuse(state, request, verdict->reason, verdict->retryAfter);
+        return;
+    }
+    if (!request.forwarded)
+        takeLimits(state, request);
+    enqueue(state, request);
+}
+
+void expireQueued(State &state)
+{
+    while (const auto handle = state.giveUps.popDue(state.now)) {
+        if (Request *request = state.findRequest(*handle))
+            refuse(state, *request, RefusalReason::Expired, Duration::zero());
+    }
+}
+
+} // namespace snipestall::policy
--- /dev/null
+++ b/src/snipestall/policy/fake_fleet.hpp
@@ -0,0 +1,311 @@
+#pragma once
+
+#include "snipestall/policy/world.hpp"
+#include "snipestall/settings/effective_settings.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace snipestall::policy {
+
+/// Test fake of all that stands around a World: backend servers that answer after a while, and the
+/// callers' ledger. Runs on virtual time.
+class FakeFleet
+{
+public:
+    struct Backend
+    {
+        std::uint32_t slots = 0;
+        Duration prompt = std::chrono::milliseconds(50);
+        Duration perToken = std::chrono::milliseconds(20);
+        /// How its attempts end.
+        AttemptResult result = AttemptResult::Completed;
+        bool leaving = false;
+        bool gone = false;
+        std::set<std::uint64_t> running;
+        std::uint32_t peak = 0;
+        std::uint32_t dispatched = 0;
+    };
+
+    struct Outcome
+    {
+        RequestArrived request;
+        Time arrived;
+        std::optional<Time> firstToken;
+        std::optional<Time> completed;
+        std::optional<Refuse> refused;
+        std::vector<Dispatch> dispatches;
+        std::vector<MoveStream> moves;
+        std::vector<ForwardTo> forwards;
+        std::vector<std::uint64_t> beside;
+        int ends = 0;
+
+        [[nodiscard]] Duration wait() const { return *firstToken - arrived; }
+    };
+
+    explicit FakeFleet(std::uint64_t seed = 1)
+        : world(World::create("samsun-hall", seed))
+        , settings(std::make_shared<settings::EffectiveSettings>())
+    {
+        settings->dataCentre = "samsun-hall";
+        addService("airtime");
+    }
+
+    settings::ServiceSettings &addService(const std::string &name)
+    {
+        settings->services.emplace_back().service = name;
+        return settings->services.back();
+    }
+
+    settings::LeafSettings &addCustomer(const std::string &name)
+    {
+        settings::LeafSettings &leaf = settings->leaves.emplace_back();
+        leaf.customer = name;
+        leaf.service = "airtime";
+        leaf.requestsPerSecond = 1e6;
+        leaf.tokensPerSecond = 1e9;
+        leaf.concurrency = 100000;
+        return leaf;
+    }
+
+    void start() { give(SettingsChanged { settings }); }
+
+    ServerHandle addServer(std::uint32_t slots, const std::string &instanceClass = "spot")
+    {
+        const ServerHandle handle { ++m_lastServer };
+        servers[handle.value].slots = slots;
+        give(ServerUp { handle, "airtime", "samsun-hall", instanceClass, slots, {} });
+        return handle;
+    }
+
+    /// The server dies without notice, and with it all that runs there.
+    void kill(ServerHandle handle)
+    {
+        Backend &backend = servers[handle.value];
+        backend.gone = true;
+        const std::set<std::uint64_t> lost = backend.running;
+        std::vector<Event> events { ServerGone { handle } };
+        for (const std::uint64_t attempt : lost) {
+            const RequestHandle request = m_attempts.at(attempt).request;
+            endAttempt(attempt);
+            events.push_back(AttemptEnded { request, { attempt }, AttemptResult::ServerDied, {} });
+        }
+        give(std::move(events));
+    }
+
+    void leave(ServerHandle handle, Duration notice)
+    {
+        servers[handle.value].leaving = true;
+        give(ServerLeaving { handle, notice });
+    }
+
+    RequestArrived request(const std::string &customer, Urgency urgency = Urgency::Normal)
+    {
+        RequestArrived event;
+        event.request = { ++m_lastRequest };
+        event.customer = customer;
+        event.service = "airtime";
+        event.urgency = urgency;
+        event.promptTokens = 100;
+        event.maxTokens = 100;
+        event.deadline = now + std::chrono::seconds(60);
+        return event;
+    }
+
+    RequestHandle send(const RequestArrived &event)
+    {
+        Outcome &outcome = outcomes[event.request.value];
+        outcome.request = event;
+        outcome.arrived = now;
+        give(event);
+        return event.request;
+    }
+
+    void give(Event event) { give(std::vector<Event> { std::move(event) }); }
+
+    void give(const std::vector<Event> &events)
+    {
+        last.clear();
+        world->step(now, events, last);
+        const std::vector<Command> commands = last;
+        log.insert(log.end(), commands.begin(), commands.end());
+        for (const Command &command : commands)
+            std::visit([this](const auto &c) { obey(c); }, command);
+    }
+
+    /// Lets virtual time pass up to `until`.
+    void runUntil(Time until)
+    {
+        while (true) {
+            const std::optional<Time> wake = world->nextWake();
+            const Time due = m_due.empty() ? Time::max() : m_due.begin()->first.first;
+            const Time next = std::max(now, std::min(due, wake.value_or(Time::max())));
+            if (next > until)
+                break;
+            now = next;
+            stepAtNow();
+        }
+        now = until;
+    }
+
+    void runFor(Duration duration) { runUntil(now + duration); }
+
+    [[nodiscard]] Outcome &of(RequestHandle request) { return outcomes.at(request.value); }
+
+    std::unique_ptr<World> world;
+    std::shared_ptr<settings::EffectiveSettings> settings;
+    Time now { std::chrono::seconds(1000) };
+    std::map<std::uint64_t, Backend> servers;
+    std::map<std::uint64_t, Outcome> outcomes;
+    std::vector<Command> last;
+    std::vector<Command> log;
+    /// Broken promises, in words.
+    std::vector<std::string> faults;
+    /// Whether a request takes down the server that runs it, `crashAfter` its dispatch.
+    std::set<std::uint64_t> crashers;
+    Duration crashAfter = std::chrono::milliseconds(30);
+
+private:
+    struct Attempt
+    {
+        RequestHandle request;
+        ServerHandle server;
+    };
+
+    /// What happens next: an attempt's first token, or its end, or a crash.
+    struct Due
+    {
+        std::uint64_t attempt = 0;
+        std::uint32_t tokens = 0;
+        bool end = false;
+        bool crash = false;
+    };
+
+    void stepAtNow()
+    {
+        if (m_due.empty() || m_due.begin()->first.first > now) {
+            give(std::vector<Event> {});
+            return;
+        }
+        const Due due = m_due.begin()->second;
+        m_due.erase(m_due.begin());
+        if (m_attempts.contains(due.attempt))
+            happen(due);
+    }
+
+    void happen(const Due &due)
+    {
+        const Attempt attempt = m_attempts.at(due.attempt);
+        Outcome &outcome = of(attempt.request);
+        if (due.crash) {
+            kill(attempt.server);
+        } else if (due.end) {
+            end(due.attempt, servers[attempt.server.value].result);
+        } else {
+            if (!outcome.firstToken)
+                outcome.firstToken = now;
+            give(TokensProduced { attempt.request, { due.attempt }, due.tokens });
+        }
+    }
+
+    void end(std::uint64_t attempt, AttemptResult result)
+    {
+        const RequestHandle request = m_attempts.at(attempt).request;
+        endAttempt(attempt);
+        if (result == AttemptResult::Completed) {
+            of(request).completed = now;
+            ++of(request).ends;
+        }
+        give(AttemptEnded { request, { attempt }, result, {} });
+    }
+
+    void endAttempt(std::uint64_t attempt)
+    {
+        const auto it = m_attempts.find(attempt);
+        if (it == m_attempts.end())
+            return;
+        servers[it->second.server.value].running.erase(attempt);
+        m_attempts.erase(it);
+    }
+
+    void runOn(RequestHandle request, AttemptHandle attempt, ServerHandle server)
+    {
+        Backend &backend = servers[server.value];
+        Outcome &outcome = of(request);
+        if (backend.leaving || backend.gone)
+            faults.push_back("work for a leaving server");
+        if (backend.running.size() >= backend.slots)
+            faults.push_back("slot overfilled");
+        for (const std::uint64_t other : backend.running) {
+            const RequestHandle neighbour = m_attempts.at(other).request;
+            outcome.beside.push_back(neighbour.value);
+            of(neighbour).beside.push_back(request.value);
+        }
+        backend.running.insert(attempt.value);
+        backend.peak = std::max(backend.peak, static_cast<std::uint32_t>(backend.running.size()));
+        ++backend.dispatched;
+        m_attempts[attempt.value] = { request, server };
+        schedule(backend, outcome, attempt, crashers.contains(request.value));
+    }
+
+    void schedule(const Backend &backend, const Outcome &outcome, AttemptHandle attempt,
+                  bool crashes)
+    {
+        if (crashes)
+            add(now + crashAfter, { attempt.value, 0, false, true });
+        if (backend.result != AttemptResult::Completed) {
+            add(now + std::chrono::milliseconds(2), { attempt.value, 0, true, false });
+            return;
+        }
+        const std::uint32_t tokens = outcome.request.maxTokens;
+        const std::uint32_t parts = 10;
+        Time at = now + backend.prompt;
+        for (std::uint32_t part = 0; part < parts && tokens > 0; ++part) {
+            add(at, { attempt.value, tokens / parts, false, false });
+            at += backend.perToken * (tokens / parts);
+        }
+        add(at, { attempt.value, 0, true, false });
+    }
+
+    void add(Time at, Due due) { m_due.emplace(std::pair(at, ++m_lastDue), due); }
+
+    void obey(const Dispatch &command)
+    {
+        of(command.request).dispatches.push_back(command);
+        runOn(command.request, command.attempt, command.server);
+    }
+
+    void obey(const MoveStream &command)
+    {
+        of(command.request).moves.push_back(command);
+        endAttempt(command.from.value);
+        runOn(command.request, command.attempt, command.target);
+    }
+
+    void obey(const ForwardTo &command) { of(command.request).forwards.push_back(command); }
+
+    void obey(const Refuse &command)
+    {
+        of(command.request).refused = command;
+        ++of(command.request).ends;
+    }
+
+    void obey(const CancelAttempt &command) { endAttempt(command.attempt.value); }
+    void obey(const StartInstance &) { }
+    void obey(const ReleaseInstance &) { }
+
+    std::map<std::uint64_t, Attempt> m_attempts;
+    std::map<std::pair<Time, std::uint64_t>, Due> m_due;
+    std::uint64_t m_lastServer = 0;
+    std::uint64_t m_lastRequest = 0;
+    std::uint64_t m_lastDue = 0;
+};
+
+} // namespace snipestall::policy
--- /dev/null
+++ b/src/snipestall/policy/fleet.cpp
@@ -0,0 +1,138 @@
+#include "snipestall/policy/fleet.hpp"
+
+#include "snipestall/policy/limits.hpp"
+#include "snipestall/policy/state.hpp"
+#include "snipestall/settings/effective_settings.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipestall::policy {
+namespace {
+
+void configureServices(State &state)
+{
+    for (auto &[name, pool] : state.pools)
+        pool.known = false;
+    for (const settings::ServiceSettings &service : state.settings->services) {
+        Pool &pool = state.pool(service.service);
+        pool.settings = service;
+        pool.known = true;
+        pool.index.configure(state.settings->classes);
+        state.touch(pool);
+    }
+}
+
+void configureLeaves(State &state)
+{
+    for (auto &[name, pool] : state.pools) {
+        for (auto &[customer, flow] : pool.flows)
+            flow->known = false;
+    }
+    for (const settings::LeafSettings &leaf : state.settings->leaves) {
+        Pool &pool = state.pool(leaf.service);
+        Flow &flow = state.flow(pool, leaf.customer);
+        flow.known = true;
+        pool.queue.configure(flow, leaf);
+        configureLimits(state, flow);
+    }
+}
+
+void divideLimits(State &state)
+{
+    for (auto &[name, pool] : state.pools) {
+        for (auto &[customer, flow] : pool.flows)
+            configureLimits(state, *flow);
+    }
+}
+
+void eraseServer(State &state, Server &server)
+{
+    Pool &pool = *server.pool;
+    pool.index.erase(server);
+    pool.servers.erase(server.handle);
+    state.servers.erase(server.handle);
+}
+
+Server &addServer(State &state, const ServerUp &event)
+{
+    Server &server = state.servers[event.server];
+    server.handle = event.server;
+    server.pool = &state.pool(event.service);
+    server.dataCentre = event.dataCentre;
+    server.instanceClass = event.instanceClass;
+    server.leaving = state.departed.contains(event.server);
+    server.limit = event.slots;
+    server.pool->servers[event.server] = &server;
+    return server;
+}
+
+} // namespace
+
+void onSettingsChanged(State &state, const SettingsChanged &event)
+{
+    if (!event.settings)
+        return;
+    state.settings = event.settings;
+    configureServices(state);
+    configureLeaves(state);
+}
+
+void onServerUp(State &state, const ServerUp &event)
+{
+    Server *known = state.findServer(event.server);
+    Server &server = known ? *known : addServer(state, event);
+    const bool unadapted = server.limit == server.slots;
+    server.slots = event.slots;
+    server.limit = unadapted ? event.slots : std::min(server.limit, event.slots);
+    server.gone = false;
+    server.pool->index.update(server);
+    state.touch(*server.pool);
+}
+
+void onServerLeaving(State &state, const ServerLeaving &event)
+{
+    // Failure: the platform's list lags and reports the server as up again after its notice. It
+    // shows as work sent to a server in its last seconds. Leaving holds for the incarnation.
+    state.departed.insert(event.server);
+    Server *server = state.findServer(event.server);
+    if (!server)
+        return;
+    server->leaving = true;
+    server->pool->index.update(*server);
+    state.touch(*server->pool);
+}
+
+void onServerGone(State &state, const ServerGone &event)
+{
+    Server *server = state.findServer(event.server);
+    if (!server)
+        return;
+    server->gone = true;
+    server->pool->index.update(*server);
+    state.touch(*server->pool);
+    // What still runs there ends by its own events; the row stays until then.
+    if (server->running() == 0)
+        eraseServer(state, *server);
+}
+
+void onPeerSummary(State &state, const PeerSummary &event)
+{
+    const std::uint32_t before = state.peers.countIn(state.dataCentre);
+    state.peers.update(state.now, event);
+    if (state.peers.countIn(state.dataCentre) != before)
+        divideLimits(state);
+    for (const PoolSummary &summary : event.pools) {
+        const auto pool = state.pools.find(summary.service);
+        if (pool != state.pools.end())
+            state.touch(pool->second);
+    }
+}
+
+void onPeerGone(State &state, const PeerGone &event)
+{
+    state.peers.erase(event.peer);
+    divideLimits(state);
+}
+
+} // namespace snipestall::policy
--- /dev/null
+++ b/src/snipestall/policy/lifecycle.cpp
@@ -0,0 +1,148 @@
+#include "snipestall/policy/lifecycle.hpp"
+
+#include "snipestall/policy/request.hpp"
+#include "snipestall/policy/state.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace snipestall::policy {
+namespace {
+
+/// A prompt token takes about an eighth of the engine's time that an output token takes, since
+/// prompts run in large batches.
+constexpr double PromptTokenCost = 0.125;
+
+/// Every request costs something, or calls without tokens would be free in the fair shares.
+constexpr double LeastCost = 1.0;
+
+/// Load: long work under a steady stream of shorter work. After this wait it counts as pressing,
+/// whatever its deadline; shorter, and it competes with work that people wait for.
+constexpr Duration PatientAging = std::chrono::seconds(30);
+
+/// Half the estimated time must be left for a start to be worth it: estimates are off by up to
+/// two, and a start that can't finish in time takes a slot from one that can.
+constexpr int OptimisticPart = 2;
+
+Duration targetOf(const Request &request)
+{
+    if (request.urgency == Urgency::Patient)
+        return PatientAging;
+    return request.flow->leaf.firstTokenTarget;
+}
+
+void setTimes(Request &request)
+{
+    const Time latestStart = request.deadline - request.service;
+    request.startBy = std::min(latestStart, request.arrived + targetOf(request));
+    request.giveUpAt = request.deadline - request.service / OptimisticPart;
+    // What another instance accepted is given up on only when its caller's deadline has passed.
+    if (request.accepted)
+        request.giveUpAt = request.deadline;
+}
+
+void releaseSlot(State &state, Request &request)
+{
+    Server &server = *request.server;
+    server.requests.erase(request.handle.value);
+    server.runningOther -= request.shortUrgent ? 0 : 1;
+    request.server = nullptr;
+    server.pool->index.update(server);
+    state.touch(*server.pool);
+    if (!server.gone || server.running() > 0)
+        return;
+    server.pool->index.erase(server);
+    server.pool->servers.erase(server.handle);
+    state.servers.erase(server.handle);
+}
+
+} // namespace
+
+void estimate(State & /*state*/, Request &request)
+{
+    const double expected = request.maxTokens * request.flow->outputFraction;
+    const double output = std::max(0.0, expected - request.produced);
+    const double prompt = static_cast<double>(request.promptTokens) + request.produced;
+    request.cost = std::max(LeastCost, PromptTokenCost * prompt + output);
+    request.service = request.pool->serviceTime.estimate(prompt, output);
+    setTimes(request);
+}
+
+void enqueue(State &state, Request &request)
+{
+    request.phase = Phase::Queued;
+    request.pool->queue.push(request);
+    state.giveUps.add(request.giveUpAt, request.handle);
+    state.touch(*request.pool);
+}
+
+void delay(State &state, Request &request, Duration wait)
+{
+    request.phase = Phase::Delayed;
+    request.notBefore = state.now + wait;
+    state.backoffs.add(request.notBefore, request.handle);
+    state.giveUps.add(request.giveUpAt, request.handle);
+}
+
+void dispatch(State &state, Request &request, Server &server)
+{
+    request.phase = Phase::Running;
+    request.attempt = state.newAttempt();
+    request.server = &server;
+    request.dispatchedAt = state.now;
+    request.lastTokenAt = state.now;
+    request.firstTokenSeen = false;
+    server.requests.insert(request.handle.value);
+    server.runningOther += request.shortUrgent ? 0 : 1;
+    server.pool->index.update(server);
+    state.emit(Dispatch { request.handle, request.attempt, server.handle });
+}
+
+void forward(State &state, Request &request, PeerHandle peer)
+{
+    request.phase = Phase::Forwarded;
+    request.attempt = state.newAttempt();
+    request.peer = peer;
+    request.dispatchedAt = state.now;
+    request.lastTokenAt = state.now;
+    ++request.forwards;
+    state.peers.countForward(peer, request.pool->service, request.service);
+    state.emit(ForwardTo { request.handle, request.attempt, peer });
+}
+
+void withdraw(State &state, Request &request)
+{
+    switch (request.phase) {
+    case Phase::Queued:
+        request.pool->queue.erase(request);
+        state.giveUps.remove(request.giveUpAt, request.handle);
+        break;
+    case Phase::Delayed:
+        state.backoffs.remove(request.notBefore, request.handle);
+        state.giveUps.remove(request.giveUpAt, request.handle);
+        break;
+    case Phase::Running:
+        releaseSlot(state, request);
+        break;
+    case Phase::New:
+    case Phase::Forwarded:
+        break;
+    }
+    request.attempt = {};
+}
+
+void finish(State &state, Request &request)
+{
+    withdraw(state, request);
+    --request.flow->live;
+    state.requests.erase(request.handle);
+}
+
+void refuse(State &state, Request &request, RefusalReason reason, Duration retryAfter)
+{
+    const Duration spread = state.jittered(retryAfter);
+    state.emit(Refuse { request.handle, reason, spread });
+    finish(state, request);
+}
+
+} // namespace snipestall::policy
--- /dev/null
+++ b/src/snipestall/policy/outcomes.cpp
@@ -0,0 +1,114 @@
+#include "snipestall/policy/outcomes.hpp"
+
+#include "snipestall/policy/lifecycle.hpp"
+#include "snipestall/policy/retry.hpp"
+#include "snipestall/policy/state.hpp"
+
+#include <algorithm>
+
+namespace snipestall::policy {
+namespace {
+
+/// Weight of one answer in the learned length of answers.
+constexpr double LengthGain = 0.05;
+
+void learnFirstToken(State &state, Request &request)
+{
+    request.firstTokenSeen = true;
+    const Duration taken = state.now - request.dispatchedAt;
+    request.pool->serviceTime.learnFirstToken(request.promptTokens, taken);
+}
+
+void learnOutput(State &state, Request &request, std::uint32_t count)
+{
+    const Duration taken = state.now - request.lastTokenAt;
+    request.pool->serviceTime.learnOutput(count, taken);
+}
+
+/// The estimate was charged when the request was served; what it really took is known now.
+void settle(Request &request)
+{
+    if (request.maxTokens == 0)
+        return;
+    Flow &flow = *request.flow;
+    const double expected = request.maxTokens * flow.outputFraction;
+    const double actual = request.produced;
+    request.pool->queue.settle(flow, actual - expected);
+    if (!request.forwarded)
+        flow.tokenBucket.giveBack(expected - actual);
+    const double fraction = std::min(1.0, actual / request.maxTokens);
+    flow.outputFraction += LengthGain * (fraction - flow.outputFraction);
+}
+
+void learnFromAnswer(State &state, Request &request)
+{
+    if (request.phase != Phase::Running)
+        return;
+    if (request.promptTokens + request.maxTokens == 0)
+        request.pool->serviceTime.learnPlainCall(state.now - request.dispatchedAt);
+    settle(request);
+}
+
+} // namespace
+
+void onTokensProduced(State &state, const TokensProduced &event)
+{
+    Request *request = state.findAttempt(event.request, event.attempt);
+    if (!request)
+        return;
+    request->produced += event.count;
+    if (request->phase != Phase::Running)
+        return;
+    if (request->firstTokenSeen)
+        learnOutput(state, *request, event.count);
+    else
+        learnFirstToken(state, *request);
+    request->lastTokenAt = state.now;
+}
+
+void onAttemptEnded(State &state, const AttemptEnded &event)
+{
+    Request *request = state.findAttempt(event.request, event.attempt);
+    if (!request)
+        return;
+    switch (event.result) {
+    case AttemptResult::Completed:
+        learnFromAnswer(state, *request);
+        finish(state, *request);
+        return;
+    case AttemptResult::Rejected:
+        finish(state, *request);
+        return;
+    case AttemptResult::NotSent:
+    case AttemptResult::Declined:
+    case AttemptResult::Cut:
+    case AttemptResult::ServerDied:
+        retry(state, *request, event);
+        return;
+    }
+}
+
+void onRequestCancelled(State &state, const RequestCancelled &event)
+{
+    Request *request = state.findRequest(event.request);
+    if (!request)
+        return;
+    const bool running = request->phase == Phase::Running || request->phase == Phase::Forwarded;
+    if (running)
+        state.emit(CancelAttempt { request->handle, request->attempt });
+    finish(state, *request);
+}
+
+void resumeDelayed(State &state)
+{
+    while (const auto handle = state.backoffs.popDue(state.now)) {
+        Request *request = state.findRequest(*handle);
+        if (!request)
+            continue;
+        withdraw(state, *request);
+        estimate(state, *request);
+        enqueue(state, *request);
+    }
+}
+
+} // namespace snipestall::policy
--- /dev/null
+++ b/src/snipestall/policy/peer_table.cpp
@@ -0,0 +1,104 @@
+#include "snipestall/policy/peer_table.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+
+namespace snipestall::policy {
+namespace {
+
+/// Summaries come each second; after three missed ones nothing in them is believed.
+constexpr Duration SummaryLifetime = std::chrono::seconds(3);
+
+/// Free slots believed of a fresh summary; the rest is left to the owner's own arrivals, which
+/// know those slots without a hop.
+constexpr double BelievedShare = 0.8;
+
+double freshness(Duration age)
+{
+    const auto lifetime = static_cast<double>(SummaryLifetime.count());
+    return std::max(0.0, 1.0 - static_cast<double>(age.count()) / lifetime);
+}
+
+} // namespace
+
+void PeerTable::update(Time now, const PeerSummary &summary)
+{
+    erase(summary.peer);
+    m_dataCentres[summary.peer] = summary.dataCentre;
+    for (const PoolSummary &pool : summary.pools) {
+        Offer offer;
+        offer.heardAt = now;
+        offer.freeSlots = pool.freeSlots;
+        offer.servers = pool.servers;
+        offer.wait = pool.wait;
+        m_offers[pool.service].insert_or_assign(summary.peer, offer);
+    }
+}
+
+void PeerTable::erase(PeerHandle peer)
+{
+    m_dataCentres.erase(peer);
+    for (auto &[service, offers] : m_offers)
+        offers.erase(peer);
+}
+
+std::optional<PeerTable::Choice> PeerTable::best(Time now, std::string_view service) const
+{
+    const auto it = m_offers.find(service);
+    if (it == m_offers.end())
+        return std::nullopt;
+    std::optional<Choice> choice;
+    for (const auto &[peer, offer] : it->second) {
+        const std::optional<Duration> wait = expectedWait(offer, now);
+        if (wait && (!choice || *wait < choice->wait))
+            choice = Choice { peer, *wait };
+    }
+    return choice;
+}
+
+std::optional<Duration> PeerTable::expectedWait(const Offer &offer, Time now)
+{
+    const Duration age = now - offer.heardAt;
+    if (offer.declined || offer.servers == 0 || age >= SummaryLifetime)
+        return std::nullopt;
+    const double believed = BelievedShare * freshness(age) * offer.freeSlots;
+    const double left = believed - offer.sent;
+    if (left >= 1)
+        return Duration::zero();
+    const Duration queuedSince = offer.sentService / std::max(1U, offer.servers);
+    return std::max(offer.wait, Duration(1)) + age + queuedSince;
+}
+
+void PeerTable::countForward(PeerHandle peer, std::string_view service, Duration requestService)
+{
+    Offer *offer = find(peer, service);
+    if (!offer)
+        return;
+    ++offer->sent;
+    offer->sentService += requestService;
+}
+
+void PeerTable::countDecline(PeerHandle peer, std::string_view service)
+{
+    if (Offer *offer = find(peer, service))
+        offer->declined = true;
+}
+
+std::uint32_t PeerTable::countIn(std::string_view dataCentre) const
+{
+    const auto isThere = [&](const auto &peer) { return peer.second == dataCentre; };
+    const auto count = std::count_if(m_dataCentres.begin(), m_dataCentres.end(), isThere);
+    return static_cast<std::uint32_t>(count);
+}
+
+PeerTable::Offer *PeerTable::find(PeerHandle peer, std::string_view service)
+{
+    const auto offers = m_offers.find(service);
+    if (offers == m_offers.end())
+        return nullptr;
+    const auto offer = offers->second.find(peer);
+    return offer == offers->second.end() ? nullptr : &offer->second;
+}
+
+} // namespace snipestall::policy
--- /dev/null
+++ b/src/snipestall/policy/pool.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "snipestall/policy/fair_queue.hpp"
+#include "snipestall/policy/flow.hpp"
+#include "snipestall/policy/server.hpp"
+#include "snipestall/policy/server_index.hpp"
+#include "snipestall/policy/service_time.hpp"
+#include "snipestall/settings/service_settings.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace snipestall::policy {
+
+/// Row of the pool table: one service with its queue and the owned backend servers that run it.
+struct Pool
+{
+    std::string service;
+    settings::ServiceSettings settings;
+    /// False while the settings in force don't name the service.
+    bool known = false;
+
+    FairQueue queue;
+    ServerIndex index;
+    std::map<ServerHandle, Server *> servers;
+    std::map<std::string, std::unique_ptr<Flow>, std::less<>> flows;
+    ServiceTime serviceTime;
+};
+
+} // namespace snipestall::policy
--- /dev/null
+++ b/src/snipestall/policy/queue_lane.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstddef>
+
+namespace snipestall::policy {
+
+/// Urgent work has a lane of its own, so that its wait depends on urgent work alone.
+enum class Lane : std::size_t {
+    Urgent,
+    Other,
+};
+
+constexpr std::size_t LaneCount = 2;
+
+constexpr std::size_t indexOf(Lane lane)
+{
+    return static_cast<std::size_t>(lane);
+}
+
+} // namespace snipestall::policy
--- /dev/null
+++ b/src/snipestall/policy/request.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "snipestall/policy/event.hpp"
+#include "snipestall/policy/handles.hpp"
+#include "snipestall/policy/time.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace snipestall::policy {
+
+struct Flow;
+struct Pool;
+struct Server;
+
+enum class Phase {
+    /// Not yet admitted.
+    New,
+    /// In its pool's queue.
+    Queued,
+    /// Waits for the end of a backoff before it is queued again.
+    Delayed,
+    /// An attempt runs on an owned backend server.
+    Running,
+    /// An attempt runs at a peer.
+    Forwarded,
+};
+
+/// Row of the request table: one request from its admission to its final outcome.
+struct Request
+{
+    RequestHandle handle;
+    Pool *pool = nullptr;
+    Flow *flow = nullptr;
+    Phase phase = Phase::New;
+
+    Urgency urgency = Urgency::Normal;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t maxTokens = 0;
+    bool idempotent = true;
+    bool forwarded = false;
+    bool accepted = false;
+    /// Urgent and short: may use the reserved slots.
+    bool shortUrgent = false;
+    std::vector<std::uint64_t> prefix;
+
+    Time arrived;
+    Time deadline;
+    /// Latest start that still meets its target; orders the queue.
+    Time startBy;
+    /// From here on no start can meet the deadline, even at the best speed.
+    Time giveUpAt;
+
+    /// Estimated work in output-token equivalents; the currency of fair shares.
+    double cost = 0;
+    /// Estimated time in a slot.
+    Duration service {};
+    /// Output tokens that the caller has or will get from what ran so far.
+    std::uint32_t produced = 0;
+
+    AttemptHandle attempt;
+    Server *server = nullptr;
+    PeerHandle peer;
+    Time dispatchedAt;
+    Time lastTokenAt;
+    bool firstTokenSeen = false;
+
+    std::uint32_t retries = 0;
+    std::uint32_t forwards = 0;
+    std::uint32_t crashes = 0;
+    /// End of the backoff while Delayed.
+    Time notBefore;
+};
+
+} // namespace snipestall::policy
--- /dev/null
+++ b/src/snipestall/policy/server_index.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "snipestall/policy/handles.hpp"
+#include "snipestall/settings/class_settings.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace snipestall::policy {
+
+struct Server;
+
+/// Index of the free slots of one pool, by instance class and load: finds a place in
+/// O(classes x log servers), whatever the size of the pool.
+class ServerIndex
+{
+public:
+    struct Totals
+    {
+        std::uint32_t servers = 0;
+        std::uint32_t slots = 0;
+        std::uint32_t free = 0;
+        std::uint32_t runningOther = 0;
+    };
+
+    /// Takes the server's present state into account; called after each change of it.
+    void update(Server &server);
+    void erase(const Server &server);
+
+    /// Prices and hazards of the instance classes.
+    void configure(const std::vector<settings::ClassSettings> &classes);
+
+    /// A server with a free slot: least loaded, but for work whose loss would cost
+    /// `lossSeconds` of recomputing, hazard counts too. Null when no slot is free.
+    [[nodiscard]] Server *pick(double lossSeconds) const;
+
+    [[nodiscard]] const Totals &totals() const { return m_totals; }
+
+private:
+    using ClassName = std::pair<std::string, std::string>;
+
+    struct LoadedServer
+    {
+        /// Share of the limit in use once one more request runs, in 1/65536.
+        std::uint32_t load = 0;
+        ServerHandle handle;
+        Server *server = nullptr;
+
+        bool operator<(const LoadedServer &other) const;
+    };
+
+    struct ClassGroup
+    {
+        double pricePerHour = 1.0;
+        double reclaimsPerHour = 0;
+        std::set<LoadedServer> free;
+    };
+
+    struct Entry
+    {
+        Totals totals;
+        ClassGroup *group = nullptr;
+        LoadedServer place;
+    };
+
+    void withdraw(Entry &entry);
+    [[nodiscard]] static double score(const ClassGroup &group, double lossSeconds);
+
+    std::map<ClassName, ClassGroup> m_groups;
+    std::unordered_map<ServerHandle, Entry> m_entries;
+    Totals m_totals;
+};
+
+} // namespace snipestall::policy
--- /dev/null
+++ b/src/snipestall/policy/service_time.cpp
@@ -0,0 +1,63 @@
+#include "snipestall/policy/service_time.hpp"
+
+#include <chrono>
+
+namespace snipestall::policy {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Weight of one observation: about the last fifty count, a second or two of a busy pool. Faster,
+/// and one odd request moves every refusal; slower, and a burst is over before it shows.
+constexpr double Gain = 0.02;
+
+/// Prompts shorter than this tell more about overhead than about the prompt.
+constexpr std::uint32_t LeastTellingPrompt = 64;
+
+void blend(double &mean, double observed)
+{
+    mean += Gain * (observed - mean);
+}
+
+Duration toDuration(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(Seconds(seconds));
+}
+
+} // namespace
+
+Duration ServiceTime::estimate(double promptTokens, double outputTokens) const
+{
+    if (promptTokens + outputTokens < 1)
+        return toDuration(m_plainCallSeconds);
+    return toDuration(m_promptTokenSeconds * promptTokens + m_outputTokenSeconds * outputTokens);
+}
+
+Duration ServiceTime::perOutputToken() const
+{
+    return toDuration(m_outputTokenSeconds);
+}
+
+Duration ServiceTime::prompt(double promptTokens) const
+{
+    return toDuration(m_promptTokenSeconds * promptTokens);
+}
+
+void ServiceTime::learnFirstToken(std::uint32_t promptTokens, Duration taken)
+{
+    if (promptTokens >= LeastTellingPrompt)
+        blend(m_promptTokenSeconds, Seconds(taken).count() / promptTokens);
+}
+
+void ServiceTime::learnOutput(double tokens, Duration taken)
+{
+    if (tokens > 0)
+        blend(m_outputTokenSeconds, Seconds(taken).count() / tokens);
+}
+
+void ServiceTime::learnPlainCall(Duration taken)
+{
+    blend(m_plainCallSeconds, Seconds(taken).count());
+}
+
+} // namespace snipestall::policy
--- /dev/null
+++ b/src/snipestall/policy/token_bucket.cpp
@@ -0,0 +1,57 @@
+#include "snipestall/policy/token_bucket.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace snipestall::policy {
+namespace {
+
+/// Wait told when nothing at all is allowed; asking earlier can't succeed without new settings.
+constexpr Duration ClosedWait = std::chrono::seconds(60);
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+void TokenBucket::configure(double perSecond, double burst)
+{
+    if (!m_configured)
+        m_level = burst;
+    m_configured = true;
+    m_perSecond = perSecond;
+    m_burst = burst;
+    m_level = std::min(m_level, m_burst);
+}
+
+Duration TokenBucket::waitFor(Time now, double cost) const
+{
+    if (m_perSecond <= 0)
+        return ClosedWait;
+    const double missing = std::min(cost, m_burst) - levelAt(now);
+    if (missing <= 0)
+        return Duration::zero();
+    const std::chrono::duration<double> wait(missing / m_perSecond);
+    return std::chrono::ceil<Duration>(wait);
+}
+
+void TokenBucket::take(Time now, double cost)
+{
+    m_level = levelAt(now) - cost;
+    m_filledAt = now;
+}
+
+void TokenBucket::giveBack(double cost)
+{
+    m_level = std::min(m_burst, m_level + cost);
+}
+
+double TokenBucket::levelAt(Time now) const
+{
+    const double gained = m_perSecond * seconds(now - m_filledAt);
+    return std::min(m_burst, m_level + gained);
+}
+
+} // namespace snipestall::policy
--- /dev/null
+++ b/src/snipestall/policy/world.cpp
@@ -0,0 +1,105 @@
+#include "snipestall/policy/world.hpp"
+
+#include "snipestall/policy/admission.hpp"
+#include "snipestall/policy/fleet.hpp"
+#include "snipestall/policy/outcomes.hpp"
+#include "snipestall/policy/placing.hpp"
+#include "snipestall/policy/state.hpp"
+#include "snipestall/policy/wait_estimate.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipestall::policy {
+namespace {
+
+/// Hands each event to the table it changes.
+struct Intake
+{
+    State &state;
+
+    void operator()(const SettingsChanged &event) const { onSettingsChanged(state, event); }
+    void operator()(const RequestArrived &event) const { onRequestArrived(state, event); }
+    void operator()(const RequestCancelled &event) const { onRequestCancelled(state, event); }
+    void operator()(const TokensProduced &event) const { onTokensProduced(state, event); }
+    void operator()(const AttemptEnded &event) const { onAttemptEnded(state, event); }
+    void operator()(const ServerUp &event) const { onServerUp(state, event); }
+    void operator()(const ServerLeaving &event) const { onServerLeaving(state, event); }
+    void operator()(const ServerGone &event) const { onServerGone(state, event); }
+    void operator()(const ServerReport &) const { }
+    void operator()(const CacheChanged &) const { }
+    void operator()(const PeerSummary &event) const { onPeerSummary(state, event); }
+    void operator()(const PeerGone &event) const { onPeerGone(state, event); }
+    void operator()(const SelfLeaving &) const { state.leaving = true; }
+    void operator()(const CapacityReport &) const { }
+    void operator()(const StartRefused &) const { }
+};
+
+using System = void (*)(State &);
+
+/// The order is part of the contract: what is given up on frees no slot, what ended does, and
+/// placing sees the result of all others.
+constexpr System Systems[] = { &expireQueued, &resumeDelayed, &placeQueued };
+
+PoolSummary summaryOf(const Pool &pool)
+{
+    PoolSummary summary;
+    summary.service = pool.service;
+    summary.freeSlots = pool.index.totals().free;
+    summary.servers = pool.index.totals().servers;
+    summary.queued = static_cast<std::uint32_t>(pool.queue.size());
+    summary.wait = expectedWait(pool).value_or(Duration::zero());
+    return summary;
+}
+
+} // namespace
+
+struct World::Tables : State
+{
+    using State::State;
+};
+
+std::unique_ptr<World> World::create(std::string dataCentre, std::uint64_t seed)
+{
+    auto tables = std::make_unique<Tables>(std::move(dataCentre), seed);
+    return std::unique_ptr<World>(new World(std::move(tables)));
+}
+
+World::World(std::unique_ptr<Tables> tables)
+    : m_tables(std::move(tables))
+{ }
+
+World::~World() = default;
+
+void World::step(Time now, std::span<const Event> events, std::vector<Command> &commands)
+{
+    m_tables->now = std::max(m_tables->now, now);
+    m_tables->commands = &commands;
+    for (const Event &event : events)
+        std::visit(Intake { *m_tables }, event);
+    for (const System system : Systems)
+        system(*m_tables);
+    m_tables->commands = nullptr;
+}
+
+std::optional<Time> World::nextWake() const
+{
+    const std::optional<Time> giveUp = m_tables->giveUps.next();
+    const std::optional<Time> backoff = m_tables->backoffs.next();
+    if (!giveUp || !backoff)
+        return giveUp ? giveUp : backoff;
+    return std::min(*giveUp, *backoff);
+}
+
+std::vector<PoolSummary> World::summaries(Time /*now*/) const
+{
+    std::vector<PoolSummary> summaries;
+    for (const auto &[service, pool] : m_tables->pools) {
+        // A leaving instance offers nothing: what it took now would be handed over at once.
+        if (!m_tables->leaving && pool.index.totals().servers > 0)
+            summaries.push_back(summaryOf(pool));
+    }
+    return summaries;
+}
+
+} // namespace snipestall::policy
