--- /dev/null
+++ b/standins/common/json_fields.cpp
@@ -0,0 +1,89 @@
+#include "common/json_fields.hpp"
+
+#include <boost/json/parse.hpp>
+
+#include <stdexcept>
+
+namespace snipestall::standins {
+
+namespace json = boost::json;
+
+namespace {
+
+[[noreturn]] void badField(std::string_view name, std::string_view allowed)
+{
+    throw std::invalid_argument("'" + std::string(name) + "' must be " + std::string(allowed));
+}
+
+} // namespace
+
+json::object parseObject(std::string_view body)
+{
+    boost::system::error_code ec;
+    json::value value = json::parse(json::string_view(body.data(), body.size()), ec);
+    if (ec || !value.is_object())
+        throw std::invalid_argument("the body must be a JSON object");
+    return std::move(value.as_object());
+}
+
+std::string textField(const json::object &object, std::string_view name, std::string_view absent)
+{
+    const json::value *value = object.if_contains(name);
+    if (value == nullptr)
+        return std::string(absent);
+    if (!value->is_string())
+        badField(name, "a string");
+    return std::string(value->as_string());
+}
+
+std::int64_t numberField(const json::object &object, std::string_view name, std::int64_t absent)
+{
+    const json::value *value = object.if_contains(name);
+    if (value == nullptr)
+        return absent;
+    boost::system::error_code ec;
+    const auto number = value->to_number<std::int64_t>(ec);
+    if (ec)
+        badField(name, "a whole number");
+    return number;
+}
+
+double realField(const json::object &object, std::string_view name, double absent)
+{
+    const json::value *value = object.if_contains(name);
+    if (value == nullptr)
+        return absent;
+    boost::system::error_code ec;
+    const auto number = value->to_number<double>(ec);
+    if (ec)
+        badField(name, "a number");
+    return number;
+}
+
+bool flagField(const json::object &object, std::string_view name, bool absent)
+{
+    const json::value *value = object.if_contains(name);
+    if (value == nullptr)
+        return absent;
+    if (!value->is_bool())
+        badField(name, "true or false");
+    return value->as_bool();
+}
+
+std::chrono::milliseconds millisecondsField(const json::object &object, std::string_view name,
+                                            std::chrono::milliseconds absent)
+{
+    return std::chrono::milliseconds(numberField(object, name, absent.count()));
+}
+
+json::array arrayField(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    if (value == nullptr)
+        return {};
+    if (!value->is_array())
+        badField(name, "an array");
+    return value->as_array();
+}
+
+} // namespace snipestall::standins
