--- a/standins/platform/cloud.hpp
+++ b/standins/platform/cloud.hpp
@@ -40,8 +40,8 @@
     [[nodiscard]] std::vector<platform::ListedInstance>
     list(SteadyTime now, const std::string &dataCentre, std::chrono::milliseconds lag) const;
     /// Time left of the notice of one instance, as the instance itself can ask without a lag.
-    [[nodiscard]] std::optional<std::chrono::milliseconds> noticeLeft(SteadyTime now,
-                                                                      const std::string &name) const;
+    [[nodiscard]] std::optional<std::chrono::milliseconds>
+    noticeLeft(SteadyTime now, const std::string &name) const;
 
     /// Whether a fencing number is the greatest seen in the data centre.
     bool admits(const std::string &dataCentre, std::uint64_t fencing);
--- /dev/null
+++ b/standins/service/ledger_service.cpp
@@ -0,0 +1,143 @@
+#include "service/ledger_service.hpp"
+
+#include "common/json_fields.hpp"
+#include "common/program.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace snipestall::standins {
+
+namespace json = boost::json;
+using wire::HttpExchange;
+using wire::HttpRequest;
+using wire::HttpResponse;
+using wire::Task;
+
+LedgerService::LedgerService(boost::asio::io_context &io, ServiceOptions options)
+    : m_io(io)
+    , m_options(std::move(options))
+    , m_runs(m_options.runsFile)
+{ }
+
+std::span<const Route<LedgerService>> LedgerService::routes()
+{
+    static constexpr std::array<Route<LedgerService>, 5> All { {
+        { "GET", "/load", &LedgerService::load },
+        { "GET", "/control/runs", &LedgerService::runs },
+        { "POST", "/control", &LedgerService::control },
+        { "POST", "/control/reclaim", &LedgerService::reclaim },
+        { "", "/", nullptr, &LedgerService::call },
+    } };
+    return All;
+}
+
+Task<void> LedgerService::serve(HttpExchange &exchange)
+{
+    return serveRoute(*this, routes(), exchange);
+}
+
+Run LedgerService::runOf(const HttpRequest &request) const
+{
+    Run run;
+    run.key = request.fields.find("Idempotency-Key").value_or("");
+    run.request = request.fields.find("Snipestall-Request").value_or("");
+    run.attempt = request.fields.find("Snipestall-Attempt").value_or("");
+    if (m_noticed) {
+        run.afterNoticeMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                std::chrono::steady_clock::now() - *m_noticed)
+                                .count();
+    }
+    return run;
+}
+
+// The call takes effect when it arrives and is answered after its work, so that a cut in between
+// leaves an effect without an answer.
+Task<void> LedgerService::call(HttpExchange &exchange)
+{
+    if (m_dropNext > 0) {
+        --m_dropNext;
+        exchange.abort();
+        co_return;
+    }
+    const Run run = runOf(exchange.request());
+    const std::int64_t count = m_runs.add(run);
+    const bool cut = m_cutNext > 0;
+    if (cut)
+        --m_cutNext;
+    ++m_running;
+    co_await pause(m_options.work);
+    --m_running;
+    if (cut) {
+        exchange.abort();
+        co_return;
+    }
+    json::object answer;
+    answer["receipt"] = "receipt-" + (run.key.empty() ? run.request : run.key);
+    answer["attempt"] = run.attempt;
+    answer["runs"] = count;
+    HttpResponse response = HttpResponse::json(200, json::serialize(answer));
+    response.fields.set("Snipestall-Attempt", run.attempt);
+    co_await exchange.respond(std::move(response));
+}
+
+HttpResponse LedgerService::load(const HttpRequest &)
+{
+    json::object answer;
+    answer["name"] = m_options.name;
+    answer["incarnation"] = m_options.incarnation;
+    answer["service"] = m_options.service;
+    answer["models"] = json::array();
+    answer["slots"] = m_options.slots;
+    answer["running"] = m_running;
+    answer["queued"] = 0;
+    answer["leaving"] = m_noticed.has_value();
+    if (m_noticed) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_noticeEnd - std::chrono::steady_clock::now());
+        answer["notice_ms"] = std::max<std::int64_t>(left.count(), 0);
+    }
+    answer["age_ms"] = 0;
+    return HttpResponse::json(200, json::serialize(answer));
+}
+
+HttpResponse LedgerService::runs(const HttpRequest &)
+{
+    json::object answer;
+    answer["runs"] = m_runs.toJson();
+    return HttpResponse::json(200, json::serialize(answer));
+}
+
+HttpResponse LedgerService::control(const HttpRequest &request)
+{
+    const auto body = parseObject(request.body);
+    m_cutNext = numberField(body, "cut_next_answers", m_cutNext);
+    m_dropNext = numberField(body, "drop_next_calls", m_dropNext);
+    m_options.work = millisecondsField(body, "work_ms", m_options.work);
+    return noContent();
+}
+
+HttpResponse LedgerService::reclaim(const HttpRequest &request)
+{
+    const auto body = parseObject(request.body);
+    const auto notice = millisecondsField(body, "notice_ms", std::chrono::milliseconds(0));
+    if (m_noticed)
+        return noContent();
+    m_noticed = std::chrono::steady_clock::now();
+    m_noticeEnd = *m_noticed + notice;
+    boost::asio::co_spawn(m_io, leaveAfter(notice), boost::asio::detached);
+    return noContent();
+}
+
+Task<void> LedgerService::leaveAfter(std::chrono::milliseconds notice)
+{
+    co_await pause(notice);
+    if (m_onTaken)
+        m_onTaken();
+}
+
+} // namespace snipestall::standins
