The node and its daemon: all roles of an entry instance tied together

Cause: the parts need one loop that feeds the policy and carries out its commands. Change: Node with settings polling by two instances a data centre, peers' handler, adoption of requests whose home is gone, graceful drain with hand-over; snipestalld.

--- /dev/null
+++ b/apps/snipestalld/main.cpp
@@ -0,0 +1,93 @@
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
+#include "snipestall/entry/local_settings.hpp"
+#include "snipestall/entry/node.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+DEFINE_string(settings, "", "local settings file (YAML); see docs/operations.md");
+DEFINE_bool(check, false, "check the local settings file, say what is wrong with it, and exit");
+
+namespace {
+
+using snipestall::logEvent;
+using snipestall::entry::LocalSettings;
+using snipestall::entry::Node;
+namespace events = snipestall::events;
+
+constexpr int ExitOk = 0;
+constexpr int ExitFailed = 1;
+constexpr int ExitBadInput = 2;
+
+std::optional<LocalSettings> readSettings()
+{
+    std::ifstream file(FLAGS_settings);
+    if (!file) {
+        std::cerr << "can't read '" << FLAGS_settings << "'; name the file with --settings\n";
+        return std::nullopt;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    auto local = LocalSettings::parse(text.str());
+    if (local)
+        return std::move(*local);
+    for (const auto &fault : local.error()) {
+        logEvent(
+            events::SettingsFaulty,
+            { { "path", fault.path }, { "found", fault.found }, { "allowed", fault.allowed } });
+    }
+    return std::nullopt;
+}
+
+int run(LocalSettings local)
+{
+    boost::asio::io_context io(1);
+    auto node = Node::create(io, std::move(local));
+    if (!node) {
+        logEvent(events::ListenFailed, { { "error", node.error().message } });
+        return ExitFailed;
+    }
+    (*node)->start();
+    logEvent(events::ProcessStarted,
+             { { "instance", (*node)->local().instance },
+               { "callers", (*node)->local().callers.toString() } });
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+    std::function<void()> waitForSignal = [&] {
+        signals.async_wait([&](const boost::system::error_code &ec, int) {
+            if (ec)
+                return;
+            (*node)->drain(std::nullopt, [&io] { io.stop(); });
+            waitForSignal();
+        });
+    };
+    waitForSignal();
+    io.run();
+    return ExitOk;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("one entry instance of snipestall, all roles in it\n"
+                            "  snipestalld --settings FILE [--check]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    snipestall::initLog(snipestall::LogFormat::Text, snipestall::Severity::Info);
+    auto local = readSettings();
+    if (!local)
+        return ExitBadInput;
+    if (FLAGS_check) {
+        std::cout << FLAGS_settings << ": ok\n";
+        return ExitOk;
+    }
+    snipestall::initLog(local->logFormat, local->logLevel);
+    return run(std::move(*local));
+}
--- a/include/snipestall/entry/dispatcher.hpp
+++ b/include/snipestall/entry/dispatcher.hpp
@@ -71,6 +71,15 @@
     /// Ends a request here; tells readers and the policy.
     void finish(const RequestPtr &request, FinalAnswer answer);
 
+    /// Hand-over: start no further attempt, break off none.
+    void suspend(const RequestPtr &request);
+    /// Another instance has taken it over: it ends here, its callers are told to come back.
+    void release(const RequestPtr &request);
+    /// Nobody has taken it over: it goes on here.
+    void resume(const RequestPtr &request);
+    /// It may have run under its key: its outcome is waited for, nothing is sent.
+    void awaitStoredOutcome(const RequestPtr &request);
+
     /// Peers that forwards may go to.
     void addPeer(policy::PeerHandle handle, const std::string &name);
 
--- /dev/null
+++ b/include/snipestall/entry/node.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "snipestall/base/result.hpp"
+#include "snipestall/entry/local_settings.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+namespace snipestall::peer {
+class Membership;
+class PeerNetwork;
+class SettingsKeeper;
+class SettingsStore;
+class Steward;
+struct ClaimCounters;
+} // namespace snipestall::peer
+namespace snipestall::platform {
+class HttpPlatform;
+}
+
+namespace snipestall::entry {
+
+class BackendDirectory;
+class Dispatcher;
+class PolicyLoop;
+class RequestStore;
+
+/// One entry instance, all roles in it: the library's face to the daemon.
+///
+///     auto node = Node::create(io, local);
+///     (*node)->start();
+///     io.run();
+class Node
+{
+public:
+    /// Opens the callers' and the peers' listeners; Unavailable if one can't be had.
+    static Result<std::unique_ptr<Node>> create(boost::asio::io_context &io, LocalSettings local);
+    ~Node();
+
+    void start();
+    /// Graceful stop: no new requests, those in progress go on to their end. With a notice, what
+    /// has not ended shortly before it is over is handed to other instances. `done` runs once;
+    /// a second call only shortens the notice.
+    void drain(std::optional<std::chrono::milliseconds> notice, std::function<void()> done);
+    [[nodiscard]] bool draining() const;
+
+    // For the operators' side and for metrics.
+    [[nodiscard]] const LocalSettings &local() const;
+    peer::SettingsKeeper &settings();
+    peer::SettingsStore &settingsStore();
+    peer::Membership &members();
+    peer::PeerNetwork &network();
+    platform::HttpPlatform &platform();
+    peer::Steward &steward();
+    BackendDirectory &backends();
+    RequestStore &requests();
+    Dispatcher &dispatcher();
+    PolicyLoop &policy();
+    [[nodiscard]] peer::ClaimCounters claimCounters() const;
+
+private:
+    struct State;
+    explicit Node(std::shared_ptr<State> state);
+
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace snipestall::entry
--- a/include/snipestall/entry/request.hpp
+++ b/include/snipestall/entry/request.hpp
@@ -89,6 +89,8 @@
     bool forwarded = false;
     /// Another instance has taken it over: callers are told to come back.
     bool moved = false;
+    /// It is being handed over: no attempt of it may start here.
+    bool suspended = false;
     /// Callers that read it now.
     int readers = 0;
     std::chrono::steady_clock::time_point finishedAt;
--- a/include/snipestall/entry/request_store.hpp
+++ b/include/snipestall/entry/request_store.hpp
@@ -38,6 +38,8 @@
     /// Finished requests whose time is over; they are gone from here afterwards.
     std::vector<RequestPtr> expire(std::chrono::steady_clock::time_point now);
     [[nodiscard]] std::vector<RequestPtr> unfinished() const;
+    /// Callers that are being answered.
+    [[nodiscard]] int readers() const;
     [[nodiscard]] std::size_t size() const { return m_byHandle.size(); }
 
 private:
--- a/include/snipestall/peer/record_keeper.hpp
+++ b/include/snipestall/peer/record_keeper.hpp
@@ -36,7 +36,8 @@
 class RecordKeeper
 {
 public:
-    using OrphanHandler = std::function<void(const v1::RequestRecord &record)>;
+    /// `released`: its home gave it up by a hand-over, so nobody else runs it.
+    using OrphanHandler = std::function<void(const v1::RequestRecord &record, bool released)>;
 
     RecordKeeper(boost::asio::io_context &io, Membership &members, PeerNetwork &network,
                  std::uint64_t incarnation, OrphanHandler onOrphan);
--- a/src/snipestall/entry/attempt_on_peer.cpp
+++ b/src/snipestall/entry/attempt_on_peer.cpp
@@ -42,7 +42,7 @@
     request->cancels()[handle.value] = [&attempt] { attempt.cancelled = true; };
     co_await accept(request);
     peer::PeerClient *client = m_links.network->client(peer);
-    if (attempt.cancelled || request->finished() || client == nullptr)
+    if (attempt.cancelled || request->finished() || request->moved || client == nullptr)
         co_return ended(attempt, policy::AttemptResult::NotSent);
     // See mayRun: nobody sends a non-idempotent request a second time.
     if (!request->spec().idempotent && request->maybeSent()) {
--- a/src/snipestall/entry/attempt_on_server.cpp
+++ b/src/snipestall/entry/attempt_on_server.cpp
@@ -5,12 +5,12 @@
 #include "snipestall/entry/policy_loop.hpp"
 #include "snipestall/entry/request_store.hpp"
 #include "snipestall/peer/claim_keeper.hpp"
+#include "snipestall/settings/sha256.hpp"
 #include "snipestall/wire/event_stream_parser.hpp"
 #include "snipestall/wire/http_client.hpp"
 #include "snipestall/wire/http_stream.hpp"
 
 #include "attempt.hpp"
-#include "body_hash.hpp"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -128,7 +128,7 @@
 {
     const RequestPtr request = attempt.request;
     co_await accept(request);
-    if (attempt.cancelled || request->finished())
+    if (attempt.cancelled || request->finished() || request->moved)
         co_return false;
     if (request->spec().idempotent)
         co_return true;
@@ -151,7 +151,7 @@
     claim.key = { spec.customer, spec.service, spec.idempotencyKey };
     claim.request = spec.id;
     claim.attempt = attempt.id;
-    claim.bodyHash = bodyHash(spec.body);
+    claim.bodyHash = settings::sha256Hex(spec.body);
     claim.deadline = spec.deadline;
     const peer::ClaimOutcome outcome = co_await m_links.claims->claim(claim);
     if (request->finished())
@@ -216,7 +216,7 @@
     options.beforeSend = [&attempt] {
         const Request &r = *attempt.request;
         const bool late = steady_clock::now() >= r.spec().deadline;
-        if (attempt.cancelled || r.finished() || late)
+        if (attempt.cancelled || r.finished() || r.suspended || late)
             return false;
         attempt.request->markSent();
         return true;
@@ -310,7 +310,7 @@
     options.beforeSend = [&attempt] {
         const Request &r = *attempt.request;
         const bool late = steady_clock::now() >= r.spec().deadline;
-        if (attempt.cancelled || r.finished() || late)
+        if (attempt.cancelled || r.finished() || r.suspended || late)
             return false;
         attempt.request->markSent();
         return true;
--- a/src/snipestall/entry/caller_api.cpp
+++ b/src/snipestall/entry/caller_api.cpp
@@ -8,10 +8,11 @@
 #include "snipestall/peer/membership.hpp"
 #include "snipestall/peer/settings_keeper.hpp"
 #include "snipestall/settings/effective_settings.hpp"
+#include "snipestall/settings/sha256.hpp"
 #include "snipestall/wire/http_exchange.hpp"
 
 #include "answer_writer.hpp"
-#include "body_hash.hpp"
+
 #include "caller_call.hpp"
 #include "model_call.hpp"
 
@@ -129,7 +130,7 @@
         co_return;
     }
     const auto &keys = call.settings->customerByKeyHash;
-    const auto customer = keys.find(bodyHash(bearer(call.request)));
+    const auto customer = keys.find(settings::sha256Hex(bearer(call.request)));
     if (customer == keys.end()) {
         co_await refuseInvalid(call, 401, "no customer has this key; send Authorization: Bearer");
         co_return;
--- a/src/snipestall/entry/dispatcher.cpp
+++ b/src/snipestall/entry/dispatcher.cpp
@@ -134,10 +134,39 @@
         cancel();
 }
 
+void Dispatcher::suspend(const RequestPtr &request)
+{
+    request->suspended = true;
+}
+
+void Dispatcher::release(const RequestPtr &request)
+{
+    request->moved = true;
+    m_links.policy->post(policy::RequestCancelled { request->handle() });
+    const auto cancels = std::exchange(request->cancels(), {});
+    for (const auto &[attempt, cancel] : cancels)
+        cancel();
+    m_links.store->remove(request);
+    request->changed().notifyAll();
+}
+
+void Dispatcher::resume(const RequestPtr &request)
+{
+    request->suspended = false;
+    request->changed().notifyAll();
+}
+
+void Dispatcher::awaitStoredOutcome(const RequestPtr &request)
+{
+    boost::asio::co_spawn(*m_links.io, awaitOutcome(request), boost::asio::detached);
+}
+
 wire::Task<void> Dispatcher::accept(RequestPtr request)
 {
     if (!request->forwarded)
         co_await m_links.records->hold(request);
+    while (request->suspended && !request->moved && !request->finished())
+        co_await request->changed().wait();
 }
 
 // Output is shown to the caller only once the buddy has it. Without that, a caller that had read
@@ -152,7 +181,7 @@
             request->release(progress);
             continue;
         }
-        if (request->finished())
+        if (request->finished() || request->moved)
             co_return;
         co_await request->changed().wait();
     }
--- /dev/null
+++ b/src/snipestall/entry/node.cpp
@@ -0,0 +1,331 @@
+#include "snipestall/entry/node.hpp"
+
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
+#include "snipestall/base/rendezvous.hpp"
+#include "snipestall/policy/world.hpp"
+#include "snipestall/settings/effective_settings.hpp"
+
+#include "node_state.hpp"
+#include "peer.pb.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace snipestall::entry {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+/// Three missed heartbeats: long enough for a pause of the scheduler, short against a caller's
+/// patience.
+constexpr milliseconds PeerTerm { 3000 };
+constexpr milliseconds SettingsPollInterval { 1000 };
+constexpr milliseconds SettingsBackstopInterval { 30000 };
+constexpr milliseconds RetryInterval { 500 };
+constexpr milliseconds SecondInterval { 1000 };
+/// Instances of a data centre that read the settings head each second; two, so that one may die.
+constexpr std::size_t SettingsPollers = 2;
+
+std::uint64_t newIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+}
+
+} // namespace
+
+Node::State::State(boost::asio::io_context &context, LocalSettings settings, std::uint64_t number)
+    : io(context)
+    , local(std::move(settings))
+    , incarnation(number)
+    , http(context)
+    , platform(platform::HttpPlatform::create(context, local.platform, clock))
+    , store(*platform, clock)
+    , keeper(local.dataCentre)
+    , members(local.instance, local.dataCentre, PeerTerm)
+    , dispatcher(local.instance, number)
+    , policy(context, policy::World::create(local.dataCentre, stableHash(local.instance)),
+             dispatcher)
+    , backends(context, *platform, http, members, policy)
+    , network(context, members, keeper, number,
+              { [this] { return ownPools(); }, [this] { return backends.leavingServers(); },
+                [this](const peer::LeavingServer &server) {
+                    backends.markLeaving(server.server, server.incarnation, milliseconds(0));
+                } })
+    , records(
+          context, members, network, number,
+          [this](const peer::v1::RequestRecord &record, bool released) { adopt(record, released); })
+    , claims(peer::ClaimKeeper::create(context, *platform, clock, local.instance))
+    , steward(peer::Steward::create(context, *platform, clock, local.dataCentre, local.instance,
+                                    number))
+    , callers({ &context, &requests, &dispatcher, &keeper, &members, &network, &records },
+              stableHash(local.instance) ^ std::random_device {}())
+{ }
+
+Node::State::~State() = default;
+
+void Node::State::connect()
+{
+    dispatcher.connect(
+        { &io, &requests, &policy, &backends, &http, &network, claims.get(), &records });
+    keeper.subscribe([this](std::shared_ptr<const settings::EffectiveSettings> effective) {
+        policy.post(policy::SettingsChanged { std::move(effective) });
+        // Newer settings come from the table or from a peer: either confirms them.
+        callers.setReady();
+    });
+    members.subscribe([this](const peer::Member &member, peer::MemberState before) {
+        onMemberChange(member, before);
+    });
+    backends.onNewLeaving([this] { network.announce(); });
+    backends.onSelfLeaving([this](milliseconds notice) {
+        if (!draining)
+            beginDrain(notice, [] {});
+    });
+    for (const Seed &seed : local.seeds)
+        members.learn(seed.instance, seed.dataCentre, seed.address.toString());
+}
+
+void Node::State::start()
+{
+    network.start();
+    backends.start();
+    steward->start();
+    boost::asio::co_spawn(io, registerLoop(), boost::asio::detached);
+    boost::asio::co_spawn(io, settingsLoop(), boost::asio::detached);
+    boost::asio::co_spawn(io, secondLoop(), boost::asio::detached);
+}
+
+void Node::State::onMemberChange(const peer::Member &member, peer::MemberState)
+{
+    backends.reassign();
+    const bool usable =
+        member.state == peer::MemberState::Live && member.dataCentre == local.dataCentre;
+    const auto it = peerHandles.find(member.name);
+    if (!usable && it != peerHandles.end()) {
+        policy.post(policy::PeerGone { it->second });
+        peerHandles.erase(it);
+    }
+}
+
+void Node::State::tellPolicyOfPeers()
+{
+    for (const std::string &name : members.livePeers()) {
+        const peer::Member &member = *members.find(name);
+        const auto [it, added] = peerHandles.try_emplace(name);
+        if (added) {
+            it->second = { ++nextPeer };
+            dispatcher.addPeer(it->second, name);
+        }
+        policy::PeerSummary summary;
+        summary.peer = it->second;
+        summary.name = name;
+        summary.dataCentre = member.dataCentre;
+        for (const peer::PoolLoad &load : member.pools) {
+            policy::PoolSummary pool;
+            pool.service = load.service;
+            pool.freeSlots = load.freeSlots;
+            pool.queued = load.queued;
+            pool.servers = load.servers;
+            pool.wait = load.wait;
+            pool.prefixSketch = load.prefixSketch;
+            summary.pools.push_back(std::move(pool));
+        }
+        policy.post(std::move(summary));
+    }
+}
+
+std::vector<peer::PoolLoad> Node::State::ownPools() const
+{
+    std::vector<peer::PoolLoad> loads;
+    for (policy::PoolSummary &pool : policy.maker().summaries(PolicyLoop::now())) {
+        peer::PoolLoad load;
+        load.service = std::move(pool.service);
+        load.freeSlots = pool.freeSlots;
+        load.queued = pool.queued;
+        load.servers = pool.servers;
+        load.wait = std::chrono::duration_cast<milliseconds>(pool.wait);
+        load.prefixSketch = std::move(pool.prefixSketch);
+        loads.push_back(std::move(load));
+    }
+    return loads;
+}
+
+bool Node::State::pollsSettings() const
+{
+    const auto order = rendezvousOrder("settings-poller", members.owners());
+    const auto end = order.begin() + static_cast<long>(std::min(order.size(), SettingsPollers));
+    return std::find(order.begin(), end, local.instance) != end;
+}
+
+// Two instances of a data centre read the head each second; the others hear of a newer version in
+// the next heartbeat and fetch it from the peer. All read it now and then, so that a fault of the
+// heartbeats can't keep an instance on old settings.
+wire::Task<void> Node::State::settingsLoop()
+{
+    const auto self = shared_from_this();
+    while (!stopped) {
+        const auto now = steady_clock::now();
+        const bool due = keeper.version() == 0 || pollsSettings()
+            || now - lastSettingsRead > SettingsBackstopInterval;
+        if (due) {
+            const auto version = co_await store.headVersion();
+            if (version)
+                lastSettingsRead = now;
+            if (version && *version > keeper.version()) {
+                const auto document = co_await store.head();
+                if (document)
+                    keeper.offer(*document);
+            }
+        }
+        co_await wire::sleepFor(SettingsPollInterval);
+    }
+}
+
+// On the platform's machines the cloud lists its instances itself; the stand-in must be told.
+wire::Task<void> Node::State::registerLoop()
+{
+    const auto self = shared_from_this();
+    boost::json::object entry;
+    entry["name"] = local.instance;
+    entry["incarnation"] = incarnation;
+    entry["role"] = "entry";
+    entry["address"] = local.peersAdvertise.toString();
+    entry["data_centre"] = local.dataCentre;
+    entry["service"] = "";
+    entry["class"] = "";
+    entry["leaving"] = false;
+    while (!draining) {
+        wire::HttpRequest request;
+        request.method = "POST";
+        request.target = "/instances";
+        request.body = boost::json::serialize(entry);
+        const auto answer = co_await http.fetch(local.platform, std::move(request));
+        const bool done = answer && answer->status < 300;
+        if (done)
+            co_return;
+        co_await wire::sleepFor(RetryInterval);
+    }
+}
+
+wire::Task<void> Node::State::secondLoop()
+{
+    const auto self = shared_from_this();
+    while (!stopped) {
+        tellPolicyOfPeers();
+        for (const RequestPtr &gone : requests.expire(steady_clock::now()))
+            records.forget(gone->spec().id);
+        co_await wire::sleepFor(SecondInterval);
+    }
+}
+
+Node::Node(std::shared_ptr<State> state)
+    : m_state(std::move(state))
+{ }
+
+Node::~Node()
+{
+    m_state->stopped = true;
+    m_state->backends.stop();
+    m_state->network.stop();
+}
+
+Result<std::unique_ptr<Node>> Node::create(boost::asio::io_context &io, LocalSettings local)
+{
+    auto state = std::make_shared<State>(io, std::move(local), newIncarnation());
+    state->connect();
+    auto server = wire::HttpServer::create(io, state->local.callers, state->callers.handler());
+    if (!server)
+        return tl::unexpected<Error>(server.error());
+    state->callerServer = std::move(*server);
+    auto peers = peer::PeerServer::create(io, state->local.peers, *state);
+    if (!peers)
+        return tl::unexpected<Error>(peers.error());
+    state->peerServer = std::move(*peers);
+    return std::unique_ptr<Node>(new Node(std::move(state)));
+}
+
+void Node::start()
+{
+    m_state->start();
+}
+
+void Node::drain(std::optional<milliseconds> notice, std::function<void()> done)
+{
+    m_state->beginDrain(notice, std::move(done));
+}
+
+bool Node::draining() const
+{
+    return m_state->draining;
+}
+
+const LocalSettings &Node::local() const
+{
+    return m_state->local;
+}
+
+peer::SettingsKeeper &Node::settings()
+{
+    return m_state->keeper;
+}
+
+peer::SettingsStore &Node::settingsStore()
+{
+    return m_state->store;
+}
+
+peer::Membership &Node::members()
+{
+    return m_state->members;
+}
+
+peer::PeerNetwork &Node::network()
+{
+    return m_state->network;
+}
+
+platform::HttpPlatform &Node::platform()
+{
+    return *m_state->platform;
+}
+
+peer::Steward &Node::steward()
+{
+    return *m_state->steward;
+}
+
+BackendDirectory &Node::backends()
+{
+    return m_state->backends;
+}
+
+RequestStore &Node::requests()
+{
+    return m_state->requests;
+}
+
+Dispatcher &Node::dispatcher()
+{
+    return m_state->dispatcher;
+}
+
+PolicyLoop &Node::policy()
+{
+    return m_state->policy;
+}
+
+peer::ClaimCounters Node::claimCounters() const
+{
+    return m_state->claims->counters();
+}
+
+} // namespace snipestall::entry
--- /dev/null
+++ b/src/snipestall/entry/node_peers.cpp
@@ -0,0 +1,138 @@
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
+#include "snipestall/entry/forward_relay.hpp"
+#include "snipestall/peer/forward_sink.hpp"
+
+#include "node_state.hpp"
+#include "peer.pb.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <utility>
+
+namespace snipestall::entry {
+
+namespace v1 = peer::v1;
+
+namespace {
+
+FinalAnswer outcomeUnknown(std::string reason)
+{
+    FinalAnswer answer;
+    answer.outcome = Outcome::Unknown;
+    answer.status = 504;
+    answer.reason = std::move(reason);
+    return answer;
+}
+
+} // namespace
+
+v1::HeartbeatReply Node::State::onHeartbeat(const v1::HeartbeatRequest &request)
+{
+    return network.onHeartbeat(request);
+}
+
+v1::HoldReply Node::State::onHold(const v1::HoldRequest &request)
+{
+    return records.onHold(request);
+}
+
+v1::HandoverReply Node::State::onHandover(const v1::HandoverRequest &request)
+{
+    return records.onHandover(request);
+}
+
+v1::SettingsDocument Node::State::onFetchSettings(const v1::FetchSettingsRequest &request)
+{
+    v1::SettingsDocument reply;
+    const peer::SettingsDocument &held = keeper.document();
+    if (held.version <= request.newer_than())
+        return reply;
+    reply.set_version(held.version);
+    reply.set_hash(held.hash);
+    reply.set_yaml(held.yaml);
+    return reply;
+}
+
+void Node::State::onForward(const v1::ForwardRequest &call, std::shared_ptr<peer::ForwardSink> sink)
+{
+    const RequestPtr request =
+        Request::fromRecord(io.get_executor(), call.record(), requests.nextHandle());
+    request->forwarded = true;
+    auto stop = std::make_shared<bool>(false);
+    const std::weak_ptr<Request> weak = request;
+    sink->onCancelled([this, weak, stop] {
+        *stop = true;
+        const RequestPtr running = weak.lock();
+        if (running == nullptr)
+            return;
+        running->changed().notifyAll();
+        // The home is lost or wants no more. What may run only once is not broken off: its
+        // outcome is still to be stored for the caller's repeat.
+        const bool bound = !running->spec().idempotent && running->maybeSent();
+        if (!bound)
+            dispatcher.cancel(running);
+    });
+    dispatcher.arrive(request, false);
+    boost::asio::co_spawn(io, relayToPeer(request, call.attempt(), std::move(sink), stop, false),
+                          boost::asio::detached);
+}
+
+void Node::State::onFindRequest(const v1::FindRequestRequest &call,
+                                std::shared_ptr<peer::ForwardSink> sink)
+{
+    const RequestPtr request = requests.find(call.request());
+    const bool found =
+        request != nullptr && !request->moved && request->spec().customer == call.customer();
+    v1::ForwardEvent first;
+    first.set_kind(found ? v1::ForwardEvent::ACCEPTED : v1::ForwardEvent::NOT_RUN);
+    if (!found) {
+        sink->write(first);
+        return sink->finish();
+    }
+    first.set_reason(request->spec().service);
+    first.set_server(request->spec().model);
+    sink->write(first);
+    auto stop = std::make_shared<bool>(false);
+    const std::weak_ptr<Request> weak = request;
+    sink->onCancelled([weak, stop] {
+        *stop = true;
+        if (const RequestPtr running = weak.lock())
+            running->changed().notifyAll();
+    });
+    boost::asio::co_spawn(io, relayToPeer(request, "", std::move(sink), stop, true),
+                          boost::asio::detached);
+}
+
+// An idempotent request is run on from its copy: twice at worst, which costs tokens. One that may
+// run only once is run here only if its home released it and says that no byte has left, or if its
+// key is claimed: then the claim row decides, whatever the former home does when it wakes.
+void Node::State::adopt(const v1::RequestRecord &record, bool released)
+{
+    if (requests.find(record.request()) != nullptr)
+        return;
+    const RequestPtr request =
+        Request::fromRecord(io.get_executor(), record, requests.nextHandle());
+    logEvent(events::RequestTakenOver,
+             { { "request", record.request() }, { "released", released ? "yes" : "no" } });
+    if (request->finished()) {
+        requests.add(request);
+        return;
+    }
+    const RequestSpec &spec = request->spec();
+    const bool keyed = !spec.idempotencyKey.empty();
+    const bool once = !spec.idempotent;
+    const bool mayRun = !once || (!record.maybe_sent() && (released || keyed));
+    if (mayRun) {
+        dispatcher.arrive(request, true);
+        return;
+    }
+    requests.add(request);
+    if (keyed)
+        dispatcher.awaitStoredOutcome(request);
+    else
+        dispatcher.finish(request, outcomeUnknown("its instance was lost while it may have run"));
+}
+
+} // namespace snipestall::entry
--- /dev/null
+++ b/src/snipestall/entry/node_state.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "snipestall/base/system_clock.hpp"
+#include "snipestall/entry/backend_directory.hpp"
+#include "snipestall/entry/caller_api.hpp"
+#include "snipestall/entry/dispatcher.hpp"
+#include "snipestall/entry/local_settings.hpp"
+#include "snipestall/entry/node.hpp"
+#include "snipestall/entry/policy_loop.hpp"
+#include "snipestall/entry/request_store.hpp"
+#include "snipestall/peer/claim_keeper.hpp"
+#include "snipestall/peer/membership.hpp"
+#include "snipestall/peer/peer_handler.hpp"
+#include "snipestall/peer/peer_network.hpp"
+#include "snipestall/peer/peer_server.hpp"
+#include "snipestall/peer/record_keeper.hpp"
+#include "snipestall/peer/settings_keeper.hpp"
+#include "snipestall/peer/settings_store.hpp"
+#include "snipestall/peer/steward.hpp"
+#include "snipestall/platform/http_platform.hpp"
+#include "snipestall/wire/http_client.hpp"
+#include "snipestall/wire/http_server.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace snipestall::entry {
+
+/// The parts of a node, in the order in which they depend on each other, and the loops that tie
+/// them together.
+struct Node::State final : public peer::PeerHandler,
+                           public std::enable_shared_from_this<Node::State>
+{
+    using Notice = std::optional<std::chrono::milliseconds>;
+
+    State(boost::asio::io_context &context, LocalSettings settings, std::uint64_t number);
+    ~State() override;
+
+    void connect();
+    void start();
+    void beginDrain(Notice notice, std::function<void()> done);
+
+    peer::v1::HeartbeatReply onHeartbeat(const peer::v1::HeartbeatRequest &request) override;
+    peer::v1::HoldReply onHold(const peer::v1::HoldRequest &request) override;
+    peer::v1::HandoverReply onHandover(const peer::v1::HandoverRequest &request) override;
+    peer::v1::SettingsDocument
+    onFetchSettings(const peer::v1::FetchSettingsRequest &request) override;
+    void onForward(const peer::v1::ForwardRequest &request,
+                   std::shared_ptr<peer::ForwardSink> sink) override;
+    void onFindRequest(const peer::v1::FindRequestRequest &request,
+                       std::shared_ptr<peer::ForwardSink> sink) override;
+
+    /// A request whose home is gone, or that was handed over: it lives here from now on.
+    void adopt(const peer::v1::RequestRecord &record, bool released);
+    void onMemberChange(const peer::Member &member, peer::MemberState before);
+    void tellPolicyOfPeers();
+    [[nodiscard]] bool pollsSettings() const;
+    [[nodiscard]] std::vector<peer::PoolLoad> ownPools() const;
+    [[nodiscard]] bool idle() const;
+
+    wire::Task<void> registerLoop();
+    wire::Task<void> settingsLoop();
+    wire::Task<void> secondLoop();
+    wire::Task<void> drainLoop();
+    wire::Task<void> handOverRest();
+
+    boost::asio::io_context &io;
+    LocalSettings local;
+    std::uint64_t incarnation;
+    SystemClock clock;
+    wire::HttpClient http;
+    std::unique_ptr<platform::HttpPlatform> platform;
+    peer::SettingsStore store;
+    peer::SettingsKeeper keeper;
+    peer::Membership members;
+    Dispatcher dispatcher;
+    PolicyLoop policy;
+    BackendDirectory backends;
+    peer::PeerNetwork network;
+    peer::RecordKeeper records;
+    std::unique_ptr<peer::ClaimKeeper> claims;
+    std::unique_ptr<peer::Steward> steward;
+    RequestStore requests;
+    CallerApi callers;
+    std::unique_ptr<wire::HttpServer> callerServer;
+    std::unique_ptr<peer::PeerServer> peerServer;
+
+    std::map<std::string, policy::PeerHandle> peerHandles;
+    std::uint64_t nextPeer = 0;
+    bool draining = false;
+    bool stopped = false;
+    std::optional<std::chrono::steady_clock::time_point> handOverAt;
+    std::function<void()> drained;
+    std::chrono::steady_clock::time_point lastSettingsRead;
+};
+
+} // namespace snipestall::entry
--- a/src/snipestall/entry/request_store.cpp
+++ b/src/snipestall/entry/request_store.cpp
@@ -101,6 +101,14 @@
     return gone;
 }
 
+int RequestStore::readers() const
+{
+    int sum = 0;
+    for (const auto &[handle, request] : m_byHandle)
+        sum += request->readers;
+    return sum;
+}
+
 std::vector<RequestPtr> RequestStore::unfinished() const
 {
     std::vector<RequestPtr> open;
--- a/src/snipestall/peer/record_keeper.cpp
+++ b/src/snipestall/peer/record_keeper.cpp
@@ -180,7 +180,7 @@
         it = theirs ? copies.erase(it) : std::next(it);
     }
     for (const v1::RequestRecord &record : orphans)
-        onOrphan(record);
+        onOrphan(record, false);
 }
 
 RecordKeeper::RecordKeeper(boost::asio::io_context &io, Membership &members, PeerNetwork &network,
@@ -334,7 +334,7 @@
         return reply;
     for (const v1::RequestRecord &record : request.records()) {
         m_state->copies.erase(record.request());
-        m_state->onOrphan(record);
+        m_state->onOrphan(record, true);
         reply.add_taken(record.request());
     }
     return reply;
