--- a/src/snipestall/peer/claim_keeper_test.cpp
+++ b/src/snipestall/peer/claim_keeper_test.cpp
@@ -3,9 +3,7 @@
 #include "snipestall/base/manual_clock.hpp"
 #include "snipestall/peer/claim_row.hpp"
 #include "snipestall/platform/fake_table_service.hpp"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "snipestall/platform/run_task.hpp"
 
 #include <gtest/gtest.h>
 
@@ -15,93 +13,53 @@
 namespace {
 
 using namespace std::chrono_literals;
-using platform::FakeTableService;
+using namespace snipestall::platform;
 
 class ClaimKeeperTest : public testing::Test
 {
 protected:
-    static ClaimOptions options()
+    std::unique_ptr<ClaimKeeper> keeper(const std::string &instance)
     {
         ClaimOptions chosen;
         chosen.batchWindow = 0ms;
         chosen.firstPause = 1ms;
         chosen.longestPause = 1ms;
-        return chosen;
+        return ClaimKeeper::create(m_io, m_table, m_clock, instance, chosen);
     }
 
-    std::unique_ptr<ClaimKeeper> keeper(const std::string &instance)
-    {
-        return ClaimKeeper::create(m_io, m_table, m_clock, instance, options());
-    }
+    static ClaimKey keyOf(const std::string &key) { return { "kiyi", "ledger", key }; }
 
-    ClaimRequest request(const std::string &key, const std::string &attempt,
-                         std::chrono::milliseconds left = 10min) const
+    [[nodiscard]] ClaimRequest request(const std::string &key, const std::string &attempt,
+                                       std::chrono::milliseconds left = 10min) const
     {
-        ClaimRequest asked;
-        asked.key = { "kiyi", "ledger", key };
-        asked.request = "request-of-" + attempt;
-        asked.attempt = attempt;
-        asked.bodyHash = "body";
-        asked.deadline = m_clock.steadyNow() + left;
-        return asked;
+        return { keyOf(key), "request-of-" + attempt, attempt, "body",
+                 m_clock.steadyNow() + left };
     }
 
-    /// Starts a claim; its outcome is there when the loop has run.
-    std::shared_ptr<std::optional<ClaimOutcome>> start(ClaimKeeper &keeper, ClaimRequest asked)
+    Slot<ClaimOutcome> start(ClaimKeeper &keeper, ClaimRequest asked)
     {
-        auto slot = std::make_shared<std::optional<ClaimOutcome>>();
-        boost::asio::co_spawn(m_io, claimInto(keeper, std::move(asked), slot),
-                              boost::asio::detached);
-        return slot;
-    }
-
-    static wire::Task<void> claimInto(ClaimKeeper &keeper, ClaimRequest asked,
-                                      std::shared_ptr<std::optional<ClaimOutcome>> slot)
-    {
-        *slot = co_await keeper.claim(std::move(asked));
-    }
-
-    /// Runs the loop until nothing is left to do.
-    void run()
-    {
-        m_io.restart();
-        m_io.run();
-    }
-
-    /// Runs the loop until `done` holds.
-    void runUntil(const std::function<bool()> &done)
-    {
-        m_io.restart();
-        while (!done() && m_io.run_one() > 0) { }
+        return startTask(m_io, keeper.claim(std::move(asked)));
     }
 
     ClaimOutcome claim(ClaimKeeper &keeper, ClaimRequest asked)
     {
-        const auto slot = start(keeper, std::move(asked));
-        run();
-        return slot->value();
+        return runTask(m_io, keeper.claim(std::move(asked)));
     }
 
     std::optional<ClaimOutcome> lookup(ClaimKeeper &keeper, const std::string &key)
     {
-        std::optional<ClaimOutcome> found;
-        boost::asio::co_spawn(m_io, lookupInto(keeper, { "kiyi", "ledger", key }, found),
-                              boost::asio::detached);
-        run();
-        return found;
+        return runTask(m_io, keeper.lookup(keyOf(key))).value();
     }
 
-    static wire::Task<void> lookupInto(ClaimKeeper &keeper, ClaimKey key,
-                                       std::optional<ClaimOutcome> &found)
+    void removeExpired(ClaimKeeper &keeper)
     {
-        const auto result = co_await keeper.lookup(std::move(key));
-        found = result.value();
+        boost::asio::co_spawn(m_io, keeper.removeExpired(), boost::asio::detached);
+        drain(m_io);
     }
 
-    ClaimState stateOf(const std::string &key)
+    ClaimRow rowOf(const std::string &key)
     {
-        const auto &row = m_table.rows.at(claimRowKey({ "kiyi", "ledger", key }));
-        return decodeClaim(row).value().state;
+        return decodeClaim(m_table.rows.at(claimRowKey(keyOf(key)))).value();
     }
 
     boost::asio::io_context m_io;
@@ -121,8 +79,8 @@
     EXPECT_FALSE(held.outcome.has_value());
 
     const std::string bytes("\xff\x00receipt", 9);
-    first->storeOutcome({ "kiyi", "ledger", "k" }, "a1", { 200, "text/plain", bytes, "completed" });
-    run();
+    first->storeOutcome(keyOf("k"), "a1", { 200, "text/plain", bytes, "completed" });
+    drain(m_io);
     const auto known = lookup(*second, "k");
     ASSERT_TRUE(known.has_value() && known->outcome.has_value());
     EXPECT_EQ(known->outcome->body, bytes);
@@ -130,5 +88,255 @@
     EXPECT_FALSE(lookup(*second, "another").has_value());
 }
 
+// A master's top-up is claimed; the write takes effect and the table's answer is lost on the way.
+// Taking that for a failure would refuse a request whose key is now taken; taking it for a success
+// without looking could run it twice. The row read back names its claimer.
+TEST_F(ClaimKeeperTest, AnAnswerLostAfterTheWriteIsSettledByReadingBack)
+{
+    const auto first = keeper("samsun-1");
+    m_table.loseAnswers = 1;
+    EXPECT_EQ(claim(*first, request("k", "a1")).verdict, ClaimVerdict::Granted);
+    EXPECT_EQ(first->counters().settledByReading, 1U);
+    EXPECT_EQ(first->counters().transactions, 1U);
+    EXPECT_EQ(claim(*keeper("ordu-1"), request("k", "a2")).verdict, ClaimVerdict::Held);
+}
+
+// The same, but the claim itself was lost on the way: nothing is in, and the write is made again.
+TEST_F(ClaimKeeperTest, AClaimLostBeforeTheWriteIsWrittenAgain)
+{
+    const auto first = keeper("samsun-1");
+    m_table.loseRequests = 1;
+    EXPECT_EQ(claim(*first, request("k", "a1")).verdict, ClaimVerdict::Granted);
+    EXPECT_EQ(first->counters().transactions, 2U);
+}
+
+// A caller without an answer sends its top-up to two data centres at the same moment. Both would
+// run it; the table lets one insert in, and the other learns who holds the key.
+TEST_F(ClaimKeeperTest, OfTwoClaimersInARaceOneIsGranted)
+{
+    const auto samsun = keeper("samsun-1");
+    const auto sinop = keeper("sinop-1");
+    const auto one = start(*samsun, request("k", "a1"));
+    const auto two = start(*sinop, request("k", "a2"));
+    drain(m_io);
+    EXPECT_EQ((*one)->verdict, ClaimVerdict::Granted);
+    EXPECT_EQ((*two)->verdict, ClaimVerdict::Held);
+    EXPECT_EQ((*two)->holderAttempt, "a1");
+}
+
+// The same caller's repeat reaches the same instance before the first claim is written. In one
+// transaction both would see an absent row, the second write would replace the first, and both
+// would be told that they may send.
+TEST_F(ClaimKeeperTest, OfTwoClaimsOfOneKeyInOneBatchOneIsGranted)
+{
+    const auto samsun = keeper("samsun-1");
+    const auto one = start(*samsun, request("k", "a1"));
+    const auto two = start(*samsun, request("k", "a2"));
+    drain(m_io);
+    EXPECT_EQ((*one)->verdict, ClaimVerdict::Granted);
+    EXPECT_EQ((*two)->verdict, ClaimVerdict::Held);
+    EXPECT_EQ(samsun->counters().transactions, 1U);
+}
+
+// An instance is paused just after its claim was written. Its caller was refused as not run when
+// the deadline passed and sent the key elsewhere. Woken, the instance finds the table's yes in its
+// hand; acting on it would run the key although its caller was told that it did not run.
+TEST_F(ClaimKeeperTest, AClaimerFrozenPastItsDeadlineIsNotGranted)
+{
+    const auto frozen = keeper("samsun-1");
+    m_table.freeze();
+    const auto outcome = start(*frozen, request("k", "a1", 1s));
+    runUntil(m_io, [&] { return m_table.transactions == 1; });
+    m_clock.advance(5s);
+    m_table.thaw();
+    drain(m_io);
+    EXPECT_EQ((*outcome)->verdict, ClaimVerdict::Unsettled);
+    EXPECT_EQ(rowOf("k").state, ClaimState::Abandoned);
+    EXPECT_EQ(frozen->counters().abandoned, 1U);
+    EXPECT_FALSE(lookup(*frozen, "k").has_value());
+    EXPECT_EQ(claim(*keeper("sinop-1"), request("k", "a2")).verdict, ClaimVerdict::Granted);
+}
+
+// A claim's write is stuck in a slow network. Its caller is refused, and only then the write lands.
+// A row that nobody will ever send for would block the key for a day; a row put there beforehand
+// makes the late write's condition fail.
+TEST_F(ClaimKeeperTest, AWriteThatLandsAfterItsClaimWasGivenUpChangesNothing)
+{
+    const auto slow = keeper("samsun-1");
+    m_table.holdRequests = 1;
+    m_table.beforeCall = [this] {
+        if (m_table.reads == 1)
+            m_clock.advance(2s);
+    };
+    const auto outcome = start(*slow, request("k", "a1", 1s));
+    drain(m_io);
+    m_table.deliverLate();
+    EXPECT_EQ((*outcome)->verdict, ClaimVerdict::Unsettled);
+    EXPECT_EQ(rowOf("k").state, ClaimState::Abandoned);
+    EXPECT_EQ(claim(*keeper("sinop-1"), request("k", "a2")).verdict, ClaimVerdict::Granted);
+    EXPECT_EQ(rowOf("k").attempt, "a2");
+}
+
+// The same attempt is claimed anew after its first claim was given up. The row that the first left
+// names the attempt; were it taken for the second's, the key would be sent although the row is
+// about to be marked free for others.
+TEST_F(ClaimKeeperTest, ARowOfAGivenUpClaimGrantsNothingToALaterClaimOfItsAttempt)
+{
+    const auto samsun = keeper("samsun-1");
+    m_table.freeze();
+    const auto first = start(*samsun, request("k", "a1", 1s));
+    runUntil(m_io, [&] { return m_table.transactions == 1; });
+    m_clock.advance(2s);
+    const auto again = start(*samsun, request("k", "a1"));
+    m_table.thaw();
+    drain(m_io);
+    EXPECT_EQ((*first)->verdict, ClaimVerdict::Unsettled);
+    const bool alone = (*again)->verdict != ClaimVerdict::Granted
+        || rowOf("k").state == ClaimState::Claimed;
+    EXPECT_TRUE(alone);
+}
+
+// The table goes down at the first, second, third call of a claim whose first answer was lost, and
+// stays down until the claim is worth nothing. Whatever the call, the claim must not be granted,
+// and when the table is back its row must be free for the caller's repeat.
+TEST_F(ClaimKeeperTest, ATableDownAtAnyStepLeavesTheKeyFree)
+{
+    for (int step = 1; step <= 3; ++step) {
+        const std::string key = "k" + std::to_string(step);
+        const auto samsun = keeper("samsun-1");
+        int calls = 0;
+        m_table.loseAnswers = step < 3 ? 1 : 0;
+        m_table.loseRequests = step < 3 ? 0 : 1;
+        m_table.beforeCall = [&] {
+            if (++calls != step)
+                return;
+            m_table.down = true;
+            m_clock.advance(2s);
+        };
+        const auto outcome = start(*samsun, request(key, "a1", 1s));
+        runUntil(m_io, [&] { return outcome->has_value(); });
+        EXPECT_EQ((*outcome)->verdict, ClaimVerdict::Unsettled) << step;
+        m_table.beforeCall = {};
+        m_table.down = false;
+        m_table.loseAnswers = 0;
+        drain(m_io);
+        EXPECT_EQ(claim(*keeper("sinop-1"), request(key, "a2")).verdict, ClaimVerdict::Granted);
+    }
+}
+
+// The table is down and stays so. The caller must hear of it by its deadline, not wait for ever.
+TEST_F(ClaimKeeperTest, AClaimIsUnsettledByItsDeadlineWhileTheTableIsDown)
+{
+    const auto samsun = keeper("samsun-1");
+    m_table.down = true;
+    EXPECT_EQ(claim(*samsun, request("k", "a1", 3ms)).verdict, ClaimVerdict::Unsettled);
+    EXPECT_EQ(samsun->counters().abandoned, 0U);
+    EXPECT_TRUE(m_table.rows.empty());
+}
+
+// One of three keys in a batch was claimed elsewhere. The transaction is all-or-nothing: without a
+// second try of the rest one repeat would refuse its neighbours.
+TEST_F(ClaimKeeperTest, AConflictSettlesItsOwnKeyAndTheRestOfTheBatchGoesOn)
+{
+    claim(*keeper("sinop-1"), request("k2", "other"));
+    const auto samsun = keeper("samsun-1");
+    std::vector<Slot<ClaimOutcome>> outcomes;
+    for (const std::string key : { "k1", "k2", "k3" })
+        outcomes.push_back(start(*samsun, request(key, "mine-" + key)));
+    drain(m_io);
+    EXPECT_EQ((*outcomes[0])->verdict, ClaimVerdict::Granted);
+    EXPECT_EQ((*outcomes[1])->verdict, ClaimVerdict::Held);
+    EXPECT_EQ((*outcomes[1])->holderAttempt, "other");
+    EXPECT_EQ((*outcomes[2])->verdict, ClaimVerdict::Granted);
+    EXPECT_EQ(samsun->counters().transactions, 2U);
+}
+
+TEST_F(ClaimKeeperTest, ManyClaimsTakeOneTransactionAndOneRowMoreThanClaims)
+{
+    const auto samsun = keeper("samsun-1");
+    std::vector<Slot<ClaimOutcome>> outcomes;
+    for (int i = 0; i < 50; ++i)
+        outcomes.push_back(start(*samsun, request("k" + std::to_string(i), "a")));
+    drain(m_io);
+    EXPECT_EQ(samsun->counters().granted, 50U);
+    EXPECT_EQ(samsun->counters().transactions, 1U);
+    EXPECT_EQ(samsun->counters().rowWrites, 51U);
+}
+
+// A receipt is to be stored when the table has just gone down; later an answer is lost as well.
+// The caller's repeat must still get the receipt, and must get it once it is in.
+TEST_F(ClaimKeeperTest, AnOutcomeIsKeptUntilTheTableHasTakenIt)
+{
+    const auto samsun = keeper("samsun-1");
+    claim(*samsun, request("k", "a1"));
+    m_table.down = true;
+    samsun->storeOutcome(keyOf("k"), "a1", { 200, "text/plain", "receipt", "completed" });
+    runUntil(m_io, [&] { return m_table.reads == 5; });
+    EXPECT_EQ(samsun->counters().outcomesPending, 1U);
+    m_table.down = false;
+    m_table.loseAnswers = 1;
+    drain(m_io);
+    EXPECT_EQ(samsun->counters().outcomesPending, 0U);
+    EXPECT_EQ(lookup(*samsun, "k")->outcome->body, "receipt");
+}
+
+TEST_F(ClaimKeeperTest, AnOutcomeOfAnotherAttemptIsNotStored)
+{
+    const auto samsun = keeper("samsun-1");
+    claim(*samsun, request("k", "a1"));
+    samsun->storeOutcome(keyOf("k"), "a2", { 200, "text/plain", "stranger", "completed" });
+    drain(m_io);
+    EXPECT_FALSE(lookup(*samsun, "k")->outcome.has_value());
+}
+
+TEST_F(ClaimKeeperTest, ABodyTooLongForTheTableIsDroppedAndSaysSo)
+{
+    const auto samsun = keeper("samsun-1");
+    claim(*samsun, request("k", "a1"));
+    const std::string body(MaxStoredBody + 1, 'x');
+    samsun->storeOutcome(keyOf("k"), "a1", { 200, "text/plain", body, "completed" });
+    drain(m_io);
+    const auto known = lookup(*samsun, "k");
+    EXPECT_TRUE(known->outcome->bodyDropped);
+    EXPECT_EQ(known->outcome->status, 200);
+    EXPECT_TRUE(known->outcome->body.empty());
+}
+
+// Rows are removed by the hour. A caller that repeats in the next hour must still find its row, and
+// a day later the rows must be gone, or the table would grow for ever.
+TEST_F(ClaimKeeperTest, RowsAreFoundInLaterHoursAndRemovedAfterTheirLifetime)
+{
+    const auto samsun = keeper("samsun-1");
+    claim(*samsun, request("k", "a1"));
+    for (int hour = 0; hour < 24; ++hour) {
+        m_clock.advance(1h);
+        removeExpired(*samsun);
+        EXPECT_EQ(claim(*samsun, request("k", "a2")).verdict, ClaimVerdict::Held) << hour;
+    }
+    m_clock.advance(1h);
+    removeExpired(*samsun);
+    EXPECT_TRUE(m_table.rows.empty());
+    EXPECT_EQ(samsun->counters().rowsExpired, 1U);
+}
+
+// A claim is given up in one hour and its key taken over in a later one. When the first hour's
+// batch expires, deleting the row by its name alone would free a key that has run within the day.
+TEST_F(ClaimKeeperTest, ExpiryLeavesARowThatALaterHourTookOver)
+{
+    const auto samsun = keeper("samsun-1");
+    m_table.freeze();
+    const auto outcome = start(*samsun, request("k", "a1", 1s));
+    runUntil(m_io, [&] { return m_table.transactions == 1; });
+    m_clock.advance(2s);
+    m_table.thaw();
+    drain(m_io);
+    m_clock.advance(10h);
+    EXPECT_EQ(claim(*samsun, request("k", "a2")).verdict, ClaimVerdict::Granted);
+    m_clock.advance(16h);
+    removeExpired(*samsun);
+    EXPECT_EQ(m_table.rowsIn("claim-batches"), 1U);
+    EXPECT_EQ(claim(*samsun, request("k", "a3")).verdict, ClaimVerdict::Held);
+}
+
 } // namespace
 } // namespace snipestall::peer
