--- a/src/snipestall/peer/claim_keeper_test.cpp
+++ b/src/snipestall/peer/claim_keeper_test.cpp
@@ -32,8 +32,7 @@
     [[nodiscard]] ClaimRequest request(const std::string &key, const std::string &attempt,
                                        std::chrono::milliseconds left = 10min) const
     {
-        return { keyOf(key), "request-of-" + attempt, attempt, "body",
-                 m_clock.steadyNow() + left };
+        return { keyOf(key), "request-of-" + attempt, attempt, "body", m_clock.steadyNow() + left };
     }
 
     Slot<ClaimOutcome> start(ClaimKeeper &keeper, ClaimRequest asked)
@@ -191,8 +190,8 @@
     m_table.thaw();
     drain(m_io);
     EXPECT_EQ((*first)->verdict, ClaimVerdict::Unsettled);
-    const bool alone = (*again)->verdict != ClaimVerdict::Granted
-        || rowOf("k").state == ClaimState::Claimed;
+    const bool alone =
+        (*again)->verdict != ClaimVerdict::Granted || rowOf("k").state == ClaimState::Claimed;
     EXPECT_TRUE(alone);
 }
 
