--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -86,7 +86,7 @@
 {
 public:
     EngineProcess(boost::asio::io_context &io, const standins::EngineOptions &options,
-                  std::optional<wire::Endpoint> platform)
+                  const std::optional<wire::Endpoint> &platform)
         : m_io(io)
         , m_engine(io, options, platform)
         , m_registration(io, platform)
