Refuse by full service time, and count on unreserved slots only

Requests were admitted when they could start with half their estimated time left, so the queue settled where every answer came just too late; and waiting was reckoned on slots that only short urgent work may use.

Change: admission asks for the whole estimated time plus a tenth of the wait; a queued request is given up on when less than 0.9 of its time is left; the wait counts the slots that the lane can have.

--- a/src/snipestall/policy/admission.cpp
+++ b/src/snipestall/policy/admission.cpp
@@ -29,6 +29,10 @@
 /// One hop to a peer and back inside a data centre, with its queueing.
 constexpr Duration HopTime = std::chrono::milliseconds(5);
 
+/// A tenth is added to the expected wait: at saturation the queue settles where the last one
+/// admitted just makes it, and half of those would then miss.
+constexpr int WaitMargin = 10;
+
 void fillIn(Request &request, const RequestArrived &event)
 {
     request.handle = event.request;
@@ -113,7 +117,8 @@
     const std::optional<Duration> wait = shortestWait(state, request);
     if (!wait)
         return checkWithoutCapacity(state, request);
-    const Duration over = state.now + *wait - request.giveUpAt;
+    const Duration over =
+        state.now + *wait + *wait / WaitMargin - (request.deadline - request.service);
     if (over <= Duration::zero())
         return std::nullopt;
     return Verdict { RefusalReason::Late, std::max(over, LeastRetryAfter) };
--- a/src/snipestall/policy/fake_fleet.hpp
+++ b/src/snipestall/policy/fake_fleet.hpp
@@ -46,6 +46,9 @@
         std::vector<ForwardTo> forwards;
         std::vector<std::uint64_t> beside;
         int ends = 0;
+        /// An attempt broke after it was sent.
+        bool cut = false;
+        int sentAgainAfterCut = 0;
 
         [[nodiscard]] Duration wait() const { return *firstToken - arrived; }
     };
@@ -157,6 +160,25 @@
 
     void runFor(Duration duration) { runUntil(now + duration); }
 
+    /// Sends `perSecond` requests a second, evenly, for a while.
+    template<typename MakeRequest>
+    void load(int perSecond, Duration duration, MakeRequest make)
+    {
+        const Time start = now;
+        const Duration gap = Duration(std::chrono::seconds(1)) / perSecond;
+        for (Time at = start; at < start + duration; at += gap) {
+            runUntil(at);
+            send(make());
+        }
+    }
+
+    template<typename Predicate>
+    [[nodiscard]] int count(Predicate predicate) const
+    {
+        const auto matches = [&](const auto &entry) { return predicate(entry.second); };
+        return static_cast<int>(std::count_if(outcomes.begin(), outcomes.end(), matches));
+    }
+
     [[nodiscard]] Outcome &of(RequestHandle request) { return outcomes.at(request.value); }
 
     std::unique_ptr<World> world;
@@ -171,6 +193,8 @@
     /// Whether a request takes down the server that runs it, `crashAfter` its dispatch.
     std::set<std::uint64_t> crashers;
     Duration crashAfter = std::chrono::milliseconds(30);
+    /// Peers send back all that they are given; else a test answers for them.
+    bool peersDecline = false;
 
 private:
     struct Attempt
@@ -207,7 +231,9 @@
         if (due.crash) {
             kill(attempt.server);
         } else if (due.end) {
-            end(due.attempt, servers[attempt.server.value].result);
+            const bool atPeer = attempt.server == ServerHandle {};
+            const Backend &backend = servers[attempt.server.value];
+            end(due.attempt, atPeer ? AttemptResult::Declined : backend.result);
         } else {
             if (!outcome.firstToken)
                 outcome.firstToken = now;
@@ -219,6 +245,7 @@
     {
         const RequestHandle request = m_attempts.at(attempt).request;
         endAttempt(attempt);
+        of(request).cut = of(request).cut || result == AttemptResult::Cut;
         if (result == AttemptResult::Completed) {
             of(request).completed = now;
             ++of(request).ends;
@@ -239,6 +266,7 @@
     {
         Backend &backend = servers[server.value];
         Outcome &outcome = of(request);
+        outcome.sentAgainAfterCut += outcome.cut ? 1 : 0;
         if (backend.leaving || backend.gone)
             faults.push_back("work for a leaving server");
         if (backend.running.size() >= backend.slots)
@@ -289,7 +317,14 @@
         runOn(command.request, command.attempt, command.target);
     }
 
-    void obey(const ForwardTo &command) { of(command.request).forwards.push_back(command); }
+    void obey(const ForwardTo &command)
+    {
+        of(command.request).forwards.push_back(command);
+        if (!peersDecline)
+            return;
+        m_attempts[command.attempt.value] = { command.request, {} };
+        add(now + std::chrono::milliseconds(2), { command.attempt.value, 0, true, false });
+    }
 
     void obey(const Refuse &command)
     {
--- a/src/snipestall/policy/lifecycle.cpp
+++ b/src/snipestall/policy/lifecycle.cpp
@@ -20,9 +20,10 @@
 /// whatever its deadline; shorter, and it competes with work that people wait for.
 constexpr Duration PatientAging = std::chrono::seconds(30);
 
-/// Half the estimated time must be left for a start to be worth it: estimates are off by up to
-/// two, and a start that can't finish in time takes a slot from one that can.
-constexpr int OptimisticPart = 2;
+/// Estimates are off by some; a queued request is given up on once less than this part of its
+/// estimated time is left. Higher, and half of what is given up on would have made it; lower, and
+/// a full pool spends its slots on answers that all come just too late.
+constexpr double LeastPartLeft = 0.9;
 
 Duration targetOf(const Request &request)
 {
@@ -35,7 +36,8 @@
 {
     const Time latestStart = request.deadline - request.service;
     request.startBy = std::min(latestStart, request.arrived + targetOf(request));
-    request.giveUpAt = request.deadline - request.service / OptimisticPart;
+    const auto leastLeft = LeastPartLeft * std::chrono::duration<double>(request.service);
+    request.giveUpAt = request.deadline - std::chrono::duration_cast<Duration>(leastLeft);
     // What another instance accepted is given up on only when its caller's deadline has passed.
     if (request.accepted)
         request.giveUpAt = request.deadline;
--- a/src/snipestall/policy/placing.cpp
+++ b/src/snipestall/policy/placing.cpp
@@ -5,24 +5,13 @@
 #include "snipestall/policy/state.hpp"
 
 #include <chrono>
-#include <cmath>
 
 namespace snipestall::policy {
 namespace {
 
-/// Slots that only short urgent work may use. Load: long work that fills every slot for tens of
-/// seconds; harm: a lookup then waits for a whole review. At least one slot stays for other work.
-std::uint32_t reservedSlots(const Pool &pool)
-{
-    const std::uint32_t slots = pool.index.totals().slots;
-    const double share = pool.settings.urgentReserve * slots;
-    return static_cast<std::uint32_t>(std::floor(share));
-}
-
 bool onlyReservedLeft(const Pool &pool)
 {
-    const ServerIndex::Totals &totals = pool.index.totals();
-    return totals.runningOther + reservedSlots(pool) >= totals.slots;
+    return pool.index.totals().runningOther >= pool.slotsFor(Lane::Other);
 }
 
 /// Time in a slot that is lost if the server goes away half-way.
--- a/src/snipestall/policy/pool.hpp
+++ b/src/snipestall/policy/pool.hpp
@@ -27,6 +27,11 @@
     std::map<ServerHandle, Server *> servers;
     std::map<std::string, std::unique_ptr<Flow>, std::less<>> flows;
     ServiceTime serviceTime;
+
+    /// Slots that only short urgent work may use.
+    [[nodiscard]] std::uint32_t reservedSlots() const;
+    /// Slots that work of a lane can count on.
+    [[nodiscard]] std::uint32_t slotsFor(Lane lane) const;
 };
 
 } // namespace snipestall::policy
--- a/src/snipestall/policy/wait_estimate.cpp
+++ b/src/snipestall/policy/wait_estimate.cpp
@@ -41,20 +41,20 @@
         return Duration::zero();
     const Flow &flow = *request.flow;
     const Lane lane = FairQueue::laneOf(request);
-    const Duration all = divided(workAhead(pool, lane), totals.slots);
+    const double slots = pool.slotsFor(lane);
+    const Duration all = divided(workAhead(pool, lane), slots);
     // A customer waits behind its own work at its share of the pool, not behind another's flood.
     const Duration ownWork = flow.queuedService[0] + flow.queuedService[1];
-    const Duration own = divided(ownWork, totals.slots * shareOf(pool, flow));
-    const Duration nextSlot = divided(request.service, totals.slots);
+    const Duration own = divided(ownWork, slots * shareOf(pool, flow));
+    const Duration nextSlot = divided(request.service, slots);
     return std::min(all, own) + nextSlot;
 }
 
 std::optional<Duration> expectedWait(const Pool &pool)
 {
-    const ServerIndex::Totals &totals = pool.index.totals();
-    if (totals.slots == 0)
+    if (pool.index.totals().slots == 0)
         return std::nullopt;
-    return divided(workAhead(pool, Lane::Other), totals.slots);
+    return divided(workAhead(pool, Lane::Other), pool.slotsFor(Lane::Other));
 }
 
 } // namespace snipestall::policy
