--- a/apps/snipestalld/main.cpp
+++ b/apps/snipestalld/main.cpp
@@ -1,8 +1,14 @@
+#include "snipestall/admin/admin_api.hpp"
+#include "snipestall/admin/metrics.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/entry/local_settings.hpp"
 #include "snipestall/entry/node.hpp"
 
+#include "snipestall/wire/http_server.hpp"
+
+#include "node_status.hpp"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
@@ -55,6 +61,22 @@
         logEvent(events::ListenFailed, { { "error", node.error().message } });
         return ExitFailed;
     }
+    const NodeStatus status(**node);
+    const auto metrics = snipestall::admin::Metrics::create();
+    const auto drain = [&node, &io] { (*node)->drain(std::nullopt, [&io] { io.stop(); }); };
+    const LocalSettings &own = (*node)->local();
+    auto api = snipestall::admin::AdminApi::create(
+        { &(*node)->settingsStore(), &(*node)->settings(), &status, &(*node)->clock(),
+          metrics->registry(), drain, own.bootstrapKeyHash });
+    if (!api) {
+        logEvent(events::ListenFailed, { { "error", api.error().message } });
+        return ExitFailed;
+    }
+    auto server = snipestall::wire::HttpServer::create(io, own.operators, (*api)->handler());
+    if (!server) {
+        logEvent(events::ListenFailed, { { "error", server.error().message } });
+        return ExitFailed;
+    }
     (*node)->start();
     logEvent(events::ProcessStarted,
              { { "instance", (*node)->local().instance },
@@ -64,7 +86,7 @@
         signals.async_wait([&](const boost::system::error_code &ec, int) {
             if (ec)
                 return;
-            (*node)->drain(std::nullopt, [&io] { io.stop(); });
+            drain();
             waitForSignal();
         });
     };
--- a/include/snipestall/entry/node.hpp
+++ b/include/snipestall/entry/node.hpp
@@ -6,9 +6,14 @@
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
+namespace snipestall {
+class Clock;
+}
 namespace snipestall::peer {
 class Membership;
 class PeerNetwork;
@@ -49,6 +54,8 @@
 
     // For the operators' side and for metrics.
     [[nodiscard]] const LocalSettings &local() const;
+    [[nodiscard]] std::uint64_t incarnation() const;
+    [[nodiscard]] const Clock &clock() const;
     peer::SettingsKeeper &settings();
     peer::SettingsStore &settingsStore();
     peer::Membership &members();
--- a/src/snipestall/entry/node.cpp
+++ b/src/snipestall/entry/node.cpp
@@ -273,6 +273,16 @@
     return m_state->local;
 }
 
+std::uint64_t Node::incarnation() const
+{
+    return m_state->incarnation;
+}
+
+const Clock &Node::clock() const
+{
+    return m_state->clock;
+}
+
 peer::SettingsKeeper &Node::settings()
 {
     return m_state->keeper;
