Crash ledger: a request is known by its fingerprint at every instance

Cause: a caller whose request takes down each server that runs it sends it again elsewhere; each instance counted for itself. Ruled out: the table (a crash would wait for the platform); counting servers under notice (their end blames no request). Change: reports of (fingerprint, server) travel in heartbeats, at once when new; an arriving request brings the servers known to have died with it.

--- a/include/snipestall/entry/dispatcher.hpp
+++ b/include/snipestall/entry/dispatcher.hpp
@@ -26,6 +26,7 @@
 namespace snipestall::entry {
 
 class BackendDirectory;
+class CrashLedger;
 class PolicyLoop;
 class RequestStore;
 struct Backend;
@@ -41,6 +42,7 @@
     peer::PeerNetwork *network = nullptr;
     peer::ClaimKeeper *claims = nullptr;
     peer::RecordKeeper *records = nullptr;
+    CrashLedger *crashes = nullptr;
 };
 
 struct DispatchCounters
@@ -110,6 +112,8 @@
     wire::Task<void> readForward(Attempt &attempt, peer::ForwardCall &call);
     wire::Task<void> attemptBroke(Attempt &attempt, Error error);
     wire::Task<void> replicate(RequestPtr request);
+    void storeUnknown(const Attempt &attempt);
+    void noteCrash(const Attempt &attempt);
     bool takeToken(Attempt &attempt, const std::string &data);
     void answered(Attempt &attempt, int status, std::string contentType, std::string body);
     void declined(Attempt &attempt, std::chrono::milliseconds retryAfter);
--- a/include/snipestall/peer/peer_network.hpp
+++ b/include/snipestall/peer/peer_network.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipestall/peer/crash_report.hpp"
 #include "snipestall/peer/pool_load.hpp"
 #include "snipestall/wire/task.hpp"
 
@@ -52,6 +53,8 @@
         std::function<std::vector<PoolLoad>()> pools;
         std::function<std::vector<LeavingServer>()> leavingServers;
         std::function<void(const LeavingServer &)> onLeavingServer;
+        std::function<std::vector<CrashReport>()> crashes;
+        std::function<void(const CrashReport &)> onCrash;
     };
 
     PeerNetwork(boost::asio::io_context &io, Membership &members, SettingsKeeper &settings,
--- a/src/snipestall/entry/attempt_on_server.cpp
+++ b/src/snipestall/entry/attempt_on_server.cpp
@@ -1,10 +1,12 @@
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/entry/backend_directory.hpp"
+#include "snipestall/entry/crash_ledger.hpp"
 #include "snipestall/entry/dispatcher.hpp"
 #include "snipestall/entry/policy_loop.hpp"
 #include "snipestall/entry/request_store.hpp"
 #include "snipestall/peer/claim_keeper.hpp"
+#include "snipestall/peer/peer_network.hpp"
 #include "snipestall/settings/sha256.hpp"
 #include "snipestall/wire/event_stream_parser.hpp"
 #include "snipestall/wire/http_client.hpp"
@@ -373,9 +375,36 @@
     const bool died = !answer && answer.error().kind == ErrorKind::Unavailable;
     if (attempt.cancelled || attempt.request->finished())
         co_return;
-    if (died)
-        attempt.request->crashedServers().insert(attempt.server.listed.name);
-    ended(attempt, died ? policy::AttemptResult::ServerDied : policy::AttemptResult::Cut);
+    storeUnknown(attempt);
+    // A server that was announced to leave was taken away; no request is to blame for that.
+    const Backend *server = m_links.backends->find(attempt.server.handle);
+    const bool crashed = died && (server == nullptr || !server->leaving);
+    if (crashed)
+        noteCrash(attempt);
+    ended(attempt, crashed ? policy::AttemptResult::ServerDied : policy::AttemptResult::Cut);
+}
+
+/// A claimed request whose answer was cut: its repeats are told at once that nobody knows.
+void Dispatcher::storeUnknown(const Attempt &attempt)
+{
+    const RequestSpec &spec = attempt.request->spec();
+    if (spec.idempotent || spec.idempotencyKey.empty())
+        return;
+    const FinalAnswer answer = unknown("the answer of the backend server was cut");
+    m_links.claims->storeOutcome({ spec.customer, spec.service, spec.idempotencyKey }, attempt.id,
+                                 { answer.status, "", "", std::string(toString(answer.outcome)) });
+}
+
+void Dispatcher::noteCrash(const Attempt &attempt)
+{
+    const RequestSpec &spec = attempt.request->spec();
+    const std::string &server = attempt.server.listed.name;
+    attempt.request->crashedServers().insert(server);
+    const std::uint64_t fingerprint =
+        CrashLedger::fingerprint(spec.customer, spec.service, spec.body);
+    // Peers hear of it at once: the caller's next try may be at their door already.
+    if (m_links.crashes->note({ fingerprint, server }, steady_clock::now()))
+        m_links.network->announce();
 }
 
 wire::Task<void> Dispatcher::move(RequestPtr request, policy::MoveStream command, Backend from,
--- /dev/null
+++ b/src/snipestall/entry/crash_ledger.cpp
@@ -0,0 +1,62 @@
+#include "snipestall/entry/crash_ledger.hpp"
+
+#include "snipestall/base/rendezvous.hpp"
+
+#include <algorithm>
+
+namespace snipestall::entry {
+
+namespace {
+
+/// A caller's retries come within minutes; after this a rebuilt engine may well take the request.
+constexpr std::chrono::minutes KeepReports { 15 };
+/// Bounds the heartbeat: 32 reports are some 800 bytes, and only while servers crash.
+constexpr std::size_t MaxReports = 32;
+
+} // namespace
+
+std::uint64_t CrashLedger::fingerprint(std::string_view customer, std::string_view service,
+                                       std::string_view body)
+{
+    std::string joined(customer);
+    joined.append("\n").append(service).append("\n").append(body);
+    return stableHash(joined);
+}
+
+bool CrashLedger::note(const peer::CrashReport &report, std::chrono::steady_clock::time_point now)
+{
+    const auto same = std::find_if(m_entries.begin(), m_entries.end(),
+                                   [&](const Entry &entry) { return entry.report == report; });
+    if (same != m_entries.end())
+        return false;
+    m_entries.push_back({ report, now });
+    if (m_entries.size() > MaxReports)
+        m_entries.erase(m_entries.begin());
+    return true;
+}
+
+std::set<std::string> CrashLedger::servers(std::uint64_t fingerprint) const
+{
+    std::set<std::string> names;
+    for (const Entry &entry : m_entries) {
+        if (entry.report.fingerprint == fingerprint)
+            names.insert(entry.report.server);
+    }
+    return names;
+}
+
+std::vector<peer::CrashReport> CrashLedger::recent() const
+{
+    std::vector<peer::CrashReport> reports;
+    reports.reserve(m_entries.size());
+    for (const Entry &entry : m_entries)
+        reports.push_back(entry.report);
+    return reports;
+}
+
+void CrashLedger::expire(std::chrono::steady_clock::time_point now)
+{
+    std::erase_if(m_entries, [now](const Entry &entry) { return now - entry.at > KeepReports; });
+}
+
+} // namespace snipestall::entry
--- a/src/snipestall/entry/dispatcher.cpp
+++ b/src/snipestall/entry/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "snipestall/base/log.hpp"
 #include "snipestall/base/rendezvous.hpp"
 #include "snipestall/entry/backend_directory.hpp"
+#include "snipestall/entry/crash_ledger.hpp"
 #include "snipestall/entry/policy_loop.hpp"
 #include "snipestall/entry/request_store.hpp"
 #include "snipestall/peer/record_keeper.hpp"
@@ -59,18 +60,21 @@
     FinalAnswer answer;
     answer.retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(command.retryAfter);
     answer.reason = std::string(policy::toString(command.reason));
+    const bool quarantined = command.reason == policy::RefusalReason::Quarantined;
+    if (quarantined)
+        answer.retryAfter = {};
     if (!request.maybeSent()) {
         answer.outcome = Outcome::NotRun;
         const bool limit = command.reason == policy::RefusalReason::RateLimit
             || command.reason == policy::RefusalReason::TokenLimit
             || command.reason == policy::RefusalReason::ConcurrencyLimit;
         const bool unknown = command.reason == policy::RefusalReason::UnknownService;
-        answer.status = unknown ? 404 : limit ? 429 : 503;
+        answer.status = unknown ? 404 : limit ? 429 : quarantined ? 422 : 503;
         return answer;
     }
     const bool mayRepeat = request.spec().idempotent;
     answer.outcome = mayRepeat ? Outcome::Failed : Outcome::Unknown;
-    answer.status = command.reason == policy::RefusalReason::Quarantined ? 422 : 504;
+    answer.status = quarantined ? 422 : 504;
     if (!mayRepeat)
         answer.retryAfter = {};
     return answer;
@@ -83,6 +87,8 @@
         event = &events::RequestOutcomeUnknown;
     if (answer.outcome == Outcome::Failed)
         event = &events::RequestFailed;
+    if (answer.reason == policy::toString(policy::RefusalReason::Quarantined))
+        event = &events::RequestQuarantined;
     logEvent(*event,
              { { "request", request.spec().id },
                { "customer", request.spec().customer },
@@ -106,6 +112,12 @@
 void Dispatcher::arrive(const RequestPtr &request, bool accepted)
 {
     m_links.store->add(request);
+    // A caller whose request took a server down sends it again, perhaps at another instance. Its
+    // fingerprint brings along which servers died with it, so that it is not given a third.
+    const RequestSpec &spec = request->spec();
+    const auto known =
+        m_links.crashes->servers(CrashLedger::fingerprint(spec.customer, spec.service, spec.body));
+    request->crashedServers().insert(known.begin(), known.end());
     policy::RequestArrived event = arrival(*request, accepted);
     event.crashes = static_cast<std::uint32_t>(request->crashedServers().size());
     m_links.policy->post(std::move(event));
--- a/src/snipestall/entry/node.cpp
+++ b/src/snipestall/entry/node.cpp
@@ -60,6 +60,10 @@
               { [this] { return ownPools(); }, [this] { return backends.leavingServers(); },
                 [this](const peer::LeavingServer &server) {
                     backends.markLeaving(server.server, server.incarnation, milliseconds(0));
+                },
+                [this] { return crashes.recent(); },
+                [this](const peer::CrashReport &report) {
+                    crashes.note(report, steady_clock::now());
                 } })
     , records(
           context, members, network, number,
@@ -76,7 +80,7 @@
 void Node::State::connect()
 {
     dispatcher.connect(
-        { &io, &requests, &policy, &backends, &http, &network, claims.get(), &records });
+        { &io, &requests, &policy, &backends, &http, &network, claims.get(), &records, &crashes });
     keeper.subscribe([this](std::shared_ptr<const settings::EffectiveSettings> effective) {
         policy.post(policy::SettingsChanged { std::move(effective) });
         // Newer settings come from the table or from a peer: either confirms them.
@@ -221,6 +225,7 @@
     const auto self = shared_from_this();
     while (!stopped) {
         tellPolicyOfPeers();
+        crashes.expire(steady_clock::now());
         for (const RequestPtr &gone : requests.expire(steady_clock::now()))
             records.forget(gone->spec().id);
         co_await wire::sleepFor(SecondInterval);
--- a/src/snipestall/entry/node_state.hpp
+++ b/src/snipestall/entry/node_state.hpp
@@ -3,6 +3,7 @@
 #include "snipestall/base/system_clock.hpp"
 #include "snipestall/entry/backend_directory.hpp"
 #include "snipestall/entry/caller_api.hpp"
+#include "snipestall/entry/crash_ledger.hpp"
 #include "snipestall/entry/dispatcher.hpp"
 #include "snipestall/entry/local_settings.hpp"
 #include "snipestall/entry/node.hpp"
@@ -79,6 +80,7 @@
     peer::SettingsStore store;
     peer::SettingsKeeper keeper;
     peer::Membership members;
+    CrashLedger crashes;
     Dispatcher dispatcher;
     PolicyLoop policy;
     BackendDirectory backends;
--- a/src/snipestall/peer/peer_network.cpp
+++ b/src/snipestall/peer/peer_network.cpp
@@ -62,6 +62,16 @@
     }
 }
 
+template<typename Message>
+void putCrashes(const std::vector<CrashReport> &reports, Message &message)
+{
+    for (const CrashReport &report : reports) {
+        v1::CrashReport *entry = message.add_crashes();
+        entry->set_fingerprint(report.fingerprint);
+        entry->set_server(report.server);
+    }
+}
+
 } // namespace
 
 struct PeerNetwork::Channel
@@ -190,6 +200,7 @@
     request.set_settings_version(m_settings.version());
     putPools(m_hooks.pools(), request);
     putLeaving(m_hooks.leavingServers(), request);
+    putCrashes(m_hooks.crashes(), request);
     return request;
 }
 
@@ -206,6 +217,7 @@
     reply.set_settings_version(m_settings.version());
     putPools(m_hooks.pools(), reply);
     putLeaving(m_hooks.leavingServers(), reply);
+    putCrashes(m_hooks.crashes(), reply);
     return reply;
 }
 
@@ -220,6 +232,8 @@
     m_members.heard(heartbeat, std::chrono::steady_clock::now());
     for (const v1::LeavingServer &server : message.leaving_servers())
         m_hooks.onLeavingServer({ server.server(), server.incarnation() });
+    for (const v1::CrashReport &report : message.crashes())
+        m_hooks.onCrash({ report.fingerprint(), report.server() });
     if (message.settings_version() > m_settings.version() && !m_fetching)
         boost::asio::co_spawn(m_io, fetchSettings(heartbeat.name), boost::asio::detached);
 }
