Platform client: tests; late failures no longer lengthen a circuit's pause

Cause: each call that was under way when the circuit opened doubled the pause when it timed out. Change: calls carry the circuit's generation; one from before it opened counts for nothing.

--- a/src/snipestall/peer/claim_keeper_test.cpp
+++ b/src/snipestall/peer/claim_keeper_test.cpp
@@ -240,6 +240,7 @@
     claim(*keeper("sinop-1"), request("k2", "other"));
     const auto samsun = keeper("samsun-1");
     std::vector<Slot<ClaimOutcome>> outcomes;
+    outcomes.reserve(3);
     for (const std::string key : { "k1", "k2", "k3" })
         outcomes.push_back(start(*samsun, request(key, "mine-" + key)));
     drain(m_io);
@@ -254,6 +255,7 @@
 {
     const auto samsun = keeper("samsun-1");
     std::vector<Slot<ClaimOutcome>> outcomes;
+    outcomes.reserve(50);
     for (int i = 0; i < 50; ++i)
         outcomes.push_back(start(*samsun, request("k" + std::to_string(i), "a")));
     drain(m_io);
--- a/src/snipestall/platform/circuit.cpp
+++ b/src/snipestall/platform/circuit.cpp
@@ -14,19 +14,21 @@
     , m_random(seed)
 { }
 
-bool Circuit::admit(SteadyTime now)
+std::optional<Circuit::Ticket> Circuit::admit(SteadyTime now)
 {
     const bool mayProbe = m_inFlight == 0 && now >= m_nextProbe;
     if (m_phase == Phase::Open && !mayProbe)
-        return false;
+        return std::nullopt;
     if (m_phase == Phase::Recovering && m_inFlight >= m_allowance)
-        return false;
+        return std::nullopt;
     ++m_inFlight;
-    return true;
+    return Ticket { m_generation };
 }
 
-void Circuit::succeeded()
+void Circuit::succeeded(Ticket ticket)
 {
+    if (ticket.generation != m_generation)
+        return;
     --m_inFlight;
     m_failuresInRow = 0;
     if (m_phase == Phase::Closed)
@@ -40,8 +42,10 @@
         m_phase = Phase::Closed;
 }
 
-void Circuit::failed(SteadyTime now, const std::string &cause)
+void Circuit::failed(Ticket ticket, SteadyTime now, const std::string &cause)
 {
+    if (ticket.generation != m_generation)
+        return;
     --m_inFlight;
     ++m_failuresInRow;
     // A recovering service that fails again gets no second chance of three calls.
@@ -55,6 +59,8 @@
         logEvent(events::PlatformUnavailable, { { "service", m_service }, { "cause", cause } });
     const bool again = m_phase != Phase::Closed;
     m_phase = Phase::Open;
+    ++m_generation;
+    m_inFlight = 0;
     m_pause = again ? std::min(m_pause * 2, m_options.longestPause) : m_options.firstPause;
     // Half the pause is fixed, half random: probes of many instances spread over the pause.
     const auto half = static_cast<std::uint64_t>(m_pause.count()) / 2;
--- a/src/snipestall/platform/circuit.hpp
+++ b/src/snipestall/platform/circuit.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace snipestall::platform {
@@ -19,12 +20,18 @@
 public:
     Circuit(std::string service, CircuitOptions options, std::uint64_t seed);
 
-    /// Whether a call may be made now; each true is followed by one succeeded() or failed().
-    bool admit(SteadyTime now);
-    void succeeded();
-    void failed(SteadyTime now, const std::string &cause);
+    /// Stands for one admitted call. Calls that were under way when the circuit opened say nothing
+    /// new when they fail one after the other, so a ticket from before counts for nothing.
+    struct Ticket
+    {
+        std::uint64_t generation = 0;
+    };
+
+    /// Nothing if no call may be made now; each ticket is given back by succeeded() or failed().
+    std::optional<Ticket> admit(SteadyTime now);
+    void succeeded(Ticket ticket);
+    void failed(Ticket ticket, SteadyTime now, const std::string &cause);
 
-    [[nodiscard]] bool closed() const { return m_phase == Phase::Closed; }
     [[nodiscard]] bool answering() const { return m_phase != Phase::Open; }
 
 private:
@@ -40,8 +47,10 @@
     std::string m_service;
     CircuitOptions m_options;
     Random m_random;
+    std::uint64_t m_generation = 0;
     Phase m_phase = Phase::Closed;
     std::size_t m_failuresInRow = 0;
+    /// Calls of this generation.
     std::size_t m_inFlight = 0;
     std::size_t m_allowance = 1;
     std::chrono::milliseconds m_pause { 0 };
--- a/src/snipestall/platform/http_platform.cpp
+++ b/src/snipestall/platform/http_platform.cpp
@@ -104,7 +104,8 @@
 
 Task<Result<HttpResponse>> HttpPlatform::State::call(Circuit &circuit, HttpRequest request)
 {
-    if (!circuit.admit(clock.steadyNow())) {
+    const auto ticket = circuit.admit(clock.steadyNow());
+    if (!ticket) {
         ++counters.refusedLocally;
         co_return fail(ErrorKind::Unavailable,
                        "the platform does not answer; come back when it has recovered");
@@ -124,9 +125,9 @@
     const bool outage = !response && isOutage(response.error().kind);
     if (outage) {
         ++counters.failures;
-        circuit.failed(clock.steadyNow(), response.error().message);
+        circuit.failed(*ticket, clock.steadyNow(), response.error().message);
     } else {
-        circuit.succeeded();
+        circuit.succeeded(*ticket);
     }
     co_return response;
 }
