--- /dev/null
+++ b/src/snipestall/policy/placing.cpp
@@ -0,0 +1,54 @@
+#include "snipestall/policy/placing.hpp"
+
+#include "snipestall/policy/forwarding.hpp"
+#include "snipestall/policy/lifecycle.hpp"
+#include "snipestall/policy/state.hpp"
+
+#include <chrono>
+
+namespace snipestall::policy {
+namespace {
+
+bool onlyReservedLeft(const Pool &pool)
+{
+    return pool.index.totals().runningOther >= pool.slotsFor(Lane::Other);
+}
+
+/// Time in a slot that is lost if the server goes away half-way.
+double lossSeconds(const Request &request)
+{
+    return std::chrono::duration<double>(request.service).count() / 2;
+}
+
+void serve(State &state, Request &request, Server &server)
+{
+    request.pool->queue.serve(request);
+    state.giveUps.remove(request.giveUpAt, request.handle);
+    dispatch(state, request, server);
+}
+
+bool placeOne(State &state, Pool &pool)
+{
+    if (pool.index.totals().free == 0)
+        return false;
+    Request *request = pool.queue.next(state.now, onlyReservedLeft(pool));
+    if (!request)
+        return false;
+    Server *server = pool.index.pick(lossSeconds(*request));
+    serve(state, *request, *server);
+    return true;
+}
+
+} // namespace
+
+void placeQueued(State &state)
+{
+    for (const std::string &service : state.touched) {
+        Pool &pool = state.pool(service);
+        while (placeOne(state, pool)) { }
+        forwardQueued(state, pool);
+    }
+    state.touched.clear();
+}
+
+} // namespace snipestall::policy
