--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -45,6 +45,7 @@
 extern const EventInfo OperatorChange;
 extern const EventInfo OperatorRefused;
 extern const EventInfo OperatorDrain;
+extern const EventInfo OperatorChangeUnknown;
 
 /// Every event, by number.
 std::span<const EventInfo *const> all();
--- /dev/null
+++ b/src/snipestall/admin/metric_info.cpp
@@ -0,0 +1,88 @@
+#include "metric_info.hpp"
+
+#include "snipestall/admin/metrics.hpp"
+
+#include <array>
+
+namespace snipestall::admin {
+namespace {
+
+constexpr std::array Table {
+    MetricInfo { MetricId::RequestsAccepted, MetricKind::Counter,
+                 "snipestall_requests_accepted_total", "class", "Requests accepted." },
+    MetricInfo { MetricId::Requests, MetricKind::Counter, "snipestall_requests_total",
+                 "class,outcome",
+                 "Requests ended, by outcome: completed, not-run, unknown, failed." },
+    MetricInfo { MetricId::FirstToken, MetricKind::Histogram, "snipestall_first_token_seconds",
+                 "class", "Time from a request's arrival to the first byte of its answer." },
+    MetricInfo { MetricId::InterToken, MetricKind::Histogram, "snipestall_inter_token_seconds",
+                 "class", "Time between two tokens of one stream." },
+    MetricInfo { MetricId::DeadlinesMissed, MetricKind::Counter,
+                 "snipestall_deadlines_missed_total", "class",
+                 "Requests that did not end before their deadline." },
+    MetricInfo { MetricId::QueueLength, MetricKind::Gauge, "snipestall_queue_length", "service",
+                 "Accepted requests that wait for a slot on this instance." },
+    MetricInfo { MetricId::Slots, MetricKind::Gauge, "snipestall_slots", "service",
+                 "Slots of the backend servers that this instance owns, as adapted." },
+    MetricInfo { MetricId::SlotsUsed, MetricKind::Gauge, "snipestall_slots_used", "service",
+                 "Slots in which a request runs." },
+    MetricInfo { MetricId::Retries, MetricKind::Counter, "snipestall_retries_total", "reason",
+                 "Further attempts of accepted requests." },
+    MetricInfo { MetricId::TokensRecomputed, MetricKind::Counter,
+                 "snipestall_tokens_recomputed_total", "service",
+                 "Tokens computed again because earlier work was lost or could not be reused." },
+    MetricInfo { MetricId::TokensGenerated, MetricKind::Counter,
+                 "snipestall_tokens_generated_total", "service", "Tokens passed to callers." },
+    MetricInfo { MetricId::Cost, MetricKind::Gauge, "snipestall_cost_units_per_hour", "service",
+                 "Price of the backend servers that this instance owns." },
+    MetricInfo { MetricId::ControlBytes, MetricKind::Counter, "snipestall_control_bytes_total",
+                 "direction",
+                 "Bytes between instances, without requests and answers: sent, received." },
+    MetricInfo { MetricId::SettingsVersion, MetricKind::Gauge, "snipestall_settings_version", "",
+                 "Version of the settings in force on this instance; 0 while there is none." },
+    MetricInfo { MetricId::StewardLease, MetricKind::Gauge, "snipestall_steward_lease_held", "",
+                 "1 while this instance may give its data centre's orders." },
+    MetricInfo { MetricId::PlatformWrites, MetricKind::Counter, "snipestall_platform_writes_total",
+                 "table,result",
+                 "Transactions on the platform's table, by result: committed, conflict, "
+                 "unavailable, unknown." },
+    MetricInfo { MetricId::PlatformReads, MetricKind::Counter, "snipestall_platform_reads_total",
+                 "", "Rows read from the platform's table." },
+    MetricInfo { MetricId::RequestsHandedOver, MetricKind::Counter,
+                 "snipestall_requests_handed_over_total", "",
+                 "Accepted requests that this instance handed to another when it left." },
+};
+
+constexpr std::array KindNames { "counter", "gauge", "histogram" };
+
+constexpr std::string_view Introduction = R"(# Metrics
+
+Generated from the table in code by `snipestallctl reference metrics`; a test holds this page to it.
+
+`GET /metrics` on an instance's operators' listener, for Prometheus. It asks for no key: it carries no
+names of customers, no prompts and no keys. Classes are `short` and `long` (by `short_tokens` of the
+service) and `plain`.
+
+| metric | kind | labels | meaning |
+|---|---|---|---|
+)";
+
+} // namespace
+
+std::span<const MetricInfo> metricTable()
+{
+    return Table;
+}
+
+std::string metricsPage()
+{
+    std::string page(Introduction);
+    for (const MetricInfo &row : Table) {
+        page.append("| `").append(row.name).append("` | ");
+        page.append(KindNames.at(static_cast<std::size_t>(row.kind))).append(" | ");
+        page.append(row.labels).append(" | ").append(row.help).append(" |\n");
+    }
+    return page;
+}
+
+} // namespace snipestall::admin
--- /dev/null
+++ b/src/snipestall/admin/metric_info.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace snipestall::admin {
+
+enum class MetricKind {
+    Counter,
+    Gauge,
+    Histogram,
+};
+
+/// The families in the order of the table.
+enum class MetricId : std::uint8_t {
+    RequestsAccepted,
+    Requests,
+    FirstToken,
+    InterToken,
+    DeadlinesMissed,
+    QueueLength,
+    Slots,
+    SlotsUsed,
+    Retries,
+    TokensRecomputed,
+    TokensGenerated,
+    Cost,
+    ControlBytes,
+    SettingsVersion,
+    StewardLease,
+    PlatformWrites,
+    PlatformReads,
+    RequestsHandedOver,
+};
+
+/// One metric family.
+struct MetricInfo
+{
+    MetricId id;
+    MetricKind kind;
+    std::string_view name;
+    /// Names of labels, separated by commas.
+    std::string_view labels;
+    std::string_view help;
+};
+
+std::span<const MetricInfo> metricTable();
+
+} // namespace snipestall::admin
--- /dev/null
+++ b/src/snipestall/admin/metrics.cpp
@@ -0,0 +1,196 @@
+#include "snipestall/admin/metrics.hpp"
+
+#include "metric_info.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <map>
+
+namespace snipestall::admin {
+namespace {
+
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Gauge;
+using prometheus::Histogram;
+using prometheus::Labels;
+
+constexpr std::array ClassNames { "short", "long", "plain" };
+constexpr std::array OutcomeNames { "completed", "not-run", "unknown", "failed" };
+constexpr std::array DirectionNames { "sent", "received" };
+
+/// Bounds in seconds, dense around the targets of 1.2 s and 35 ms.
+const Histogram::BucketBoundaries FirstTokenBounds { 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6,
+                                                     0.8,  1.0,   1.2,  1.5, 2.0, 4.0, 10.0 };
+const Histogram::BucketBoundaries InterTokenBounds { 0.005, 0.01,  0.015, 0.02, 0.025,
+                                                     0.03,  0.035, 0.04,  0.05, 0.07,
+                                                     0.1,   0.25,  0.5,   1.0,  5.0 };
+
+template<typename Enum, std::size_t Size>
+std::string nameOf(const std::array<const char *, Size> &names, Enum value)
+{
+    return names.at(static_cast<std::size_t>(value));
+}
+
+double seconds(std::chrono::nanoseconds time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+struct Metrics::Families
+{
+    std::shared_ptr<prometheus::Registry> registry = std::make_shared<prometheus::Registry>();
+    std::map<MetricId, Family<Counter> *> counters;
+    std::map<MetricId, Family<Gauge> *> gauges;
+    std::map<MetricId, Family<Histogram> *> histograms;
+
+    Families();
+
+    void count(MetricId id, const Labels &labels, std::uint64_t by = 1)
+    {
+        counters.at(id)->Add(labels).Increment(static_cast<double>(by));
+    }
+    void set(MetricId id, const Labels &labels, double value)
+    {
+        gauges.at(id)->Add(labels).Set(value);
+    }
+    void observe(MetricId id, RequestClass requestClass, std::chrono::nanoseconds time,
+                 const Histogram::BucketBoundaries &bounds)
+    {
+        const Labels labels { { "class", nameOf(ClassNames, requestClass) } };
+        histograms.at(id)->Add(labels, bounds).Observe(seconds(time));
+    }
+};
+
+Metrics::Families::Families()
+{
+    for (const MetricInfo &row : metricTable()) {
+        const std::string name(row.name);
+        const std::string help(row.help);
+        if (row.kind == MetricKind::Counter)
+            counters[row.id] =
+                &prometheus::BuildCounter().Name(name).Help(help).Register(*registry);
+        if (row.kind == MetricKind::Gauge)
+            gauges[row.id] = &prometheus::BuildGauge().Name(name).Help(help).Register(*registry);
+        if (row.kind == MetricKind::Histogram)
+            histograms[row.id] =
+                &prometheus::BuildHistogram().Name(name).Help(help).Register(*registry);
+    }
+}
+
+std::unique_ptr<Metrics> Metrics::create()
+{
+    return std::unique_ptr<Metrics>(new Metrics(std::make_unique<Families>()));
+}
+
+Metrics::Metrics(std::unique_ptr<Families> families)
+    : m_families(std::move(families))
+{ }
+
+Metrics::~Metrics() = default;
+
+std::shared_ptr<prometheus::Registry> Metrics::registry() const
+{
+    return m_families->registry;
+}
+
+void Metrics::requestAccepted(RequestClass requestClass)
+{
+    m_families->count(MetricId::RequestsAccepted,
+                      { { "class", nameOf(ClassNames, requestClass) } });
+}
+
+void Metrics::requestEnded(RequestClass requestClass, RequestOutcome outcome)
+{
+    m_families->count(MetricId::Requests,
+                      { { "class", nameOf(ClassNames, requestClass) },
+                        { "outcome", nameOf(OutcomeNames, outcome) } });
+}
+
+void Metrics::firstToken(RequestClass requestClass, std::chrono::nanoseconds delay)
+{
+    m_families->observe(MetricId::FirstToken, requestClass, delay, FirstTokenBounds);
+}
+
+void Metrics::interToken(RequestClass requestClass, std::chrono::nanoseconds delay)
+{
+    m_families->observe(MetricId::InterToken, requestClass, delay, InterTokenBounds);
+}
+
+void Metrics::deadlineMissed(RequestClass requestClass)
+{
+    m_families->count(MetricId::DeadlinesMissed, { { "class", nameOf(ClassNames, requestClass) } });
+}
+
+void Metrics::setQueueLength(std::string_view service, std::uint64_t waiting)
+{
+    const Labels labels { { "service", std::string(service) } };
+    m_families->set(MetricId::QueueLength, labels, static_cast<double>(waiting));
+}
+
+void Metrics::setSlots(std::string_view service, std::uint64_t total, std::uint64_t used)
+{
+    const Labels labels { { "service", std::string(service) } };
+    m_families->set(MetricId::Slots, labels, static_cast<double>(total));
+    m_families->set(MetricId::SlotsUsed, labels, static_cast<double>(used));
+}
+
+void Metrics::retried(std::string_view reason)
+{
+    m_families->count(MetricId::Retries, { { "reason", std::string(reason) } });
+}
+
+void Metrics::tokensRecomputed(std::string_view service, std::uint64_t tokens)
+{
+    m_families->count(MetricId::TokensRecomputed, { { "service", std::string(service) } }, tokens);
+}
+
+void Metrics::tokensGenerated(std::string_view service, std::uint64_t tokens)
+{
+    m_families->count(MetricId::TokensGenerated, { { "service", std::string(service) } }, tokens);
+}
+
+void Metrics::setCost(std::string_view service, double unitsPerHour)
+{
+    m_families->set(MetricId::Cost, { { "service", std::string(service) } }, unitsPerHour);
+}
+
+void Metrics::controlBytes(ControlDirection direction, std::uint64_t bytes)
+{
+    m_families->count(MetricId::ControlBytes,
+                      { { "direction", nameOf(DirectionNames, direction) } }, bytes);
+}
+
+void Metrics::setSettingsVersion(std::uint64_t version)
+{
+    m_families->set(MetricId::SettingsVersion, {}, static_cast<double>(version));
+}
+
+void Metrics::setStewardLease(bool isHeld)
+{
+    m_families->set(MetricId::StewardLease, {}, isHeld ? 1 : 0);
+}
+
+void Metrics::platformWrite(std::string_view table, std::string_view result)
+{
+    m_families->count(MetricId::PlatformWrites,
+                      { { "table", std::string(table) }, { "result", std::string(result) } });
+}
+
+void Metrics::platformReads(std::uint64_t rows)
+{
+    m_families->count(MetricId::PlatformReads, {}, rows);
+}
+
+void Metrics::handedOver(std::uint64_t requests)
+{
+    m_families->count(MetricId::RequestsHandedOver, {}, requests);
+}
+
+} // namespace snipestall::admin
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -123,6 +123,11 @@
                                   "The line says why; nothing was applied." };
 const EventInfo OperatorDrain { 702, Severity::Info, "operator-drain",
                                 "An operator asked this instance to drain.", "None." };
+const EventInfo OperatorChangeUnknown {
+    703, Severity::Warning, "operator-change-unknown",
+    "The answer to an operator's change was lost and could not be read back; it may be in.",
+    "Send the change again with the id in the line: it takes effect once at most."
+};
 
 namespace {
 
@@ -164,6 +169,7 @@
     &OperatorChange,
     &OperatorRefused,
     &OperatorDrain,
+    &OperatorChangeUnknown,
 };
 
 } // namespace
