--- a/src/snipestall/admin/admin_routes.cpp
+++ b/src/snipestall/admin/admin_routes.cpp
@@ -73,6 +73,7 @@
                                         const std::vector<settings::Difference> &theirs)
 {
     std::vector<settings::Edit> paths;
+    paths.reserve(theirs.size());
     for (const settings::Difference &difference : theirs)
         paths.push_back({ difference.path, std::nullopt });
     std::vector<peer::AuditRecord> found;
@@ -223,7 +224,8 @@
                                                         peer::ChangeRefusal refused)
 {
     constexpr std::size_t RecentRecords = 50;
-    logEvent(events::OperatorRefused,
+    const bool isUnknown = refused.error.kind == ErrorKind::OutcomeUnknown;
+    logEvent(isUnknown ? events::OperatorChangeUnknown : events::OperatorRefused,
              { { "operator", who }, { "change", changeId }, { "why", refused.error.message } });
     RefusalMessage message;
     message.error = std::move(refused.error);
--- a/src/snipestall/admin/operator_auth.cpp
+++ b/src/snipestall/admin/operator_auth.cpp
@@ -1,12 +1,32 @@
 #include "operator_auth.hpp"
 
-#include "snipestall/admin/operator_key.hpp"
 #include "snipestall/peer/settings_keeper.hpp"
 #include "snipestall/peer/settings_store.hpp"
+#include "snipestall/settings/key_holder.hpp"
+#include "snipestall/wire/http_request.hpp"
 
+#include <boost/beast/core/string.hpp>
+
+#include <optional>
+#include <string_view>
 #include <utility>
 
 namespace snipestall::admin {
+namespace {
+
+/// The key of "Authorization: Bearer KEY"; nothing if there is none.
+std::optional<std::string> bearerKey(const wire::HttpRequest &request)
+{
+    constexpr std::string_view Scheme = "Bearer ";
+    const auto header = request.fields.find("Authorization");
+    if (!header || header->size() <= Scheme.size())
+        return std::nullopt;
+    if (!boost::beast::iequals(std::string_view(*header).substr(0, Scheme.size()), Scheme))
+        return std::nullopt;
+    return header->substr(Scheme.size());
+}
+
+} // namespace
 
 OperatorAuth::OperatorAuth(peer::SettingsStore &store, peer::SettingsKeeper &keeper,
                            std::string bootstrapKeyHash)
@@ -46,10 +66,10 @@
     const auto configured = co_await haveSettings();
     if (!configured)
         co_return tl::unexpected<Error>(configured.error());
-    if (!*configured && keyHasHash(*key, m_bootstrapKeyHash))
+    if (!*configured && settings::keyHasHash(*key, m_bootstrapKeyHash))
         co_return std::string(BootstrapOperator);
     if (*configured) {
-        if (auto name = holderOfKey(m_keeper.effective()->operatorByKeyHash, *key))
+        if (auto name = settings::holderOfKey(m_keeper.effective()->operatorByKeyHash, *key))
             co_return std::move(*name);
     }
     co_return fail(ErrorKind::Unauthenticated,
