Placing: cached prefixes with bounded load, adaptive concurrency, reports

Cause: placing looked at free slots alone. A repeated prompt was recomputed on whichever server was least loaded, and a server whose tokens come late when full stayed full.

Change: an index of prefix holders per pool (own dispatches and cache events, 512 prefixes a server); a holder takes a request while it is within 1.25 of the mean load or half its limit. The limit of a server follows its inter-token time against the leaf's target, additive up, multiplicative down, never under a quarter of the slots, and not again while more runs than the limit: the first run of the test, without that condition, lowered on while earlier streams ended, down to the floor. A load report takes slots away for work of other instances and never adds any, so a report that says idle attracts nothing.

--- a/src/snipestall/policy/fake_fleet.hpp
+++ b/src/snipestall/policy/fake_fleet.hpp
@@ -25,6 +25,8 @@
         std::uint32_t slots = 0;
         Duration prompt = std::chrono::milliseconds(50);
         Duration perToken = std::chrono::milliseconds(20);
+        /// Part by which each request beside it slows a token.
+        double crowding = 0;
         /// How its attempts end.
         AttemptResult result = AttemptResult::Completed;
         bool leaving = false;
@@ -294,10 +296,13 @@
         }
         const std::uint32_t tokens = outcome.request.maxTokens;
         const std::uint32_t parts = 10;
+        const double slowdown =
+            1.0 + backend.crowding * static_cast<double>(backend.running.size() - 1);
+        const auto perToken = std::chrono::duration_cast<Duration>(slowdown * backend.perToken);
         Time at = now + backend.prompt;
         for (std::uint32_t part = 0; part < parts && tokens > 0; ++part) {
             add(at, { attempt.value, tokens / parts, false, false });
-            at += backend.perToken * (tokens / parts);
+            at += perToken * (tokens / parts);
         }
         add(at, { attempt.value, 0, true, false });
     }
--- a/src/snipestall/policy/fleet.cpp
+++ b/src/snipestall/policy/fleet.cpp
@@ -109,6 +109,7 @@
     if (!server)
         return;
     server->gone = true;
+    server->pool->prefixes.forget(event.server);
     server->pool->index.update(*server);
     state.touch(*server->pool);
     // What still runs there ends by its own events; the row stays until then.
--- a/src/snipestall/policy/lifecycle.cpp
+++ b/src/snipestall/policy/lifecycle.cpp
@@ -95,6 +95,7 @@
     request.lastTokenAt = state.now;
     request.firstTokenSeen = false;
     server.requests.insert(request.handle.value);
+    server.peak = std::max(server.peak, server.running());
     server.runningOther += request.shortUrgent ? 0 : 1;
     server.pool->index.update(server);
     state.emit(Dispatch { request.handle, request.attempt, server.handle });
--- a/src/snipestall/policy/outcomes.cpp
+++ b/src/snipestall/policy/outcomes.cpp
@@ -1,14 +1,18 @@
 #include "snipestall/policy/outcomes.hpp"
 
+#include "snipestall/policy/concurrency.hpp"
 #include "snipestall/policy/lifecycle.hpp"
 #include "snipestall/policy/retry.hpp"
 #include "snipestall/policy/state.hpp"
 
 #include <algorithm>
+#include <chrono>
 
 namespace snipestall::policy {
 namespace {
 
+using Seconds = std::chrono::duration<double>;
+
 /// Weight of one answer in the learned length of answers.
 constexpr double LengthGain = 0.05;
 
@@ -23,6 +27,11 @@
 {
     const Duration taken = state.now - request.lastTokenAt;
     request.pool->serviceTime.learnOutput(count, taken);
+    const Duration target = request.flow->leaf.interTokenTarget;
+    if (count == 0 || target <= Duration::zero())
+        return;
+    const double tokens = count;
+    observePace(state, *request.server, Seconds(taken) / Seconds(target) / tokens);
 }
 
 /// The estimate was charged when the request was served; what it really took is known now.
--- a/src/snipestall/policy/placing.cpp
+++ b/src/snipestall/policy/placing.cpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/policy/forwarding.hpp"
 #include "snipestall/policy/lifecycle.hpp"
+#include "snipestall/policy/prefix_placing.hpp"
 #include "snipestall/policy/state.hpp"
 
 #include <chrono>
@@ -24,6 +25,7 @@
 {
     request.pool->queue.serve(request);
     state.giveUps.remove(request.giveUpAt, request.handle);
+    rememberPrefix(request, server);
     dispatch(state, request, server);
 }
 
@@ -34,7 +36,9 @@
     Request *request = pool.queue.next(state.now, onlyReservedLeft(pool));
     if (!request)
         return false;
-    Server *server = pool.index.pick(lossSeconds(*request));
+    Server *server = cachedServer(state, *request);
+    if (!server)
+        server = pool.index.pick(lossSeconds(*request));
     serve(state, *request, *server);
     return true;
 }
--- a/src/snipestall/policy/pool.hpp
+++ b/src/snipestall/policy/pool.hpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/policy/fair_queue.hpp"
 #include "snipestall/policy/flow.hpp"
+#include "snipestall/policy/prefix_index.hpp"
 #include "snipestall/policy/server.hpp"
 #include "snipestall/policy/server_index.hpp"
 #include "snipestall/policy/service_time.hpp"
@@ -27,6 +28,7 @@
     std::map<ServerHandle, Server *> servers;
     std::map<std::string, std::unique_ptr<Flow>, std::less<>> flows;
     ServiceTime serviceTime;
+    PrefixIndex prefixes;
 
     /// Slots that only short urgent work may use.
     [[nodiscard]] std::uint32_t reservedSlots() const;
--- a/src/snipestall/policy/server.hpp
+++ b/src/snipestall/policy/server.hpp
@@ -15,6 +15,9 @@
 /// Row of the backend server table: one incarnation of an owned backend server.
 struct Server
 {
+    /// Neither fast enough for a higher limit nor slow enough for a lower one.
+    static constexpr double RestingPace = 0.9;
+
     ServerHandle handle;
     Pool *pool = nullptr;
     std::string dataCentre;
@@ -32,14 +35,26 @@
     /// Of these, those that may not use the reserved slots.
     std::uint32_t runningOther = 0;
 
+    /// Recent time for one token over its target; 1 is just in time.
+    double pace = RestingPace;
+    Time adjustedAt;
+
+    /// Requests there that other instances sent, by the server's own report.
+    std::uint32_t foreign = 0;
+    /// Most that ran side by side since the last report, and in the time before that.
+    std::uint32_t peak = 0;
+    std::uint32_t lastPeak = 0;
+
     [[nodiscard]] std::uint32_t running() const
     {
         return static_cast<std::uint32_t>(requests.size());
     }
+    /// Slots in use, by whomever.
+    [[nodiscard]] std::uint32_t occupied() const { return running() + foreign; }
     [[nodiscard]] bool usable() const { return !leaving && !gone; }
     [[nodiscard]] std::uint32_t freeSlots() const
     {
-        return usable() && running() < limit ? limit - running() : 0;
+        return usable() && occupied() < limit ? limit - occupied() : 0;
     }
 };
 
--- a/src/snipestall/policy/server_index.cpp
+++ b/src/snipestall/policy/server_index.cpp
@@ -20,7 +20,7 @@
 
 std::uint32_t loadOf(const Server &server)
 {
-    return (server.running() + 1) * FullLoad / server.limit;
+    return (server.occupied() + 1) * FullLoad / server.limit;
 }
 
 ServerIndex::Totals totalsOf(const Server &server)
--- a/src/snipestall/policy/world.cpp
+++ b/src/snipestall/policy/world.cpp
@@ -1,6 +1,7 @@
 #include "snipestall/policy/world.hpp"
 
 #include "snipestall/policy/admission.hpp"
+#include "snipestall/policy/concurrency.hpp"
 #include "snipestall/policy/fleet.hpp"
 #include "snipestall/policy/outcomes.hpp"
 #include "snipestall/policy/placing.hpp"
@@ -26,8 +27,8 @@
     void operator()(const ServerUp &event) const { onServerUp(state, event); }
     void operator()(const ServerLeaving &event) const { onServerLeaving(state, event); }
     void operator()(const ServerGone &event) const { onServerGone(state, event); }
-    void operator()(const ServerReport &) const { }
-    void operator()(const CacheChanged &) const { }
+    void operator()(const ServerReport &event) const { onServerReport(state, event); }
+    void operator()(const CacheChanged &event) const { onCacheChanged(state, event); }
     void operator()(const PeerSummary &event) const { onPeerSummary(state, event); }
     void operator()(const PeerGone &event) const { onPeerGone(state, event); }
     void operator()(const SelfLeaving &) const { state.leaving = true; }
