Come-back finds a request whose home died a moment ago; short codes in errors

Cause: (1) a caller that came back right after its home died got 404: the home still counted as live, and the search ended there. (2) a repeat that found its key held by a claim which was then abandoned waited its whole deadline and got `unknown`. (3) the error's type was a sentence. Ruled out for (1): a shorter term for suspicion (a pause of the scheduler would move requests). Change: only the home's own word that it knows no such request ends the search; a key that is free again is claimed; FinalAnswer has a code beside its reason.

--- a/include/snipestall/entry/caller_api.hpp
+++ b/include/snipestall/entry/caller_api.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipestall/base/result.hpp"
 #include "snipestall/entry/request.hpp"
 #include "snipestall/wire/http_server.hpp"
 #include "snipestall/wire/task.hpp"
@@ -9,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace snipestall::peer {
 class ForwardCall;
@@ -73,8 +75,11 @@
     wire::Task<void> answer(Call &call, RequestPtr request, bool stream, bool chat);
     wire::Task<void> refuseInvalid(Call &call, int status, std::string message);
     wire::Task<RequestPtr> locate(std::string id, std::string customer, std::uint64_t offset);
-    wire::Task<RequestPtr> askPeer(std::string peer, std::string id, std::string customer,
-                                   std::uint64_t offset);
+    /// NotFound if the peer says so; anything else if it does not answer.
+    wire::Task<Result<RequestPtr>> askPeer(std::string peer, std::string id, std::string customer,
+                                           std::uint64_t offset);
+    [[nodiscard]] std::vector<std::string> holders(const std::string &id,
+                                                   const std::string &home) const;
     wire::Task<void> follow(RequestPtr mirror, std::shared_ptr<peer::ForwardCall> call);
     bool fillSpec(const Call &call, const settings::ServiceSettings &service, RequestSpec &spec);
     std::string newRequestId();
--- a/include/snipestall/entry/dispatcher.hpp
+++ b/include/snipestall/entry/dispatcher.hpp
@@ -98,6 +98,8 @@
 private:
     struct Attempt;
 
+    /// Puts a request before the policy, for the first time or again.
+    void submit(const RequestPtr &request, bool accepted);
     wire::Task<void> runOnServer(RequestPtr request, policy::AttemptHandle handle, Backend server,
                                  std::string kv);
     wire::Task<void> runOnPeer(RequestPtr request, policy::AttemptHandle handle, std::string peer);
--- a/include/snipestall/entry/final_answer.hpp
+++ b/include/snipestall/entry/final_answer.hpp
@@ -27,7 +27,9 @@
     int status = 500;
     std::string contentType;
     std::string body;
-    /// Names the remedy when the outcome is not Completed.
+    /// Short fixed word for programs, when the outcome is not Completed.
+    std::string code;
+    /// For people: what happened.
     std::string reason;
     /// When to come back; zero when that is of no use.
     std::chrono::milliseconds retryAfter {};
--- a/src/snipestall/entry/answer_writer.cpp
+++ b/src/snipestall/entry/answer_writer.cpp
@@ -40,7 +40,7 @@
 {
     const FinalAnswer &answer = *request.finalAnswer();
     const std::string message = answer.reason + ": " + std::string(advice(answer.outcome));
-    auto response = errorResponse(answer.status, toString(answer.outcome), answer.reason, message,
+    auto response = errorResponse(answer.status, toString(answer.outcome), answer.code, message,
                                   answer.retryAfter);
     response.fields.set("Snipestall-Request-Id", request.spec().id);
     return response;
@@ -115,7 +115,7 @@
     if (answer.outcome == Outcome::Completed)
         return "data: [DONE]\n\n";
     json::object error;
-    error["type"] = answer.reason;
+    error["type"] = answer.code;
     error["message"] = answer.reason + ": " + std::string(advice(answer.outcome));
     error["outcome"] = toString(answer.outcome);
     json::object envelope;
--- a/src/snipestall/entry/attempt_on_peer.cpp
+++ b/src/snipestall/entry/attempt_on_peer.cpp
@@ -26,6 +26,7 @@
     answer.status = static_cast<int>(event.status());
     answer.contentType = event.content_type();
     answer.reason = event.reason();
+    answer.code = event.code();
     return answer;
 }
 
@@ -49,6 +50,7 @@
         FinalAnswer answer;
         answer.outcome = Outcome::Unknown;
         answer.status = 504;
+        answer.code = "outcome-unknown";
         answer.reason = "an earlier attempt may have run";
         co_return finish(request, std::move(answer));
     }
--- a/src/snipestall/entry/attempt_on_server.cpp
+++ b/src/snipestall/entry/attempt_on_server.cpp
@@ -100,6 +100,7 @@
     FinalAnswer answer;
     answer.outcome = Outcome::Unknown;
     answer.status = StatusGatewayTimeout;
+    answer.code = "outcome-unknown";
     answer.reason = std::move(reason);
     return answer;
 }
@@ -174,17 +175,18 @@
         FinalAnswer answer;
         answer.outcome = Outcome::NotRun;
         answer.status = StatusUnavailable;
+        answer.code = "platform-unavailable";
         answer.reason = "the platform's table does not answer: a request that must not run twice "
                         "can't be claimed";
         answer.retryAfter = DefaultRetryAfter;
         finish(request, std::move(answer));
         co_return false;
     }
-    logEvent(events::ClaimLost, { { "request", spec.id }, { "holder", outcome.holderRequest } });
     if (outcome.bodyHash != claim.bodyHash) {
         FinalAnswer answer;
         answer.outcome = Outcome::NotRun;
         answer.status = 409;
+        answer.code = "key-reused";
         answer.reason = "this Idempotency-Key was used with another body; choose a new key";
         finish(request, std::move(answer));
         co_return false;
@@ -204,13 +206,20 @@
     while (!request->finished() && steady_clock::now() < spec.deadline) {
         const peer::ClaimKey key { spec.customer, spec.service, spec.idempotencyKey };
         const auto found = co_await m_links.claims->lookup(key);
-        if (found && found->has_value() && (*found)->outcome) {
+        // The holder gave the key back, or its claim never took effect: this request's turn.
+        if (found && !found->has_value())
+            co_return submit(request, true);
+        if (found && (*found)->outcome) {
             const peer::StoredOutcome &stored = *(*found)->outcome;
             FinalAnswer answer;
             answer.outcome = outcomeFrom(stored.outcome);
             answer.status = stored.status;
             answer.contentType = stored.contentType;
             answer.body = stored.body;
+            if (answer.outcome != Outcome::Completed) {
+                answer.code = "outcome-unknown";
+                answer.reason = "an earlier attempt with this key ended so";
+            }
             finish(request, std::move(answer));
             co_return;
         }
@@ -355,8 +364,10 @@
     answer.status = status;
     answer.contentType = std::move(contentType);
     answer.body = std::move(body);
-    if (refused)
+    if (refused) {
+        answer.code = "rejected";
         answer.reason = "the backend server answered " + std::to_string(status);
+    }
     ended(attempt, refused ? policy::AttemptResult::Rejected : policy::AttemptResult::Completed);
     const bool claimed = !spec.idempotent && !spec.idempotencyKey.empty();
     if (claimed) {
--- a/src/snipestall/entry/caller_api.cpp
+++ b/src/snipestall/entry/caller_api.cpp
@@ -113,7 +113,7 @@
 
 wire::Task<void> CallerApi::handle(wire::HttpExchange &exchange)
 {
-    static const std::array<RouteEntry, 5> Routes { {
+    static const std::array<RouteEntry, 5> routes { {
         { "POST", "/v1/chat/completions", false, &CallerApi::chat },
         { "POST", "/v1/completions", false, &CallerApi::complete },
         { "GET", "/v1/models", false, &CallerApi::models },
@@ -136,7 +136,7 @@
         co_return;
     }
     call.customer = customer->second;
-    for (const RouteEntry &entry : Routes) {
+    for (const RouteEntry &entry : routes) {
         const std::string_view path = call.request.path();
         const bool fits = entry.prefix ? path.starts_with(entry.path) : path == entry.path;
         if (!fits)
--- a/src/snipestall/entry/caller_come_back.cpp
+++ b/src/snipestall/entry/caller_come_back.cpp
@@ -74,8 +74,9 @@
     co_await answer(call, request, stream, call.request.query("form") != "completion");
 }
 
-/// Here, at its home, or with the instances that may hold its copy; a home that has just died is
-/// waited for until one of them has taken over.
+/// Here, at its home, or with the instances that may hold its copy. A home that does not answer
+/// may have died a moment ago and still count as live here: then the search goes on until one of
+/// the others has taken the request over. Only the home's own word ends it sooner.
 wire::Task<RequestPtr> CallerApi::locate(std::string id, std::string customer, std::uint64_t offset)
 {
     const std::string home = id.substr(0, id.find('~'));
@@ -84,43 +85,53 @@
         const RequestPtr local = m_links.store->find(id);
         if (local != nullptr && !local->moved)
             co_return local->spec().customer == customer ? local : nullptr;
-        const peer::Member *member = m_links.members->find(home);
-        const std::string dataCentre =
-            member != nullptr ? member->dataCentre : m_links.members->dataCentre();
-        std::vector<std::string> asked = m_links.members->membersOf(dataCentre);
-        std::erase(asked, home);
-        asked = rendezvousOrder(id, asked);
-        asked.resize(std::min(asked.size(), MaxAsked));
-        if (member != nullptr)
-            asked.insert(asked.begin(), home);
-        for (const std::string &peer : asked) {
-            RequestPtr found = co_await askPeer(peer, id, customer, offset);
-            if (found != nullptr)
-                co_return found;
+        bool homeDenies = false;
+        for (const std::string &peer : holders(id, home)) {
+            auto found = co_await askPeer(peer, id, customer, offset);
+            if (found)
+                co_return *found;
+            const bool denies = found.error().kind == ErrorKind::NotFound;
+            homeDenies = homeDenies || (peer == home && denies);
         }
-        const bool homeLives = member != nullptr && member->state == peer::MemberState::Live;
-        const bool stranger = member == nullptr && home != m_links.members->self();
-        if (homeLives || stranger || steady_clock::now() >= until)
+        const bool homeKnown =
+            m_links.members->find(home) != nullptr || home == m_links.members->self();
+        if (homeDenies || !homeKnown || steady_clock::now() >= until)
             co_return nullptr;
         co_await wire::sleepFor(SearchPause);
     }
 }
 
-wire::Task<RequestPtr> CallerApi::askPeer(std::string peer, std::string id, std::string customer,
-                                          std::uint64_t offset)
+std::vector<std::string> CallerApi::holders(const std::string &id, const std::string &home) const
+{
+    const peer::Member *member = m_links.members->find(home);
+    const std::string &dataCentre =
+        member != nullptr ? member->dataCentre : m_links.members->dataCentre();
+    std::vector<std::string> asked = m_links.members->membersOf(dataCentre);
+    std::erase(asked, home);
+    asked = rendezvousOrder(id, asked);
+    asked.resize(std::min(asked.size(), MaxAsked));
+    if (member != nullptr)
+        asked.insert(asked.begin(), home);
+    return asked;
+}
+
+wire::Task<Result<RequestPtr>> CallerApi::askPeer(std::string peer, std::string id,
+                                                  std::string customer, std::uint64_t offset)
 {
     peer::PeerClient *client = m_links.network->client(peer);
     if (client == nullptr)
-        co_return nullptr;
+        co_return fail(ErrorKind::Unavailable, "no address of '" + peer + "' is known");
     peer::v1::FindRequestRequest question;
     question.set_request(id);
     question.set_customer(customer);
     question.set_offset(offset);
     const std::shared_ptr<peer::ForwardCall> call = client->findRequest(question, FollowTimeout);
     auto first = co_await call->read();
-    const bool found = first && first->has_value() && (*first)->kind() == ForwardEvent::ACCEPTED;
+    if (!first)
+        co_return tl::unexpected<Error>(first.error());
+    const bool found = first->has_value() && (*first)->kind() == ForwardEvent::ACCEPTED;
     if (!found)
-        co_return nullptr;
+        co_return fail(ErrorKind::NotFound, "'" + peer + "' does not know it");
     RequestSpec spec;
     spec.id = id;
     spec.customer = customer;
@@ -151,6 +162,7 @@
         answer.contentType = event.content_type();
         answer.body = event.data();
         answer.reason = event.reason();
+        answer.code = event.code();
         answer.retryAfter = milliseconds(event.retry_after_ms());
         if (event.kind() == ForwardEvent::END)
             answer.outcome = Outcome::Completed;
--- a/src/snipestall/entry/dispatcher.cpp
+++ b/src/snipestall/entry/dispatcher.cpp
@@ -55,12 +55,43 @@
     return event;
 }
 
+std::string_view explain(policy::RefusalReason reason)
+{
+    using policy::RefusalReason;
+    switch (reason) {
+    case RefusalReason::UnknownService:
+        return "this data centre has no such service for you";
+    case RefusalReason::RateLimit:
+        return "more requests a second than your limit";
+    case RefusalReason::TokenLimit:
+        return "more tokens a second than your limit";
+    case RefusalReason::ConcurrencyLimit:
+        return "more requests at once than your limit";
+    case RefusalReason::Late:
+        return "it could not be answered before its deadline";
+    case RefusalReason::QueueFull:
+        return "too much waits already";
+    case RefusalReason::NoCapacity:
+        return "no backend server can take it now";
+    case RefusalReason::Leaving:
+        return "this instance is leaving";
+    case RefusalReason::RetriesExhausted:
+        return "its attempts failed";
+    case RefusalReason::Quarantined:
+        return "it took down two backend servers; change it before you send it again";
+    case RefusalReason::Expired:
+        return "its deadline passed";
+    }
+    return "no backend server can take it now";
+}
+
 /// What a refusal means to the caller, by what is known of its attempts.
 FinalAnswer refusal(const Request &request, const policy::Refuse &command)
 {
     FinalAnswer answer;
     answer.retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(command.retryAfter);
-    answer.reason = std::string(policy::toString(command.reason));
+    answer.code = std::string(policy::toString(command.reason));
+    answer.reason = std::string(explain(command.reason));
     const bool quarantined = command.reason == policy::RefusalReason::Quarantined;
     if (quarantined)
         answer.retryAfter = {};
@@ -88,12 +119,12 @@
         event = &events::RequestOutcomeUnknown;
     if (answer.outcome == Outcome::Failed)
         event = &events::RequestFailed;
-    if (answer.reason == policy::toString(policy::RefusalReason::Quarantined))
+    if (answer.code == policy::toString(policy::RefusalReason::Quarantined))
         event = &events::RequestQuarantined;
     logEvent(*event,
              { { "request", request.spec().id },
                { "customer", request.spec().customer },
-               { "reason", answer.reason } });
+               { "reason", answer.code } });
 }
 
 } // namespace
@@ -113,6 +144,13 @@
 void Dispatcher::arrive(const RequestPtr &request, bool accepted)
 {
     m_links.store->add(request);
+    submit(request, accepted);
+    if (!request->forwarded)
+        boost::asio::co_spawn(*m_links.io, replicate(request), boost::asio::detached);
+}
+
+void Dispatcher::submit(const RequestPtr &request, bool accepted)
+{
     // A caller whose request took a server down sends it again, perhaps at another instance. Its
     // fingerprint brings along which servers died with it, so that it is not given a third.
     const RequestSpec &spec = request->spec();
@@ -122,8 +160,6 @@
     policy::RequestArrived event = arrival(*request, accepted);
     event.crashes = static_cast<std::uint32_t>(request->crashedServers().size());
     m_links.policy->post(std::move(event));
-    if (!request->forwarded)
-        boost::asio::co_spawn(*m_links.io, replicate(request), boost::asio::detached);
 }
 
 void Dispatcher::cancel(const RequestPtr &request)
@@ -133,7 +169,8 @@
     FinalAnswer answer;
     answer.outcome = request->maybeSent() ? Outcome::Failed : Outcome::NotRun;
     answer.status = 499;
-    answer.reason = "cancelled";
+    answer.code = "cancelled";
+    answer.reason = "nobody waits for the answer any more";
     finish(request, std::move(answer));
 }
 
--- a/src/snipestall/entry/forward_relay.cpp
+++ b/src/snipestall/entry/forward_relay.cpp
@@ -37,6 +37,7 @@
     event.set_content_type(answer.contentType);
     event.set_data(answer.body);
     event.set_reason(answer.reason);
+    event.set_code(answer.code);
     event.set_retry_after_ms(static_cast<std::uint32_t>(answer.retryAfter.count()));
     if (!request.crashedServers().empty()) {
         event.set_server_died(true);
--- a/src/snipestall/entry/node_peers.cpp
+++ b/src/snipestall/entry/node_peers.cpp
@@ -22,6 +22,7 @@
     FinalAnswer answer;
     answer.outcome = Outcome::Unknown;
     answer.status = 504;
+    answer.code = "outcome-unknown";
     answer.reason = std::move(reason);
     return answer;
 }
--- a/src/snipestall/entry/request.cpp
+++ b/src/snipestall/entry/request.cpp
@@ -93,6 +93,7 @@
         answer.body = record.final_body();
         answer.contentType = record.final_content_type();
         answer.reason = record.reason();
+        answer.code = record.code();
         request->finish(std::move(answer));
     }
     request->m_released = request->progress();
@@ -165,6 +166,7 @@
         record.set_final_body(m_final->body);
         record.set_final_content_type(m_final->contentType);
         record.set_reason(m_final->reason);
+        record.set_code(m_final->code);
     }
     return record;
 }
--- a/src/snipestall/peer/record_keeper.cpp
+++ b/src/snipestall/peer/record_keeper.cpp
@@ -312,6 +312,7 @@
                 copy.record.set_status(update.status());
                 copy.record.set_outcome(update.outcome());
                 copy.record.set_reason(update.reason());
+                copy.record.set_code(update.code());
                 copy.record.set_final_body(update.final_body());
                 copy.record.set_final_content_type(update.final_content_type());
             }
