snipestallctl: settings, audit, status and drain from the command line

Cause: operators drive the system only by changing the settings tree, race each other, and meet lost answers.

Ruled out: sending an edited file as a whole (it would put back what others changed since it was read), so apply sends only what the file changes against the version in its first line; ending with "failed" after a lost answer, so the same change id is sent again until the outcome is known, and a later "not in" of another attempt does not count as an answer.

Change: commands get, set, unset, apply, diff, history, audit, rollback, status, drain, explain, check, new-key, reference, completion; exit codes 0 to 4; table, JSON and YAML.

--- /dev/null
+++ b/apps/snipestallctl/command_test.cpp
@@ -0,0 +1,276 @@
+#include "command.hpp"
+
+#include "snipestall/admin/admin_api.hpp"
+#include "snipestall/admin/metrics.hpp"
+#include "snipestall/admin/status_source.hpp"
+#include "snipestall/base/system_clock.hpp"
+#include "snipestall/peer/settings_keeper.hpp"
+#include "snipestall/peer/settings_store.hpp"
+#include "snipestall/platform/fake_table_service.hpp"
+#include "snipestall/settings/sha256.hpp"
+#include "snipestall/wire/http_exchange.hpp"
+
+#include "test_server.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+namespace snipestall::ctl {
+namespace {
+
+using testing::ContainsRegex;
+using testing::HasSubstr;
+using testing::Not;
+
+constexpr const char *BootstrapKey = "first-minute-key";
+constexpr const char *AylasKey = "example-operator-ayla";
+const std::string Karadeniz = SNIPESTALL_SOURCE_DIR "/examples/settings/karadeniz.yaml";
+
+class OneInstance final : public admin::StatusSource
+{
+public:
+    [[nodiscard]] admin::InstanceStatus status() const override
+    {
+        admin::InstanceStatus status;
+        status.instance = "samsun-1";
+        status.dataCentre = "samsun-hall";
+        status.queues.push_back({ "language", 2, 5, std::chrono::milliseconds(30) });
+        return status;
+    }
+};
+
+/// What a command printed and how it ended.
+struct Ended
+{
+    ExitCode code;
+    std::string out;
+    std::string err;
+};
+
+/// Commands against a real operators' API over a table in memory.
+class CommandTest : public testing::Test
+{
+protected:
+    CommandTest()
+        : m_server([this](wire::HttpExchange &exchange) { return m_handler(exchange); })
+    {
+        admin::AdminApi::Dependencies uses;
+        uses.store = &m_store;
+        uses.keeper = &m_keeper;
+        uses.status = &m_status;
+        uses.clock = &m_clock;
+        uses.metrics = m_metrics->registry();
+        uses.drain = [this] { ++m_drains; };
+        uses.bootstrapKeyHash = settings::sha256Hex(BootstrapKey);
+        m_api = admin::AdminApi::create(std::move(uses)).value();
+        m_handler = m_api->handler();
+        m_options.servers = { m_server.endpoint() };
+        m_options.key = BootstrapKey;
+    }
+
+    Ended run(const std::vector<std::string> &words) const
+    {
+        std::ostringstream out;
+        std::ostringstream err;
+        const ExitCode code = ctl::run(words, m_options, out, err);
+        return { code, out.str(), err.str() };
+    }
+
+    void applyExample()
+    {
+        m_options.file = Karadeniz;
+        ASSERT_EQ(run({ "apply" }).code, ExitCode::Ok);
+        m_options.key = AylasKey;
+    }
+
+    std::string fileOf(const std::string &text)
+    {
+        m_file = testing::TempDir() + "snipestallctl-" + std::to_string(getpid()) + ".yaml";
+        std::ofstream(m_file) << text;
+        return m_file;
+    }
+
+    ~CommandTest() override
+    {
+        if (!m_file.empty())
+            std::remove(m_file.c_str());
+    }
+
+    SystemClock m_clock;
+    OneInstance m_status;
+    peer::SettingsKeeper m_keeper { "samsun-hall" };
+    std::unique_ptr<admin::Metrics> m_metrics = admin::Metrics::create();
+    boost::asio::io_context m_unused;
+    platform::FakeTableService m_table { m_unused };
+    peer::SettingsStore m_store { m_table, m_clock };
+    int m_drains = 0;
+    std::unique_ptr<admin::AdminApi> m_api;
+    wire::HttpServer::Handler m_handler;
+    TestServer m_server;
+    Options m_options;
+    std::string m_file;
+};
+
+TEST_F(CommandTest, FromNothingToAChangedLimitInForce)
+{
+    EXPECT_THAT(run({ "get" }).err, HasSubstr("no settings yet"));
+    applyExample();
+    EXPECT_THAT(run({ "apply" }).err, HasSubstr("nothing to change"));
+    const std::string path = "customers/fishing-fleets/limits/concurrency";
+    EXPECT_EQ(run({ "set", path, "100" }).code, ExitCode::Ok);
+    EXPECT_THAT(run({ "get", "customers/fishing-fleets" }).out, HasSubstr(path + "  100"));
+    m_options.effective = true;
+    m_options.customer = "fishing-fleets";
+    m_options.service = "language";
+    const std::string effective = run({ "get" }).out;
+    EXPECT_THAT(effective, ContainsRegex("/limits/concurrency +100 +customers/fishing-fleets\n"));
+    EXPECT_THAT(effective, ContainsRegex("/local/limits/concurrency +30 +share of data_centres"));
+}
+
+TEST_F(CommandTest, RollbackIsANewVersionWithOldContent)
+{
+    applyExample();
+    const std::string first = run({ "get" }).out;
+    run({ "unset", "customers/harbour-office" });
+    EXPECT_NE(run({ "get" }).out, first);
+    EXPECT_EQ(run({ "rollback", "1" }).code, ExitCode::Ok);
+    EXPECT_EQ(run({ "get" }).out, first);
+    const std::string history = run({ "history" }).out;
+    EXPECT_THAT(history, HasSubstr("back to the content of version 1"));
+    EXPECT_THAT(history, HasSubstr("\n3 "));
+    EXPECT_THAT(run({ "audit" }).out, HasSubstr("customers/harbour-office/weight"));
+    EXPECT_EQ(run({ "rollback", "9" }).code, ExitCode::BadInput);
+}
+
+// Deniz takes the document to a file and edits it. Meanwhile ayla changes another customer and then
+// the same one. The first must stay, although the file still has the old value; the second must be
+// shown to deniz, with the way to go on.
+TEST_F(CommandTest, AnEditedFileKeepsWhatOthersChangedAndShowsWhatTheyChangedToo)
+{
+    applyExample();
+    m_options.output = OutputFormat::Yaml;
+    std::string text = run({ "get" }).out;
+    m_options.output = OutputFormat::Table;
+    const std::string wanted = "weight: 3";
+    text.replace(text.find(wanted), wanted.size(), "weight: 4");
+    run({ "set", "customers/coastal-ferries/weight", "1" });
+
+    m_options.key = "example-operator-deniz";
+    m_options.file = fileOf(text);
+    EXPECT_EQ(run({ "apply" }).code, ExitCode::Ok);
+    const std::string now = run({ "get" }).out;
+    EXPECT_THAT(now, HasSubstr("customers/coastal-ferries/weight"));
+    EXPECT_THAT(run({ "get", "customers/coastal-ferries/weight" }).out, HasSubstr("  1\n"));
+    EXPECT_THAT(run({ "get", "customers/harbour-office/weight" }).out, HasSubstr("  4\n"));
+
+    text.replace(text.find("weight: 4"), wanted.size(), "weight: 5");
+    m_options.file = fileOf(text);
+    const Ended refused = run({ "apply" });
+    EXPECT_EQ(refused.code, ExitCode::Refused);
+    EXPECT_THAT(refused.err, HasSubstr("customers/harbour-office/weight: 3 -> 4"));
+    EXPECT_THAT(refused.err, HasSubstr("by deniz"));
+    EXPECT_THAT(refused.err, HasSubstr("--base_version 3"));
+}
+
+TEST_F(CommandTest, EveryFaultIsNamedAndNothingIsApplied)
+{
+    applyExample();
+    const Ended faulty = run({ "set", "fleet/weight", "-1", "fleet/cost_preference", "2" });
+    EXPECT_EQ(faulty.code, ExitCode::BadInput);
+    EXPECT_THAT(faulty.err, HasSubstr("fleet/weight: found -1; allowed: a number above 0"));
+    EXPECT_THAT(faulty.err, HasSubstr("fleet/cost_preference: found 2"));
+    m_options.file = fileOf("fleet: {weigth: 1}");
+    const Ended check = run({ "check" });
+    EXPECT_EQ(check.code, ExitCode::BadInput);
+    EXPECT_THAT(check.err, HasSubstr("did you mean weight?"));
+    EXPECT_EQ(run({ "apply" }).code, ExitCode::BadInput);
+    EXPECT_EQ(m_keeper.version(), 1U);
+}
+
+TEST_F(CommandTest, WithTheTableDownShowsWhatIsInForceAndRefusesChanges)
+{
+    applyExample();
+    m_server.onLoop([this] { m_table.down = true; });
+    const Ended shown = run({ "get", "fleet" });
+    EXPECT_EQ(shown.code, ExitCode::Ok);
+    EXPECT_THAT(shown.err, HasSubstr("does not answer"));
+    EXPECT_EQ(run({ "set", "fleet/weight", "2" }).code, ExitCode::Unreachable);
+}
+
+// The table commits and its answer is lost; then it stays down. The command ends as unknown and
+// names the change's id, with which the operator later learns that the change is in.
+TEST_F(CommandTest, AnUnknownOutcomeNamesTheIdThatSettlesIt)
+{
+    applyExample();
+    m_options.changeId = "my-change";
+    m_server.onLoop([this] {
+        m_table.loseAnswers = 1;
+        m_table.beforeAnswer = [this] { m_table.down = true; };
+    });
+    const Ended unknown = run({ "set", "fleet/weight", "2" });
+    EXPECT_EQ(unknown.code, ExitCode::OutcomeUnknown);
+    EXPECT_THAT(unknown.err, HasSubstr("--change_id my-change"));
+    m_server.onLoop([this] {
+        m_table.beforeAnswer = nullptr;
+        m_table.down = false;
+    });
+    EXPECT_THAT(run({ "set", "fleet/weight", "2" }).out, HasSubstr("2        my-change"));
+}
+
+TEST_F(CommandTest, WrongKeysWordsAndServersEndWithTheirCodes)
+{
+    applyExample();
+    m_options.key = "guess";
+    EXPECT_EQ(run({ "get" }).code, ExitCode::Refused);
+    EXPECT_EQ(run({ "fetch" }).code, ExitCode::BadInput);
+    EXPECT_EQ(run({ "set", "fleet/weight" }).code, ExitCode::BadInput);
+    EXPECT_EQ(run({ "explain", "fleet/wieght" }).code, ExitCode::BadInput);
+    m_options.servers = { { "127.0.0.1", 1 } };
+    EXPECT_EQ(run({ "get" }).code, ExitCode::Unreachable);
+    EXPECT_EQ(run({ "status" }).code, ExitCode::Unreachable);
+}
+
+TEST_F(CommandTest, StatusAsksEveryServerAndDrainExactlyOne)
+{
+    applyExample();
+    m_options.servers.push_back({ "127.0.0.1", 1 });
+    const std::string status = run({ "status" }).out;
+    EXPECT_THAT(status, HasSubstr("samsun-1"));
+    EXPECT_THAT(status, HasSubstr("2 waiting, 5 running, oldest 30ms"));
+    EXPECT_THAT(status, HasSubstr("no answer"));
+    EXPECT_EQ(run({ "drain" }).code, ExitCode::BadInput);
+    m_options.servers.pop_back();
+    EXPECT_EQ(run({ "drain" }).code, ExitCode::Ok);
+    m_server.onLoop([this] { EXPECT_EQ(m_drains, 1); });
+}
+
+TEST_F(CommandTest, JsonAndYamlHoldTheSameContent)
+{
+    applyExample();
+    m_options.output = OutputFormat::Json;
+    EXPECT_THAT(run({ "get", "fleet" }).out, HasSubstr("\"fleet/cost_preference\":\"0.25\""));
+    EXPECT_THAT(run({ "history" }).out, HasSubstr("\"who\":\"bootstrap\""));
+    m_options.output = OutputFormat::Yaml;
+    EXPECT_THAT(run({ "get", "fleet" }).out, HasSubstr("fleet/cost_preference: 0.25"));
+    EXPECT_THAT(run({ "status" }).out, HasSubstr("instance: samsun-1"));
+}
+
+TEST_F(CommandTest, EveryCommandHasHelpAndStandsInTheCompletion)
+{
+    const std::string completion = run({ "completion", "bash" }).out;
+    m_options.help = true;
+    for (const Command &command : commands()) {
+        const Ended help = run({ std::string(command.name) });
+        EXPECT_EQ(help.code, ExitCode::Ok);
+        EXPECT_THAT(help.out, HasSubstr(std::string(command.usage)));
+        EXPECT_THAT(completion, HasSubstr(std::string(command.name)));
+    }
+    EXPECT_THAT(run({}).out, HasSubstr("--base_version"));
+}
+
+} // namespace
+} // namespace snipestall::ctl
