--- /dev/null
+++ b/apps/snipestallctl/docs_test.cpp
@@ -0,0 +1,125 @@
+#include "command.hpp"
+#include "flags.hpp"
+
+#include "test_fleet.hpp"
+
+#include <gflags/gflags.h>
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+namespace snipestall::ctl {
+namespace {
+
+constexpr std::string_view Prompt = "    $ ";
+constexpr std::string_view EndsWith = "# ends with ";
+
+/// One command as the page shows it.
+struct Shown
+{
+    std::string line;
+    std::vector<std::string> words;
+    std::string redirect;
+    int code = 0;
+};
+
+/// Splits like a shell, as far as the page needs it: quotes, a redirection, a comment.
+Shown parse(const std::string &line)
+{
+    Shown shown { line, {}, {}, 0 };
+    const std::size_t ends = line.find(EndsWith);
+    if (ends != std::string::npos)
+        shown.code = std::stoi(line.substr(ends + EndsWith.size()));
+    std::istringstream in(line.substr(0, line.find(" #")));
+    std::string word;
+    while (in >> std::ws && in.good()) {
+        const int quote = in.peek();
+        if (quote == '"' || quote == '\'') {
+            in.get();
+            std::getline(in, word, static_cast<char>(quote));
+        } else {
+            in >> word;
+        }
+        shown.words.push_back(word);
+    }
+    const std::size_t size = shown.words.size();
+    if (size > 2 && shown.words[size - 2] == ">") {
+        shown.redirect = shown.words.back();
+        shown.words.resize(size - 2);
+    }
+    return shown;
+}
+
+std::vector<Shown> commandsOf(const std::string &page)
+{
+    std::ifstream file(page);
+    std::vector<Shown> found;
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with(Prompt))
+            found.push_back(parse(line.substr(Prompt.size())));
+    }
+    return found;
+}
+
+class DocsTest : public TestFleet
+{
+protected:
+    ExitCode runAsShown(const Shown &shown)
+    {
+        const gflags::FlagSaver untouched;
+        std::vector<std::string> words = shown.words;
+        std::vector<char *> argv;
+        argv.reserve(words.size() + 1);
+        for (std::string &word : words)
+            argv.push_back(word.data());
+        argv.push_back(nullptr);
+        auto line = parseCommandLine(static_cast<int>(words.size()), argv.data());
+        if (!line)
+            return ExitCode::BadInput;
+        Options &options = line->options;
+        options.servers = m_options.servers;
+        options.key = m_options.key;
+        if (!options.file.empty())
+            options.file = whereIs(options.file);
+        std::ostringstream out;
+        const ExitCode code = ctl::run(line->words, options, out, m_messages);
+        if (!shown.redirect.empty()) {
+            m_written.push_back(testing::TempDir() + shown.redirect);
+            std::ofstream(m_written.back()) << out.str();
+        }
+        return code;
+    }
+
+    static std::string whereIs(const std::string &name)
+    {
+        const std::string inRepository = SNIPESTALL_SOURCE_DIR "/" + name;
+        return std::ifstream(inRepository) ? inRepository : testing::TempDir() + name;
+    }
+
+    ~DocsTest() override
+    {
+        for (const std::string &file : m_written)
+            std::remove(file.c_str());
+    }
+
+    std::ostringstream m_messages;
+    std::vector<std::string> m_written;
+};
+
+TEST_F(DocsTest, EveryCommandOfThePageRunsAsWritten)
+{
+    const auto commands = commandsOf(SNIPESTALL_SOURCE_DIR "/docs/snipestallctl.md");
+    ASSERT_GT(commands.size(), 25U);
+    for (const Shown &shown : commands) {
+        m_messages.str("");
+        EXPECT_EQ(static_cast<int>(runAsShown(shown)), shown.code) << shown.line << '\n'
+                                                                   << m_messages.str();
+        if (shown.line.find(" apply ") != std::string::npos)
+            m_options.key = AylasKey;
+    }
+}
+
+} // namespace
+} // namespace snipestall::ctl
--- a/apps/snipestallctl/printer.cpp
+++ b/apps/snipestallctl/printer.cpp
@@ -36,8 +36,17 @@
     out << line << '\n';
 }
 
+bool isEmpty(const boost::json::value &value)
+{
+    const auto *object = value.if_object();
+    const auto *array = value.if_array();
+    return (object && object->empty()) || (array && array->empty());
+}
+
 void emit(YAML::Emitter &out, const boost::json::value &value)
 {
+    if (isEmpty(value))
+        out << YAML::Flow;
     if (const auto *object = value.if_object()) {
         out << YAML::BeginMap;
         for (const auto &member : *object) {
--- a/src/snipestall/admin/admin_routes.cpp
+++ b/src/snipestall/admin/admin_routes.cpp
@@ -229,6 +229,9 @@
              { { "operator", who }, { "change", changeId }, { "why", refused.error.message } });
     RefusalMessage message;
     message.error = std::move(refused.error);
+    if (message.error.kind == ErrorKind::Unavailable)
+        message.error.message = "not applied: the platform's table can't be reached ("
+            + message.error.message + "); what is in force stays; try again when it answers";
     message.faults = std::move(refused.faults);
     message.theirs = std::move(refused.theirs);
     message.currentVersion = refused.currentVersion;
