Retries: budget per pool, suspects run alone, crashing requests quarantined

Cause: a request in flight on a dead server was retried beside others, so one that crashes servers took one after another; retries had no bound but their number.

Change: a death without notice makes suspects of what ran there; each is run alone on a server emptied for it (a third of the pool at most), and a second death quarantines its fingerprint here and, by the summaries, at peers. Three deaths within 2 s have a common cause: then nobody is suspected and those suspected since are queued again. Retries after a cut or a decline spend from a budget of a fifth of first attempts; without budget they wait, they are not refused.

Contract: RequestArrived::fingerprint and PoolSummary::quarantined, both with defaults. Without a fingerprint a repeat by the caller is not known as one.

--- a/include/snipestall/policy/event.hpp
+++ b/include/snipestall/policy/event.hpp
@@ -52,6 +52,8 @@
     std::uint32_t crashes = 0;
     /// Tokens that callers already have, when it is resumed.
     std::uint32_t resumeOffset = 0;
+    /// Hash of the whole request, the same when its caller repeats it; 0 when not known.
+    std::uint64_t fingerprint = 0;
 };
 
 /// The caller no longer wants the answer.
@@ -143,6 +145,8 @@
     Duration wait {};
     /// Low 32 bits of the hottest cached prefixes.
     std::vector<std::uint32_t> prefixSketch;
+    /// Fingerprints of requests that took down two backend servers, of any service.
+    std::vector<std::uint64_t> quarantined {};
 };
 
 /// A peer instance's summary; replaces its earlier one.
--- a/src/snipestall/policy/admission.cpp
+++ b/src/snipestall/policy/admission.cpp
@@ -1,5 +1,6 @@
 #include "snipestall/policy/admission.hpp"
 
+#include "snipestall/policy/isolation.hpp"
 #include "snipestall/policy/lifecycle.hpp"
 #include "snipestall/policy/limits.hpp"
 #include "snipestall/policy/state.hpp"
@@ -46,6 +47,7 @@
     request.deadline = event.deadline;
     request.produced = event.resumeOffset;
     request.crashes = event.crashes;
+    request.fingerprint = event.fingerprint;
 }
 
 bool isShortUrgent(const Request &request)
@@ -65,6 +67,8 @@
     request.shortUrgent = isShortUrgent(request);
     if (request.deadline == Time {})
         request.deadline = state.now + request.flow->leaf.deadline;
+    const std::uint32_t crashes = state.crashes.crashes(state.now, request.fingerprint);
+    request.crashes = std::max(request.crashes, crashes);
     ++request.flow->live;
     estimate(state, request);
     return request;
@@ -136,6 +140,8 @@
 
 std::optional<Verdict> verdictOn(State &state, const Request &request)
 {
+    if (request.crashes >= CrashTable::QuarantinedAt)
+        return Verdict { RefusalReason::Quarantined, Duration::zero() };
     if (request.accepted)
         return std::nullopt;
     if (state.leaving)
@@ -173,7 +179,10 @@
     }
     if (!request.forwarded)
         takeLimits(state, request);
-    enqueue(state, request);
+    if (request.crashes > 0)
+        isolate(state, request);
+    else
+        enqueue(state, request);
 }
 
 void expireQueued(State &state)
--- a/src/snipestall/policy/fleet.cpp
+++ b/src/snipestall/policy/fleet.cpp
@@ -1,5 +1,6 @@
 #include "snipestall/policy/fleet.hpp"
 
+#include "snipestall/policy/isolation.hpp"
 #include "snipestall/policy/limits.hpp"
 #include "snipestall/policy/state.hpp"
 #include "snipestall/settings/effective_settings.hpp"
@@ -99,6 +100,7 @@
     if (!server)
         return;
     server->leaving = true;
+    abandonIsolation(state, *server);
     server->pool->index.update(*server);
     state.touch(*server->pool);
 }
@@ -109,6 +111,7 @@
     if (!server)
         return;
     server->gone = true;
+    abandonIsolation(state, *server);
     server->pool->prefixes.forget(event.server);
     server->pool->index.update(*server);
     state.touch(*server->pool);
@@ -124,6 +127,8 @@
     if (state.peers.countIn(state.dataCentre) != before)
         divideLimits(state);
     for (const PoolSummary &summary : event.pools) {
+        for (const std::uint64_t fingerprint : summary.quarantined)
+            state.crashes.quarantine(state.now, fingerprint);
         const auto pool = state.pools.find(summary.service);
         if (pool != state.pools.end())
             state.touch(pool->second);
--- a/src/snipestall/policy/lifecycle.cpp
+++ b/src/snipestall/policy/lifecycle.cpp
@@ -1,5 +1,6 @@
 #include "snipestall/policy/lifecycle.hpp"
 
+#include "snipestall/policy/isolation.hpp"
 #include "snipestall/policy/request.hpp"
 #include "snipestall/policy/state.hpp"
 
@@ -45,6 +46,7 @@
 
 void releaseSlot(State &state, Request &request)
 {
+    releaseIsolation(state, request);
     Server &server = *request.server;
     server.requests.erase(request.handle.value);
     server.runningOther -= request.shortUrgent ? 0 : 1;
@@ -127,6 +129,10 @@
     case Phase::Running:
         releaseSlot(state, request);
         break;
+    case Phase::Suspect:
+        releaseIsolation(state, request);
+        state.giveUps.remove(request.giveUpAt, request.handle);
+        break;
     case Phase::New:
     case Phase::Forwarded:
         break;
--- a/src/snipestall/policy/outcomes.cpp
+++ b/src/snipestall/policy/outcomes.cpp
@@ -55,6 +55,9 @@
     if (request.promptTokens + request.maxTokens == 0)
         request.pool->serviceTime.learnPlainCall(state.now - request.dispatchedAt);
     settle(request);
+    // It ran to its end with nothing beside it: the deaths before had another cause.
+    if (request.crashes > 0)
+        state.crashes.clear(request.fingerprint);
 }
 
 } // namespace
@@ -107,16 +110,4 @@
     finish(state, *request);
 }
 
-void resumeDelayed(State &state)
-{
-    while (const auto handle = state.backoffs.popDue(state.now)) {
-        Request *request = state.findRequest(*handle);
-        if (!request)
-            continue;
-        withdraw(state, *request);
-        estimate(state, *request);
-        enqueue(state, *request);
-    }
-}
-
 } // namespace snipestall::policy
--- a/src/snipestall/policy/placing.cpp
+++ b/src/snipestall/policy/placing.cpp
@@ -1,6 +1,7 @@
 #include "snipestall/policy/placing.hpp"
 
 #include "snipestall/policy/forwarding.hpp"
+#include "snipestall/policy/isolation.hpp"
 #include "snipestall/policy/lifecycle.hpp"
 #include "snipestall/policy/prefix_placing.hpp"
 #include "snipestall/policy/state.hpp"
@@ -24,6 +25,8 @@
 void serve(State &state, Request &request, Server &server)
 {
     request.pool->queue.serve(request);
+    if (request.retries == 0)
+        request.pool->retryBudget.earn();
     state.giveUps.remove(request.giveUpAt, request.handle);
     rememberPrefix(request, server);
     dispatch(state, request, server);
@@ -49,6 +52,7 @@
 {
     for (const std::string &service : state.touched) {
         Pool &pool = state.pool(service);
+        placeSuspects(state, pool);
         while (placeOne(state, pool)) { }
         forwardQueued(state, pool);
     }
--- a/src/snipestall/policy/pool.hpp
+++ b/src/snipestall/policy/pool.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "snipestall/policy/death_window.hpp"
 #include "snipestall/policy/fair_queue.hpp"
 #include "snipestall/policy/flow.hpp"
 #include "snipestall/policy/prefix_index.hpp"
+#include "snipestall/policy/retry_budget.hpp"
 #include "snipestall/policy/server.hpp"
 #include "snipestall/policy/server_index.hpp"
 #include "snipestall/policy/service_time.hpp"
@@ -11,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace snipestall::policy {
@@ -30,6 +33,12 @@
     ServiceTime serviceTime;
     PrefixIndex prefixes;
 
+    RetryBudget retryBudget;
+    DeathWindow deaths;
+    /// Suspects without a server, and the servers kept for others.
+    std::set<QueuedRequest> suspects;
+    std::set<ServerHandle> isolated;
+
     /// Slots that only short urgent work may use.
     [[nodiscard]] std::uint32_t reservedSlots() const;
     /// Slots that work of a lane can count on.
--- a/src/snipestall/policy/request.hpp
+++ b/src/snipestall/policy/request.hpp
@@ -16,6 +16,8 @@
 enum class Phase {
     /// Not yet admitted.
     New,
+    /// Suspected of crashing servers: waits for one that is emptied for it.
+    Suspect,
     /// In its pool's queue.
     Queued,
     /// Waits for the end of a backoff before it is queued again.
@@ -43,6 +45,8 @@
     /// Urgent and short: may use the reserved slots.
     bool shortUrgent = false;
     std::vector<std::uint64_t> prefix;
+    /// Hash of the whole request; 0 when not known.
+    std::uint64_t fingerprint = 0;
 
     Time arrived;
     Time deadline;
@@ -70,6 +74,7 @@
     std::uint32_t retries = 0;
     std::uint32_t forwards = 0;
     std::uint32_t crashes = 0;
+    Time crashedAt;
     /// End of the backoff while Delayed.
     Time notBefore;
 };
--- a/src/snipestall/policy/retry.cpp
+++ b/src/snipestall/policy/retry.cpp
@@ -1,5 +1,6 @@
 #include "snipestall/policy/retry.hpp"
 
+#include "snipestall/policy/isolation.hpp"
 #include "snipestall/policy/lifecycle.hpp"
 #include "snipestall/policy/state.hpp"
 
@@ -25,6 +26,11 @@
     return cut && !request.idempotent;
 }
 
+bool isDecline(AttemptResult result)
+{
+    return result == AttemptResult::Declined || result == AttemptResult::NotSent;
+}
+
 Duration backoff(State &state, const Request &request)
 {
     const std::uint32_t doublings = std::min(request.retries, DoublingsAtMost);
@@ -41,27 +47,85 @@
     enqueue(state, request);
 }
 
-} // namespace
+/// A server that had notice died of its reclaim, and one of many deaths at once of a common cause;
+/// otherwise each request in flight there may be the cause.
+bool isSuspicious(const State &state, const Request &request)
+{
+    const bool ownServer = request.phase == Phase::Running;
+    return ownServer && !request.server->leaving && !request.pool->deaths.commonCause(state.now);
+}
 
-void retry(State &state, Request &request, const AttemptEnded &event)
+void countCrash(State &state, Request &request)
 {
-    if (mayHaveRun(request, event.result)) {
-        refuse(state, request, RefusalReason::RetriesExhausted, Duration::zero());
+    Pool &pool = *request.pool;
+    pool.deaths.add(state.now, request.server->handle);
+    if (pool.deaths.commonCause(state.now))
+        absolveRecent(state, pool);
+    if (!isSuspicious(state, request))
         return;
-    }
-    const bool declined =
-        event.result == AttemptResult::Declined || event.result == AttemptResult::NotSent;
-    if (declined && request.phase == Phase::Forwarded) {
-        takeBack(state, request);
-        return;
-    }
+    ++request.crashes;
+    request.crashedAt = state.now;
+    const std::uint32_t known = state.crashes.count(state.now, request.fingerprint);
+    request.crashes = std::max(request.crashes, known);
+}
+
+/// What was lost with its server goes on at once: it is not the cause of any overload, and its
+/// caller has waited already.
+void resumeAfterDeath(State &state, Request &request)
+{
+    withdraw(state, request);
+    estimate(state, request);
+    if (request.crashes > 0)
+        isolate(state, request);
+    else
+        enqueue(state, request);
+}
+
+void retryLater(State &state, Request &request, Duration retryAfter)
+{
     if (request.retries++ >= MaxRetries) {
         refuse(state, request, RefusalReason::RetriesExhausted, Duration::zero());
         return;
     }
     withdraw(state, request);
     estimate(state, request);
-    delay(state, request, std::max(event.retryAfter, backoff(state, request)));
+    delay(state, request, std::max(retryAfter, backoff(state, request)));
+}
+
+} // namespace
+
+void retry(State &state, Request &request, const AttemptEnded &event)
+{
+    const bool died = event.result == AttemptResult::ServerDied;
+    if (died && request.phase == Phase::Running)
+        countCrash(state, request);
+    if (request.crashes >= CrashTable::QuarantinedAt)
+        refuse(state, request, RefusalReason::Quarantined, Duration::zero());
+    else if (mayHaveRun(request, event.result))
+        refuse(state, request, RefusalReason::RetriesExhausted, Duration::zero());
+    else if (isDecline(event.result) && request.phase == Phase::Forwarded)
+        takeBack(state, request);
+    else if (died && request.phase == Phase::Running)
+        resumeAfterDeath(state, request);
+    else
+        retryLater(state, request, event.retryAfter);
+}
+
+void resumeDelayed(State &state)
+{
+    while (const auto handle = state.backoffs.popDue(state.now)) {
+        Request *request = state.findRequest(*handle);
+        if (!request)
+            continue;
+        withdraw(state, *request);
+        // Not refused for want of budget: it was accepted. It waits for first attempts to earn it.
+        if (!request->pool->retryBudget.spend()) {
+            delay(state, *request, state.jittered(LongestBackoff));
+            continue;
+        }
+        estimate(state, *request);
+        enqueue(state, *request);
+    }
 }
 
 } // namespace snipestall::policy
--- /dev/null
+++ b/src/snipestall/policy/retry_test.cpp
@@ -0,0 +1,136 @@
+#include "snipestall/policy/fake_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+namespace snipestall::policy {
+namespace {
+
+using namespace std::chrono_literals;
+using Outcome = FakeFleet::Outcome;
+
+class RetryTest : public testing::Test
+{
+protected:
+    RetryTest()
+    {
+        m_fleet.addCustomer("ferries");
+        m_fleet.start();
+    }
+
+    RequestHandle sendCrasher(std::uint64_t fingerprint)
+    {
+        RequestArrived event = m_fleet.request("ferries");
+        event.fingerprint = fingerprint;
+        m_fleet.crashers.insert(event.request.value);
+        return m_fleet.send(event);
+    }
+
+    int serversLost() const
+    {
+        return static_cast<int>(
+            std::count_if(m_fleet.servers.begin(), m_fleet.servers.end(),
+                          [](const auto &server) { return server.second.gone; }));
+    }
+
+    FakeFleet m_fleet;
+};
+
+// One request crashes each server that runs it. Retried beside others, it takes a server and its
+// neighbours with it each time; the neighbours, retried side by side, can't be told from it.
+TEST_F(RetryTest, ACrashingRequestTakesTwoServersAndNoNeighbour)
+{
+    for (int i = 0; i < 4; ++i)
+        m_fleet.addServer(4);
+    for (int i = 0; i < 6; ++i)
+        m_fleet.send(m_fleet.request("ferries"));
+    const RequestHandle crasher = sendCrasher(77);
+    for (int i = 0; i < 6; ++i)
+        m_fleet.send(m_fleet.request("ferries"));
+    m_fleet.runFor(60s);
+    EXPECT_EQ(serversLost(), 2);
+    ASSERT_TRUE(m_fleet.of(crasher).refused);
+    EXPECT_EQ(m_fleet.of(crasher).refused->reason, RefusalReason::Quarantined);
+    EXPECT_EQ(m_fleet.count([](const Outcome &o) { return o.completed.has_value(); }), 12);
+}
+
+TEST_F(RetryTest, ASuspectRunsAlone)
+{
+    const ServerHandle first = m_fleet.addServer(4);
+    std::vector<RequestHandle> suspects;
+    for (int i = 0; i < 4; ++i)
+        suspects.push_back(m_fleet.send(m_fleet.request("ferries")));
+    m_fleet.addServer(4);
+    m_fleet.send(m_fleet.request("ferries"));
+    m_fleet.runFor(100ms);
+    for (auto &[handle, outcome] : m_fleet.outcomes)
+        outcome.beside.clear();
+    m_fleet.kill(first);
+    for (int i = 0; i < 4; ++i)
+        m_fleet.send(m_fleet.request("ferries"));
+    m_fleet.runFor(60s);
+    for (const RequestHandle suspect : suspects) {
+        EXPECT_TRUE(m_fleet.of(suspect).completed);
+        EXPECT_TRUE(m_fleet.of(suspect).beside.empty());
+    }
+}
+
+// The caller of a quarantined request sends it again, with a new handle and perhaps through
+// another instance. It must not cost a third server.
+TEST_F(RetryTest, ARepeatOfAQuarantinedRequestIsRefused)
+{
+    for (int i = 0; i < 4; ++i)
+        m_fleet.addServer(4);
+    sendCrasher(77);
+    m_fleet.runFor(10s);
+    const RequestHandle again = sendCrasher(77);
+    ASSERT_TRUE(m_fleet.of(again).refused);
+    EXPECT_EQ(m_fleet.of(again).refused->reason, RefusalReason::Quarantined);
+    EXPECT_EQ(serversLost(), 2);
+
+    FakeFleet neighbour;
+    neighbour.addCustomer("ferries");
+    neighbour.start();
+    neighbour.addServer(4);
+    neighbour.give(
+        PeerSummary { { 7 }, "samsun-2", "samsun-hall", m_fleet.world->summaries(m_fleet.now) });
+    RequestArrived elsewhere = neighbour.request("ferries");
+    elsewhere.fingerprint = 77;
+    EXPECT_TRUE(neighbour.of(neighbour.send(elsewhere)).refused);
+}
+
+// A rack loses power: four of eight servers die at the same moment. Were all that ran there
+// suspected, the survivors would be emptied to run dozens of requests one by one.
+TEST_F(RetryTest, ManyDeathsAtOnceMakeFewSuspects)
+{
+    std::vector<ServerHandle> servers;
+    for (int i = 0; i < 8; ++i)
+        servers.push_back(m_fleet.addServer(8));
+    for (int i = 0; i < 40; ++i)
+        m_fleet.send(m_fleet.request("ferries"));
+    m_fleet.runFor(500ms);
+    for (int i = 0; i < 4; ++i)
+        m_fleet.kill(servers[i]);
+    m_fleet.runFor(60s);
+    const int slow = m_fleet.count(
+        [](const Outcome &o) { return !o.completed || *o.completed - o.arrived > 20s; });
+    EXPECT_EQ(slow, 0);
+}
+
+// Every attempt in the pool fails for a while. If each failure were retried at once, the retries
+// would multiply the load just when nothing gets through.
+TEST_F(RetryTest, RetriesStayWithinTheirBudget)
+{
+    const ServerHandle server = m_fleet.addServer(32);
+    m_fleet.servers[server.value].result = AttemptResult::Cut;
+    m_fleet.load(20, 20s, [&] { return m_fleet.request("ferries"); });
+    EXPECT_LE(m_fleet.servers[server.value].dispatched, 20U * 20U * 12 / 10 + 32);
+    m_fleet.servers[server.value].result = AttemptResult::Completed;
+    m_fleet.runFor(120s);
+    EXPECT_EQ(m_fleet.count([](const Outcome &o) { return o.ends != 1; }), 0);
+}
+
+} // namespace
+} // namespace snipestall::policy
--- a/src/snipestall/policy/server.hpp
+++ b/src/snipestall/policy/server.hpp
@@ -45,13 +45,17 @@
     std::uint32_t peak = 0;
     std::uint32_t lastPeak = 0;
 
+    /// The one request that it is kept for; null when it is open to all.
+    Request *suspect = nullptr;
+
     [[nodiscard]] std::uint32_t running() const
     {
         return static_cast<std::uint32_t>(requests.size());
     }
     /// Slots in use, by whomever.
     [[nodiscard]] std::uint32_t occupied() const { return running() + foreign; }
-    [[nodiscard]] bool usable() const { return !leaving && !gone; }
+    /// Takes new work.
+    [[nodiscard]] bool usable() const { return !leaving && !gone && !suspect; }
     [[nodiscard]] std::uint32_t freeSlots() const
     {
         return usable() && occupied() < limit ? limit - occupied() : 0;
--- a/src/snipestall/policy/state.hpp
+++ b/src/snipestall/policy/state.hpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/base/random.hpp"
 #include "snipestall/policy/command.hpp"
+#include "snipestall/policy/crash_table.hpp"
 #include "snipestall/policy/departed_servers.hpp"
 #include "snipestall/policy/peer_table.hpp"
 #include "snipestall/policy/pool.hpp"
@@ -44,6 +45,7 @@
     std::map<std::string, Pool, std::less<>> pools;
     PeerTable peers;
     DepartedServers departed;
+    CrashTable crashes;
 
     /// Queued requests by the time at which they are given up.
     TimerSet giveUps;
--- a/src/snipestall/policy/world.cpp
+++ b/src/snipestall/policy/world.cpp
@@ -5,6 +5,7 @@
 #include "snipestall/policy/fleet.hpp"
 #include "snipestall/policy/outcomes.hpp"
 #include "snipestall/policy/placing.hpp"
+#include "snipestall/policy/retry.hpp"
 #include "snipestall/policy/state.hpp"
 #include "snipestall/policy/wait_estimate.hpp"
 
@@ -42,6 +43,9 @@
 /// placing sees the result of all others.
 constexpr System Systems[] = { &expireQueued, &resumeDelayed, &placeQueued };
 
+/// Fingerprints told to peers in one summary; a summary stays about 40 bytes on a usual day.
+constexpr std::size_t QuarantinesTold = 8;
+
 PoolSummary summaryOf(const Pool &pool)
 {
     PoolSummary summary;
@@ -92,7 +96,7 @@
     return std::min(*giveUp, *backoff);
 }
 
-std::vector<PoolSummary> World::summaries(Time /*now*/) const
+std::vector<PoolSummary> World::summaries(Time now) const
 {
     std::vector<PoolSummary> summaries;
     for (const auto &[service, pool] : m_tables->pools) {
@@ -100,6 +104,8 @@
         if (!m_tables->leaving && pool.index.totals().servers > 0)
             summaries.push_back(summaryOf(pool));
     }
+    if (!summaries.empty())
+        summaries.front().quarantined = m_tables->crashes.quarantined(now, QuarantinesTold);
     return summaries;
 }
 
