--- /dev/null
+++ b/apps/snipestall_load/token_times.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "call_record.hpp"
+#include "latency_histogram.hpp"
+
+#include "snipestall/base/clock.hpp"
+
+namespace snipestall::load {
+
+/// Times the tokens of one answer.
+class TokenTimes
+{
+public:
+    TokenTimes(SteadyTime due, LatencyHistogram &betweenTokens)
+        : m_due(due)
+        , m_betweenTokens(betweenTokens)
+    { }
+
+    void token(SteadyTime now, CallRecord &record)
+    {
+        if (record.tokens == 0)
+            record.firstToken = now - m_due;
+        else
+            m_betweenTokens.add(now - m_last);
+        m_last = now;
+        ++record.tokens;
+    }
+
+private:
+    SteadyTime m_due;
+    SteadyTime m_last {};
+    LatencyHistogram &m_betweenTokens;
+};
+
+} // namespace snipestall::load
--- a/standins/common/program.cpp
+++ b/standins/common/program.cpp
@@ -1,10 +1,6 @@
 #include "common/program.hpp"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <gflags/gflags.h>
 
@@ -71,11 +67,4 @@
     io.run();
 }
 
-wire::Task<void> pause(std::chrono::nanoseconds time)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor);
-    timer.expires_after(time);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 } // namespace snipestall::standins
--- a/standins/common/program.hpp
+++ b/standins/common/program.hpp
@@ -3,11 +3,10 @@
 #include "snipestall/base/result.hpp"
 #include "snipestall/wire/endpoint.hpp"
 #include "snipestall/wire/http_server.hpp"
-#include "snipestall/wire/task.hpp"
 
 #include <boost/asio/io_context.hpp>
 
-#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -33,7 +32,4 @@
 /// Runs the loop until SIGTERM or SIGINT, then runs `stop` and goes on until the loop is stopped.
 void runUntilSignal(boost::asio::io_context &io, const std::function<void()> &stop);
 
-/// Waits; returns early, without an exception, if the loop cancels it.
-wire::Task<void> pause(std::chrono::nanoseconds time);
-
 } // namespace snipestall::standins
--- a/standins/common/registration.cpp
+++ b/standins/common/registration.cpp
@@ -2,6 +2,8 @@
 
 #include "common/program.hpp"
 
+#include "snipestall/wire/signal.hpp"
+
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -42,7 +44,7 @@
         const auto response = co_await m_client.fetch(*m_platform, std::move(request));
         if (response && response->status < 300)
             co_return;
-        co_await pause(RetryEvery);
+        co_await wire::sleepFor(RetryEvery);
     }
 }
 
--- a/standins/engine/engine_control.cpp
+++ b/standins/engine/engine_control.cpp
@@ -2,6 +2,8 @@
 #include "common/program.hpp"
 #include "engine/engine.hpp"
 
+#include "snipestall/wire/signal.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/json/serialize.hpp>
@@ -79,7 +81,7 @@
         co_await exchange.respond(std::move(unknown));
         co_return;
     }
-    co_await pause(m_options.exportTime);
+    co_await wire::sleepFor(m_options.exportTime);
     const std::int64_t tokens = attempt->promptTokens + attempt->from + attempt->produced;
     json::object answer;
     answer["kv"] = m_kv.put(m_kvAddress, { attempt->promptHash, tokens });
@@ -200,7 +202,7 @@
 
 Task<void> Engine::leaveAfter(std::chrono::milliseconds notice)
 {
-    co_await pause(notice);
+    co_await wire::sleepFor(notice);
     m_taken = true;
     const std::vector<AttemptPtr> attempts = m_log.all();
     for (const auto &attempt : attempts)
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -1,6 +1,8 @@
 #include "common/program.hpp"
 #include "engine/engine.hpp"
 
+#include "snipestall/wire/signal.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -136,7 +138,7 @@
     {
         m_server->stopAccepting();
         co_await m_registration.remove(m_engine.options().name);
-        co_await standins::pause(m_engine.options().kvTtl);
+        co_await wire::sleepFor(m_engine.options().kvTtl);
         m_io.stop();
     }
 
--- a/standins/platform/platform.cpp
+++ b/standins/platform/platform.cpp
@@ -4,6 +4,8 @@
 #include "common/program.hpp"
 #include "platform/platform_json.hpp"
 
+#include "snipestall/wire/signal.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/json/serialize.hpp>
@@ -82,7 +84,7 @@
 {
     const std::string path(exchange.request().path());
     if (m_faults.of(path) == PartState::Slow)
-        co_await pause(m_faults.slow);
+        co_await wire::sleepFor(m_faults.slow);
     if (m_faults.of(path) == PartState::Down) {
         exchange.abort();
         co_return;
@@ -95,7 +97,7 @@
     const auto transaction = parseTransaction(parseObject(exchange.request().body));
     const auto wait = m_writePacer.reserve(now(), static_cast<double>(transaction.writes.size()));
     if (wait.count() > 0)
-        co_await pause(wait);
+        co_await wire::sleepFor(wait);
     const auto outcome = m_table.transact(transaction);
     ++m_counters.transactions;
     if (outcome.committed)
@@ -117,7 +119,7 @@
     const auto keys = parseKeys(parseObject(exchange.request().body));
     const auto wait = m_readPacer.reserve(now(), static_cast<double>(keys.size()));
     if (wait.count() > 0)
-        co_await pause(wait);
+        co_await wire::sleepFor(wait);
     ++m_counters.reads;
     const auto rows = m_table.read(keys);
     json::object answer;
@@ -130,7 +132,7 @@
     const auto body = parseObject(exchange.request().body);
     const auto wait = m_readPacer.reserve(now(), 1);
     if (wait.count() > 0)
-        co_await pause(wait);
+        co_await wire::sleepFor(wait);
     ++m_counters.scans;
     const auto limit = numberField(body, "limit", DefaultScanLimit);
     const auto rows = m_table.scan(textField(body, "table"), textField(body, "prefix"),
@@ -245,7 +247,7 @@
 // newer incarnation under the same name has no notice and stays.
 Task<void> Platform::removeAtEnd(std::string name, std::chrono::milliseconds left)
 {
-    co_await pause(left);
+    co_await wire::sleepFor(left);
     const auto remaining = m_cloud.noticeLeft(now(), name);
     if (remaining && remaining->count() == 0)
         m_cloud.remove(now(), name);
@@ -254,7 +256,7 @@
 Task<void> Platform::weights(HttpExchange &exchange)
 {
     const std::string model = lastPart(exchange.request());
-    co_await pause(m_weightPacer.reserve(now(), m_options.weightsMegabytes));
+    co_await wire::sleepFor(m_weightPacer.reserve(now(), m_options.weightsMegabytes));
     json::object answer;
     answer["model"] = model;
     answer["megabytes"] = m_options.weightsMegabytes;
--- a/standins/service/ledger_service.cpp
+++ b/standins/service/ledger_service.cpp
@@ -3,6 +3,8 @@
 #include "common/json_fields.hpp"
 #include "common/program.hpp"
 
+#include "snipestall/wire/signal.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/json/serialize.hpp>
@@ -70,7 +72,7 @@
     if (cut)
         --m_cutNext;
     ++m_running;
-    co_await pause(m_options.work);
+    co_await wire::sleepFor(m_options.work);
     --m_running;
     if (cut) {
         exchange.abort();
@@ -135,7 +137,7 @@
 
 Task<void> LedgerService::leaveAfter(std::chrono::milliseconds notice)
 {
-    co_await pause(notice);
+    co_await wire::sleepFor(notice);
     if (m_onTaken)
         m_onTaken();
 }
