Test harness: real processes, proxies and ledgers behind one topology

Processes are known by pid alone, die with the test, and keep a log that a failed test prints. Waits are for observed states with one generous limit.

--- /dev/null
+++ b/tests/harness/port_pool.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <set>
+
+namespace snipestall::harness {
+
+/// Hands out ports that nobody listens on. They come from below the range of which the system
+/// gives ports to outgoing connections, so that none takes a port while its process is down or has
+/// not yet bound it.
+class PortPool
+{
+public:
+    PortPool();
+
+    std::uint16_t take();
+
+private:
+    std::set<std::uint16_t> m_taken;
+    std::uint64_t m_seed;
+};
+
+} // namespace snipestall::harness
--- /dev/null
+++ b/tests/harness/topology_control.cpp
@@ -0,0 +1,212 @@
+#include "harness/http_call.hpp"
+#include "harness/ledger_files.hpp"
+#include "harness/settings_text.hpp"
+#include "harness/topology.hpp"
+#include "harness/wait_until.hpp"
+
+#include "snipestall/admin/messages.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <sstream>
+#include <stdexcept>
+
+namespace snipestall::harness {
+
+namespace {
+
+constexpr std::size_t LogTail = 4000;
+
+wire::HttpRequest operatorRequest(const std::string &method, const std::string &target,
+                                  const std::string &key, std::string body)
+{
+    wire::HttpRequest request { method, target, {}, std::move(body) };
+    request.fields.set("Authorization", "Bearer " + key);
+    return request;
+}
+
+std::string changeId()
+{
+    static int number = 0;
+    ++number;
+    return "test-change-" + std::to_string(number);
+}
+
+/// The version that an accepted change gave.
+std::uint64_t accepted(const Result<wire::HttpResponse> &response)
+{
+    if (!response)
+        throw std::runtime_error("the change was not answered: " + response.error().message);
+    const auto message = admin::decodeAccepted(response->body);
+    if (response->status >= 300 || !message)
+        throw std::runtime_error("the change was refused: " + response->body);
+    return message->version;
+}
+
+} // namespace
+
+void Topology::applySettings()
+{
+    peer::SettingsChange change;
+    change.id = changeId();
+    change.reason = "test begins";
+    change.yaml = m_spec.settings;
+    const auto request =
+        operatorRequest("POST", "/settings/changes", BootstrapKey, admin::encodeChange(change));
+    const std::string first = m_spec.entries.front().name;
+    const std::uint64_t version = accepted(httpCall(operators(first), request));
+    for (const auto &entry : m_spec.entries) {
+        if (!waitUntil([&] { return ready(entry.name, version); }))
+            throw std::runtime_error(entry.name + " does not serve with version "
+                                     + std::to_string(version) + "\n" + logs());
+    }
+    waitForServers();
+}
+
+bool Topology::ready(const std::string &entry, std::uint64_t version) const
+{
+    const auto now = status(entry);
+    if (!now || now->settingsVersion < version)
+        return false;
+    const auto peersUp = static_cast<std::size_t>(std::count_if(
+        now->peers.begin(), now->peers.end(), [](const auto &peer) { return peer.state == "up"; }));
+    if (peersUp + 1 < m_spec.entries.size())
+        return false;
+    const auto models = httpCall(operators(entry), { "GET", "/metrics", {}, {} });
+    return models && models->status == 200;
+}
+
+void Topology::waitForServers()
+{
+    const auto owned = [this] {
+        std::size_t count = 0;
+        for (const auto &entry : m_spec.entries) {
+            const auto now = status(entry.name);
+            count += now ? now->backendServers.size() : 0;
+        }
+        return count >= m_spec.servers.size();
+    };
+    if (!waitUntil(owned))
+        throw std::runtime_error("not every backend server is owned\n" + logs());
+}
+
+std::uint64_t Topology::changeSettings(const std::string &entry, const std::string &path,
+                                       const std::string &value)
+{
+    const auto now = status(entry);
+    if (!now)
+        throw std::runtime_error(entry + " gives no status");
+    peer::SettingsChange change;
+    change.id = changeId();
+    change.baseVersion = now->settingsVersion;
+    change.reason = "test";
+    change.edits.push_back({ path, value });
+    const auto request =
+        operatorRequest("POST", "/settings/changes", OperatorKey, admin::encodeChange(change));
+    return accepted(httpCall(operators(entry), request));
+}
+
+std::optional<admin::InstanceStatus> Topology::status(const std::string &entry) const
+{
+    const auto request = operatorRequest("GET", "/status", OperatorKey, {});
+    const auto response = httpCall(operators(entry), request);
+    if (!response || response->status != 200)
+        return std::nullopt;
+    auto message = admin::decodeStatus(response->body);
+    if (!message)
+        throw std::runtime_error("no status: " + message.error().message);
+    return std::move(*message);
+}
+
+void Topology::platformFaults(const std::string &faults) const
+{
+    const auto response = httpPost(platform(), "/control/faults", faults);
+    if (!response || response->status != 204)
+        throw std::runtime_error("the platform refused " + faults);
+}
+
+std::int64_t Topology::platformCounter(const std::string &name) const
+{
+    return numberOf(httpGetObject(platform(), "/control/counters"), name);
+}
+
+void Topology::giveNotice(const std::string &name, std::chrono::milliseconds notice) const
+{
+    boost::json::object body;
+    body["instance"] = name;
+    body["notice_ms"] = notice.count();
+    const auto response = httpPost(platform(), "/cloud/notice", boost::json::serialize(body));
+    if (!response || response->status != 204)
+        throw std::runtime_error("no notice for " + name);
+}
+
+void Topology::controlServer(const std::string &name, const std::string &body) const
+{
+    const wire::Endpoint own { "127.0.0.1", m_servers.at(name) };
+    const auto response = httpPost(own, "/control", body);
+    if (!response || response->status != 204)
+        throw std::runtime_error(name + " refused " + body);
+}
+
+load::Ledger Topology::ledger() const
+{
+    std::vector<std::string> files;
+    for (const auto &server : m_spec.servers)
+        files.push_back(ledgerFile(server.name));
+    return readLedgerFiles(files);
+}
+
+std::unique_ptr<Process> Topology::startLoad(const std::string &mix,
+                                             const std::vector<std::string> &arguments)
+{
+    ++m_loads;
+    const std::string name = "load-" + std::to_string(m_loads);
+    const std::string mixFile = m_directory.file(name + ".yaml");
+    writeFile(mixFile, mix);
+    std::string targets;
+    for (const auto &entry : m_spec.entries)
+        targets += (targets.empty() ? "" : ",") + callers(entry.name).toString();
+    std::string ledgers;
+    for (const auto &server : m_spec.servers) {
+        const std::string file = ledgerFile(server.name);
+        writeFile(file, readFile(file));
+        ledgers += (ledgers.empty() ? "" : ",") + file;
+    }
+    ProcessSpec spec { name, "snipestall-load", arguments, m_directory.file(name + ".log") };
+    spec.arguments.push_back("--mix=" + mixFile);
+    spec.arguments.push_back("--targets=" + targets);
+    spec.arguments.push_back(std::string("--key=") + CustomerKey);
+    spec.arguments.push_back("--ledger_files=" + ledgers);
+    spec.arguments.emplace_back("--output=json");
+    auto process = Process::start(std::move(spec));
+    if (!process)
+        throw std::runtime_error(process.error().message);
+    return std::move(*process);
+}
+
+boost::json::object Topology::loadReport(Process &load) const
+{
+    constexpr std::chrono::minutes Limit { 10 };
+    if (!waitUntil([&load] { return !load.running(); }, Limit))
+        throw std::runtime_error("snipestall-load does not end");
+    boost::system::error_code ec;
+    boost::json::value report = boost::json::parse(load.log(), ec);
+    if (ec || !report.is_object())
+        throw std::runtime_error("no report: " + load.log());
+    return std::move(report.as_object());
+}
+
+std::string Topology::logs() const
+{
+    std::ostringstream out;
+    for (const auto &spec : m_processSpecs) {
+        const std::string text = readFile(spec.logFile);
+        const std::size_t from = text.size() > LogTail ? text.size() - LogTail : 0;
+        out << "---- " << spec.name << " (" << spec.logFile << ")\n" << text.substr(from);
+    }
+    return out.str();
+}
+
+} // namespace snipestall::harness
--- /dev/null
+++ b/tests/harness/topology_spec.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace snipestall::harness {
+
+struct EntrySpec
+{
+    std::string name;
+    std::string dataCentre;
+};
+
+/// An engine if it has models, a plain service otherwise.
+struct ServerSpec
+{
+    std::string name {};
+    std::string dataCentre;
+    std::string service;
+    std::vector<std::string> models {};
+    std::string instanceClass = "spot";
+    /// More arguments for the stand-in, such as "--token_ms=5".
+    std::vector<std::string> arguments {};
+};
+
+/// What runs in a test, and where proxies stand.
+struct TopologySpec
+{
+    std::vector<EntrySpec> entries;
+    std::vector<ServerSpec> servers;
+    /// The settings tree; empty: one made from the rest, see defaultSettings().
+    std::string settings;
+    /// A proxy `platform/<data centre>` between each data centre's entry instances and the
+    /// platform.
+    bool platformProxied = false;
+    /// A proxy `peers/<entry>` in front of each entry instance's listener for peers.
+    bool peersProxied = false;
+    /// A proxy `callers/<entry>` in front of each entry instance's listener for callers.
+    bool callersProxied = false;
+    /// A proxy `server/<name>` in front of each backend server.
+    bool serversProxied = false;
+    std::vector<std::string> platformArguments;
+
+    [[nodiscard]] std::vector<std::string> dataCentres() const;
+    /// Two data centres `north` and `south` with two entry instances each, three engines and one
+    /// ledger service.
+    static TopologySpec small();
+};
+
+} // namespace snipestall::harness
