Harness of fake backend servers under virtual time, baselines, scenario language

Cause: the policy has to be put through load and faults without sockets, and measured against plain balancers. Change: tests/policy holds the harness (fake servers, callers, ledger, edges under a virtual clock) and the reader of scenarios; bench/baselines holds round robin, least reported load and prefix hash as strategies of one decision maker; scenarios/policy holds twelve stories. Ruled out: a queue of the baseline's own bounded by slots; instances of a balancer without owners don't know each other's dispatches, so requests wait in the engine's queue, as they do with such balancers.

--- /dev/null
+++ b/tests/policy/harness/ask.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "snipestall/policy/event.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snipestall::policy::harness {
+
+/// What a caller wants, the same each time it asks again.
+struct Ask
+{
+    std::string kind;
+    std::string customer;
+    std::string service;
+    bool plain = false;
+    Urgency urgency = Urgency::Normal;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t outputTokens = 0;
+    std::vector<std::uint64_t> prefix;
+    bool idempotent = true;
+    bool crashesServer = false;
+    Duration timeAllowed {};
+    Duration firstTokenTarget {};
+    Duration interTokenTarget {};
+
+    std::uint32_t triesLeft = 0;
+    bool ignoresRetryAfter = false;
+    std::optional<Duration> patience;
+};
+
+} // namespace snipestall::policy::harness
--- /dev/null
+++ b/tests/policy/harness/deployment.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "policy/harness/request_kind.hpp"
+#include "policy/harness/server_model.hpp"
+
+#include "snipestall/base/result.hpp"
+#include "snipestall/policy/time.hpp"
+#include "snipestall/settings/effective_settings.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace snipestall::policy::harness {
+
+/// Servers of one service, data centre and instance class.
+struct ServerGroup
+{
+    std::string service;
+    std::string dataCentre;
+    std::string instanceClass;
+    std::uint32_t count = 0;
+};
+
+struct CustomerShare
+{
+    std::string name;
+    double weight = 1;
+    /// Share of the load.
+    double demand = 1;
+};
+
+/// The size and habits of one provider's installation.
+struct Deployment
+{
+    std::string name;
+    std::vector<std::string> dataCentres;
+    std::uint32_t entriesPerDataCentre = 2;
+    Duration insideDelay {};
+    Duration betweenDelay {};
+    std::string modelService;
+    std::string plainService;
+    ServerModel modelServer;
+    ServerModel plainServer;
+    std::vector<ServerGroup> groups;
+    std::vector<CustomerShare> customers;
+    std::vector<RequestKind> kinds;
+    RequestKind plainKind;
+    settings::EffectiveSettings settings;
+
+    [[nodiscard]] const ServerModel &model(std::string_view service) const;
+    [[nodiscard]] std::uint32_t servers(std::string_view service) const;
+};
+
+/// "karadeniz" or "midlands".
+Result<Deployment> makeDeployment(std::string_view name);
+
+} // namespace snipestall::policy::harness
--- /dev/null
+++ b/tests/policy/harness/ledger.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "policy/harness/call.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace snipestall::policy::harness {
+
+/// Outcomes of one group of calls.
+struct Tally
+{
+    std::uint32_t calls = 0;
+    std::uint32_t answered = 0;
+    std::uint32_t inTarget = 0;
+    std::uint32_t refused = 0;
+    std::uint32_t expired = 0;
+    std::uint32_t failed = 0;
+    std::uint32_t cancelled = 0;
+    std::uint32_t lost = 0;
+    std::uint64_t outputInTarget = 0;
+    /// Prompt and output.
+    std::uint64_t tokensAsked = 0;
+    std::uint64_t tokensAnswered = 0;
+    /// Sorted; of the calls that got a first token.
+    std::vector<Duration> firstToken {};
+
+    [[nodiscard]] double share() const;
+    [[nodiscard]] Duration quantile(double part) const;
+};
+
+struct Span
+{
+    Time from {};
+    Time to = Time::max();
+};
+
+/// What became of every call, and what went wrong on the way.
+class Ledger
+{
+public:
+    std::vector<Call> calls;
+    /// Calls that are not idempotent and were sent again although they might have run.
+    std::uint32_t doubled = 0;
+    std::uint32_t answersToClosedCalls = 0;
+    std::uint32_t refusalsWithoutTime = 0;
+    std::uint32_t dispatchesToLeaving = 0;
+    std::uint32_t dispatchesToFull = 0;
+    std::uint32_t commandsForUnknown = 0;
+    std::uint32_t serversCrashed = 0;
+    /// Prompt or output computed again on another attempt of the same call.
+    std::uint64_t lostTokens = 0;
+    /// Prompt prefix computed again since the server chosen did not hold it.
+    std::uint64_t missedTokens = 0;
+    double cost = 0;
+
+    /// Calls that arrived in the span.
+    [[nodiscard]] std::map<std::string, Tally> byKind(const Span &span) const;
+    /// Model calls by urgency; calls of the plain service as "plain".
+    [[nodiscard]] std::map<std::string, Tally> byUrgency(const Span &span) const;
+    [[nodiscard]] std::map<std::string, Tally> byCustomer(const Span &span,
+                                                          const std::string &service) const;
+    [[nodiscard]] std::uint32_t lost() const;
+};
+
+std::string toString(Urgency urgency);
+std::string toString(Outcome outcome);
+
+} // namespace snipestall::policy::harness
--- /dev/null
+++ b/tests/policy/scenario/scenario.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "policy/harness/cluster_options.hpp"
+#include "policy/harness/ledger.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snipestall::policy::harness {
+
+class Stage;
+struct Deployment;
+
+struct ScenarioStep
+{
+    Time at {};
+    std::function<void(Stage &)> act;
+};
+
+/// Gives what is wrong, or nothing.
+using Expectation = std::function<std::optional<std::string>(const Ledger &, const Deployment &)>;
+
+/// A scripted run without sockets.
+struct Scenario
+{
+    std::string name;
+    std::vector<std::string> deployments;
+    std::uint64_t seed = 1;
+    /// No new requests after it, but those at work may end.
+    Duration duration {};
+    std::vector<ScenarioStep> steps;
+    std::vector<Expectation> expectations;
+};
+
+struct ScenarioResult
+{
+    Ledger ledger;
+    std::vector<std::string> faults;
+};
+
+ScenarioResult runScenario(const Scenario &scenario, const Deployment &deployment,
+                           ClusterOptions options);
+
+} // namespace snipestall::policy::harness
--- /dev/null
+++ b/tests/policy/scenario/step_reader.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "policy/scenario/scenario.hpp"
+#include "policy/scenario/yaml_fields.hpp"
+
+#include <string>
+#include <vector>
+
+namespace snipestall::policy::harness {
+
+/// Reads the timed steps of a scenario.
+std::vector<ScenarioStep> readSteps(const YAML::Node &node, const std::string &path,
+                                    Faults &faults);
+
+} // namespace snipestall::policy::harness
