Policy scenarios and the experiment against baselines

Change: one ctest entry a scenario file, all in policy_scenario_test; bench/experiment compares World with three baselines under eight conditions on both deployments, writes tables, aims and a plot, and searches the smallest fleet in target.

--- /dev/null
+++ b/bench/experiment/condition.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "policy/harness/ledger.hpp"
+#include "policy/scenario/scenario.hpp"
+
+#include <string>
+#include <vector>
+
+namespace snipestall::policy::experiment {
+
+/// One load and fault under which the contestants are compared.
+struct Condition
+{
+    std::string name;
+    std::string meaning;
+    harness::Scenario scenario;
+    /// Calls that arrived in it are measured.
+    harness::Span window;
+};
+
+extern const char *const FullLoad;
+extern const char *const Overload;
+extern const char *const Wave;
+
+std::vector<Condition> conditions();
+
+/// Load at one level from the start; measured after a warm-up.
+Condition steady(std::string name, double level);
+
+} // namespace snipestall::policy::experiment
--- /dev/null
+++ b/bench/experiment/policy_experiment.cpp
@@ -0,0 +1,71 @@
+// Compares World with plain balancers on both deployments and writes the tables and the plot.
+//
+//     policy_experiment --seeds 3 --out docs/decisions
+
+#include "bench/experiment/plot.hpp"
+#include "bench/experiment/report.hpp"
+
+#include <gflags/gflags.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+DEFINE_uint32(seeds, 3, "runs of each contestant under each condition");
+DEFINE_uint64(first_seed, 101, "seed of the first run");
+DEFINE_string(out, "docs/decisions", "directory of the report");
+DEFINE_bool(smallest_fleet, true, "also search the smallest fleet that keeps the target");
+
+namespace {
+
+using namespace snipestall::policy;
+using namespace snipestall::policy::experiment;
+
+Results run()
+{
+    Results results;
+    results.conditions = conditions();
+    for (std::uint64_t i = 0; i < FLAGS_seeds; ++i) {
+        results.seeds.push_back(FLAGS_first_seed + i);
+    }
+    for (const auto *name : { "karadeniz", "midlands" }) {
+        const auto deployment = *harness::makeDeployment(name);
+        for (const auto &condition : results.conditions) {
+            for (const auto &contestant : contestants()) {
+                results.measurements.push_back(
+                    measure(deployment, condition, contestant, results.seeds));
+            }
+        }
+        for (const auto &contestant : contestants()) {
+            if (FLAGS_smallest_fleet) {
+                results.smallestFleets.push_back(
+                    findSmallestFleet(deployment, contestant, results.seeds));
+            }
+        }
+    }
+    return results;
+}
+
+bool write(const std::filesystem::path &file, const std::string &text)
+{
+    std::ofstream out(file);
+    out << text;
+    out.flush();
+    return out.good();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto results = run();
+    const std::filesystem::path out(FLAGS_out);
+    const bool written = write(out / "policy-experiment.md", report(results))
+        && write(out / "policy-experiment.svg", plot(results));
+    if (!written) {
+        std::cerr << "can't write to " << out << "; create it or name another with --out\n";
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/experiment/report.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "bench/experiment/results.hpp"
+
+#include <string>
+
+namespace snipestall::policy::experiment {
+
+/// The tables, as Markdown.
+std::string report(const Results &results);
+
+} // namespace snipestall::policy::experiment
--- a/tests/policy/harness/call.hpp
+++ b/tests/policy/harness/call.hpp
@@ -41,7 +41,10 @@
     bool mayHaveRun = false;
     /// Some attempt has read the whole prompt.
     bool prefilled = false;
-    std::uint64_t recomputedTokens = 0;
+    /// Prompt or output computed again by a later attempt.
+    std::uint64_t lostTokens = 0;
+    /// Prompt prefix computed again since the server chosen did not hold it.
+    std::uint64_t missedTokens = 0;
 
     [[nodiscard]] bool inTarget() const;
 };
--- a/tests/policy/harness/callers.cpp
+++ b/tests/policy/harness/callers.cpp
@@ -102,7 +102,7 @@
     }
     const double perRequest =
         std::max(slotSeconds / model.slots, prefillTokens / model.prefillTokensPerSecond);
-    return m_load.level * deployment.servers(deployment.modelService) * weight / perRequest;
+    return m_load.level * deployment.nominalServers * weight / perRequest;
 }
 
 double Callers::plainRate() const
--- a/tests/policy/harness/cluster.cpp
+++ b/tests/policy/harness/cluster.cpp
@@ -13,6 +13,8 @@
 
 constexpr Duration ReportPeriod = 1s;
 constexpr Duration SummaryPeriod = 1s;
+/// Once every instance knows what it owns.
+constexpr Duration FirstSummary = 10ms;
 
 } // namespace
 
@@ -37,7 +39,7 @@
         }
     }
     reportLoad();
-    exchangeSummaries();
+    m_loop.after(FirstSummary, [this] { exchangeSummaries(); });
 }
 
 void Cluster::setSettings(const settings::EffectiveSettings &settings)
--- a/tests/policy/harness/cluster_answers.cpp
+++ b/tests/policy/harness/cluster_answers.cpp
@@ -22,8 +22,7 @@
     for (std::size_t i = cachedBlocks; i < call.prefix.size(); ++i) {
         again += m_computedBlocks.insert(call.prefix[i]).second ? 0 : BlockTokens;
     }
-    call.recomputedTokens += again;
-    (call.prefilled ? m_ledger.lostTokens : m_ledger.missedTokens) += again;
+    (call.prefilled ? call.lostTokens : call.missedTokens) += again;
     call.prefilled = true;
 }
 
--- a/tests/policy/harness/deployment.cpp
+++ b/tests/policy/harness/deployment.cpp
@@ -38,6 +38,7 @@
         deployment.groups.push_back({ deployment.modelService, place, Steady.name, steady[i] });
         deployment.groups.push_back({ deployment.plainService, place, Kept.name, 1 });
     }
+    deployment.nominalServers = deployment.servers(deployment.modelService);
 }
 
 void addClasses(Deployment &deployment)
--- a/tests/policy/harness/deployment.hpp
+++ b/tests/policy/harness/deployment.hpp
@@ -48,6 +48,8 @@
     std::vector<RequestKind> kinds;
     RequestKind plainKind;
     settings::EffectiveSettings settings;
+    /// Model servers that a load level of 1 uses up.
+    std::uint32_t nominalServers = 0;
 
     [[nodiscard]] const ServerModel &model(std::string_view service) const;
     [[nodiscard]] std::uint32_t servers(std::string_view service) const;
--- a/tests/policy/harness/ledger.cpp
+++ b/tests/policy/harness/ledger.cpp
@@ -46,6 +46,15 @@
     return tallies;
 }
 
+std::uint64_t sumSince(const std::vector<Call> &calls, Time since, std::uint64_t Call::*tokens)
+{
+    std::uint64_t sum = 0;
+    for (const auto &call : calls) {
+        sum += call.finished >= since ? call.*tokens : 0;
+    }
+    return sum;
+}
+
 } // namespace
 
 double Tally::share() const
@@ -86,6 +95,16 @@
     return static_cast<std::uint32_t>(std::ranges::count(calls, Outcome::Open, &Call::outcome));
 }
 
+std::uint64_t Ledger::lostTokens(Time since) const
+{
+    return sumSince(calls, since, &Call::lostTokens);
+}
+
+std::uint64_t Ledger::missedTokens(Time since) const
+{
+    return sumSince(calls, since, &Call::missedTokens);
+}
+
 std::string toString(Urgency urgency)
 {
     static const std::array<std::string, 3> names { "urgent", "normal", "patient" };
--- a/tests/policy/harness/ledger.hpp
+++ b/tests/policy/harness/ledger.hpp
@@ -50,10 +50,6 @@
     std::uint32_t dispatchesToFull = 0;
     std::uint32_t commandsForUnknown = 0;
     std::uint32_t serversCrashed = 0;
-    /// Prompt or output computed again on another attempt of the same call.
-    std::uint64_t lostTokens = 0;
-    /// Prompt prefix computed again since the server chosen did not hold it.
-    std::uint64_t missedTokens = 0;
     double cost = 0;
 
     /// Calls that arrived in the span.
@@ -63,6 +59,9 @@
     [[nodiscard]] std::map<std::string, Tally> byCustomer(const Span &span,
                                                           const std::string &service) const;
     [[nodiscard]] std::uint32_t lost() const;
+    /// Tokens computed again for the calls that ended from that moment on.
+    [[nodiscard]] std::uint64_t lostTokens(Time since) const;
+    [[nodiscard]] std::uint64_t missedTokens(Time since) const;
 };
 
 std::string toString(Urgency urgency);
--- a/tests/policy/scenario/expectation_reader.cpp
+++ b/tests/policy/scenario/expectation_reader.cpp
@@ -3,6 +3,7 @@
 #include "policy/harness/deployment.hpp"
 #include "policy/harness/fairness.hpp"
 
+#include <algorithm>
 #include <iomanip>
 #include <map>
 #include <sstream>
@@ -32,7 +33,7 @@
       [](const Ledger &ledger) -> std::uint64_t { return ledger.dispatchesToFull; } },
     { "servers_crashed",
       [](const Ledger &ledger) -> std::uint64_t { return ledger.serversCrashed; } },
-    { "lost_tokens", [](const Ledger &ledger) -> std::uint64_t { return ledger.lostTokens; } },
+    { "lost_tokens", [](const Ledger &ledger) -> std::uint64_t { return ledger.lostTokens({}); } },
 };
 
 /// Parts of the calls of one urgency; each must be at least what the scenario says.
@@ -107,6 +108,35 @@
     };
 }
 
+std::string largestCustomer(const Deployment &deployment)
+{
+    return std::ranges::max_element(deployment.customers, {}, &CustomerShare::demand)->name;
+}
+
+Expectation largestAnsweredAtMost(const std::string &path, Span span, std::uint32_t limit)
+{
+    return [=](const Ledger &ledger, const Deployment &deployment) -> std::optional<std::string> {
+        const auto tallies = ledger.byCustomer(span, deployment.modelService);
+        const auto &tally = tallies.at(largestCustomer(deployment));
+        if (tally.answered <= limit) {
+            return std::nullopt;
+        }
+        return path + ": at most " + std::to_string(limit) + "; " + describe(tally);
+    };
+}
+
+Expectation othersInTarget(const std::string &path, Span span, double least)
+{
+    return [=](const Ledger &ledger, const Deployment &deployment) -> std::optional<std::string> {
+        for (const auto &[customer, tally] : ledger.byCustomer(span, deployment.modelService)) {
+            if (customer != largestCustomer(deployment) && tally.share() < least) {
+                return path + ", " + customer + ": " + describe(tally);
+            }
+        }
+        return std::nullopt;
+    };
+}
+
 void readParts(YamlFields &window, const std::string &key, Span span, Faults &faults,
                std::vector<Expectation> &expectations)
 {
@@ -137,6 +167,15 @@
         expectations.push_back(
             fairAtLeast(fields.pathOf("fairness"), span, fields.number("fairness")));
     }
+    if (fields.has("largest_customer_answered")) {
+        const auto limit = static_cast<std::uint32_t>(fields.number("largest_customer_answered"));
+        expectations.push_back(
+            largestAnsweredAtMost(fields.pathOf("largest_customer_answered"), span, limit));
+    }
+    if (fields.has("others_in_target")) {
+        expectations.push_back(othersInTarget(fields.pathOf("others_in_target"), span,
+                                              fields.number("others_in_target")));
+    }
     fields.rejectOthers();
 }
 
--- a/tests/policy/scenario_test.cpp
+++ b/tests/policy/scenario_test.cpp
@@ -18,9 +18,9 @@
     std::filesystem::path file;
     std::string deployment;
 
-    friend void PrintTo(const ScenarioRun &run, std::ostream *out)
+    friend std::ostream &operator<<(std::ostream &out, const ScenarioRun &run)
     {
-        *out << run.file.stem().string() << " on " << run.deployment;
+        return out << run.file.stem().string() << " on " << run.deployment;
     }
 };
 
