--- a/tests/policy/harness/cluster_commands.cpp
+++ b/tests/policy/harness/cluster_commands.cpp
@@ -161,7 +161,9 @@
     auto *source = m_fleet.find(work.server);
     dropAttempt(node, command.from);
     node.attempts[command.attempt] = { .request = command.request, .call = call, .work = 0 };
-    const Time done = source->fake->reserveExport(row.promptTokens + row.produced);
+    const auto tokens = row.promptTokens + row.produced;
+    const Time done = std::max(source->fake->reserveTransfer(tokens),
+                               m_fleet.find(command.target)->fake->reserveTransfer(tokens));
     m_loop.at(done, [this, &node, dispatch, source] {
         if (!node.attempts.contains(dispatch.attempt)) {
             return;
--- a/tests/policy/harness/fake_server.cpp
+++ b/tests/policy/harness/fake_server.cpp
@@ -77,12 +77,12 @@
     return static_cast<std::uint32_t>(m_queue.size());
 }
 
-Time FakeServer::reserveExport(std::uint32_t tokens)
+Time FakeServer::reserveTransfer(std::uint32_t tokens)
 {
     const auto length = std::chrono::duration<double>(tokens / m_model.kvTokensPerSecond);
-    m_exportFreeAt = std::max(m_exportFreeAt, m_loop.now())
+    m_transferFreeAt = std::max(m_transferFreeAt, m_loop.now())
         + std::chrono::duration_cast<Duration>(length * m_slowFactor);
-    return m_exportFreeAt;
+    return m_transferFreeAt;
 }
 
 void FakeServer::scheduleTick()
--- a/tests/policy/harness/fake_server.hpp
+++ b/tests/policy/harness/fake_server.hpp
@@ -37,8 +37,9 @@
     [[nodiscard]] std::uint32_t running() const;
     [[nodiscard]] std::uint32_t queued() const;
     [[nodiscard]] const ServerModel &model() const { return m_model; }
-    /// When an export of that many tokens, begun now, is done; exports go one after the other.
-    Time reserveExport(std::uint32_t tokens);
+    /// When a transfer of that many tokens of KV cache, asked for now, is done; a server's exports
+    /// and imports go one after the other.
+    Time reserveTransfer(std::uint32_t tokens);
 
 private:
     struct Stream
@@ -69,7 +70,7 @@
     bool m_failsFast = false;
     bool m_alive = true;
     bool m_ticking = false;
-    Time m_exportFreeAt {};
+    Time m_transferFreeAt {};
 };
 
 } // namespace snipestall::policy::harness
