Deployments of the experiment say what counts as short

Cause: with the default of 256 tokens no lookup of the two deployments counted as short, so that the slots kept for short urgent work were kept for nobody. Change: shortTokens 768, which takes in the lookups and no other kind.

--- a/tests/policy/harness/deployment.cpp
+++ b/tests/policy/harness/deployment.cpp
@@ -14,6 +14,8 @@
 constexpr double NoRequestLimit = 1e6;
 constexpr double NoTokenLimit = 1e9;
 constexpr std::uint32_t NoConcurrencyLimit = 1000000;
+/// Takes in the lookups of both deployments and no other kind.
+constexpr std::uint32_t ShortTokens = 768;
 
 const ClassSettings Cheap { "", "spot-small", true, 0.7, 0.6 };
 const ClassSettings Steady { "", "spot-large", true, 1.0, 0.2 };
@@ -57,6 +59,7 @@
     model.service = deployment.modelService;
     model.models = { deployment.modelService };
     model.slotsPerServer = deployment.modelServer.slots;
+    model.shortTokens = ShortTokens;
     ServiceSettings plain;
     plain.service = deployment.plainService;
     plain.kind = ServiceKind::Plain;
