--- a/tests/policy/harness/ask.hpp
+++ b/tests/policy/harness/ask.hpp
@@ -20,6 +20,8 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0;
     std::vector<std::uint64_t> prefix;
+    /// Hash of the whole body; the same each time it is sent.
+    std::uint64_t fingerprint = 0;
     bool idempotent = true;
     bool crashesServer = false;
     Duration timeAllowed {};
--- a/tests/policy/harness/callers.cpp
+++ b/tests/policy/harness/callers.cpp
@@ -128,6 +128,7 @@
     ask.customer = deployment.customers[customer].name;
     ask.service = service;
     ask.plain = service == deployment.plainService;
+    ask.fingerprint = m_random.next();
     ask.urgency = kind.urgency;
     ask.promptTokens = kind.promptTokens;
     ask.outputTokens = kind.outputTokens;
--- a/tests/policy/harness/cluster.cpp
+++ b/tests/policy/harness/cluster.cpp
@@ -175,7 +175,9 @@
     arrived.deadline = call.deadline;
     arrived.idempotent = call.idempotent;
     arrived.prefix = call.prefix;
-    arrived.crashes = call.crashes;
+    arrived.fingerprint = call.fingerprint;
+    const auto crashes = m_crashesOf.find(call.fingerprint);
+    arrived.crashes = crashes == m_crashesOf.end() ? 0 : crashes->second;
     arrived.resumeOffset = call.produced;
     return arrived;
 }
--- a/tests/policy/harness/cluster.hpp
+++ b/tests/policy/harness/cluster.hpp
@@ -75,7 +75,7 @@
     void receiveTokens(std::size_t node, AttemptHandle attempt, std::uint32_t count);
     void receiveEnd(std::size_t node, AttemptHandle attempt, AttemptResult result,
                     Duration retryAfter);
-    void finishAttempt(Call &call, AttemptResult result);
+    void finishAttempt(const RunningWork &work, AttemptResult result);
     void finish(CallIndex call, Outcome outcome);
     void relayEnd(const Origin &origin, const EntryNode &from, AttemptResult result,
                   Duration retryAfter);
@@ -98,6 +98,8 @@
     std::unordered_map<std::uint64_t, RunningWork> m_works;
     std::unordered_map<CallIndex, std::pair<std::size_t, RequestHandle>> m_homes;
     std::unordered_set<std::uint64_t> m_computedBlocks;
+    /// What the edges of all instances tell each other of requests in flight when a server died.
+    std::unordered_map<std::uint64_t, std::uint32_t> m_crashesOf;
     std::uint64_t m_lastWork = 0;
     CallEnded m_callEnded;
 };
--- a/tests/policy/harness/cluster_answers.cpp
+++ b/tests/policy/harness/cluster_answers.cpp
@@ -48,15 +48,23 @@
         delay(m_nodes[work.node]->dataCentre(), m_fleet.find(work.server)->group.dataCentre);
     m_loop.after(hop, [this, work, result] {
         if (m_nodes[work.node]->attempts.contains(work.attempt)) {
-            finishAttempt(m_ledger.calls[work.call], result);
+            finishAttempt(work, result);
         }
         receiveEnd(work.node, work.attempt, result, {});
     });
 }
 
-void Cluster::finishAttempt(Call &call, AttemptResult result)
+void Cluster::finishAttempt(const RunningWork &work, AttemptResult result)
 {
-    call.crashes += result == AttemptResult::ServerDied ? 1 : 0;
+    auto &call = m_ledger.calls[work.call];
+    // The end of a server under notice blames no request.
+    const bool isAnnounced = m_fleet.find(work.server)->leavingSince.has_value();
+    if (result == AttemptResult::ServerDied && !isAnnounced) {
+        ++call.crashes;
+        ++m_crashesOf[call.fingerprint];
+    } else if (result == AttemptResult::Completed) {
+        m_crashesOf.erase(call.fingerprint);
+    }
     call.mayHaveRun = call.mayHaveRun && !didNotRun(result);
 }
 
