A service without a backend server here is reached through another data centre

Ruled out: forwarding to any data centre always (a request would cross a link that may be cut, for nothing). Change: the linked instances of other data centres are offered to the policy for services that no backend server here runs.

--- a/src/snipestall/entry/node.cpp
+++ b/src/snipestall/entry/node.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace snipestall::entry {
@@ -41,6 +42,18 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
 }
 
+policy::PoolSummary toPolicy(const peer::PoolLoad &load)
+{
+    policy::PoolSummary pool;
+    pool.service = load.service;
+    pool.freeSlots = load.freeSlots;
+    pool.queued = load.queued;
+    pool.servers = load.servers;
+    pool.wait = load.wait;
+    pool.prefixSketch = load.prefixSketch;
+    return pool;
+}
+
 } // namespace
 
 Node::State::State(boost::asio::io_context &context, LocalSettings settings, std::uint64_t number)
@@ -111,42 +124,48 @@
 void Node::State::onMemberChange(const peer::Member &member, peer::MemberState)
 {
     backends.reassign();
-    const bool usable =
-        member.state == peer::MemberState::Live && member.dataCentre == local.dataCentre;
     const auto it = peerHandles.find(member.name);
-    if (!usable && it != peerHandles.end()) {
+    if (member.state != peer::MemberState::Live && it != peerHandles.end()) {
         policy.post(policy::PeerGone { it->second });
         peerHandles.erase(it);
     }
 }
 
+// A request stays in its data centre, unless that has no backend server of its service: then the
+// linked instances of other data centres are offered to the policy for that service alone.
 void Node::State::tellPolicyOfPeers()
 {
-    for (const std::string &name : members.livePeers()) {
-        const peer::Member &member = *members.find(name);
-        const auto [it, added] = peerHandles.try_emplace(name);
-        if (added) {
-            it->second = { ++nextPeer };
-            dispatcher.addPeer(it->second, name);
-        }
+    std::set<std::string> servedHere;
+    for (const auto &[name, backend] : backends.backends()) {
+        if (!backend.leaving)
+            servedHere.insert(backend.listed.service);
+    }
+    for (const auto &[name, member] : members.members()) {
+        if (member.state != peer::MemberState::Live)
+            continue;
+        const bool near = member.dataCentre == local.dataCentre;
         policy::PeerSummary summary;
-        summary.peer = it->second;
+        summary.peer = handleOf(name);
         summary.name = name;
         summary.dataCentre = member.dataCentre;
         for (const peer::PoolLoad &load : member.pools) {
-            policy::PoolSummary pool;
-            pool.service = load.service;
-            pool.freeSlots = load.freeSlots;
-            pool.queued = load.queued;
-            pool.servers = load.servers;
-            pool.wait = load.wait;
-            pool.prefixSketch = load.prefixSketch;
-            summary.pools.push_back(std::move(pool));
+            if (near || !servedHere.contains(load.service))
+                summary.pools.push_back(toPolicy(load));
         }
         policy.post(std::move(summary));
     }
 }
 
+policy::PeerHandle Node::State::handleOf(const std::string &name)
+{
+    const auto [it, added] = peerHandles.try_emplace(name);
+    if (added) {
+        it->second = { ++nextPeer };
+        dispatcher.addPeer(it->second, name);
+    }
+    return it->second;
+}
+
 std::vector<peer::PoolLoad> Node::State::ownPools() const
 {
     std::vector<peer::PoolLoad> loads;
--- a/src/snipestall/entry/node_state.hpp
+++ b/src/snipestall/entry/node_state.hpp
@@ -61,6 +61,7 @@
     void adopt(const peer::v1::RequestRecord &record, bool released);
     void onMemberChange(const peer::Member &member, peer::MemberState before);
     void tellPolicyOfPeers();
+    policy::PeerHandle handleOf(const std::string &name);
     [[nodiscard]] bool pollsSettings() const;
     [[nodiscard]] std::vector<peer::PoolLoad> ownPools() const;
     [[nodiscard]] bool idle() const;
