Peers hear at once of a backend server that came up, and the policy of each peer's word

Cause: in its first second an instance that owned no server of a service refused its callers with no-capacity: summaries came with the next heartbeat and reached the policy once a second. Ruled out: holding such requests back (an instance can't tell this from a service without servers). Change: a heartbeat to all when a server comes up; the policy is told as a peer's state comes in.

--- a/include/snipestall/entry/backend_directory.hpp
+++ b/include/snipestall/entry/backend_directory.hpp
@@ -66,8 +66,11 @@
                      std::chrono::milliseconds notice);
     /// A connection to it was refused: it is asked at once instead of at its turn.
     void suspect(policy::ServerHandle handle);
-    /// Runs at each first word of leaving heard here, to pass it on at once.
-    void onNewLeaving(std::function<void()> callback) { m_onNewLeaving = std::move(callback); }
+    /// Runs when a server has come up here, or its leaving is first heard of: peers are told at
+    /// once instead of with the next heartbeat.
+    void onChange(std::function<void()> callback) { m_onChange = std::move(callback); }
+    /// Whether this data centre has a backend server of the service that is not leaving.
+    [[nodiscard]] bool serves(const std::string &service) const;
     /// Runs when the platform's list names this very instance as leaving.
     void onSelfLeaving(std::function<void(std::chrono::milliseconds)> callback)
     {
@@ -95,7 +98,7 @@
     /// Greatest incarnation of each server known to be leaving.
     std::map<std::string, std::uint64_t> m_leaving;
     std::uint64_t m_nextHandle = 0;
-    std::function<void()> m_onNewLeaving;
+    std::function<void()> m_onChange;
     std::function<void(std::chrono::milliseconds)> m_onSelfLeaving;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/include/snipestall/peer/peer_network.hpp
+++ b/include/snipestall/peer/peer_network.hpp
@@ -55,6 +55,8 @@
         std::function<void(const LeavingServer &)> onLeavingServer;
         std::function<std::vector<CrashReport>()> crashes;
         std::function<void(const CrashReport &)> onCrash;
+        /// A peer's state has just been taken in.
+        std::function<void(const std::string &name)> onHeard;
     };
 
     PeerNetwork(boost::asio::io_context &io, Membership &members, SettingsKeeper &settings,
--- a/src/snipestall/entry/backend_directory.cpp
+++ b/src/snipestall/entry/backend_directory.cpp
@@ -11,8 +11,10 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/json/parse.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace snipestall::entry {
@@ -201,12 +203,18 @@
     if (!backend.owned || backend.leaving)
         return;
     if (news) {
-        if (!backend.up)
-            logEvent(events::ServerUp, { { "server", backend.listed.name } });
-        backend.up = true;
+        const bool first = !std::exchange(backend.up, true);
         m_policy.post(policy::ServerUp { backend.handle, backend.listed.service,
                                          backend.listed.dataCentre, backend.listed.instanceClass,
                                          backend.slots, backend.models });
+        if (first) {
+            logEvent(events::ServerUp, { { "server", backend.listed.name } });
+            // The policy takes the server in within this turn of the loop; then peers are told.
+            boost::asio::post(m_io, [this, alive = m_alive] {
+                if (*alive && m_onChange)
+                    m_onChange();
+            });
+        }
     }
     m_policy.post(policy::ServerReport {
         backend.handle, static_cast<std::uint32_t>(number(load, "running")),
@@ -243,8 +251,8 @@
         it->second.leaving = true;
         m_policy.post(policy::ServerLeaving { it->second.handle, notice });
     }
-    if (m_onNewLeaving)
-        m_onNewLeaving();
+    if (m_onChange)
+        m_onChange();
 }
 
 std::vector<peer::LeavingServer> BackendDirectory::leavingServers() const
@@ -256,6 +264,13 @@
     return servers;
 }
 
+bool BackendDirectory::serves(const std::string &service) const
+{
+    return std::any_of(m_backends.begin(), m_backends.end(), [&](const auto &entry) {
+        return entry.second.listed.service == service && !entry.second.leaving;
+    });
+}
+
 void BackendDirectory::suspect(policy::ServerHandle handle)
 {
     for (auto &[name, backend] : m_backends) {
--- a/src/snipestall/entry/node.cpp
+++ b/src/snipestall/entry/node.cpp
@@ -16,7 +16,6 @@
 
 #include <algorithm>
 #include <random>
-#include <set>
 #include <utility>
 
 namespace snipestall::entry {
@@ -69,15 +68,15 @@
     , policy(context, policy::World::create(local.dataCentre, stableHash(local.instance)),
              dispatcher)
     , backends(context, *platform, http, members, policy)
-    , network(context, members, keeper, number,
-              { [this] { return ownPools(); }, [this] { return backends.leavingServers(); },
-                [this](const peer::LeavingServer &server) {
-                    backends.markLeaving(server.server, server.incarnation, milliseconds(0));
-                },
-                [this] { return crashes.recent(); },
-                [this](const peer::CrashReport &report) {
-                    crashes.note(report, steady_clock::now());
-                } })
+    , network(
+          context, members, keeper, number,
+          { [this] { return ownPools(); }, [this] { return backends.leavingServers(); },
+            [this](const peer::LeavingServer &server) {
+                backends.markLeaving(server.server, server.incarnation, milliseconds(0));
+            },
+            [this] { return crashes.recent(); },
+            [this](const peer::CrashReport &report) { crashes.note(report, steady_clock::now()); },
+            [this](const std::string &name) { tellPolicyOfPeer(name); } })
     , records(
           context, members, network, number,
           [this](const peer::v1::RequestRecord &record, bool released) { adopt(record, released); })
@@ -102,7 +101,7 @@
     members.subscribe([this](const peer::Member &member, peer::MemberState before) {
         onMemberChange(member, before);
     });
-    backends.onNewLeaving([this] { network.announce(); });
+    backends.onChange([this] { network.announce(); });
     backends.onSelfLeaving([this](milliseconds notice) {
         if (!draining)
             beginDrain(notice, [] {});
@@ -133,27 +132,21 @@
 
 // A request stays in its data centre, unless that has no backend server of its service: then the
 // linked instances of other data centres are offered to the policy for that service alone.
-void Node::State::tellPolicyOfPeers()
+void Node::State::tellPolicyOfPeer(const std::string &name)
 {
-    std::set<std::string> servedHere;
-    for (const auto &[name, backend] : backends.backends()) {
-        if (!backend.leaving)
-            servedHere.insert(backend.listed.service);
-    }
-    for (const auto &[name, member] : members.members()) {
-        if (member.state != peer::MemberState::Live)
-            continue;
-        const bool near = member.dataCentre == local.dataCentre;
-        policy::PeerSummary summary;
-        summary.peer = handleOf(name);
-        summary.name = name;
-        summary.dataCentre = member.dataCentre;
-        for (const peer::PoolLoad &load : member.pools) {
-            if (near || !servedHere.contains(load.service))
-                summary.pools.push_back(toPolicy(load));
-        }
-        policy.post(std::move(summary));
+    const peer::Member *member = members.find(name);
+    if (member == nullptr || member->state != peer::MemberState::Live)
+        return;
+    const bool near = member->dataCentre == local.dataCentre;
+    policy::PeerSummary summary;
+    summary.peer = handleOf(name);
+    summary.name = name;
+    summary.dataCentre = member->dataCentre;
+    for (const peer::PoolLoad &load : member->pools) {
+        if (near || !backends.serves(load.service))
+            summary.pools.push_back(toPolicy(load));
     }
+    policy.post(std::move(summary));
 }
 
 policy::PeerHandle Node::State::handleOf(const std::string &name)
@@ -243,7 +236,6 @@
 {
     const auto self = shared_from_this();
     while (!stopped) {
-        tellPolicyOfPeers();
         crashes.expire(steady_clock::now());
         for (const RequestPtr &gone : requests.expire(steady_clock::now()))
             records.forget(gone->spec().id);
--- a/src/snipestall/entry/node_state.hpp
+++ b/src/snipestall/entry/node_state.hpp
@@ -60,7 +60,7 @@
     /// A request whose home is gone, or that was handed over: it lives here from now on.
     void adopt(const peer::v1::RequestRecord &record, bool released);
     void onMemberChange(const peer::Member &member, peer::MemberState before);
-    void tellPolicyOfPeers();
+    void tellPolicyOfPeer(const std::string &name);
     policy::PeerHandle handleOf(const std::string &name);
     [[nodiscard]] bool pollsSettings() const;
     [[nodiscard]] std::vector<peer::PoolLoad> ownPools() const;
--- a/src/snipestall/peer/peer_network.cpp
+++ b/src/snipestall/peer/peer_network.cpp
@@ -230,6 +230,7 @@
     heartbeat.settingsVersion = message.settings_version();
     heartbeat.pools = poolsOf(message.pools());
     m_members.heard(heartbeat, std::chrono::steady_clock::now());
+    m_hooks.onHeard(heartbeat.name);
     for (const v1::LeavingServer &server : message.leaving_servers())
         m_hooks.onLeavingServer({ server.server(), server.incarnation() });
     for (const v1::CrashReport &report : message.crashes())
