Harness: data centres can be cut from each other alone

An instance dials those of another data centre by its seeds only (the list it asks for is its own data centre's, heartbeats carry no address), so a proxy per data centre and entry instance in the seeds is the whole way between two data centres. Telling connections apart by the process that opened them, over /proc, was weighed and left: not needed.

--- a/tests/harness/harness_test.cpp
+++ b/tests/harness/harness_test.cpp
@@ -31,6 +31,28 @@
     EXPECT_FALSE(topology().ledger().runs().empty());
 }
 
+TEST_F(HarnessTest, ACutBetweenDataCentresIsSeenOnBothSidesAndHeals)
+{
+    TopologySpec spec = TopologySpec::small();
+    spec.linksProxied = true;
+    start(spec);
+    const auto state = [this](const std::string &of, const std::string &by) -> std::string {
+        const auto status = topology().status(by);
+        for (const auto &peer : status ? status->peers : std::vector<admin::PeerStatus>()) {
+            if (peer.name == of)
+                return peer.state;
+        }
+        return {};
+    };
+    topology().cutDataCentres("north", "south");
+    EXPECT_TRUE(waitUntil([&] { return state("south-1", "north-1") == "suspected"; }));
+    EXPECT_TRUE(waitUntil([&] { return state("north-1", "south-1") == "suspected"; }));
+    EXPECT_EQ(state("north-2", "north-1"), "up");
+    topology().joinDataCentres("north", "south");
+    EXPECT_TRUE(waitUntil([&] { return state("south-1", "north-1") == "up"; }));
+    EXPECT_TRUE(waitUntil([&] { return state("north-1", "south-1") == "up"; }));
+}
+
 TEST_F(HarnessTest, AKilledServerComesBackAtItsAddressAndItsRecordStays)
 {
     TopologySpec spec;
--- a/tests/harness/topology.cpp
+++ b/tests/harness/topology.cpp
@@ -77,6 +77,8 @@
         if (m_spec.callersProxied)
             allocateProxy("callers/" + entry.name, own.callers);
     }
+    for (const auto &dataCentre : m_spec.dataCentres())
+        allocateLinks(dataCentre);
     for (const auto &server : m_spec.servers) {
         m_servers[server.name] = m_ports.take();
         if (m_spec.serversProxied)
@@ -84,6 +86,14 @@
     }
 }
 
+void Topology::allocateLinks(const std::string &from)
+{
+    for (const auto &entry : m_spec.entries) {
+        if (m_spec.linksProxied && entry.dataCentre != from)
+            allocateProxy("link/" + from + "/" + entry.name, m_entries.at(entry.name).peers);
+    }
+}
+
 void Topology::allocateProxy(const std::string &name, std::uint16_t target)
 {
     m_proxies[name] = { m_ports.take(), m_ports.take(), target };
@@ -139,10 +149,11 @@
         << "'\n  advertise: '" << address(outerPort("peers/" + entry.name, own.peers))
         << "'\n  seeds:\n";
     for (const auto &other : m_spec.entries) {
-        const std::uint16_t port = m_entries.at(other.name).peers;
+        const std::uint16_t near = outerPort("peers/" + other.name, m_entries.at(other.name).peers);
+        const std::uint16_t port = outerPort("link/" + entry.dataCentre + "/" + other.name, near);
         if (other.name != entry.name)
             out << "    - {instance: " << other.name << ", data_centre: " << other.dataCentre
-                << ", address: '" << address(outerPort("peers/" + other.name, port)) << "'}\n";
+                << ", address: '" << address(port) << "'}\n";
     }
     return out.str();
 }
--- a/tests/harness/topology.hpp
+++ b/tests/harness/topology.hpp
@@ -38,9 +38,15 @@
     [[nodiscard]] wire::Endpoint callers(const std::string &entry) const;
     [[nodiscard]] wire::Endpoint operators(const std::string &entry) const;
     [[nodiscard]] wire::Endpoint server(const std::string &name) const;
-    /// `platform/<data centre>`, `peers/<entry>`, `callers/<entry>` or `server/<name>`.
+    /// `platform/<data centre>`, `peers/<entry>`, `link/<data centre>/<entry>`,
+    /// `callers/<entry>` or `server/<name>`.
     [[nodiscard]] ProxyControl proxy(const std::string &name) const;
 
+    /// Loses every byte between two data centres' entry instances; for `linksProxied`. A data
+    /// centre learns the other's addresses from its seeds alone, so no other way is left.
+    void cutDataCentres(const std::string &one, const std::string &other) const;
+    void joinDataCentres(const std::string &one, const std::string &other) const;
+
     /// By the name in the spec, `platform`, or `proxy:<name>`.
     Process &process(const std::string &name);
     /// Starts a process that has ended again, at the same addresses.
@@ -88,6 +94,7 @@
 
     explicit Topology(TopologySpec spec);
     void allocate();
+    void allocateLinks(const std::string &from);
     void allocateProxy(const std::string &name, std::uint16_t target);
     void describe();
     [[nodiscard]] ProcessSpec entryProcess(const EntrySpec &entry);
@@ -99,6 +106,8 @@
     [[nodiscard]] std::uint16_t outerPort(const std::string &proxy, std::uint16_t inner) const;
     void launch(const std::string &name);
     [[nodiscard]] wire::Endpoint firstEndpoint(const std::string &name) const;
+    [[nodiscard]] std::vector<ProxyControl> links(const std::string &one,
+                                                  const std::string &other) const;
     [[nodiscard]] bool serves(const std::string &entry) const;
     [[nodiscard]] bool ready(const std::string &entry, std::uint64_t version) const;
 
--- a/tests/harness/topology_control.cpp
+++ b/tests/harness/topology_control.cpp
@@ -170,6 +170,30 @@
     return std::move(*message);
 }
 
+std::vector<ProxyControl> Topology::links(const std::string &one, const std::string &other) const
+{
+    std::vector<ProxyControl> proxies;
+    for (const auto &entry : m_spec.entries) {
+        if (entry.dataCentre == one)
+            proxies.push_back(proxy("link/" + other + "/" + entry.name));
+        if (entry.dataCentre == other)
+            proxies.push_back(proxy("link/" + one + "/" + entry.name));
+    }
+    return proxies;
+}
+
+void Topology::cutDataCentres(const std::string &one, const std::string &other) const
+{
+    for (const auto &link : links(one, other))
+        link.drop();
+}
+
+void Topology::joinDataCentres(const std::string &one, const std::string &other) const
+{
+    for (const auto &link : links(one, other))
+        link.heal();
+}
+
 void Topology::platformFaults(const std::string &faults) const
 {
     const auto response = httpPost(platform(), "/control/faults", faults);
--- a/tests/harness/topology_spec.hpp
+++ b/tests/harness/topology_spec.hpp
@@ -35,6 +35,9 @@
     bool platformProxied = false;
     /// A proxy `peers/<entry>` in front of each entry instance's listener for peers.
     bool peersProxied = false;
+    /// A proxy `link/<data centre>/<entry>` on the way from each data centre to each entry instance
+    /// of another one, so that two data centres can be cut from each other alone.
+    bool linksProxied = false;
     /// A proxy `callers/<entry>` in front of each entry instance's listener for callers.
     bool callersProxied = false;
     /// A proxy `server/<name>` in front of each backend server.
