--- a/include/snipestall/entry/dispatcher.hpp
+++ b/include/snipestall/entry/dispatcher.hpp
@@ -26,6 +26,7 @@
 namespace snipestall::entry {
 
 class BackendDirectory;
+class CrashLedger;
 class PolicyLoop;
 class RequestStore;
 struct Backend;
@@ -41,6 +42,7 @@
     peer::PeerNetwork *network = nullptr;
     peer::ClaimKeeper *claims = nullptr;
     peer::RecordKeeper *records = nullptr;
+    CrashLedger *crashes = nullptr;
 };
 
 struct DispatchCounters
@@ -96,6 +98,8 @@
 private:
     struct Attempt;
 
+    /// Puts a request before the policy, for the first time or again.
+    void submit(const RequestPtr &request, bool accepted);
     wire::Task<void> runOnServer(RequestPtr request, policy::AttemptHandle handle, Backend server,
                                  std::string kv);
     wire::Task<void> runOnPeer(RequestPtr request, policy::AttemptHandle handle, std::string peer);
@@ -110,6 +114,10 @@
     wire::Task<void> readForward(Attempt &attempt, peer::ForwardCall &call);
     wire::Task<void> attemptBroke(Attempt &attempt, Error error);
     wire::Task<void> replicate(RequestPtr request);
+    /// A claim that was granted and not used: a repeat may have the key.
+    void giveBackClaim(Request &request);
+    void storeUnknown(const Attempt &attempt);
+    void noteCrash(const Attempt &attempt);
     bool takeToken(Attempt &attempt, const std::string &data);
     void answered(Attempt &attempt, int status, std::string contentType, std::string body);
     void declined(Attempt &attempt, std::chrono::milliseconds retryAfter);
--- a/src/snipestall/entry/attempt_on_server.cpp
+++ b/src/snipestall/entry/attempt_on_server.cpp
@@ -1,10 +1,12 @@
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/entry/backend_directory.hpp"
+#include "snipestall/entry/crash_ledger.hpp"
 #include "snipestall/entry/dispatcher.hpp"
 #include "snipestall/entry/policy_loop.hpp"
 #include "snipestall/entry/request_store.hpp"
 #include "snipestall/peer/claim_keeper.hpp"
+#include "snipestall/peer/peer_network.hpp"
 #include "snipestall/settings/sha256.hpp"
 #include "snipestall/wire/event_stream_parser.hpp"
 #include "snipestall/wire/http_client.hpp"
@@ -32,6 +34,9 @@
 constexpr milliseconds ProbeTimeout { 300 };
 constexpr milliseconds ExportTimeout { 3000 };
 constexpr milliseconds DefaultRetryAfter { 1000 };
+/// A platform that has not settled a claim by then is down or slow for longer; the caller had
+/// better hear so and come back than wait out its deadline.
+constexpr milliseconds ClaimPatience { 2000 };
 constexpr milliseconds OutcomePoll { 200 };
 constexpr int StatusUnavailable = 503;
 constexpr int StatusGatewayTimeout = 504;
@@ -95,6 +100,7 @@
     FinalAnswer answer;
     answer.outcome = Outcome::Unknown;
     answer.status = StatusGatewayTimeout;
+    answer.code = "outcome-unknown";
     answer.reason = std::move(reason);
     return answer;
 }
@@ -147,32 +153,40 @@
 {
     const RequestPtr request = attempt.request;
     const RequestSpec &spec = request->spec();
+    // An earlier attempt got the claim and left no byte: the permission is still unused.
+    if (!request->claimedBy.empty())
+        co_return true;
     peer::ClaimRequest claim;
     claim.key = { spec.customer, spec.service, spec.idempotencyKey };
     claim.request = spec.id;
     claim.attempt = attempt.id;
     claim.bodyHash = settings::sha256Hex(spec.body);
-    claim.deadline = spec.deadline;
+    claim.deadline = std::min(spec.deadline, steady_clock::now() + ClaimPatience);
     const peer::ClaimOutcome outcome = co_await m_links.claims->claim(claim);
-    if (request->finished())
+    if (outcome.verdict == peer::ClaimVerdict::Granted)
+        request->claimedBy = attempt.id;
+    if (request->finished()) {
+        giveBackClaim(*request);
         co_return false;
+    }
     if (outcome.verdict == peer::ClaimVerdict::Granted)
         co_return true;
     if (outcome.verdict == peer::ClaimVerdict::Unsettled) {
         FinalAnswer answer;
         answer.outcome = Outcome::NotRun;
         answer.status = StatusUnavailable;
+        answer.code = "platform-unavailable";
         answer.reason = "the platform's table does not answer: a request that must not run twice "
                         "can't be claimed";
         answer.retryAfter = DefaultRetryAfter;
         finish(request, std::move(answer));
         co_return false;
     }
-    logEvent(events::ClaimLost, { { "request", spec.id }, { "holder", outcome.holderRequest } });
     if (outcome.bodyHash != claim.bodyHash) {
         FinalAnswer answer;
         answer.outcome = Outcome::NotRun;
         answer.status = 409;
+        answer.code = "key-reused";
         answer.reason = "this Idempotency-Key was used with another body; choose a new key";
         finish(request, std::move(answer));
         co_return false;
@@ -192,13 +206,20 @@
     while (!request->finished() && steady_clock::now() < spec.deadline) {
         const peer::ClaimKey key { spec.customer, spec.service, spec.idempotencyKey };
         const auto found = co_await m_links.claims->lookup(key);
-        if (found && found->has_value() && (*found)->outcome) {
+        // The holder gave the key back, or its claim never took effect: this request's turn.
+        if (found && !found->has_value())
+            co_return submit(request, true);
+        if (found && (*found)->outcome) {
             const peer::StoredOutcome &stored = *(*found)->outcome;
             FinalAnswer answer;
             answer.outcome = outcomeFrom(stored.outcome);
             answer.status = stored.status;
             answer.contentType = stored.contentType;
             answer.body = stored.body;
+            if (answer.outcome != Outcome::Completed) {
+                answer.code = "outcome-unknown";
+                answer.reason = "an earlier attempt with this key ended so";
+            }
             finish(request, std::move(answer));
             co_return;
         }
@@ -326,7 +347,8 @@
         ++m_counters.wrongAttempt;
         co_return ended(attempt, policy::AttemptResult::Cut);
     }
-    if (response->status == StatusUnavailable)
+    // Of a call that may run once only, a 503 proves nothing: it is passed on as the answer.
+    if (response->status == StatusUnavailable && request->spec().idempotent)
         co_return declined(attempt, retryAfterOf(*response));
     answered(attempt, response->status, response->fields.find("Content-Type").value_or(""),
              std::move(response->body));
@@ -342,15 +364,17 @@
     answer.status = status;
     answer.contentType = std::move(contentType);
     answer.body = std::move(body);
-    if (refused)
+    if (refused) {
+        answer.code = "rejected";
         answer.reason = "the backend server answered " + std::to_string(status);
+    }
     ended(attempt, refused ? policy::AttemptResult::Rejected : policy::AttemptResult::Completed);
     const bool claimed = !spec.idempotent && !spec.idempotencyKey.empty();
     if (claimed) {
         const peer::ClaimKey key { spec.customer, spec.service, spec.idempotencyKey };
         const peer::StoredOutcome stored { answer.status, answer.contentType, answer.body,
                                            std::string(toString(answer.outcome)) };
-        m_links.claims->storeOutcome(key, attempt.id, stored);
+        m_links.claims->storeOutcome(key, request->claimedBy, stored);
     }
     request->finish(std::move(answer));
 }
@@ -358,10 +382,13 @@
 /// The call failed. Whether bytes had left, and whether the server lives, decides what it means.
 wire::Task<void> Dispatcher::attemptBroke(Attempt &attempt, Error error)
 {
+    const bool sent = error.kind != ErrorKind::Unavailable;
+    if (sent)
+        storeUnknown(attempt);
     if (attempt.cancelled || attempt.request->finished())
         co_return;
     m_links.backends->suspect(attempt.server.handle);
-    if (error.kind == ErrorKind::Unavailable)
+    if (!sent)
         co_return ended(attempt, policy::AttemptResult::NotSent);
     wire::HttpRequest probe;
     probe.target = "/load";
@@ -373,9 +400,36 @@
     const bool died = !answer && answer.error().kind == ErrorKind::Unavailable;
     if (attempt.cancelled || attempt.request->finished())
         co_return;
-    if (died)
-        attempt.request->crashedServers().insert(attempt.server.listed.name);
-    ended(attempt, died ? policy::AttemptResult::ServerDied : policy::AttemptResult::Cut);
+    // A server that was announced to leave was taken away; no request is to blame for that.
+    const Backend *server = m_links.backends->find(attempt.server.handle);
+    const bool crashed = died && (server == nullptr || !server->leaving);
+    if (crashed)
+        noteCrash(attempt);
+    ended(attempt, crashed ? policy::AttemptResult::ServerDied : policy::AttemptResult::Cut);
+}
+
+/// A claimed request whose answer was cut: its repeats are told at once that nobody knows.
+void Dispatcher::storeUnknown(const Attempt &attempt)
+{
+    const RequestSpec &spec = attempt.request->spec();
+    if (attempt.request->claimedBy.empty())
+        return;
+    const FinalAnswer answer = unknown("the answer of the backend server was cut");
+    m_links.claims->storeOutcome({ spec.customer, spec.service, spec.idempotencyKey },
+                                 attempt.request->claimedBy,
+                                 { answer.status, "", "", std::string(toString(answer.outcome)) });
+}
+
+void Dispatcher::noteCrash(const Attempt &attempt)
+{
+    const RequestSpec &spec = attempt.request->spec();
+    const std::string &server = attempt.server.listed.name;
+    attempt.request->crashedServers().insert(server);
+    const std::uint64_t fingerprint =
+        CrashLedger::fingerprint(spec.customer, spec.service, spec.body);
+    // Peers hear of it at once: the caller's next try may be at their door already.
+    if (m_links.crashes->note({ fingerprint, server }, steady_clock::now()))
+        m_links.network->announce();
 }
 
 wire::Task<void> Dispatcher::move(RequestPtr request, policy::MoveStream command, Backend from,
--- a/src/snipestall/policy/outcomes.cpp
+++ b/src/snipestall/policy/outcomes.cpp
@@ -1,14 +1,18 @@
 #include "snipestall/policy/outcomes.hpp"
 
+#include "snipestall/policy/concurrency.hpp"
 #include "snipestall/policy/lifecycle.hpp"
 #include "snipestall/policy/retry.hpp"
 #include "snipestall/policy/state.hpp"
 
 #include <algorithm>
+#include <chrono>
 
 namespace snipestall::policy {
 namespace {
 
+using Seconds = std::chrono::duration<double>;
+
 /// Weight of one answer in the learned length of answers.
 constexpr double LengthGain = 0.05;
 
@@ -23,6 +27,11 @@
 {
     const Duration taken = state.now - request.lastTokenAt;
     request.pool->serviceTime.learnOutput(count, taken);
+    const Duration target = request.flow->leaf.interTokenTarget;
+    if (count == 0 || target <= Duration::zero())
+        return;
+    const double tokens = count;
+    observePace(state, *request.server, Seconds(taken) / Seconds(target) / tokens);
 }
 
 /// The estimate was charged when the request was served; what it really took is known now.
@@ -46,6 +55,9 @@
     if (request.promptTokens + request.maxTokens == 0)
         request.pool->serviceTime.learnPlainCall(state.now - request.dispatchedAt);
     settle(request);
+    // It ran to its end with nothing beside it: the deaths before had another cause.
+    if (request.crashes > 0)
+        state.crashes.clear(request.fingerprint);
 }
 
 } // namespace
@@ -98,16 +110,4 @@
     finish(state, *request);
 }
 
-void resumeDelayed(State &state)
-{
-    while (const auto handle = state.backoffs.popDue(state.now)) {
-        Request *request = state.findRequest(*handle);
-        if (!request)
-            continue;
-        withdraw(state, *request);
-        estimate(state, *request);
-        enqueue(state, *request);
-    }
-}
-
 } // namespace snipestall::policy
--- a/src/snipestall/policy/placing.cpp
+++ b/src/snipestall/policy/placing.cpp
@@ -1,7 +1,9 @@
 #include "snipestall/policy/placing.hpp"
 
 #include "snipestall/policy/forwarding.hpp"
+#include "snipestall/policy/isolation.hpp"
 #include "snipestall/policy/lifecycle.hpp"
+#include "snipestall/policy/prefix_placing.hpp"
 #include "snipestall/policy/state.hpp"
 
 #include <chrono>
@@ -23,7 +25,10 @@
 void serve(State &state, Request &request, Server &server)
 {
     request.pool->queue.serve(request);
+    if (request.retries == 0)
+        request.pool->retryBudget.earn();
     state.giveUps.remove(request.giveUpAt, request.handle);
+    rememberPrefix(request, server);
     dispatch(state, request, server);
 }
 
@@ -34,7 +39,9 @@
     Request *request = pool.queue.next(state.now, onlyReservedLeft(pool));
     if (!request)
         return false;
-    Server *server = pool.index.pick(lossSeconds(*request));
+    Server *server = cachedServer(state, *request);
+    if (!server)
+        server = pool.index.pick(lossSeconds(*request));
     serve(state, *request, *server);
     return true;
 }
@@ -45,6 +52,7 @@
 {
     for (const std::string &service : state.touched) {
         Pool &pool = state.pool(service);
+        placeSuspects(state, pool);
         while (placeOne(state, pool)) { }
         forwardQueued(state, pool);
     }
--- a/src/snipestall/policy/world.cpp
+++ b/src/snipestall/policy/world.cpp
@@ -1,9 +1,11 @@
 #include "snipestall/policy/world.hpp"
 
 #include "snipestall/policy/admission.hpp"
+#include "snipestall/policy/concurrency.hpp"
 #include "snipestall/policy/fleet.hpp"
 #include "snipestall/policy/outcomes.hpp"
 #include "snipestall/policy/placing.hpp"
+#include "snipestall/policy/retry.hpp"
 #include "snipestall/policy/state.hpp"
 #include "snipestall/policy/wait_estimate.hpp"
 
@@ -26,8 +28,8 @@
     void operator()(const ServerUp &event) const { onServerUp(state, event); }
     void operator()(const ServerLeaving &event) const { onServerLeaving(state, event); }
     void operator()(const ServerGone &event) const { onServerGone(state, event); }
-    void operator()(const ServerReport &) const { }
-    void operator()(const CacheChanged &) const { }
+    void operator()(const ServerReport &event) const { onServerReport(state, event); }
+    void operator()(const CacheChanged &event) const { onCacheChanged(state, event); }
     void operator()(const PeerSummary &event) const { onPeerSummary(state, event); }
     void operator()(const PeerGone &event) const { onPeerGone(state, event); }
     void operator()(const SelfLeaving &) const { state.leaving = true; }
@@ -41,6 +43,9 @@
 /// placing sees the result of all others.
 constexpr System Systems[] = { &expireQueued, &resumeDelayed, &placeQueued };
 
+/// Fingerprints told to peers in one summary; a summary stays about 40 bytes on a usual day.
+constexpr std::size_t QuarantinesTold = 8;
+
 PoolSummary summaryOf(const Pool &pool)
 {
     PoolSummary summary;
@@ -91,7 +96,7 @@
     return std::min(*giveUp, *backoff);
 }
 
-std::vector<PoolSummary> World::summaries(Time /*now*/) const
+std::vector<PoolSummary> World::summaries(Time now) const
 {
     std::vector<PoolSummary> summaries;
     for (const auto &[service, pool] : m_tables->pools) {
@@ -99,6 +104,8 @@
         if (!m_tables->leaving && pool.index.totals().servers > 0)
             summaries.push_back(summaryOf(pool));
     }
+    if (!summaries.empty())
+        summaries.front().quarantined = m_tables->crashes.quarantined(now, QuarantinesTold);
     return summaries;
 }
 
