--- a/src/snipestall/peer/claim_faults_test.cpp
+++ b/src/snipestall/peer/claim_faults_test.cpp
@@ -15,6 +15,7 @@
 
 using namespace std::chrono_literals;
 using namespace snipestall::platform;
+using wire::Task;
 
 constexpr int Keys = 4;
 
@@ -109,7 +110,15 @@
         const auto left = std::chrono::minutes(1 + m_random.below(30));
         const ClaimRequest request { keyOf(key), "r", attempt, "b", m_clock.steadyNow() + left };
         auto &keeper = *m_keepers[m_random.below(m_keepers.size())];
-        m_asked.push_back({ key, attempt, startTask(m_io, keeper.claim(request)) });
+        m_asked.push_back({ key, attempt, startTask(m_io, claimInTime(keeper, request)) });
+    }
+    Task<ClaimOutcome> claimInTime(ClaimKeeper &keeper, ClaimRequest request)
+    {
+        const auto deadline = request.deadline;
+        auto outcome = co_await keeper.claim(std::move(request));
+        const bool late = m_clock.steadyNow() >= deadline;
+        EXPECT_FALSE(late && outcome.verdict == ClaimVerdict::Granted);
+        co_return outcome;
     }
     void loseAnswer() { ++m_table.loseAnswers; }
     void lose() { ++m_table.loseRequests; }
--- /dev/null
+++ b/tests/store/store_on_standin_test.cpp
@@ -0,0 +1,181 @@
+#include "harness/http_call.hpp"
+#include "harness/port_pool.hpp"
+#include "harness/process.hpp"
+#include "harness/temp_dir.hpp"
+#include "harness/wait_until.hpp"
+#include "snipestall/base/system_clock.hpp"
+#include "snipestall/peer/claim_keeper.hpp"
+#include "snipestall/peer/settings_store.hpp"
+#include "snipestall/peer/steward.hpp"
+#include "snipestall/platform/http_platform.hpp"
+#include "snipestall/platform/run_task.hpp"
+
+#include <gtest/gtest.h>
+
+namespace snipestall {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace snipestall::platform;
+
+constexpr const char *Document =
+    "operators: {ayla: {key_hashes: "
+    "[2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae]}}\n"
+    "customers: {kiyi: {weight: 1}}\n";
+
+/// The store's parts over HTTP against a real process of the stand-in platform. Waits end when the
+/// state asked for is there; no verdict rests on how long they took.
+class StoreOnStandinTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        harness::PortPool ports;
+        m_endpoint = { "127.0.0.1", ports.take() };
+        harness::ProcessSpec spec { "platform",
+                                    "standin-platform",
+                                    { "--listen=" + m_endpoint.toString() },
+                                    m_directory.file("platform.log") };
+        m_process = std::move(harness::Process::start(std::move(spec)).value());
+        ASSERT_TRUE(harness::waitUntil(
+            [this] { return harness::httpGet(m_endpoint, "/control/counters").has_value(); }));
+    }
+
+    std::unique_ptr<HttpPlatform> connect()
+    {
+        HttpPlatformOptions options;
+        options.idleTimeout = 100ms;
+        options.circuit.firstPause = 10ms;
+        options.circuit.longestPause = 20ms;
+        return HttpPlatform::create(m_io, m_endpoint, m_clock, options);
+    }
+
+    std::unique_ptr<peer::ClaimKeeper> keeper(HttpPlatform &platform, const std::string &instance)
+    {
+        return peer::ClaimKeeper::create(m_io, platform, m_clock, instance);
+    }
+
+    void faults(const std::string &json)
+    {
+        ASSERT_TRUE(harness::httpPost(m_endpoint, "/control/faults", json).has_value());
+    }
+
+    template<typename T>
+    T run(wire::Task<T> task)
+    {
+        const auto slot = startTask(m_io, std::move(task));
+        runUntil(m_io, [&] { return slot->has_value(); });
+        return std::move(slot->value());
+    }
+
+    peer::ClaimVerdict claim(peer::ClaimKeeper &keeper, const std::string &attempt,
+                             std::chrono::milliseconds left = 30s)
+    {
+        peer::ClaimRequest request {
+            { "kiyi", "ledger", "k" }, "request", attempt, "body", m_clock.steadyNow() + left
+        };
+        return run(keeper.claim(std::move(request))).verdict;
+    }
+
+    harness::TempDir m_directory;
+    std::unique_ptr<harness::Process> m_process;
+    wire::Endpoint m_endpoint;
+    boost::asio::io_context m_io;
+    SystemClock m_clock;
+};
+
+// The table takes a claim and closes the connection without an answer. The claimer must find its
+// own row and go on; another claimer must find the key held.
+TEST_F(StoreOnStandinTest, ALostAnswerToAClaimIsSettled)
+{
+    const auto platform = connect();
+    const auto samsun = keeper(*platform, "samsun-1");
+    faults(R"({"lose_answers":1})");
+    EXPECT_EQ(claim(*samsun, "a1"), peer::ClaimVerdict::Granted);
+    EXPECT_EQ(samsun->counters().settledByReading, 1U);
+    EXPECT_EQ(claim(*keeper(*platform, "sinop-1"), "a2"), peer::ClaimVerdict::Held);
+}
+
+// The platform is paused with the claim's write in its socket. The caller is refused as not run;
+// woken, the platform carries the write out. The key must be free for the caller's repeat then, and
+// the write that came too late must not hold it.
+TEST_F(StoreOnStandinTest, AWriteCarriedOutAfterAPauseOfThePlatformHoldsNothing)
+{
+    const auto platform = connect();
+    const auto samsun = keeper(*platform, "samsun-1");
+    m_process->freeze();
+    EXPECT_EQ(claim(*samsun, "a1", 300ms), peer::ClaimVerdict::Unsettled);
+    m_process->thaw();
+    runUntil(m_io, [&] { return samsun->counters().abandoned == 1; });
+    const auto other = connect();
+    EXPECT_EQ(claim(*keeper(*other, "sinop-1"), "a2"), peer::ClaimVerdict::Granted);
+}
+
+TEST_F(StoreOnStandinTest, AClaimWithTheTableDownIsUnsettledAndFreeAfterwards)
+{
+    const auto platform = connect();
+    const auto samsun = keeper(*platform, "samsun-1");
+    faults(R"({"table":"down"})");
+    EXPECT_EQ(claim(*samsun, "a1", 300ms), peer::ClaimVerdict::Unsettled);
+    faults(R"({"table":"up"})");
+    EXPECT_EQ(claim(*samsun, "a2"), peer::ClaimVerdict::Granted);
+}
+
+// An operator's change is taken and its answer lost, and the client repeats it after another
+// change.
+TEST_F(StoreOnStandinTest, ASettingsChangeTakesEffectOnce)
+{
+    const auto platform = connect();
+    peer::SettingsStore store(*platform, m_clock);
+    faults(R"({"lose_answers":1})");
+    const peer::SettingsChange first { "c1", 0, "ayla", "first", {}, Document };
+    EXPECT_EQ(run(store.change(first))->version, 1U);
+    const peer::SettingsChange second {
+        "c2", 1, "ayla", "more", { { "customers/kiyi/weight", "2" } }, {}
+    };
+    EXPECT_EQ(run(store.change(second))->version, 2U);
+    EXPECT_EQ(run(store.change(first))->version, 1U);
+    EXPECT_EQ(run(store.headVersion()).value(), 2U);
+    const auto audit = run(store.audit(0, 10));
+    ASSERT_EQ(audit->size(), 2U);
+    EXPECT_EQ(audit->front().changeId, "c2");
+}
+
+// The platform is paused for longer than the lease: the steward must stop giving orders by itself,
+// and go on under its number, or its successor's, when the platform is back.
+TEST_F(StoreOnStandinTest, AStewardWithoutThePlatformGivesNoOrders)
+{
+    const auto platform = connect();
+    peer::StewardOptions options;
+    options.term = 500ms;
+    options.safetyMargin = 100ms;
+    options.longestOrder = 50ms;
+    options.renewEvery = 50ms;
+    const auto steward =
+        peer::Steward::create(m_io, *platform, m_clock, "samsun-hall", "samsun-1", 1, options);
+    steward->start();
+    runUntil(m_io, [&] { return steward->mayOrder().has_value(); });
+    const auto fencing = steward->mayOrder();
+    m_process->freeze();
+    runUntil(m_io, [&] { return !steward->mayOrder(); });
+    m_process->thaw();
+    runUntil(m_io, [&] { return steward->mayOrder().has_value(); });
+    EXPECT_GE(steward->mayOrder(), fencing);
+    boost::asio::co_spawn(m_io, steward->stop(), boost::asio::detached);
+    drain(m_io);
+}
+
+TEST_F(StoreOnStandinTest, OrdersObjectsAndTheListSpeakThePlatformsProtocol)
+{
+    const auto platform = connect();
+    EXPECT_EQ(run(platform->get("none")).error().kind, ErrorKind::NotFound);
+    EXPECT_TRUE(run(platform->put("settings/1", "bytes")).has_value());
+    EXPECT_EQ(run(platform->get("settings/1")).value(), "bytes");
+    EXPECT_TRUE(run(platform->list("samsun-hall"))->empty());
+    faults(R"({"refuse_starts":true})");
+    const StartOrder order { "o1", 2, "language", "samsun-hall", "spot-small" };
+    EXPECT_EQ(run(platform->start(order)).error().kind, ErrorKind::Exhausted);
+}
+
+} // namespace
+} // namespace snipestall
