Health: eject slow, failing and frozen servers by comparison

Cause: a server ten times slower than its pool kept its share of the work, one that answers at once with errors drew nearly all of it, and one that froze with open connections kept its callers until their deadlines.

Change: once a second (100 ms after a failure) the servers of a pool are compared with its lower median: slowness over 3x, over half of attempts failing where the middle fails few, or 5 s of silence with work. A third of a pool at most is out; 5 to 60 s later it is tried with one repeatable request at a time that nobody waits for. A failed attempt keeps its slot for as long as a good one lasts, so failing fast draws no work in between. What a frozen server held is cancelled and queued again, if repeatable.

Ruled out: judging by failures alone (a caller whose requests all servers reject would empty the pool; tested), and leaving the probe to the usual order (behind the reserved slots it was never tried). The limit now also rises from half use; a lowered one made its server look loaded for good.

Conclusion: policy_test passes (50 tests).

--- a/src/snipestall/policy/concurrency.cpp
+++ b/src/snipestall/policy/concurrency.cpp
@@ -42,13 +42,15 @@
 
 void adjust(State &state, Server &server)
 {
-    const bool full = server.running() >= server.limit;
+    // Half in use is enough to raise it: a low limit makes a server look loaded, so that it would
+    // never be filled to it.
+    const bool inUse = 2 * server.running() >= server.limit;
     // While more runs than the limit, the last lowering has not had its effect: streams end one
     // by one, over seconds, and lowering on would end at the bottom each time.
     const bool settled = server.running() <= server.limit;
     if (server.pace > TooSlow && settled && server.limit > leastLimit(server))
         lower(server);
-    else if (server.pace < RoomToSpare && full && server.limit < server.slots)
+    else if (server.pace < RoomToSpare && inUse && server.limit < server.slots)
         ++server.limit;
     else
         return;
--- a/src/snipestall/policy/fake_fleet.hpp
+++ b/src/snipestall/policy/fake_fleet.hpp
@@ -29,6 +29,8 @@
         double crowding = 0;
         /// How its attempts end.
         AttemptResult result = AttemptResult::Completed;
+        /// Answers nothing, with its connections open.
+        bool frozen = false;
         bool leaving = false;
         bool gone = false;
         std::set<std::uint64_t> running;
@@ -229,6 +231,8 @@
     void happen(const Due &due)
     {
         const Attempt attempt = m_attempts.at(due.attempt);
+        if (servers[attempt.server.value].frozen)
+            return;
         Outcome &outcome = of(attempt.request);
         if (due.crash) {
             kill(attempt.server);
--- a/src/snipestall/policy/fleet.cpp
+++ b/src/snipestall/policy/fleet.cpp
@@ -51,6 +51,7 @@
 {
     Pool &pool = *server.pool;
     pool.index.erase(server);
+    pool.probing.erase(server.handle);
     pool.servers.erase(server.handle);
     state.servers.erase(server.handle);
 }
--- a/src/snipestall/policy/lifecycle.cpp
+++ b/src/snipestall/policy/lifecycle.cpp
@@ -1,5 +1,6 @@
 #include "snipestall/policy/lifecycle.hpp"
 
+#include "snipestall/policy/health.hpp"
 #include "snipestall/policy/isolation.hpp"
 #include "snipestall/policy/request.hpp"
 #include "snipestall/policy/state.hpp"
@@ -44,6 +45,16 @@
         request.giveUpAt = request.deadline;
 }
 
+/// Time until the first sign of life of an attempt, generously.
+Duration expectedSilence(const Request &request)
+{
+    constexpr int Generously = 4;
+    const bool plain = request.maxTokens == 0;
+    const Duration usual =
+        plain ? request.service : request.pool->serviceTime.prompt(request.promptTokens);
+    return Generously * usual;
+}
+
 void releaseSlot(State &state, Request &request)
 {
     releaseIsolation(state, request);
@@ -56,6 +67,7 @@
     if (!server.gone || server.running() > 0)
         return;
     server.pool->index.erase(server);
+    server.pool->probing.erase(server.handle);
     server.pool->servers.erase(server.handle);
     state.servers.erase(server.handle);
 }
@@ -99,6 +111,7 @@
     server.requests.insert(request.handle.value);
     server.peak = std::max(server.peak, server.running());
     server.runningOther += request.shortUrgent ? 0 : 1;
+    expectProgress(state, server, expectedSilence(request));
     server.pool->index.update(server);
     state.emit(Dispatch { request.handle, request.attempt, server.handle });
 }
--- a/src/snipestall/policy/outcomes.cpp
+++ b/src/snipestall/policy/outcomes.cpp
@@ -1,6 +1,7 @@
 #include "snipestall/policy/outcomes.hpp"
 
 #include "snipestall/policy/concurrency.hpp"
+#include "snipestall/policy/health.hpp"
 #include "snipestall/policy/lifecycle.hpp"
 #include "snipestall/policy/retry.hpp"
 #include "snipestall/policy/state.hpp"
@@ -27,11 +28,24 @@
 {
     const Duration taken = state.now - request.lastTokenAt;
     request.pool->serviceTime.learnOutput(count, taken);
-    const Duration target = request.flow->leaf.interTokenTarget;
-    if (count == 0 || target <= Duration::zero())
+    if (count == 0)
         return;
-    const double tokens = count;
-    observePace(state, *request.server, Seconds(taken) / Seconds(target) / tokens);
+    const Seconds perToken = Seconds(taken) / count;
+    const Seconds usual = request.pool->serviceTime.perOutputToken();
+    if (usual > Seconds::zero())
+        observeSpeed(*request.server, perToken / usual);
+    const Seconds target = request.flow->leaf.interTokenTarget;
+    if (target > Seconds::zero())
+        observePace(state, *request.server, perToken / target);
+}
+
+void learnPlainCall(State &state, Request &request)
+{
+    ServiceTime &serviceTime = request.pool->serviceTime;
+    const Duration taken = state.now - request.dispatchedAt;
+    const Seconds usual = serviceTime.estimate(0, 0);
+    observeSpeed(*request.server, Seconds(taken) / usual);
+    serviceTime.learnPlainCall(taken);
 }
 
 /// The estimate was charged when the request was served; what it really took is known now.
@@ -53,7 +67,8 @@
     if (request.phase != Phase::Running)
         return;
     if (request.promptTokens + request.maxTokens == 0)
-        request.pool->serviceTime.learnPlainCall(state.now - request.dispatchedAt);
+        learnPlainCall(state, request);
+    observeSuccess(state, request);
     settle(request);
     // It ran to its end with nothing beside it: the deaths before had another cause.
     if (request.crashes > 0)
@@ -75,6 +90,7 @@
     else
         learnFirstToken(state, *request);
     request->lastTokenAt = state.now;
+    expectProgress(state, *request->server, Duration::zero());
 }
 
 void onAttemptEnded(State &state, const AttemptEnded &event)
@@ -88,6 +104,8 @@
         finish(state, *request);
         return;
     case AttemptResult::Rejected:
+        if (request->phase == Phase::Running)
+            observeFailure(state, *request);
         finish(state, *request);
         return;
     case AttemptResult::NotSent:
--- a/src/snipestall/policy/placing.cpp
+++ b/src/snipestall/policy/placing.cpp
@@ -1,6 +1,7 @@
 #include "snipestall/policy/placing.hpp"
 
 #include "snipestall/policy/forwarding.hpp"
+#include "snipestall/policy/health.hpp"
 #include "snipestall/policy/isolation.hpp"
 #include "snipestall/policy/lifecycle.hpp"
 #include "snipestall/policy/prefix_placing.hpp"
@@ -22,6 +23,15 @@
     return std::chrono::duration<double>(request.service).count() / 2;
 }
 
+Server *choose(State &state, const Request &request)
+{
+    if (Server *server = serverToProbe(state, request))
+        return server;
+    if (Server *server = cachedServer(state, request))
+        return server;
+    return request.pool->index.pick(lossSeconds(request));
+}
+
 void serve(State &state, Request &request, Server &server)
 {
     request.pool->queue.serve(request);
@@ -39,10 +49,7 @@
     Request *request = pool.queue.next(state.now, onlyReservedLeft(pool));
     if (!request)
         return false;
-    Server *server = cachedServer(state, *request);
-    if (!server)
-        server = pool.index.pick(lossSeconds(*request));
-    serve(state, *request, *server);
+    serve(state, *request, *choose(state, *request));
     return true;
 }
 
--- a/src/snipestall/policy/pool.hpp
+++ b/src/snipestall/policy/pool.hpp
@@ -38,6 +38,8 @@
     /// Suspects without a server, and the servers kept for others.
     std::set<QueuedRequest> suspects;
     std::set<ServerHandle> isolated;
+    /// Servers on probation.
+    std::set<ServerHandle> probing;
 
     /// Slots that only short urgent work may use.
     [[nodiscard]] std::uint32_t reservedSlots() const;
--- a/src/snipestall/policy/prefix_placing.cpp
+++ b/src/snipestall/policy/prefix_placing.cpp
@@ -32,7 +32,9 @@
     Server *best = nullptr;
     for (const ServerHandle handle : pool.prefixes.holders(prefix)) {
         Server *server = state.findServer(handle);
-        if (!server || server->freeSlots() == 0 || !withinBound(*server))
+        // A cached prefix is no reason to send work to a server on probation.
+        const bool healthy = server && server->standing == Standing::Healthy;
+        if (!healthy || server->freeSlots() == 0 || !withinBound(*server))
             continue;
         if (!best || server->freeSlots() > best->freeSlots())
             best = server;
--- a/src/snipestall/policy/retry.cpp
+++ b/src/snipestall/policy/retry.cpp
@@ -1,5 +1,6 @@
 #include "snipestall/policy/retry.hpp"
 
+#include "snipestall/policy/health.hpp"
 #include "snipestall/policy/isolation.hpp"
 #include "snipestall/policy/lifecycle.hpp"
 #include "snipestall/policy/state.hpp"
@@ -99,6 +100,8 @@
     const bool died = event.result == AttemptResult::ServerDied;
     if (died && request.phase == Phase::Running)
         countCrash(state, request);
+    else if (request.phase == Phase::Running)
+        observeFailure(state, request);
     if (request.crashes >= CrashTable::QuarantinedAt)
         refuse(state, request, RefusalReason::Quarantined, Duration::zero());
     else if (mayHaveRun(request, event.result))
--- a/src/snipestall/policy/retry_test.cpp
+++ b/src/snipestall/policy/retry_test.cpp
@@ -60,6 +60,7 @@
 {
     const ServerHandle first = m_fleet.addServer(4);
     std::vector<RequestHandle> suspects;
+    suspects.reserve(4);
     for (int i = 0; i < 4; ++i)
         suspects.push_back(m_fleet.send(m_fleet.request("ferries")));
     m_fleet.addServer(4);
@@ -106,6 +107,7 @@
 TEST_F(RetryTest, ManyDeathsAtOnceMakeFewSuspects)
 {
     std::vector<ServerHandle> servers;
+    servers.reserve(8);
     for (int i = 0; i < 8; ++i)
         servers.push_back(m_fleet.addServer(8));
     for (int i = 0; i < 40; ++i)
--- a/src/snipestall/policy/server.hpp
+++ b/src/snipestall/policy/server.hpp
@@ -3,6 +3,7 @@
 #include "snipestall/policy/handles.hpp"
 #include "snipestall/policy/time.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -12,6 +13,14 @@
 struct Pool;
 struct Request;
 
+enum class Standing {
+    Healthy,
+    /// Let back in for one request at a time.
+    Probing,
+    /// Gets no work for a while.
+    Ejected,
+};
+
 /// Row of the backend server table: one incarnation of an owned backend server.
 struct Server
 {
@@ -45,6 +54,20 @@
     std::uint32_t peak = 0;
     std::uint32_t lastPeak = 0;
 
+    Standing standing = Standing::Healthy;
+    Time probeAt;
+    Duration probeWait {};
+    /// Recent time for a piece of work over what its pool expects.
+    double slowness = 1;
+    std::uint32_t speedSamples = 0;
+    /// When at the latest something must come from what runs there.
+    Time progressDue;
+    /// Recent share of attempts that failed.
+    double failureRate = 0;
+    std::uint32_t results = 0;
+    /// Slots kept after fast failures.
+    std::uint32_t penalties = 0;
+
     /// The one request that it is kept for; null when it is open to all.
     Request *suspect = nullptr;
 
@@ -53,12 +76,20 @@
         return static_cast<std::uint32_t>(requests.size());
     }
     /// Slots in use, by whomever.
-    [[nodiscard]] std::uint32_t occupied() const { return running() + foreign; }
+    [[nodiscard]] std::uint32_t occupied() const { return running() + foreign + penalties; }
     /// Takes new work.
-    [[nodiscard]] bool usable() const { return !leaving && !gone && !suspect; }
+    [[nodiscard]] bool usable() const
+    {
+        return !leaving && !gone && !suspect && standing != Standing::Ejected;
+    }
+    /// What it is given side by side now.
+    [[nodiscard]] std::uint32_t allowed() const
+    {
+        return standing == Standing::Probing ? std::min(limit, 1U) : limit;
+    }
     [[nodiscard]] std::uint32_t freeSlots() const
     {
-        return usable() && occupied() < limit ? limit - occupied() : 0;
+        return usable() && occupied() < allowed() ? allowed() - occupied() : 0;
     }
 };
 
--- a/src/snipestall/policy/server_index.cpp
+++ b/src/snipestall/policy/server_index.cpp
@@ -20,14 +20,14 @@
 
 std::uint32_t loadOf(const Server &server)
 {
-    return (server.occupied() + 1) * FullLoad / server.limit;
+    return (server.occupied() + 1) * FullLoad / server.allowed();
 }
 
 ServerIndex::Totals totalsOf(const Server &server)
 {
     if (!server.usable())
         return {};
-    return { 1, server.limit, server.freeSlots(), server.runningOther };
+    return { 1, server.allowed(), server.freeSlots(), server.runningOther };
 }
 
 } // namespace
--- a/src/snipestall/policy/state.hpp
+++ b/src/snipestall/policy/state.hpp
@@ -48,9 +48,13 @@
     CrashTable crashes;
 
     /// Queued requests by the time at which they are given up.
-    TimerSet giveUps;
+    TimerSet<RequestHandle> giveUps;
     /// Delayed requests by the end of their backoff.
-    TimerSet backoffs;
+    TimerSet<RequestHandle> backoffs;
+    /// Slots kept after fast failures, by the time at which they are free again.
+    TimerSet<ServerHandle> penalties;
+    /// When servers are next compared.
+    Time nextReview;
     /// Pools whose queue or free slots changed in this step.
     std::set<std::string, std::less<>> touched;
 
--- a/src/snipestall/policy/timer_set.hpp
+++ b/src/snipestall/policy/timer_set.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "snipestall/policy/handles.hpp"
 #include "snipestall/policy/time.hpp"
 
 #include <optional>
@@ -9,20 +8,39 @@
 
 namespace snipestall::policy {
 
-/// Times at which something is due for a request, ordered; each change is O(log n).
+/// Times at which something is due for the row of a table, ordered; each change is O(log n).
+template<typename HandleType>
 class TimerSet
 {
 public:
-    void add(Time at, RequestHandle request) { m_timers.emplace(at, request); }
-    void remove(Time at, RequestHandle request) { m_timers.erase({ at, request }); }
+    void add(Time at, HandleType handle) { m_timers.emplace(at, handle); }
+    void remove(Time at, HandleType handle)
+    {
+        const auto it = m_timers.find({ at, handle });
+        if (it != m_timers.end())
+            m_timers.erase(it);
+    }
 
     /// Takes out one timer that is due.
-    std::optional<RequestHandle> popDue(Time now);
-
-    [[nodiscard]] std::optional<Time> next() const;
+    std::optional<HandleType> popDue(Time now)
+    {
+        if (m_timers.empty() || m_timers.begin()->first > now)
+            return std::nullopt;
+        const HandleType handle = m_timers.begin()->second;
+        m_timers.erase(m_timers.begin());
+        return handle;
+    }
+
+    [[nodiscard]] std::optional<Time> next() const
+    {
+        if (m_timers.empty())
+            return std::nullopt;
+        return m_timers.begin()->first;
+    }
 
 private:
-    std::set<std::pair<Time, RequestHandle>> m_timers;
+    /// One row may have several timers at the same time.
+    std::multiset<std::pair<Time, HandleType>> m_timers;
 };
 
 } // namespace snipestall::policy
--- a/src/snipestall/policy/world.cpp
+++ b/src/snipestall/policy/world.cpp
@@ -3,6 +3,7 @@
 #include "snipestall/policy/admission.hpp"
 #include "snipestall/policy/concurrency.hpp"
 #include "snipestall/policy/fleet.hpp"
+#include "snipestall/policy/health.hpp"
 #include "snipestall/policy/outcomes.hpp"
 #include "snipestall/policy/placing.hpp"
 #include "snipestall/policy/retry.hpp"
@@ -41,7 +42,15 @@
 
 /// The order is part of the contract: what is given up on frees no slot, what ended does, and
 /// placing sees the result of all others.
-constexpr System Systems[] = { &expireQueued, &resumeDelayed, &placeQueued };
+constexpr System Systems[] = { &expireQueued, &endPenalties, &reviewServers, &resumeDelayed,
+                               &placeQueued };
+
+std::optional<Time> earlier(std::optional<Time> a, std::optional<Time> b)
+{
+    if (!a || !b)
+        return a ? a : b;
+    return std::min(*a, *b);
+}
 
 /// Fingerprints told to peers in one summary; a summary stays about 40 bytes on a usual day.
 constexpr std::size_t QuarantinesTold = 8;
@@ -89,11 +98,11 @@
 
 std::optional<Time> World::nextWake() const
 {
-    const std::optional<Time> giveUp = m_tables->giveUps.next();
-    const std::optional<Time> backoff = m_tables->backoffs.next();
-    if (!giveUp || !backoff)
-        return giveUp ? giveUp : backoff;
-    return std::min(*giveUp, *backoff);
+    const State &state = *m_tables;
+    std::optional<Time> wake = earlier(state.giveUps.next(), state.backoffs.next());
+    wake = earlier(wake, state.penalties.next());
+    // Servers are compared only while there is work to compare them by.
+    return state.requests.empty() ? wake : earlier(wake, state.nextReview);
 }
 
 std::vector<PoolSummary> World::summaries(Time now) const
