Shifting: finish, export or resume each stream of a leaving server

Cause: at a notice streams ran on until the server was gone and were then recomputed whole.

Change: a stream that needs over 0.7 of the notice is moved, the one that costs most to recompute first: by KV export while its server's exports fit the notice, else by resuming. Targets import two at a time, so a wave of notices becomes waves of moves. Late in the notice, without a free slot here, a peer's free slot is taken. Non-idempotent calls stay. For 30 s after a notice its instance class counts as a quarter fuller, so that a stream is seldom moved twice in a wave.

What is left is streams moved to a server that got its own notice a moment later, in the middle of the import.

--- a/src/snipestall/policy/fake_fleet.hpp
+++ b/src/snipestall/policy/fake_fleet.hpp
@@ -50,6 +50,9 @@
         std::vector<ForwardTo> forwards;
         std::vector<std::uint64_t> beside;
         int ends = 0;
+        std::uint32_t produced = 0;
+        /// Tokens that a server worked through a second time.
+        std::uint32_t recomputed = 0;
         /// An attempt broke after it was sent.
         bool cut = false;
         int sentAgainAfterCut = 0;
@@ -113,6 +116,13 @@
         give(ServerLeaving { handle, notice });
     }
 
+    /// Notice, and the end when it runs out.
+    void reclaim(ServerHandle handle, Duration notice)
+    {
+        leave(handle, notice);
+        m_reclaims.emplace(now + notice, handle);
+    }
+
     RequestArrived request(const std::string &customer, Urgency urgency = Urgency::Normal)
     {
         RequestArrived event;
@@ -153,7 +163,9 @@
         while (true) {
             const std::optional<Time> wake = world->nextWake();
             const Time due = m_due.empty() ? Time::max() : m_due.begin()->first.first;
-            const Time next = std::max(now, std::min(due, wake.value_or(Time::max())));
+            const Time reclaim = m_reclaims.empty() ? Time::max() : m_reclaims.begin()->first;
+            const Time first = std::min({ due, reclaim, wake.value_or(Time::max()) });
+            const Time next = std::max(now, first);
             if (next > until)
                 break;
             now = next;
@@ -218,6 +230,12 @@
 
     void stepAtNow()
     {
+        if (!m_reclaims.empty() && m_reclaims.begin()->first <= now) {
+            const ServerHandle server = m_reclaims.begin()->second;
+            m_reclaims.erase(m_reclaims.begin());
+            kill(server);
+            return;
+        }
         if (m_due.empty() || m_due.begin()->first.first > now) {
             give(std::vector<Event> {});
             return;
@@ -243,6 +261,7 @@
         } else {
             if (!outcome.firstToken)
                 outcome.firstToken = now;
+            outcome.produced += due.tokens;
             give(TokensProduced { attempt.request, { due.attempt }, due.tokens });
         }
     }
@@ -298,24 +317,35 @@
             add(now + std::chrono::milliseconds(2), { attempt.value, 0, true, false });
             return;
         }
-        const std::uint32_t tokens = outcome.request.maxTokens;
+        const std::uint32_t tokens = outcome.request.maxTokens - outcome.produced;
         const std::uint32_t parts = 10;
         const double slowdown =
             1.0 + backend.crowding * static_cast<double>(backend.running.size() - 1);
         const auto perToken = std::chrono::duration_cast<Duration>(slowdown * backend.perToken);
         Time at = now + backend.prompt;
-        for (std::uint32_t part = 0; part < parts && tokens > 0; ++part) {
-            add(at, { attempt.value, tokens / parts, false, false });
-            at += perToken * (tokens / parts);
+        std::uint32_t left = tokens;
+        for (std::uint32_t part = parts; part > 0 && left > 0; --part) {
+            const std::uint32_t count = (left + part - 1) / part;
+            add(at, { attempt.value, count, false, false });
+            at += perToken * count;
+            left -= count;
         }
         add(at, { attempt.value, 0, true, false });
     }
 
     void add(Time at, Due due) { m_due.emplace(std::pair(at, ++m_lastDue), due); }
 
+    static void countRecomputed(Outcome &outcome)
+    {
+        outcome.recomputed += outcome.request.promptTokens + outcome.produced;
+    }
+
     void obey(const Dispatch &command)
     {
-        of(command.request).dispatches.push_back(command);
+        Outcome &outcome = of(command.request);
+        if (!outcome.dispatches.empty())
+            countRecomputed(outcome);
+        outcome.dispatches.push_back(command);
         runOn(command.request, command.attempt, command.server);
     }
 
@@ -323,6 +353,8 @@
     {
         of(command.request).moves.push_back(command);
         endAttempt(command.from.value);
+        if (command.method == MoveMethod::Resume)
+            countRecomputed(of(command.request));
         runOn(command.request, command.attempt, command.target);
     }
 
@@ -347,6 +379,7 @@
 
     std::map<std::uint64_t, Attempt> m_attempts;
     std::map<std::pair<Time, std::uint64_t>, Due> m_due;
+    std::multimap<Time, ServerHandle> m_reclaims;
     std::uint64_t m_lastServer = 0;
     std::uint64_t m_lastRequest = 0;
     std::uint64_t m_lastDue = 0;
--- a/src/snipestall/policy/fleet.cpp
+++ b/src/snipestall/policy/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/policy/isolation.hpp"
 #include "snipestall/policy/limits.hpp"
+#include "snipestall/policy/shifting.hpp"
 #include "snipestall/policy/state.hpp"
 #include "snipestall/settings/effective_settings.hpp"
 
@@ -100,9 +101,15 @@
     Server *server = state.findServer(event.server);
     if (!server)
         return;
+    if (!server->leaving)
+        server->pool->index.noteReclaim(state.now, *server);
     server->leaving = true;
+    server->noticeEnds = state.now + event.notice;
+    server->noticeHalf = state.now + event.notice / 2;
+    state.notices.add(server->noticeHalf, server->handle);
     abandonIsolation(state, *server);
     server->pool->index.update(*server);
+    planMoves(state, *server);
     state.touch(*server->pool);
 }
 
--- a/src/snipestall/policy/isolation.cpp
+++ b/src/snipestall/policy/isolation.cpp
@@ -68,7 +68,7 @@
 void placeSuspects(State &state, Pool &pool)
 {
     while (!pool.suspects.empty() && pool.isolated.size() < mostIsolated(pool)) {
-        Server *server = pool.index.pick(0);
+        Server *server = pool.index.pick(state.now, 0);
         if (!server)
             break;
         reserve(state, pool, *server);
--- a/src/snipestall/policy/lifecycle.cpp
+++ b/src/snipestall/policy/lifecycle.cpp
@@ -3,6 +3,7 @@
 #include "snipestall/policy/health.hpp"
 #include "snipestall/policy/isolation.hpp"
 #include "snipestall/policy/request.hpp"
+#include "snipestall/policy/shifting.hpp"
 #include "snipestall/policy/state.hpp"
 
 #include <algorithm>
@@ -58,6 +59,8 @@
 void releaseSlot(State &state, Request &request)
 {
     releaseIsolation(state, request);
+    forgetMove(request);
+    endImport(request);
     Server &server = *request.server;
     server.requests.erase(request.handle.value);
     server.runningOther -= request.shortUrgent ? 0 : 1;
@@ -72,6 +75,21 @@
     state.servers.erase(server.handle);
 }
 
+void occupy(State &state, Request &request, Server &server)
+{
+    request.phase = Phase::Running;
+    request.attempt = state.newAttempt();
+    request.server = &server;
+    request.dispatchedAt = state.now;
+    request.lastTokenAt = state.now;
+    request.firstTokenSeen = false;
+    server.requests.insert(request.handle.value);
+    server.peak = std::max(server.peak, server.running());
+    server.runningOther += request.shortUrgent ? 0 : 1;
+    expectProgress(state, server, expectedSilence(request));
+    server.pool->index.update(server);
+}
+
 } // namespace
 
 void estimate(State & /*state*/, Request &request)
@@ -102,20 +120,21 @@
 
 void dispatch(State &state, Request &request, Server &server)
 {
-    request.phase = Phase::Running;
-    request.attempt = state.newAttempt();
-    request.server = &server;
-    request.dispatchedAt = state.now;
-    request.lastTokenAt = state.now;
-    request.firstTokenSeen = false;
-    server.requests.insert(request.handle.value);
-    server.peak = std::max(server.peak, server.running());
-    server.runningOther += request.shortUrgent ? 0 : 1;
-    expectProgress(state, server, expectedSilence(request));
-    server.pool->index.update(server);
+    occupy(state, request, server);
     state.emit(Dispatch { request.handle, request.attempt, server.handle });
 }
 
+void moveTo(State &state, Request &request, Server &target, MoveMethod method)
+{
+    const AttemptHandle from = request.attempt;
+    withdraw(state, request);
+    estimate(state, request);
+    occupy(state, request, target);
+    request.importing = true;
+    ++target.imports;
+    state.emit(MoveStream { request.handle, from, request.attempt, target.handle, method });
+}
+
 void forward(State &state, Request &request, PeerHandle peer)
 {
     request.phase = Phase::Forwarded;
--- a/src/snipestall/policy/lifecycle.hpp
+++ b/src/snipestall/policy/lifecycle.hpp
@@ -22,6 +22,9 @@
 
 void dispatch(State &state, Request &request, Server &server);
 
+/// Starts the request's stream again on another server, in place of its running attempt.
+void moveTo(State &state, Request &request, Server &target, MoveMethod method);
+
 void forward(State &state, Request &request, PeerHandle peer);
 
 /// Leaves its phase: out of the queue, the timers or the slot. It must get a new phase or be
--- a/src/snipestall/policy/outcomes.cpp
+++ b/src/snipestall/policy/outcomes.cpp
@@ -4,6 +4,7 @@
 #include "snipestall/policy/health.hpp"
 #include "snipestall/policy/lifecycle.hpp"
 #include "snipestall/policy/retry.hpp"
+#include "snipestall/policy/shifting.hpp"
 #include "snipestall/policy/state.hpp"
 
 #include <algorithm>
@@ -20,6 +21,8 @@
 void learnFirstToken(State &state, Request &request)
 {
     request.firstTokenSeen = true;
+    endImport(request);
+    state.touch(*request.pool);
     const Duration taken = state.now - request.dispatchedAt;
     request.pool->serviceTime.learnFirstToken(request.promptTokens, taken);
 }
--- a/src/snipestall/policy/placing.cpp
+++ b/src/snipestall/policy/placing.cpp
@@ -29,7 +29,7 @@
         return server;
     if (Server *server = cachedServer(state, request))
         return server;
-    return request.pool->index.pick(lossSeconds(request));
+    return request.pool->index.pick(state.now, lossSeconds(request));
 }
 
 void serve(State &state, Request &request, Server &server)
--- a/src/snipestall/policy/pool.hpp
+++ b/src/snipestall/policy/pool.hpp
@@ -3,6 +3,7 @@
 #include "snipestall/policy/death_window.hpp"
 #include "snipestall/policy/fair_queue.hpp"
 #include "snipestall/policy/flow.hpp"
+#include "snipestall/policy/planned_move.hpp"
 #include "snipestall/policy/prefix_index.hpp"
 #include "snipestall/policy/retry_budget.hpp"
 #include "snipestall/policy/server.hpp"
@@ -33,6 +34,9 @@
     ServiceTime serviceTime;
     PrefixIndex prefixes;
 
+    /// Streams that wait for a place away from a server under notice.
+    std::set<PlannedMove> moves;
+
     RetryBudget retryBudget;
     DeathWindow deaths;
     /// Suspects without a server, and the servers kept for others.
--- a/src/snipestall/policy/request.hpp
+++ b/src/snipestall/policy/request.hpp
@@ -71,6 +71,12 @@
     Time lastTokenAt;
     bool firstTokenSeen = false;
 
+    /// To be moved off a server under notice, and what recomputing it would cost in tokens.
+    bool moving = false;
+    std::uint32_t moveCost = 0;
+    /// Moved here, first token not yet seen.
+    bool importing = false;
+
     std::uint32_t retries = 0;
     std::uint32_t forwards = 0;
     std::uint32_t crashes = 0;
--- a/src/snipestall/policy/server.hpp
+++ b/src/snipestall/policy/server.hpp
@@ -39,6 +39,13 @@
     bool leaving = false;
     bool gone = false;
 
+    /// While it leaves: when it is gone, half of the way there, and when its exports are done.
+    Time noticeEnds;
+    Time noticeHalf;
+    Time exportsEnd;
+    /// Streams moved here whose first token has not come yet.
+    std::uint32_t imports = 0;
+
     /// Attempts that run on it, by request.
     std::set<std::uint64_t> requests;
     /// Of these, those that may not use the reserved slots.
--- a/src/snipestall/policy/server_index.cpp
+++ b/src/snipestall/policy/server_index.cpp
@@ -2,6 +2,8 @@
 
 #include "snipestall/policy/server.hpp"
 
+#include <algorithm>
+#include <chrono>
 #include <limits>
 #include <tuple>
 
@@ -16,6 +18,12 @@
 /// overloaded while reclaimable ones idle.
 constexpr double LossWeight = 20.0;
 
+/// Load: reclaims that come in waves, class by class. While one lasts, its class is taken for a
+/// quarter fuller than it is: what moves off a server under notice should not have to move again,
+/// but a class that is far emptier still gets work.
+constexpr double WavePenalty = 0.25;
+constexpr Duration WaveTime = std::chrono::seconds(30);
+
 constexpr double SecondsPerHour = 3600.0;
 
 std::uint32_t loadOf(const Server &server)
@@ -83,14 +91,14 @@
     }
 }
 
-Server *ServerIndex::pick(double lossSeconds) const
+Server *ServerIndex::pick(Time now, double lossSeconds) const
 {
     Server *best = nullptr;
     double bestScore = std::numeric_limits<double>::max();
     for (const auto &[name, group] : m_groups) {
         if (group.free.empty())
             continue;
-        const double candidate = score(group, lossSeconds);
+        const double candidate = score(group, now, lossSeconds);
         if (candidate >= bestScore)
             continue;
         bestScore = candidate;
@@ -99,11 +107,39 @@
     return best;
 }
 
-double ServerIndex::score(const ClassGroup &group, double lossSeconds)
+std::vector<Server *> ServerIndex::best(Time now, double lossSeconds, std::size_t most) const
+{
+    std::vector<std::pair<double, const ClassGroup *>> groups;
+    groups.reserve(m_groups.size());
+    for (const auto &[name, group] : m_groups) {
+        if (!group.free.empty())
+            groups.emplace_back(score(group, now, lossSeconds), &group);
+    }
+    const auto byScore = [](const auto &a, const auto &b) { return a.first < b.first; };
+    std::stable_sort(groups.begin(), groups.end(), byScore);
+    std::vector<Server *> servers;
+    servers.reserve(most);
+    for (const auto &[groupScore, group] : groups) {
+        for (const LoadedServer &place : group->free) {
+            if (servers.size() == most)
+                return servers;
+            servers.push_back(place.server);
+        }
+    }
+    return servers;
+}
+
+void ServerIndex::noteReclaim(Time now, const Server &server)
+{
+    m_groups[{ server.dataCentre, server.instanceClass }].waveEnds = now + WaveTime;
+}
+
+double ServerIndex::score(const ClassGroup &group, Time now, double lossSeconds)
 {
     const double load = static_cast<double>(group.free.begin()->load) / FullLoad;
     const double lossShare = group.reclaimsPerHour * lossSeconds / SecondsPerHour;
-    return load + LossWeight * lossShare;
+    const double wave = now < group.waveEnds ? WavePenalty : 0.0;
+    return load + LossWeight * lossShare + wave;
 }
 
 } // namespace snipestall::policy
--- a/src/snipestall/policy/server_index.hpp
+++ b/src/snipestall/policy/server_index.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "snipestall/policy/handles.hpp"
+#include "snipestall/policy/time.hpp"
 #include "snipestall/settings/class_settings.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -37,7 +39,13 @@
 
     /// A server with a free slot: least loaded, but for work whose loss would cost
     /// `lossSeconds` of recomputing, hazard counts too. Null when no slot is free.
-    [[nodiscard]] Server *pick(double lossSeconds) const;
+    [[nodiscard]] Server *pick(Time now, double lossSeconds) const;
+
+    /// The first few in that order; the best class's first.
+    [[nodiscard]] std::vector<Server *> best(Time now, double lossSeconds, std::size_t most) const;
+
+    /// A server of this class got notice: more of its class may follow within moments.
+    void noteReclaim(Time now, const Server &server);
 
     [[nodiscard]] const Totals &totals() const { return m_totals; }
 
@@ -58,6 +66,8 @@
     {
         double pricePerHour = 1.0;
         double reclaimsPerHour = 0;
+        /// A wave of reclaims is believed to last until then.
+        Time waveEnds;
         std::set<LoadedServer> free;
     };
 
@@ -69,7 +79,7 @@
     };
 
     void withdraw(Entry &entry);
-    [[nodiscard]] static double score(const ClassGroup &group, double lossSeconds);
+    [[nodiscard]] static double score(const ClassGroup &group, Time now, double lossSeconds);
 
     std::map<ClassName, ClassGroup> m_groups;
     std::unordered_map<ServerHandle, Entry> m_entries;
--- a/src/snipestall/policy/state.hpp
+++ b/src/snipestall/policy/state.hpp
@@ -53,6 +53,8 @@
     TimerSet<RequestHandle> backoffs;
     /// Slots kept after fast failures, by the time at which they are free again.
     TimerSet<ServerHandle> penalties;
+    /// Servers under notice, by the half of it.
+    TimerSet<ServerHandle> notices;
     /// When servers are next compared.
     Time nextReview;
     /// Pools whose queue or free slots changed in this step.
--- a/src/snipestall/policy/world.cpp
+++ b/src/snipestall/policy/world.cpp
@@ -7,6 +7,7 @@
 #include "snipestall/policy/outcomes.hpp"
 #include "snipestall/policy/placing.hpp"
 #include "snipestall/policy/retry.hpp"
+#include "snipestall/policy/shifting.hpp"
 #include "snipestall/policy/state.hpp"
 #include "snipestall/policy/wait_estimate.hpp"
 
@@ -42,8 +43,8 @@
 
 /// The order is part of the contract: what is given up on frees no slot, what ended does, and
 /// placing sees the result of all others.
-constexpr System Systems[] = { &expireQueued, &endPenalties, &reviewServers, &resumeDelayed,
-                               &placeQueued };
+constexpr System Systems[] = { &expireQueued,  &endPenalties, &reviewServers,
+                               &resumeDelayed, &moveStreams,  &placeQueued };
 
 std::optional<Time> earlier(std::optional<Time> a, std::optional<Time> b)
 {
@@ -101,6 +102,7 @@
     const State &state = *m_tables;
     std::optional<Time> wake = earlier(state.giveUps.next(), state.backoffs.next());
     wake = earlier(wake, state.penalties.next());
+    wake = earlier(wake, state.notices.next());
     // Servers are compared only while there is work to compare them by.
     return state.requests.empty() ? wake : earlier(wake, state.nextReview);
 }
