--- a/tests/policy/harness/ledger.hpp
+++ b/tests/policy/harness/ledger.hpp
@@ -54,7 +54,8 @@
 
     /// Calls that arrived in the span.
     [[nodiscard]] std::map<std::string, Tally> byKind(const Span &span) const;
-    /// Model calls by urgency; calls of the plain service as "plain".
+    /// Model calls by urgency; calls of the plain service as "plain";
+    /// requests that crash servers, which nobody can answer, as "crasher".
     [[nodiscard]] std::map<std::string, Tally> byUrgency(const Span &span) const;
     [[nodiscard]] std::map<std::string, Tally> byCustomer(const Span &span,
                                                           const std::string &service) const;
