--- a/tests/policy/harness/callers.hpp
+++ b/tests/policy/harness/callers.hpp
@@ -44,6 +44,7 @@
     Random m_random;
     Load m_load;
     std::uint64_t m_epoch = 0;
+    std::uint64_t m_lastAsk = 0;
 };
 
 } // namespace snipestall::policy::harness
--- a/tests/policy/harness/ledger.cpp
+++ b/tests/policy/harness/ledger.cpp
@@ -79,6 +79,9 @@
 std::map<std::string, Tally> Ledger::byUrgency(const Span &span) const
 {
     return groupBy(calls, span, [](const Call &call) {
+        if (call.crashesServer) {
+            return std::string("crasher");
+        }
         return call.plain ? std::string("plain") : toString(call.urgency);
     });
 }
