Scenarios over real processes: the same kind of language as the policy's, steps tied to seen states

Steps wait for what is seen (attempts, runs, running streams, ended processes, peers' states), never for a time alone; loads are snipestall-load with its mix; expectations read its report and the ledgers.

--- /dev/null
+++ b/tests/harness/scenario/stage.cpp
@@ -0,0 +1,58 @@
+#include "harness/scenario/stage.hpp"
+
+#include "harness/ledger_files.hpp"
+
+#include <algorithm>
+
+namespace snipestall::harness {
+
+Stage::Stage(Topology &topology)
+    : m_topology(topology)
+    , m_start(std::chrono::steady_clock::now())
+{ }
+
+void Stage::startLoad(const std::string &mix)
+{
+    m_loads.push_back(m_topology.startLoad(mix));
+}
+
+bool Stage::loadsEnded() const
+{
+    return std::all_of(m_loads.begin(), m_loads.end(),
+                       [](const auto &load) { return !load->running(); });
+}
+
+const std::vector<boost::json::object> &Stage::reports()
+{
+    while (m_reports.size() < m_loads.size())
+        m_reports.push_back(m_topology.loadReport(*m_loads[m_reports.size()]));
+    return m_reports;
+}
+
+std::chrono::steady_clock::duration Stage::elapsed() const
+{
+    return std::chrono::steady_clock::now() - m_start;
+}
+
+std::size_t Stage::attemptsRunning(const std::string &server) const
+{
+    const load::Ledger ledger = server.empty() ? m_topology.ledger() : m_topology.ledgerOf(server);
+    const auto running =
+        std::count_if(ledger.attempts().begin(), ledger.attempts().end(),
+                      [](const auto &attempt) { return attempt.second.ended == "running"; });
+    return static_cast<std::size_t>(running);
+}
+
+std::string Stage::peerState(const std::string &of, const std::string &by) const
+{
+    const auto status = m_topology.status(by);
+    if (!status)
+        return {};
+    for (const auto &peer : status->peers) {
+        if (peer.name == of)
+            return peer.state;
+    }
+    return {};
+}
+
+} // namespace snipestall::harness
--- a/tests/harness/topology.hpp
+++ b/tests/harness/topology.hpp
@@ -65,6 +65,7 @@
     /// owners tell the others of their servers only with the next summaries. The probes are in the
     /// ledgers too, without a key.
     void waitForService();
+    void waitForService(const std::string &entry);
 
     void platformFaults(const std::string &faults) const;
     [[nodiscard]] std::int64_t platformCounter(const std::string &name) const;
@@ -72,6 +73,7 @@
     void controlServer(const std::string &name, const std::string &body) const;
     /// What engines and services have recorded up to now, killed ones too.
     [[nodiscard]] load::Ledger ledger() const;
+    [[nodiscard]] load::Ledger ledgerOf(const std::string &server) const;
 
     /// Starts snipestall-load against all callers' addresses.
     std::unique_ptr<Process> startLoad(const std::string &mix,
--- a/tests/harness/topology_control.cpp
+++ b/tests/harness/topology_control.cpp
@@ -118,10 +118,14 @@
 
 void Topology::waitForService()
 {
-    for (const auto &entry : m_spec.entries) {
-        if (!waitUntil([&] { return serves(entry.name); }))
-            throw std::runtime_error(entry.name + " does not serve\n" + logs());
-    }
+    for (const auto &entry : m_spec.entries)
+        waitForService(entry.name);
+}
+
+void Topology::waitForService(const std::string &entry)
+{
+    if (!waitUntil([&] { return serves(entry); }))
+        throw std::runtime_error(entry + " does not serve\n" + logs());
 }
 
 void Topology::waitForServers()
@@ -232,6 +236,11 @@
     return readLedgerFiles(files);
 }
 
+load::Ledger Topology::ledgerOf(const std::string &server) const
+{
+    return readLedgerFiles({ ledgerFile(server) });
+}
+
 std::unique_ptr<Process> Topology::startLoad(const std::string &mix,
                                              const std::vector<std::string> &arguments)
 {
