--- a/include/snipestall/peer/claim_keeper.hpp
+++ b/include/snipestall/peer/claim_keeper.hpp
@@ -92,11 +92,11 @@
 
     wire::Task<ClaimOutcome> claim(ClaimRequest request);
     /// Stores what came of a granted claim; retried in the background until the table takes it.
-    void storeOutcome(ClaimKey key, std::string attempt, StoredOutcome outcome);
+    void storeOutcome(const ClaimKey &key, std::string attempt, StoredOutcome outcome);
     /// Takes back a grant that was not used: no byte of the attempt has left and none ever will.
     /// The key is free for the next claimer once the table has taken the mark, which is retried in
     /// the background; until then a repeat sees it as held.
-    void giveBack(ClaimKey key, std::string attempt);
+    void giveBack(const ClaimKey &key, std::string attempt);
     /// What is known of a key; nothing if no row is there; Unavailable if the table is down.
     wire::Task<Result<std::optional<ClaimOutcome>>> lookup(ClaimKey key);
     /// Removes rows older than the lifetime, at most one batch a call. Run now and then.
--- a/src/snipestall/peer/claim_context.cpp
+++ b/src/snipestall/peer/claim_context.cpp
@@ -29,12 +29,13 @@
 } // namespace
 
 ClaimContext::ClaimContext(boost::asio::io_context &context, platform::TableService &service,
-                           const Clock &source, const std::string &instance, ClaimOptions chosen)
+                           const Clock &source, std::string instance, ClaimOptions chosen)
     : io(context)
     , table(service)
     , clock(source)
     , options(chosen)
-    , m_tokenPrefix(instance + "." + std::to_string(source.wallNow().time_since_epoch().count()))
+    , m_tokenPrefix(std::move(instance) + "."
+                    + std::to_string(source.wallNow().time_since_epoch().count()))
     , m_random(stableHash(m_tokenPrefix))
 {
     // Two starts of one instance name within one tick of the wall clock still differ.
--- a/src/snipestall/peer/claim_context.hpp
+++ b/src/snipestall/peer/claim_context.hpp
@@ -15,7 +15,7 @@
 {
 public:
     ClaimContext(boost::asio::io_context &io, platform::TableService &table, const Clock &clock,
-                 const std::string &instance, ClaimOptions options);
+                 std::string instance, ClaimOptions options);
 
     /// A name that no other call, instance or earlier run of this instance has given out.
     std::string nextToken();
--- a/src/snipestall/peer/claim_keeper.cpp
+++ b/src/snipestall/peer/claim_keeper.cpp
@@ -209,7 +209,7 @@
                                                  platform::TableService &table, const Clock &clock,
                                                  std::string instance, ClaimOptions options)
 {
-    auto context = std::make_shared<ClaimContext>(io, table, clock, instance, options);
+    auto context = std::make_shared<ClaimContext>(io, table, clock, std::move(instance), options);
     auto state = std::make_shared<State>(std::move(context));
     return std::unique_ptr<ClaimKeeper>(new ClaimKeeper(std::move(state)));
 }
@@ -232,7 +232,7 @@
     co_return state->conclude(claim);
 }
 
-void ClaimKeeper::storeOutcome(ClaimKey key, std::string attempt, StoredOutcome outcome)
+void ClaimKeeper::storeOutcome(const ClaimKey &key, std::string attempt, StoredOutcome outcome)
 {
     ClaimUpdate update;
     update.rowKey = claimRowKey(key);
@@ -241,7 +241,7 @@
     m_state->updates->add(std::move(update));
 }
 
-void ClaimKeeper::giveBack(ClaimKey key, std::string attempt)
+void ClaimKeeper::giveBack(const ClaimKey &key, std::string attempt)
 {
     ClaimUpdate update;
     update.kind = ClaimUpdate::Kind::GiveBack;
