--- a/src/snipestall/policy/pool.hpp
+++ b/src/snipestall/policy/pool.hpp
@@ -3,6 +3,7 @@
 #include "snipestall/policy/death_window.hpp"
 #include "snipestall/policy/fair_queue.hpp"
 #include "snipestall/policy/flow.hpp"
+#include "snipestall/policy/planned_move.hpp"
 #include "snipestall/policy/prefix_index.hpp"
 #include "snipestall/policy/retry_budget.hpp"
 #include "snipestall/policy/server.hpp"
@@ -33,11 +34,16 @@
     ServiceTime serviceTime;
     PrefixIndex prefixes;
 
+    /// Streams that wait for a place away from a server under notice.
+    std::set<PlannedMove> moves;
+
     RetryBudget retryBudget;
     DeathWindow deaths;
     /// Suspects without a server, and the servers kept for others.
     std::set<QueuedRequest> suspects;
     std::set<ServerHandle> isolated;
+    /// Servers on probation.
+    std::set<ServerHandle> probing;
 
     /// Slots that only short urgent work may use.
     [[nodiscard]] std::uint32_t reservedSlots() const;
--- a/tests/harness/topology.hpp
+++ b/tests/harness/topology.hpp
@@ -38,23 +38,33 @@
     [[nodiscard]] wire::Endpoint callers(const std::string &entry) const;
     [[nodiscard]] wire::Endpoint operators(const std::string &entry) const;
     [[nodiscard]] wire::Endpoint server(const std::string &name) const;
-    /// `platform/<data centre>`, `peers/<entry>`, `callers/<entry>` or `server/<name>`.
+    /// `platform/<data centre>`, `peers/<entry>`, `link/<data centre>/<entry>`,
+    /// `callers/<entry>` or `server/<name>`.
     [[nodiscard]] ProxyControl proxy(const std::string &name) const;
 
+    /// Loses every byte between two data centres' entry instances; for `linksProxied`. A data
+    /// centre learns the other's addresses from its seeds alone, so no other way is left.
+    void cutDataCentres(const std::string &one, const std::string &other) const;
+    void joinDataCentres(const std::string &one, const std::string &other) const;
+
     /// By the name in the spec, `platform`, or `proxy:<name>`.
     Process &process(const std::string &name);
     /// Starts a process that has ended again, at the same addresses.
     void restart(const std::string &name);
     void waitForPort(const wire::Endpoint &endpoint);
 
-    /// Puts the spec's settings in force and waits until every entry instance serves with them and
-    /// every backend server is owned by an entry instance.
+    /// Puts the spec's settings in force and waits until every entry instance serves with them.
     void applySettings();
     /// One change against the present version; the version it gave.
     std::uint64_t changeSettings(const std::string &entry, const std::string &path,
                                  const std::string &value);
     [[nodiscard]] std::optional<admin::InstanceStatus> status(const std::string &entry) const;
+    /// Waits until every backend server is up in the eyes of the entry instance that owns it.
     void waitForServers();
+    /// Waits until each entry instance answers an idempotent probe of every model and service:
+    /// owners tell the others of their servers only with the next summaries. The probes are in the
+    /// ledgers too, without a key.
+    void waitForService();
 
     void platformFaults(const std::string &faults) const;
     [[nodiscard]] std::int64_t platformCounter(const std::string &name) const;
@@ -84,6 +94,7 @@
 
     explicit Topology(TopologySpec spec);
     void allocate();
+    void allocateLinks(const std::string &from);
     void allocateProxy(const std::string &name, std::uint16_t target);
     void describe();
     [[nodiscard]] ProcessSpec entryProcess(const EntrySpec &entry);
@@ -95,6 +106,9 @@
     [[nodiscard]] std::uint16_t outerPort(const std::string &proxy, std::uint16_t inner) const;
     void launch(const std::string &name);
     [[nodiscard]] wire::Endpoint firstEndpoint(const std::string &name) const;
+    [[nodiscard]] std::vector<ProxyControl> links(const std::string &one,
+                                                  const std::string &other) const;
+    [[nodiscard]] bool serves(const std::string &entry) const;
     [[nodiscard]] bool ready(const std::string &entry, std::uint64_t version) const;
 
     struct ProxyPorts
