--- a/apps/snipestallctl/command.cpp
+++ b/apps/snipestallctl/command.cpp
@@ -86,8 +86,9 @@
     for (const FlagHelp &flag : flagHelp())
         out << "  " << (flag.name.size() == 1 ? "-" : "--") << flag.name << "  " << flag.meaning
             << '\n';
-    out << "\nEnds with 0 ok, 1 refused, 2 bad input, 3 unreachable (nothing applied), 4 outcome "
-           "unknown.\nMore: snipestallctl COMMAND --help, docs/snipestallctl.md\n";
+    out << "\nEnds with 0 ok, 1 refused, 2 bad input, 3 unreachable (nothing applied), 4 outcome\n"
+           "unknown, 5 accepted but not in force in time (--wait).\nMore: snipestallctl COMMAND "
+           "--help, docs/snipestallctl.md\n";
 }
 
 void printHelp(std::ostream &out, const Command &command)
--- a/apps/snipestallctl/command_test.cpp
+++ b/apps/snipestallctl/command_test.cpp
@@ -76,6 +76,19 @@
     EXPECT_THAT(effective, ContainsRegex("/local/limits/concurrency +30 +share of data_centres"));
 }
 
+TEST_F(CommandTest, WaitComesBackOnceEveryServerHasTheChangeInForce)
+{
+    applyExample();
+    m_options.wait = true;
+    m_options.inForceWithin = std::chrono::milliseconds(300);
+    m_server.onLoop([this] { m_status.follows = &m_keeper; });
+    EXPECT_EQ(run({ "set", "fleet/weight", "2" }).code, ExitCode::Ok);
+    m_server.onLoop([this] { m_status.follows = nullptr; });
+    const Ended behind = run({ "set", "fleet/weight", "3" });
+    EXPECT_EQ(behind.code, ExitCode::NotInForce);
+    EXPECT_THAT(behind.err, HasSubstr("not yet in force at 127.0.0.1"));
+}
+
 TEST_F(CommandTest, RollbackIsANewVersionWithOldContent)
 {
     applyExample();
--- a/apps/snipestallctl/commands_change.cpp
+++ b/apps/snipestallctl/commands_change.cpp
@@ -8,7 +8,9 @@
 
 #include <boost/json.hpp>
 
+#include <chrono>
 #include <ostream>
+#include <thread>
 
 namespace snipestall::ctl {
 
@@ -28,6 +30,42 @@
     return failure;
 }
 
+bool isInForce(OperatorsClient &client, const wire::Endpoint &server, std::uint64_t version)
+{
+    const auto status = client.status(server);
+    return status && status->settingsVersion >= version;
+}
+
+/// The servers that don't have the version in force when the time for it is over.
+std::vector<wire::Endpoint> waitForAll(OperatorsClient &client, std::uint64_t version,
+                                       std::chrono::milliseconds longest)
+{
+    using std::chrono::steady_clock;
+    constexpr auto Pause = std::chrono::milliseconds(200);
+    const auto end = steady_clock::now() + longest;
+    std::vector<wire::Endpoint> behind = client.servers();
+    while (true) {
+        std::erase_if(behind, [&](const wire::Endpoint &server) {
+            return isInForce(client, server, version);
+        });
+        if (behind.empty() || steady_clock::now() >= end)
+            return behind;
+        std::this_thread::sleep_for(Pause);
+    }
+}
+
+ExitCode waitIfAsked(const Invocation &run, OperatorsClient &client, std::uint64_t version)
+{
+    if (!run.options.wait)
+        return ExitCode::Ok;
+    const std::vector<wire::Endpoint> behind =
+        waitForAll(client, version, run.options.inForceWithin);
+    for (const wire::Endpoint &server : behind)
+        run.err << "accepted, but not yet in force at " << server.toString()
+                << "; see snipestallctl status\n";
+    return behind.empty() ? ExitCode::Ok : ExitCode::NotInForce;
+}
+
 ExitCode send(const Invocation &run, OperatorsClient &client, peer::SettingsChange change)
 {
     change.id = run.options.changeId.empty() ? newChangeId() : run.options.changeId;
@@ -42,7 +80,7 @@
                                  { "hash", accepted->hash },
                                  { "change_id", change.id } };
     print(run.out, run.options.output, table, content);
-    return ExitCode::Ok;
+    return waitIfAsked(run, client, accepted->version);
 }
 
 /// The version that the operator saw: the one named, or else the newest.
--- a/apps/snipestallctl/exit_code.hpp
+++ b/apps/snipestallctl/exit_code.hpp
@@ -13,6 +13,8 @@
     Unreachable = 3,
     /// The change may be in; the message says how to find out.
     OutcomeUnknown = 4,
+    /// The change is accepted, but with --wait it was not seen in force everywhere in time.
+    NotInForce = 5,
 };
 
 } // namespace snipestall::ctl
--- a/apps/snipestallctl/options.hpp
+++ b/apps/snipestallctl/options.hpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/wire/endpoint.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,6 +28,10 @@
     std::optional<std::uint64_t> baseVersion;
     /// Repeats an earlier change whose outcome is unknown.
     std::string changeId;
+    /// Come back only when every server named has the change in force.
+    bool wait = false;
+    /// Changes are in force everywhere within this time.
+    std::chrono::milliseconds inForceWithin { 9000 };
     bool effective = false;
     std::optional<std::uint64_t> atVersion;
     std::string dataCentre;
--- a/apps/snipestallctl/test_fleet.hpp
+++ b/apps/snipestallctl/test_fleet.hpp
@@ -30,9 +30,13 @@
         admin::InstanceStatus status;
         status.instance = "samsun-1";
         status.dataCentre = "samsun-hall";
+        status.settingsVersion = follows ? follows->version() : 0;
         status.queues.push_back({ "language", 2, 5, std::chrono::milliseconds(30) });
         return status;
     }
+
+    /// Whose version is told; none: an instance that stays behind.
+    const peer::SettingsKeeper *follows = nullptr;
 };
 
 /// A real operators' API on loopback, over a table in memory.
--- a/include/snipestall/admin/metrics.hpp
+++ b/include/snipestall/admin/metrics.hpp
@@ -12,6 +12,8 @@
 
 namespace snipestall::admin {
 
+struct InstanceStatus;
+
 /// How a request is counted, apart from its customer: customers' names are no labels, since their
 /// number would multiply every series.
 enum class RequestClass {
@@ -41,6 +43,8 @@
 {
 public:
     static std::unique_ptr<Metrics> create();
+    /// The same families in a registry that may have them already; both then count together.
+    static std::unique_ptr<Metrics> createIn(std::shared_ptr<prometheus::Registry> registry);
     ~Metrics();
 
     [[nodiscard]] std::shared_ptr<prometheus::Registry> registry() const;
@@ -71,6 +75,9 @@
     void platformReads(std::uint64_t rows);
     void handedOver(std::uint64_t requests);
 
+    /// Every gauge that an instance's status tells: settings version, lease, queues, slots.
+    void setFrom(const InstanceStatus &status);
+
 private:
     struct Families;
     explicit Metrics(std::unique_ptr<Families> families);
--- a/include/snipestall/settings/tree.hpp
+++ b/include/snipestall/settings/tree.hpp
@@ -50,6 +50,8 @@
 
 private:
     struct Content;
+    static tl::expected<Tree, std::vector<Fault>> checkWith(Document document,
+                                                            std::string canonical);
     explicit Tree(std::shared_ptr<const Content> content);
 
     std::shared_ptr<const Content> m_content;
--- a/src/snipestall/admin/admin_routes.cpp
+++ b/src/snipestall/admin/admin_routes.cpp
@@ -1,6 +1,7 @@
 #include "admin_routes.hpp"
 
 #include "snipestall/admin/messages.hpp"
+#include "snipestall/admin/metrics.hpp"
 #include "snipestall/admin/status_source.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
@@ -16,7 +17,9 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 #include <utility>
 
@@ -57,6 +60,29 @@
     return message;
 }
 
+// The id becomes part of a row's key, and both stand in the audit trail, which other operators read
+// on their terminals: a control character there could rewrite what they see.
+std::optional<Error> wrongWords(const peer::SettingsChange &change)
+{
+    constexpr std::size_t LongestId = 64;
+    constexpr std::size_t LongestReason = 500;
+    const auto isIdCharacter = [](unsigned char c) {
+        return std::isalnum(c) || c == '-' || c == '_';
+    };
+    const auto isControl = [](unsigned char c) { return std::iscntrl(c) != 0; };
+    const std::string &id = change.id;
+    if (id.empty() || id.size() > LongestId || !std::all_of(id.begin(), id.end(), isIdCharacter))
+        return Error {
+            ErrorKind::InvalidArgument,
+            "an id has 1 to 64 letters, digits, '-' or '_'; let snipestallctl choose it"
+        };
+    const std::string &reason = change.reason;
+    if (reason.size() > LongestReason || std::any_of(reason.begin(), reason.end(), isControl))
+        return Error { ErrorKind::InvalidArgument,
+                       "a reason is one line of at most 500 bytes; shorten it" };
+    return std::nullopt;
+}
+
 Error notInTree(const settings::EffectiveQuery &query)
 {
     std::string message = "nothing is in force for data centre '" + query.dataCentre + "'";
@@ -98,8 +124,11 @@
 AdminApi::Routes::Routes(Dependencies dependencies)
     : m_uses(std::move(dependencies))
     , m_auth(*m_uses.store, *m_uses.keeper, m_uses.bootstrapKeyHash)
+    , m_gauges(Metrics::createIn(m_uses.metrics))
 { }
 
+AdminApi::Routes::~Routes() = default;
+
 const AdminApi::Routes::Route *AdminApi::Routes::find(const HttpRequest &request)
 {
     static constexpr std::array Table {
@@ -204,6 +233,8 @@
     auto change = decodeChange(call.request.body);
     if (!change)
         co_return refusal(change.error());
+    if (const auto wrong = wrongWords(*change))
+        co_return refusal(*wrong);
     change->who = call.who;
     const std::string id = change->id;
     const std::uint64_t base = change->baseVersion;
@@ -266,8 +297,9 @@
     co_return HttpResponse::json(Accepted, encodeStatus(m_uses.status->status()));
 }
 
-HttpResponse AdminApi::Routes::metrics() const
+HttpResponse AdminApi::Routes::metrics()
 {
+    m_gauges->setFrom(m_uses.status->status());
     HttpResponse response;
     response.fields.set("Content-Type", "text/plain; version=0.0.4");
     response.body = prometheus::TextSerializer().Serialize(m_uses.metrics->Collect());
--- a/src/snipestall/admin/admin_routes.hpp
+++ b/src/snipestall/admin/admin_routes.hpp
@@ -6,6 +6,7 @@
 
 #include "operator_auth.hpp"
 
+#include <memory>
 #include <string>
 
 namespace snipestall::peer {
@@ -15,6 +16,8 @@
 
 namespace snipestall::admin {
 
+class Metrics;
+
 /// One authenticated request.
 struct Call
 {
@@ -29,6 +32,7 @@
     using Answer = wire::Task<wire::HttpResponse>;
 
     explicit Routes(Dependencies dependencies);
+    ~Routes();
 
     /// Never throws: what goes wrong unforeseen is logged and answered with 500.
     Answer answer(const wire::HttpRequest &request);
@@ -47,13 +51,14 @@
     Answer getStatus(const Call &call);
     Answer postDrain(const Call &call);
 
-    [[nodiscard]] wire::HttpResponse metrics() const;
+    wire::HttpResponse metrics();
     wire::Task<wire::HttpResponse> refuseChange(std::string who, std::string changeId,
                                                 std::uint64_t baseVersion,
                                                 peer::ChangeRefusal refused);
 
     Dependencies m_uses;
     OperatorAuth m_auth;
+    std::unique_ptr<Metrics> m_gauges;
 };
 
 } // namespace snipestall::admin
--- a/src/snipestall/admin/metrics.cpp
+++ b/src/snipestall/admin/metrics.cpp
@@ -1,5 +1,7 @@
 #include "snipestall/admin/metrics.hpp"
 
+#include "snipestall/admin/instance_status.hpp"
+
 #include "metric_info.hpp"
 
 #include <prometheus/counter.h>
@@ -45,12 +47,20 @@
 
 struct Metrics::Families
 {
-    std::shared_ptr<prometheus::Registry> registry = std::make_shared<prometheus::Registry>();
+    std::shared_ptr<prometheus::Registry> registry;
     std::map<MetricId, Family<Counter> *> counters;
     std::map<MetricId, Family<Gauge> *> gauges;
     std::map<MetricId, Family<Histogram> *> histograms;
 
-    Families();
+    struct Slots
+    {
+        std::uint64_t total = 0;
+        std::uint64_t used = 0;
+    };
+    /// Services once seen stay, so that the gauge of one whose last server has gone falls to 0.
+    std::map<std::string, Slots> slotsOf;
+
+    explicit Families(std::shared_ptr<prometheus::Registry> shared);
 
     void count(MetricId id, const Labels &labels, std::uint64_t by = 1)
     {
@@ -68,7 +78,8 @@
     }
 };
 
-Metrics::Families::Families()
+Metrics::Families::Families(std::shared_ptr<prometheus::Registry> shared)
+    : registry(std::move(shared))
 {
     for (const MetricInfo &row : metricTable()) {
         const std::string name(row.name);
@@ -86,7 +97,13 @@
 
 std::unique_ptr<Metrics> Metrics::create()
 {
-    return std::unique_ptr<Metrics>(new Metrics(std::make_unique<Families>()));
+    return createIn(std::make_shared<prometheus::Registry>());
+}
+
+std::unique_ptr<Metrics> Metrics::createIn(std::shared_ptr<prometheus::Registry> registry)
+{
+    auto families = std::make_unique<Families>(std::move(registry));
+    return std::unique_ptr<Metrics>(new Metrics(std::move(families)));
 }
 
 Metrics::Metrics(std::unique_ptr<Families> families)
@@ -193,4 +210,22 @@
     m_families->count(MetricId::RequestsHandedOver, {}, requests);
 }
 
+void Metrics::setFrom(const InstanceStatus &status)
+{
+    setSettingsVersion(status.settingsVersion);
+    setStewardLease(status.isSteward);
+    for (const QueueStatus &queue : status.queues)
+        setQueueLength(queue.service, queue.waiting);
+    std::map<std::string, Families::Slots> &slotsOf = m_families->slotsOf;
+    for (auto &entry : slotsOf)
+        entry.second = {};
+    for (const BackendServerStatus &server : status.backendServers) {
+        Families::Slots &slots = slotsOf[server.service];
+        slots.total += server.slots;
+        slots.used += server.running;
+    }
+    for (const auto &[service, slots] : slotsOf)
+        setSlots(service, slots.total, slots.used);
+}
+
 } // namespace snipestall::admin
--- a/src/snipestall/admin/metrics_test.cpp
+++ b/src/snipestall/admin/metrics_test.cpp
@@ -1,5 +1,7 @@
 #include "snipestall/admin/metrics.hpp"
 
+#include "snipestall/admin/instance_status.hpp"
+
 #include "metric_info.hpp"
 
 #include <gmock/gmock.h>
@@ -52,6 +54,18 @@
     EXPECT_THAT(text, HasSubstr("snipestall_settings_version 12"));
 }
 
+TEST(MetricsTest, SlotsOfAServiceWithoutServersFallToZero)
+{
+    const auto metrics = Metrics::create();
+    InstanceStatus status;
+    status.backendServers.push_back({ "engine-1", "language", "spot", "up", 8, 2 });
+    metrics->setFrom(status);
+    EXPECT_THAT(textOf(*metrics), HasSubstr("snipestall_slots{service=\"language\"} 8"));
+    status.backendServers.clear();
+    metrics->setFrom(status);
+    EXPECT_THAT(textOf(*metrics), HasSubstr("snipestall_slots{service=\"language\"} 0"));
+}
+
 TEST(MetricsTest, TheCommittedPageIsTheGeneratedOne)
 {
     std::ifstream file(SNIPESTALL_SOURCE_DIR "/docs/metrics.md");
--- a/src/snipestall/settings/tree.cpp
+++ b/src/snipestall/settings/tree.cpp
@@ -33,7 +33,7 @@
 tl::expected<Tree, std::vector<Fault>> Tree::parse(std::string_view yaml)
 {
     if (auto document = readCanonical(yaml))
-        return check(std::move(*document));
+        return checkWith(std::move(*document), std::string(yaml));
     ReadDocument read = readDocument(yaml);
     if (read.faults.empty())
         return check(std::move(read.document));
@@ -46,13 +46,19 @@
 }
 
 tl::expected<Tree, std::vector<Fault>> Tree::check(Document document)
+{
+    std::string canonical = writeCanonical(document);
+    return checkWith(std::move(document), std::move(canonical));
+}
+
+tl::expected<Tree, std::vector<Fault>> Tree::checkWith(Document document, std::string canonical)
 {
     std::vector<Fault> faults = crossCheck(document);
     if (!faults.empty())
         return tl::unexpected(std::move(faults));
     auto content = std::make_shared<Content>();
     content->document = std::move(document);
-    content->yaml = writeCanonical(content->document);
+    content->yaml = std::move(canonical);
     content->hash = sha256Hex(content->yaml);
     return Tree(std::move(content));
 }
