Settings proved with real processes: races, lost answers, a cut, a death in mid-change

Cause: the in-process tests of operators and client never crossed the daemon, the peers and the platform together.

Ruled out: killing the instance while the platform is slow (the first form of the third test: it passed even with a client that never repeats, since the change had been answered by then). The answer is now held by a proxy until the change is seen in force and the instance is dead.

Change: tests/settings with three stories over the topology harness and the real snipestallctl.

Conclusion: one of two racing operators wins and the other is shown why, although three answers are lost; a data centre without the platform follows its peers and never goes back; a change whose instance dies is made once.

--- /dev/null
+++ b/tests/settings/settings_path_test.cpp
@@ -0,0 +1,174 @@
+#include "harness/port_pool.hpp"
+#include "harness/proxy_control.hpp"
+#include "harness/settings_text.hpp"
+#include "harness/topology_test_base.hpp"
+#include "harness/wait_until.hpp"
+
+#include "snipestall/admin/messages.hpp"
+
+#include <gmock/gmock.h>
+
+#include <algorithm>
+
+namespace snipestall::harness {
+namespace {
+
+using testing::HasSubstr;
+
+constexpr auto Weight = "customers/harbour/weight";
+constexpr int Ok = 0;
+constexpr int Refused = 1;
+
+/// Operators' commands as real processes against a real deployment.
+class SettingsPathTest : public TopologyTest
+{
+protected:
+    static TopologySpec spec()
+    {
+        TopologySpec small = TopologySpec::small();
+        small.platformProxied = true;
+        return small;
+    }
+
+    std::unique_ptr<Process> command(const std::vector<std::string> &servers,
+                                     std::vector<std::string> words)
+    {
+        std::vector<wire::Endpoint> addresses;
+        for (const std::string &server : servers)
+            addresses.push_back(topology().operators(server));
+        return commandAt(addresses, std::move(words));
+    }
+
+    std::unique_ptr<Process> commandAt(const std::vector<wire::Endpoint> &servers,
+                                       std::vector<std::string> words)
+    {
+        std::string list;
+        for (const wire::Endpoint &server : servers)
+            list += (list.empty() ? "" : ",") + server.toString();
+        words.push_back("--server=" + list);
+        words.push_back(std::string("--key=") + OperatorKey);
+        const std::string name = "ctl-" + std::to_string(++m_commands);
+        ProcessSpec process { name, "snipestallctl", std::move(words),
+                              topology().directory().file(name + ".log") };
+        return std::move(Process::start(std::move(process)).value());
+    }
+
+    static int end(Process &process)
+    {
+        EXPECT_TRUE(waitUntil([&process] { return !process.running(); }));
+        return process.exitStatus().value_or(-1);
+    }
+
+    int run(const std::vector<std::string> &servers, std::vector<std::string> words)
+    {
+        const auto process = command(servers, std::move(words));
+        const int code = end(*process);
+        m_output = process->log();
+        return code;
+    }
+
+    std::uint64_t versionAt(const std::string &entry)
+    {
+        const auto status = topology().status(entry);
+        return status ? status->settingsVersion : 0;
+    }
+
+    bool inForceEverywhere(std::uint64_t version)
+    {
+        return waitUntil([&] {
+            const auto &entries = topology().spec().entries;
+            return std::all_of(entries.begin(), entries.end(), [&](const EntrySpec &entry) {
+                return versionAt(entry.name) >= version;
+            });
+        });
+    }
+
+    std::string weightAt(const std::string &entry)
+    {
+        run({ entry }, { "get", "--effective", "--customer=harbour", "--output=json" });
+        return m_output;
+    }
+
+    std::string m_output;
+    int m_commands = 0;
+};
+
+// Two operators look at the same version and change the same weight at once, one in each data
+// centre, while the platform loses the answers of its writes. One of them must win and know it, the
+// other must be shown the winner's change, and every instance must end with the winner's value.
+TEST_F(SettingsPathTest, OfTwoRacingOperatorsOneWinsAlthoughAnswersAreLost)
+{
+    start(spec());
+    const std::string base = "--base_version=" + std::to_string(versionAt("north-1"));
+    topology().platformFaults(R"({"lose_answers":3})");
+    const auto north = command({ "north-1", "north-2" }, { "set", Weight, "3", base });
+    const auto south = command({ "south-1", "south-2" }, { "set", Weight, "5", base });
+    const int northEnd = end(*north);
+    const int southEnd = end(*south);
+    ASSERT_EQ(northEnd + southEnd, Ok + Refused) << north->log() << south->log();
+    const bool northWon = northEnd == Ok;
+    const std::string shown = northWon ? south->log() : north->log();
+    EXPECT_THAT(shown, HasSubstr(northWon ? "(not set) -> 3" : "(not set) -> 5"));
+    EXPECT_THAT(shown, HasSubstr("by tester"));
+    ASSERT_TRUE(inForceEverywhere(2));
+    const std::string value = northWon ? R"("value":"3")" : R"("value":"5")";
+    for (const EntrySpec &entry : topology().spec().entries)
+        EXPECT_THAT(weightAt(entry.name), HasSubstr(value)) << entry.name;
+}
+
+// One data centre is cut off from the platform. A change made in the other must still come into
+// force there, by way of its peers; and an instance there that dies and starts again must come back
+// with the change, not with an older version and not with none.
+TEST_F(SettingsPathTest, ADataCentreCutOffFromThePlatformFollowsAndNeverGoesBack)
+{
+    start(spec());
+    topology().proxy("platform/south").drop();
+    ASSERT_EQ(run({ "north-1" }, { "set", Weight, "3" }), Ok) << m_output;
+    ASSERT_TRUE(inForceEverywhere(2));
+    topology().process("south-1").kill();
+    topology().restart("south-1");
+    ASSERT_TRUE(waitUntil([this] { return versionAt("south-1") > 0; }));
+    EXPECT_EQ(versionAt("south-1"), 2U);
+    EXPECT_THAT(weightAt("south-1"), HasSubstr(R"("value":"3")"));
+    EXPECT_NE(run({ "south-1" }, { "set", Weight, "4" }), Ok);
+    topology().proxy("platform/south").heal();
+    EXPECT_TRUE(waitUntil([this] { return run({ "south-1" }, { "set", Weight, "4" }) == Ok; }));
+    EXPECT_TRUE(inForceEverywhere(3));
+}
+
+// The instance that carries an operator's change dies when the change is in and its answer is not
+// yet out. The command must go on at the next instance and end with the truth: the change is in,
+// once, under its id.
+TEST_F(SettingsPathTest, AChangeWhoseInstanceDiesBeforeItsAnswerIsMadeOnce)
+{
+    start(spec());
+    PortPool ports;
+    const wire::Endpoint front { "127.0.0.1", ports.take() };
+    const wire::Endpoint control { "127.0.0.1", ports.take() };
+    const auto proxy = Process::start({ "front",
+                                        "faultproxy",
+                                        { "--listen=" + front.toString(),
+                                          "--target=" + topology().operators("north-1").toString(),
+                                          "--control=" + control.toString() },
+                                        topology().directory().file("front.log") });
+    ASSERT_TRUE(proxy.has_value()) << proxy.error().message;
+    topology().waitForPort(control);
+    const ProxyControl answers(control);
+    answers.set(R"({"drop":"to_client"})");
+    const auto change = commandAt({ front, topology().operators("north-2") },
+                                  { "set", Weight, "3", "--base_version=1", "--change_id=once" });
+    ASSERT_TRUE(waitUntil([this] { return versionAt("north-1") == 2; }));
+    topology().process("north-1").kill();
+    ASSERT_TRUE(change->running());
+    answers.heal();
+    EXPECT_EQ(end(*change), Ok) << change->log();
+    ASSERT_EQ(run({ "north-2" }, { "audit", "--path", Weight, "--output=json" }), Ok) << m_output;
+    const auto audit = admin::decodeAudit(m_output);
+    ASSERT_TRUE(audit.has_value()) << m_output;
+    ASSERT_EQ(audit->records.size(), 1U);
+    EXPECT_EQ(audit->records[0].changeId, "once");
+    EXPECT_EQ(audit->records[0].toVersion, 2U);
+}
+
+} // namespace
+} // namespace snipestall::harness
