--- a/src/snipestall/settings/canonical_text.cpp
+++ b/src/snipestall/settings/canonical_text.cpp
@@ -29,16 +29,17 @@
     return *section;
 }
 
-json::value valueOf(const Value &value)
+void put(json::value &slot, const Value &value)
 {
     const auto *list = std::get_if<std::vector<std::string>>(&value);
-    if (!list)
-        return json::value(toText(value));
-    json::array items;
+    if (!list) {
+        slot.emplace_string() = toText(value);
+        return;
+    }
+    json::array &items = slot.emplace_array();
     items.reserve(list->size());
     for (const std::string &item : *list)
         items.emplace_back(item);
-    return items;
 }
 
 std::vector<std::string> textsOf(const json::array &array)
@@ -91,13 +92,14 @@
 
 std::string writeCanonical(const Document &document)
 {
-    json::object root;
+    json::monotonic_resource memory;
+    json::object root(&memory);
     for (const std::string &entity : document.entities)
         sectionAt(root, entity);
     for (const auto &[path, value] : document.values) {
         const std::size_t slash = path.rfind('/');
-        sectionAt(root, std::string_view(path).substr(0, slash))[path.substr(slash + 1)] =
-            valueOf(value);
+        json::object &section = sectionAt(root, std::string_view(path).substr(0, slash));
+        put(section[std::string_view(path).substr(slash + 1)], value);
     }
     return json::serialize(root) + "\n";
 }
@@ -111,7 +113,8 @@
     if (!text.starts_with('{'))
         return std::nullopt;
     json::error_code error;
-    const json::value root = json::parse(text, error);
+    json::monotonic_resource memory;
+    const json::value root = json::parse(text, error, &memory);
     if (error || !root.is_object())
         return std::nullopt;
     Document document;
--- a/tests/settings/settings_path_test.cpp
+++ b/tests/settings/settings_path_test.cpp
@@ -34,6 +34,7 @@
                                      std::vector<std::string> words)
     {
         std::vector<wire::Endpoint> addresses;
+        addresses.reserve(servers.size());
         for (const std::string &server : servers)
             addresses.push_back(topology().operators(server));
         return commandAt(addresses, std::move(words));
