--- a/apps/snipestallctl/command.cpp
+++ b/apps/snipestallctl/command.cpp
@@ -70,8 +70,9 @@
     Command { "new-key", "new-key", "Makes a bearer key and its hash.",
               "Give the key to its holder; only the hash goes into the settings.", 0, 0,
               runNewKey },
-    Command { "reference", "reference [settings|metrics]", "Prints the generated pages.",
-              "docs/settings.md and docs/metrics.md are made by this.", 0, 1, runReference },
+    Command { "reference", "reference [settings|metrics|events]", "Prints the generated pages.",
+              "docs/settings.md, docs/metrics.md and docs/events.md are made by this.", 0, 1,
+              runReference },
     Command { "completion", "completion bash", "Prints the shell's completion script.",
               "source <(snipestallctl completion bash)", 1, 1, runCompletion },
 };
--- a/apps/snipestallctl/commands_local.cpp
+++ b/apps/snipestallctl/commands_local.cpp
@@ -1,6 +1,7 @@
 #include "commands.hpp"
 
 #include "snipestall/admin/metrics.hpp"
+#include "snipestall/base/event_page.hpp"
 #include "snipestall/settings/reference.hpp"
 #include "snipestall/settings/sha256.hpp"
 #include "snipestall/settings/tree.hpp"
@@ -56,7 +57,8 @@
         std::string (*text)();
     };
     constexpr std::array Pages { Page { "settings", settings::referencePage },
-                                 Page { "metrics", admin::metricsPage } };
+                                 Page { "metrics", admin::metricsPage },
+                                 Page { "events", events::referencePage } };
     const std::string wanted = run.arguments.empty() ? "settings" : run.arguments.front();
     for (const Page &page : Pages) {
         if (page.name == wanted) {
@@ -64,7 +66,7 @@
             return ExitCode::Ok;
         }
     }
-    return reportBadInput(run, "no page '" + wanted + "'; there are settings and metrics");
+    return reportBadInput(run, "no page '" + wanted + "'; there are settings, metrics and events");
 }
 
 ExitCode runCompletion(const Invocation &run)
