snipestallctl rollback leaves operators and keys as they are

Cause: a version from before a key was taken away holds that key's hash; rolling a limit back would open the door to the leaked key again, unseen.

Ruled out: a warning alone (it comes after the version is in force).

--- a/apps/snipestallctl/command.cpp
+++ b/apps/snipestallctl/command.cpp
@@ -51,11 +51,14 @@
         "Lists every changed path with old and new value.",
         "T is 2026-12-02T20:37:00Z or an age such as 15min, 2h, 7d. Keys show as hashes only.", 0,
         0, runAudit },
-    Command { "rollback", "rollback VERSION [--reason TEXT]",
-              "Makes a new version with the content of an old one.",
-              "Versions only go forward. If others change something meanwhile, it is refused like "
-              "any other change.",
-              1, 1, runRollback },
+    Command {
+        "rollback", "rollback VERSION [--reason TEXT] [--with_keys]",
+        "Makes a new version with the content of an old one.",
+        "Versions only go forward. Operators and keys stay as they are now, unless --with_keys is "
+        "given,\nso that a key taken away since doesn't come back. If others change something "
+        "meanwhile, it is refused like "
+        "any other change.",
+        1, 1, runRollback },
     Command { "status", "status [--server IP:PORT,...]",
               "Shows instances, versions in force, backend servers and queues.",
               "Asks every server named, not only the first that answers.", 0, 0, runStatus },
--- a/apps/snipestallctl/commands_change.cpp
+++ b/apps/snipestallctl/commands_change.cpp
@@ -1,5 +1,6 @@
 #include "commands.hpp"
 
+#include "snipestall/settings/document.hpp"
 #include "snipestall/settings/tree_edits.hpp"
 
 #include "change_id.hpp"
@@ -135,6 +136,52 @@
     return send(run, client, std::move(change));
 }
 
+constexpr std::string_view Operators = "operators/";
+
+bool isKeyPath(std::string_view path)
+{
+    return path.starts_with(Operators) || path.ends_with("/key_hashes");
+}
+
+// A key that has leaked is taken out of the settings, and weeks later a limit is rolled back. If
+// the old version came back whole, the leaked key would open the door again, unseen. So a rollback
+// leaves who may enter as it is now; a customer that comes back has no key until it is given one.
+settings::Document withKeysOf(const settings::Document &now, settings::Document old)
+{
+    std::erase_if(old.values, [](const auto &entry) { return isKeyPath(entry.first); });
+    std::erase_if(old.entities, [](const std::string &path) { return isKeyPath(path); });
+    for (const std::string &entity : now.entities) {
+        if (isKeyPath(entity))
+            old.entities.insert(entity);
+    }
+    for (const auto &[path, value] : now.values) {
+        const std::string holder = path.substr(0, path.rfind('/'));
+        if (isKeyPath(path) && old.has(holder))
+            old.values.emplace(path, value);
+    }
+    return old;
+}
+
+/// What a rollback is to lead to.
+Outcome<settings::Tree> rollbackTarget(const Invocation &run, const ReadVersion &newest,
+                                       const ReadVersion &old)
+{
+    auto content = old.tree();
+    if (!content || run.options.withKeys)
+        return content;
+    const auto now = newest.tree();
+    if (!now)
+        return now;
+    auto wanted = settings::Tree::check(withKeysOf(now->document(), content->document()));
+    if (wanted)
+        return std::move(*wanted);
+    Failure failure = Failure::of(ExitCode::BadInput, ErrorKind::InvalidArgument,
+                                  "the old version does not go with today's keys; use --with_keys "
+                                  "or edit the document");
+    failure.refusal.faults = std::move(wanted.error());
+    return tl::unexpected(std::move(failure));
+}
+
 } // namespace
 
 ExitCode runSet(const Invocation &run)
@@ -193,12 +240,12 @@
     const auto old = readVersion(client, version);
     if (!old)
         return report(run, old.error());
-    const auto wanted = old->tree();
-    if (!wanted)
-        return report(run, wanted.error());
     const auto newest = readVersion(client, run.options.baseVersion);
     if (!newest)
         return report(run, newest.error());
+    const auto wanted = rollbackTarget(run, *newest, *old);
+    if (!wanted)
+        return report(run, wanted.error());
     return sendDifference(run, client, *newest, *wanted,
                           "back to the content of version " + std::to_string(version));
 }
--- a/apps/snipestallctl/flags.cpp
+++ b/apps/snipestallctl/flags.cpp
@@ -18,6 +18,7 @@
 DEFINE_string(base_version, "", "version that the change is made against; the newest if not given");
 DEFINE_string(change_id, "", "repeats an earlier change whose outcome is unknown");
 DEFINE_bool(wait, false, "after a change, wait until every server named has it in force");
+DEFINE_bool(with_keys, false, "a rollback takes the old version's operators and keys too");
 DEFINE_bool(effective, false, "show values in force and the level each comes from");
 DEFINE_string(at, "", "version to show in place of the newest");
 DEFINE_string(data_centre, "", "data centre whose values are shown");
@@ -151,6 +152,7 @@
     options.file = FLAGS_f;
     options.changeId = FLAGS_change_id;
     options.wait = FLAGS_wait;
+    options.withKeys = FLAGS_with_keys;
     options.effective = FLAGS_effective;
     options.dataCentre = FLAGS_data_centre;
     options.customer = FLAGS_customer;
--- a/apps/snipestallctl/options.hpp
+++ b/apps/snipestallctl/options.hpp
@@ -32,6 +32,8 @@
     bool wait = false;
     /// Changes are in force everywhere within this time.
     std::chrono::milliseconds inForceWithin { 9000 };
+    /// A rollback takes the old version's keys too.
+    bool withKeys = false;
     bool effective = false;
     std::optional<std::uint64_t> atVersion;
     std::string dataCentre;
