--- a/apps/snipestallctl/command_test.cpp
+++ b/apps/snipestallctl/command_test.cpp
@@ -76,6 +76,14 @@
     EXPECT_THAT(effective, ContainsRegex("/local/limits/concurrency +30 +share of data_centres"));
 }
 
+TEST_F(CommandTest, TheFirstDocumentCanBeWaitedForWithTheBootstrapKey)
+{
+    m_options.file = Karadeniz;
+    m_options.wait = true;
+    m_options.inForceWithin = std::chrono::milliseconds(300);
+    EXPECT_EQ(run({ "apply" }).code, ExitCode::Ok);
+}
+
 TEST_F(CommandTest, WaitComesBackOnceEveryServerHasTheChangeInForce)
 {
     applyExample();
--- a/apps/snipestallctl/commands_change.cpp
+++ b/apps/snipestallctl/commands_change.cpp
@@ -31,10 +31,15 @@
     return failure;
 }
 
+// The bootstrap key that makes the first version is refused from the moment that this version is in
+// force: there the refusal is the sign that was waited for.
 bool isInForce(OperatorsClient &client, const wire::Endpoint &server, std::uint64_t version)
 {
+    constexpr std::uint64_t First = 1;
     const auto status = client.status(server);
-    return status && status->settingsVersion >= version;
+    if (!status)
+        return version == First && status.error().refusal.error.kind == ErrorKind::Unauthenticated;
+    return status->settingsVersion >= version;
 }
 
 /// The servers that don't have the version in force when the time for it is over.
