--- a/apps/snipestallctl/command.cpp
+++ b/apps/snipestallctl/command.cpp
@@ -51,11 +51,14 @@
         "Lists every changed path with old and new value.",
         "T is 2026-12-02T20:37:00Z or an age such as 15min, 2h, 7d. Keys show as hashes only.", 0,
         0, runAudit },
-    Command { "rollback", "rollback VERSION [--reason TEXT]",
-              "Makes a new version with the content of an old one.",
-              "Versions only go forward. If others change something meanwhile, it is refused like "
-              "any other change.",
-              1, 1, runRollback },
+    Command {
+        "rollback", "rollback VERSION [--reason TEXT] [--with_keys]",
+        "Makes a new version with the content of an old one.",
+        "Versions only go forward. Operators and keys stay as they are now, unless --with_keys is "
+        "given,\nso that a key taken away since doesn't come back. If others change something "
+        "meanwhile, it is refused like "
+        "any other change.",
+        1, 1, runRollback },
     Command { "status", "status [--server IP:PORT,...]",
               "Shows instances, versions in force, backend servers and queues.",
               "Asks every server named, not only the first that answers.", 0, 0, runStatus },
@@ -70,8 +73,9 @@
     Command { "new-key", "new-key", "Makes a bearer key and its hash.",
               "Give the key to its holder; only the hash goes into the settings.", 0, 0,
               runNewKey },
-    Command { "reference", "reference [settings|metrics]", "Prints the generated pages.",
-              "docs/settings.md and docs/metrics.md are made by this.", 0, 1, runReference },
+    Command { "reference", "reference [settings|metrics|events]", "Prints the generated pages.",
+              "docs/settings.md, docs/metrics.md and docs/events.md are made by this.", 0, 1,
+              runReference },
     Command { "completion", "completion bash", "Prints the shell's completion script.",
               "source <(snipestallctl completion bash)", 1, 1, runCompletion },
 };
@@ -86,8 +90,9 @@
     for (const FlagHelp &flag : flagHelp())
         out << "  " << (flag.name.size() == 1 ? "-" : "--") << flag.name << "  " << flag.meaning
             << '\n';
-    out << "\nEnds with 0 ok, 1 refused, 2 bad input, 3 unreachable (nothing applied), 4 outcome "
-           "unknown.\nMore: snipestallctl COMMAND --help, docs/snipestallctl.md\n";
+    out << "\nEnds with 0 ok, 1 refused, 2 bad input, 3 unreachable (nothing applied), 4 outcome\n"
+           "unknown, 5 accepted but not in force in time (--wait).\nMore: snipestallctl COMMAND "
+           "--help, docs/snipestallctl.md\n";
 }
 
 void printHelp(std::ostream &out, const Command &command)
--- a/apps/snipestallctl/commands_change.cpp
+++ b/apps/snipestallctl/commands_change.cpp
@@ -1,5 +1,6 @@
 #include "commands.hpp"
 
+#include "snipestall/settings/document.hpp"
 #include "snipestall/settings/tree_edits.hpp"
 
 #include "change_id.hpp"
@@ -8,7 +9,9 @@
 
 #include <boost/json.hpp>
 
+#include <chrono>
 #include <ostream>
+#include <thread>
 
 namespace snipestall::ctl {
 
@@ -28,6 +31,47 @@
     return failure;
 }
 
+// The bootstrap key that makes the first version is refused from the moment that this version is in
+// force: there the refusal is the sign that was waited for.
+bool isInForce(OperatorsClient &client, const wire::Endpoint &server, std::uint64_t version)
+{
+    constexpr std::uint64_t First = 1;
+    const auto status = client.status(server);
+    if (!status)
+        return version == First && status.error().refusal.error.kind == ErrorKind::Unauthenticated;
+    return status->settingsVersion >= version;
+}
+
+/// The servers that don't have the version in force when the time for it is over.
+std::vector<wire::Endpoint> waitForAll(OperatorsClient &client, std::uint64_t version,
+                                       std::chrono::milliseconds longest)
+{
+    using std::chrono::steady_clock;
+    constexpr auto Pause = std::chrono::milliseconds(200);
+    const auto end = steady_clock::now() + longest;
+    std::vector<wire::Endpoint> behind = client.servers();
+    while (true) {
+        std::erase_if(behind, [&](const wire::Endpoint &server) {
+            return isInForce(client, server, version);
+        });
+        if (behind.empty() || steady_clock::now() >= end)
+            return behind;
+        std::this_thread::sleep_for(Pause);
+    }
+}
+
+ExitCode waitIfAsked(const Invocation &run, OperatorsClient &client, std::uint64_t version)
+{
+    if (!run.options.wait)
+        return ExitCode::Ok;
+    const std::vector<wire::Endpoint> behind =
+        waitForAll(client, version, run.options.inForceWithin);
+    for (const wire::Endpoint &server : behind)
+        run.err << "accepted, but not yet in force at " << server.toString()
+                << "; see snipestallctl status\n";
+    return behind.empty() ? ExitCode::Ok : ExitCode::NotInForce;
+}
+
 ExitCode send(const Invocation &run, OperatorsClient &client, peer::SettingsChange change)
 {
     change.id = run.options.changeId.empty() ? newChangeId() : run.options.changeId;
@@ -42,7 +86,7 @@
                                  { "hash", accepted->hash },
                                  { "change_id", change.id } };
     print(run.out, run.options.output, table, content);
-    return ExitCode::Ok;
+    return waitIfAsked(run, client, accepted->version);
 }
 
 /// The version that the operator saw: the one named, or else the newest.
@@ -97,6 +141,52 @@
     return send(run, client, std::move(change));
 }
 
+constexpr std::string_view Operators = "operators/";
+
+bool isKeyPath(std::string_view path)
+{
+    return path.starts_with(Operators) || path.ends_with("/key_hashes");
+}
+
+// A key that has leaked is taken out of the settings, and weeks later a limit is rolled back. If
+// the old version came back whole, the leaked key would open the door again, unseen. So a rollback
+// leaves who may enter as it is now; a customer that comes back has no key until it is given one.
+settings::Document withKeysOf(const settings::Document &now, settings::Document old)
+{
+    std::erase_if(old.values, [](const auto &entry) { return isKeyPath(entry.first); });
+    std::erase_if(old.entities, [](const std::string &path) { return isKeyPath(path); });
+    for (const std::string &entity : now.entities) {
+        if (isKeyPath(entity))
+            old.entities.insert(entity);
+    }
+    for (const auto &[path, value] : now.values) {
+        const std::string holder = path.substr(0, path.rfind('/'));
+        if (isKeyPath(path) && old.has(holder))
+            old.values.emplace(path, value);
+    }
+    return old;
+}
+
+/// What a rollback is to lead to.
+Outcome<settings::Tree> rollbackTarget(const Invocation &run, const ReadVersion &newest,
+                                       const ReadVersion &old)
+{
+    auto content = old.tree();
+    if (!content || run.options.withKeys)
+        return content;
+    const auto now = newest.tree();
+    if (!now)
+        return now;
+    auto wanted = settings::Tree::check(withKeysOf(now->document(), content->document()));
+    if (wanted)
+        return std::move(*wanted);
+    Failure failure = Failure::of(ExitCode::BadInput, ErrorKind::InvalidArgument,
+                                  "the old version does not go with today's keys; use --with_keys "
+                                  "or edit the document");
+    failure.refusal.faults = std::move(wanted.error());
+    return tl::unexpected(std::move(failure));
+}
+
 } // namespace
 
 ExitCode runSet(const Invocation &run)
@@ -155,12 +245,12 @@
     const auto old = readVersion(client, version);
     if (!old)
         return report(run, old.error());
-    const auto wanted = old->tree();
-    if (!wanted)
-        return report(run, wanted.error());
     const auto newest = readVersion(client, run.options.baseVersion);
     if (!newest)
         return report(run, newest.error());
+    const auto wanted = rollbackTarget(run, *newest, *old);
+    if (!wanted)
+        return report(run, wanted.error());
     return sendDifference(run, client, *newest, *wanted,
                           "back to the content of version " + std::to_string(version));
 }
