Capacity: start and release by expected cost, back off over refusals

Cause: CapacityReport and StartRefused were ignored.

Change: servers wanted are demand over three quarters of a server's throughput plus what drains the queue, within the service's bounds. A start goes to the class with the least expected cost (price, and hazard times the time lost to a reclaim, weighed by the customers' preference between latency and cost), dearer the more of the service it already runs. A refused start backs off its class, 10 s to 5 min, and the next goes elsewhere. One instance at a time is released after 2 min of surplus below 0.6 use, never within 10 min of a refusal.

Weighed: a fixed mix of reclaimable and on-demand instances (pays for on-demand where hazard is low) and planning by queue length alone (acts only after callers wait).

Model loads are bounded only by 4 starts a report, not by the weight store's own rate.

--- a/src/snipestall/policy/state.hpp
+++ b/src/snipestall/policy/state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipestall/base/random.hpp"
+#include "snipestall/policy/capacity_table.hpp"
 #include "snipestall/policy/command.hpp"
 #include "snipestall/policy/crash_table.hpp"
 #include "snipestall/policy/departed_servers.hpp"
@@ -46,6 +47,7 @@
     PeerTable peers;
     DepartedServers departed;
     CrashTable crashes;
+    CapacityTable capacity;
 
     /// Queued requests by the time at which they are given up.
     TimerSet<RequestHandle> giveUps;
--- a/src/snipestall/policy/world.cpp
+++ b/src/snipestall/policy/world.cpp
@@ -1,6 +1,7 @@
 #include "snipestall/policy/world.hpp"
 
 #include "snipestall/policy/admission.hpp"
+#include "snipestall/policy/capacity.hpp"
 #include "snipestall/policy/concurrency.hpp"
 #include "snipestall/policy/fleet.hpp"
 #include "snipestall/policy/health.hpp"
@@ -35,8 +36,8 @@
     void operator()(const PeerSummary &event) const { onPeerSummary(state, event); }
     void operator()(const PeerGone &event) const { onPeerGone(state, event); }
     void operator()(const SelfLeaving &) const { state.leaving = true; }
-    void operator()(const CapacityReport &) const { }
-    void operator()(const StartRefused &) const { }
+    void operator()(const CapacityReport &event) const { onCapacityReport(state, event); }
+    void operator()(const StartRefused &event) const { onStartRefused(state, event); }
 };
 
 using System = void (*)(State &);
