--- a/src/snipestall/policy/pool.hpp
+++ b/src/snipestall/policy/pool.hpp
@@ -3,7 +3,9 @@
 #include "snipestall/policy/death_window.hpp"
 #include "snipestall/policy/fair_queue.hpp"
 #include "snipestall/policy/flow.hpp"
+#include "snipestall/policy/offered_load.hpp"
 #include "snipestall/policy/planned_move.hpp"
+#include "snipestall/policy/prefix_heat.hpp"
 #include "snipestall/policy/prefix_index.hpp"
 #include "snipestall/policy/retry_budget.hpp"
 #include "snipestall/policy/server.hpp"
@@ -32,7 +34,11 @@
     std::map<ServerHandle, Server *> servers;
     std::map<std::string, std::unique_ptr<Flow>, std::less<>> flows;
     ServiceTime serviceTime;
+    /// Of short urgent work, and the time up to which it is reckoned.
+    OfferedLoad urgentLoad;
+    Time now;
     PrefixIndex prefixes;
+    PrefixHeat heat;
 
     /// Streams that wait for a place away from a server under notice.
     std::set<PlannedMove> moves;
@@ -49,6 +55,8 @@
     [[nodiscard]] std::uint32_t reservedSlots() const;
     /// Slots that work of a lane can count on.
     [[nodiscard]] std::uint32_t slotsFor(Lane lane) const;
+    /// Of these, the free ones.
+    [[nodiscard]] std::uint32_t freeFor(Lane lane) const;
 };
 
 } // namespace snipestall::policy
