--- a/bench/experiment/aims.cpp
+++ b/bench/experiment/aims.cpp
@@ -102,7 +102,9 @@
         }
         aims.push_back(recomputedAfterWave(results, deployment));
         aims.push_back(goodputUnderOverload(results, deployment));
-        aims.push_back(costAtTarget(results, deployment));
+        if (!results.smallestFleets.empty()) {
+            aims.push_back(costAtTarget(results, deployment));
+        }
     }
     return aims;
 }
--- a/tests/policy/harness/cluster.cpp
+++ b/tests/policy/harness/cluster.cpp
@@ -40,6 +40,9 @@
     }
     reportLoad();
     m_loop.after(FirstSummary, [this] { exchangeSummaries(); });
+    if (m_options.policyBuysCapacity) {
+        repeatCapacityReports();
+    }
 }
 
 void Cluster::setSettings(const settings::EffectiveSettings &settings)
@@ -57,6 +60,7 @@
     auto &node = *m_nodes[m_random.below(m_nodes.size())];
     const auto handle = node.addRequest({ .call = index });
     m_homes[index] = { node.index(), handle };
+    m_demand.countAsked(m_ledger.calls[index], node.dataCentre());
     node.post(arrival(m_ledger.calls[index], handle));
 }
 
@@ -120,6 +124,10 @@
     // Deferred, so that the ends of its attempts are told first.
     m_loop.after(m_deployment.betweenDelay,
                  [this, &server] { tell(server, ServerGone { server.handle }); });
+    if (m_options.policyBuysCapacity) {
+        reportCapacity();
+        return;
+    }
     m_fleet.replace(server.group, [this](FleetServer &fresh) { announce(fresh); });
 }
 
--- a/tests/policy/harness/cluster.hpp
+++ b/tests/policy/harness/cluster.hpp
@@ -2,6 +2,7 @@
 
 #include "policy/harness/cluster_options.hpp"
 #include "policy/harness/command_sink.hpp"
+#include "policy/harness/demand_meter.hpp"
 #include "policy/harness/deployment.hpp"
 #include "policy/harness/entry_node.hpp"
 #include "policy/harness/fleet.hpp"
@@ -84,6 +85,13 @@
     void tell(const FleetServer &server, const Event &event);
     void loseServer(FleetServer &server);
     void reportLoad();
+    void reportCapacity();
+    void repeatCapacityReports();
+    [[nodiscard]] CapacityReport capacityOf(const std::string &dataCentre);
+    [[nodiscard]] std::uint32_t queuedIn(const std::string &dataCentre,
+                                         const std::string &service) const;
+    [[nodiscard]] EntryNode &steward(const std::string &dataCentre);
+    void release(FleetServer &server);
     void exchangeSummaries();
     [[nodiscard]] Duration delay(const std::string &from, const std::string &to) const;
     [[nodiscard]] RequestArrived arrival(const Call &call, RequestHandle handle) const;
@@ -101,6 +109,7 @@
     /// What the edges of all instances tell each other of requests in flight when a server died.
     std::unordered_map<std::uint64_t, std::uint32_t> m_crashesOf;
     std::uint64_t m_lastWork = 0;
+    DemandMeter m_demand;
     CallEnded m_callEnded;
 };
 
--- a/tests/policy/harness/cluster_answers.cpp
+++ b/tests/policy/harness/cluster_answers.cpp
@@ -118,6 +118,9 @@
     }
     const auto ended = request->second;
     node.requests.erase(request);
+    if (result == AttemptResult::Completed && !ended.origin) {
+        m_demand.countAnswered(m_ledger.calls[ended.call], node.dataCentre());
+    }
     if (ended.origin) {
         relayEnd(*ended.origin, node, result, {});
         return;
--- a/tests/policy/harness/cluster_commands.cpp
+++ b/tests/policy/harness/cluster_commands.cpp
@@ -177,8 +177,4 @@
     });
 }
 
-void Cluster::carryOut(EntryNode &, const StartInstance &) { }
-
-void Cluster::carryOut(EntryNode &, const ReleaseInstance &) { }
-
 } // namespace snipestall::policy::harness
--- a/tests/policy/harness/cluster_options.hpp
+++ b/tests/policy/harness/cluster_options.hpp
@@ -28,6 +28,9 @@
     Duration reportLag = std::chrono::milliseconds(500);
     Duration cacheEventLag = std::chrono::milliseconds(500);
     double cacheEventLoss = 0.1;
+    /// The policy starts and releases instances; otherwise a group of fixed size replaces what
+    /// ends.
+    bool policyBuysCapacity = false;
 };
 
 } // namespace snipestall::policy::harness
--- a/tests/policy/harness/fleet.cpp
+++ b/tests/policy/harness/fleet.cpp
@@ -12,6 +12,11 @@
 
 constexpr Duration RetryStart = 5s;
 
+std::string keyOf(const ServerGroup &group)
+{
+    return group.service + "/" + group.dataCentre + "/" + group.instanceClass;
+}
+
 } // namespace
 
 Fleet::Fleet(const Deployment &deployment, VirtualLoop &loop, ServerListener &listener)
@@ -33,6 +38,25 @@
     return server;
 }
 
+std::uint32_t Fleet::starting(const ServerGroup &group) const
+{
+    const auto found = m_starting.find(keyOf(group));
+    return found == m_starting.end() ? 0 : found->second;
+}
+
+bool Fleet::buy(const ServerGroup &group, const ServerAction &started)
+{
+    if (m_refusesStarts) {
+        return false;
+    }
+    ++m_starting[keyOf(group)];
+    m_loop.after(m_deployment.settings.service(group.service)->startTime, [this, group, started] {
+        --m_starting[keyOf(group)];
+        started(start(group));
+    });
+    return true;
+}
+
 void Fleet::replace(const ServerGroup &group, const ServerAction &started)
 {
     const auto *service = m_deployment.settings.service(group.service);
--- a/tests/policy/harness/fleet.hpp
+++ b/tests/policy/harness/fleet.hpp
@@ -36,6 +36,10 @@
     Fleet(const Deployment &deployment, VirtualLoop &loop, ServerListener &listener);
 
     FleetServer &start(const ServerGroup &group);
+    /// Instances of a group that are on their way.
+    [[nodiscard]] std::uint32_t starting(const ServerGroup &group) const;
+    /// Buys one; false when starts are refused.
+    bool buy(const ServerGroup &group, const ServerAction &started);
     /// Buys a replacement after the start time, later while starts are refused.
     void replace(const ServerGroup &group, const ServerAction &started);
     void end(FleetServer &server);
@@ -57,6 +61,7 @@
     ServerListener &m_listener;
     std::map<std::uint64_t, FleetServer> m_servers;
     std::uint64_t m_lastHandle = 0;
+    std::map<std::string, std::uint32_t> m_starting;
     bool m_refusesStarts = false;
 };
 
