Judge, reserve and forward by the whole pool, not by one owner's part

Change: summaries carry token time, failure rate and ejected servers, and servers are compared with the whole pool, a third of which bounds the ejected. Wait and free slots are told per lane. A retry avoids the server that failed, if need be by a peer. A fifth of slot time, not of picks, goes to long work. Prompts go to a peer whose sketch has their first block, when no server here has.

Contract: new fields in PoolSummary, all with defaults.

--- a/include/snipestall/policy/event.hpp
+++ b/include/snipestall/policy/event.hpp
@@ -147,6 +147,16 @@
     std::vector<std::uint32_t> prefixSketch;
     /// Fingerprints of requests that took down two backend servers, of any service.
     std::vector<std::uint64_t> quarantined {};
+    /// Free slots with those reserved for short urgent work; `freeSlots` is without them.
+    std::uint32_t urgentFreeSlots = 0;
+    /// Wait of short urgent work; when not told, `wait`.
+    std::optional<Duration> urgentWait {};
+    /// Usual time for one output token, or for one call of a plain service; 0 when not known.
+    Duration tokenTime {};
+    /// Backend servers that are ejected at the moment; not among `servers`.
+    std::uint32_t ejected = 0;
+    /// Usual share of attempts that fail on a backend server.
+    double failureRate = 0;
 };
 
 /// A peer instance's summary; replaces its earlier one.
--- a/src/snipestall/policy/admission.cpp
+++ b/src/snipestall/policy/admission.cpp
@@ -80,7 +80,8 @@
     std::optional<Duration> wait = expectedWait(*request.pool, request);
     if (request.forwarded)
         return wait;
-    const auto peer = state.peers.best(state.now, request.pool->service);
+    const auto peer =
+        state.peers.best(state.now, request.pool->service, FairQueue::laneOf(request));
     if (peer && (!wait || peer->wait + HopTime < *wait))
         wait = peer->wait + HopTime;
     return wait;
--- a/src/snipestall/policy/fair_queue.cpp
+++ b/src/snipestall/policy/fair_queue.cpp
@@ -21,9 +21,10 @@
 /// Flows looked at for a pressing request, so that a pick costs the same with many customers.
 constexpr int PressingLooks = 4;
 
-/// Load: more urgent work than the pool can serve. One pick in five goes to other work all the
-/// same, so that long work is slowed by urgent work but never starved by it.
-constexpr std::uint32_t UrgentRunLimit = 4;
+/// Load: more urgent work than the pool can serve. A fifth of the slot time goes to other work all
+/// the same, so that long work is slowed by urgent work but never starved by it. Counted in time:
+/// a fifth of the picks would give long work most of the slots.
+constexpr int UrgentPart = 4;
 
 constexpr double LeastWeight = 1e-6;
 
@@ -48,7 +49,7 @@
 
 Lane FairQueue::laneOf(const Request &request)
 {
-    return request.urgency == Urgency::Urgent ? Lane::Urgent : Lane::Other;
+    return request.shortUrgent ? Lane::Urgent : Lane::Other;
 }
 
 void FairQueue::push(Request &request)
@@ -75,7 +76,7 @@
     Flow &flow = *request.flow;
     const bool othersWait = size(Lane::Other) > 0;
     const bool urgent = laneOf(request) == Lane::Urgent;
-    m_urgentRun = urgent && othersWait ? m_urgentRun + 1 : 0;
+    m_urgentRun = urgent && othersWait ? m_urgentRun + request.service : Duration::zero();
     unindex(flow);
     m_virtualTime = std::max(m_virtualTime, flow.virtualTime);
     remove(request);
@@ -99,17 +100,17 @@
 
 Request *FairQueue::next(Time now, bool urgentOnly) const
 {
-    Request *urgent = nextOf(Lane::Urgent, now);
+    Request *urgent = head(now, Lane::Urgent);
     if (urgentOnly)
         return urgent;
-    Request *other = nextOf(Lane::Other, now);
+    Request *other = head(now, Lane::Other);
     if (!urgent)
         return other;
-    const bool turnOfOthers = other && m_urgentRun >= UrgentRunLimit;
+    const bool turnOfOthers = other && m_urgentRun >= UrgentPart * other->service;
     return turnOfOthers ? other : urgent;
 }
 
-Request *FairQueue::nextOf(Lane lane, Time now) const
+Request *FairQueue::head(Time now, Lane lane) const
 {
     const LaneIndex &index = m_lanes[indexOf(lane)];
     if (index.shares.empty())
--- a/src/snipestall/policy/fair_queue.hpp
+++ b/src/snipestall/policy/fair_queue.hpp
@@ -22,6 +22,9 @@
     void push(Request &request);
     void erase(Request &request);
 
+    /// The request of one lane to serve next, still queued; null when the lane is empty.
+    [[nodiscard]] Request *head(Time now, Lane lane) const;
+
     /// The request to serve next, still queued; null when the lanes allowed hold none.
     [[nodiscard]] Request *next(Time now, bool urgentOnly) const;
 
@@ -67,7 +70,6 @@
     void index(Flow &flow);
     void insert(Request &request);
     void remove(Request &request);
-    [[nodiscard]] Request *nextOf(Lane lane, Time now) const;
     [[nodiscard]] Request *pressing(const LaneIndex &lane, Time now) const;
 
     std::array<LaneIndex, LaneCount> m_lanes;
@@ -75,8 +77,8 @@
     double m_activeWeight = 0;
     /// Virtual time of the last flow served.
     double m_virtualTime = 0;
-    /// Urgent requests served in a row while other work waited.
-    std::uint32_t m_urgentRun = 0;
+    /// Slot time given to urgent requests while other work waited, since other work had its turn.
+    Duration m_urgentRun {};
 };
 
 } // namespace snipestall::policy
--- a/src/snipestall/policy/forwarding.hpp
+++ b/src/snipestall/policy/forwarding.hpp
@@ -3,6 +3,7 @@
 namespace snipestall::policy {
 
 struct Pool;
+struct Request;
 struct State;
 
 /// Forwards queued requests to peers that would start them sooner. A request that a peer
@@ -10,4 +11,11 @@
 /// and fro until its deadline.
 void forwardQueued(State &state, Pool &pool);
 
+/// Forwards a queued request to a peer with a free slot that has its prefix cached, when no
+/// server here has. False when there is none.
+bool forwardToCache(State &state, Request &request);
+
+/// Forwards a queued request to whichever peer would start it first, though this instance could.
+bool forwardAway(State &state, Request &request);
+
 } // namespace snipestall::policy
--- a/src/snipestall/policy/health.cpp
+++ b/src/snipestall/policy/health.cpp
@@ -61,32 +61,61 @@
 
 struct PoolNorm
 {
-    double slowness = 0;
+    /// Seconds for one piece of work.
+    double pace = 0;
     double failureRate = 0;
     std::size_t ejected = 0;
+    std::size_t servers = 0;
 };
 
-PoolNorm normOf(const Pool &pool)
+struct Samples
 {
-    PoolNorm norm;
-    std::vector<double> slowness;
+    std::vector<double> paces;
     std::vector<double> failureRates;
+};
+
+void addServers(const Pool &pool, PoolNorm &norm, Samples &samples)
+{
     for (const auto &[handle, server] : pool.servers) {
         norm.ejected += server->standing == Standing::Healthy ? 0 : 1;
         if (server->speedSamples >= TellingSamples)
-            slowness.push_back(server->slowness);
-        failureRates.push_back(server->failureRate);
+            samples.paces.push_back(server->workSeconds);
+        samples.failureRates.push_back(server->failureRate);
+    }
+    norm.servers += pool.servers.size();
+}
+
+/// Load: a pool spread over many owners, with one or two servers each. None of them could compare,
+/// and a third of two is none; peers' figures make the whole pool the measure.
+void addPeers(const State &state, const Pool &pool, PoolNorm &norm, Samples &samples)
+{
+    for (const PoolSummary *summary : state.peers.fresh(state.now, pool.service)) {
+        norm.ejected += summary->ejected;
+        norm.servers += summary->servers + summary->ejected;
+        const double pace = std::chrono::duration<double>(summary->tokenTime).count();
+        if (pace > 0)
+            samples.paces.insert(samples.paces.end(), summary->servers, pace);
+        const double failureRate = summary->failureRate;
+        samples.failureRates.insert(samples.failureRates.end(), summary->servers, failureRate);
     }
-    norm.slowness = medianOf(std::move(slowness));
-    norm.failureRate = medianOf(std::move(failureRates));
+}
+
+PoolNorm normOf(const State &state, const Pool &pool)
+{
+    PoolNorm norm;
+    Samples samples;
+    addServers(pool, norm, samples);
+    addPeers(state, pool, norm, samples);
+    norm.pace = medianOf(std::move(samples.paces));
+    norm.failureRate = medianOf(std::move(samples.failureRates));
     return norm;
 }
 
 bool isSlow(const Server &server, const PoolNorm &norm, double bound)
 {
-    if (server.speedSamples < TellingSamples || norm.slowness <= 0)
+    if (server.speedSamples < TellingSamples || norm.pace <= 0)
         return false;
-    return server.slowness > bound * norm.slowness;
+    return server.workSeconds > bound * norm.pace;
 }
 
 /// Failure: a server freezes with its connections open. It shows as nothing at all, so no sample
@@ -105,7 +134,7 @@
 void forgetObservations(Server &server)
 {
     server.speedSamples = 0;
-    server.slowness = 1;
+    server.workSeconds = 0;
     server.results = 0;
     server.failureRate = 0;
 }
@@ -183,7 +212,7 @@
         judgeProbe(state, server, norm);
     if (server.standing != Standing::Healthy)
         return;
-    const std::size_t most = server.pool->servers.size() / LargestPart;
+    const std::size_t most = norm.servers / LargestPart;
     const bool stalled = isStalled(state, server);
     const bool bad = isFailing(server, norm) || isSlow(server, norm, EjectSlowness);
     if (norm.ejected >= most || (!bad && !stalled))
@@ -201,10 +230,13 @@
 
 } // namespace
 
-void observeSpeed(Server &server, double slowness)
+void observeSpeed(Server &server, Duration taken)
 {
+    const double seconds = std::chrono::duration<double>(taken).count();
+    // The first samples count as their mean, so that a server is not judged by its very first.
+    const double gain = std::max(SpeedGain, 1.0 / (server.speedSamples + 1));
+    server.workSeconds += gain * (seconds - server.workSeconds);
     ++server.speedSamples;
-    server.slowness += SpeedGain * (slowness - server.slowness);
 }
 
 void expectProgress(const State &state, Server &server, Duration within)
@@ -247,6 +279,19 @@
     return nullptr;
 }
 
+void describeHealth(const Pool &pool, PoolSummary &summary)
+{
+    PoolNorm norm;
+    Samples samples;
+    addServers(pool, norm, samples);
+    const std::chrono::duration<double> pace(medianOf(std::move(samples.paces)));
+    summary.tokenTime = std::chrono::duration_cast<Duration>(pace);
+    summary.failureRate = medianOf(std::move(samples.failureRates));
+    summary.ejected = static_cast<std::uint32_t>(norm.ejected);
+    // A server on probation is counted as ejected, not as one that takes work.
+    summary.servers -= std::min(summary.servers, static_cast<std::uint32_t>(pool.probing.size()));
+}
+
 void endPenalties(State &state)
 {
     while (const auto handle = state.penalties.popDue(state.now)) {
@@ -264,7 +309,8 @@
         return;
     state.nextReview = state.now + ReviewInterval;
     for (auto &[service, pool] : state.pools) {
-        PoolNorm norm = normOf(pool);
+        pool.heat.decay();
+        PoolNorm norm = normOf(state, pool);
         for (const auto &[handle, server] : pool.servers)
             reviewServer(state, *server, norm);
     }
--- a/src/snipestall/policy/health.hpp
+++ b/src/snipestall/policy/health.hpp
@@ -4,6 +4,8 @@
 
 namespace snipestall::policy {
 
+struct Pool;
+struct PoolSummary;
 struct Request;
 struct Server;
 struct State;
@@ -11,8 +13,11 @@
 /// Judges backend servers by comparison with their pool: slow ones and those that fail are
 /// ejected, a third of a pool at most, and let back in after a probe.
 
-/// `slowness` is the time that a piece of work took over what the pool expects.
-void observeSpeed(Server &server, double slowness);
+/// Time that one output token, or one call of a plain service, took.
+void observeSpeed(Server &server, Duration taken);
+
+/// What peers need for comparing their servers with these.
+void describeHealth(const Pool &pool, PoolSummary &summary);
 
 /// Something came from the server, or was sent to it: the next must come within a while.
 void expectProgress(const State &state, Server &server, Duration within);
--- a/src/snipestall/policy/outcomes.cpp
+++ b/src/snipestall/policy/outcomes.cpp
@@ -34,9 +34,7 @@
     if (count == 0)
         return;
     const Seconds perToken = Seconds(taken) / count;
-    const Seconds usual = request.pool->serviceTime.perOutputToken();
-    if (usual > Seconds::zero())
-        observeSpeed(*request.server, perToken / usual);
+    observeSpeed(*request.server, taken / count);
     const Seconds target = request.flow->leaf.interTokenTarget;
     if (target > Seconds::zero())
         observePace(state, *request.server, perToken / target);
@@ -46,8 +44,7 @@
 {
     ServiceTime &serviceTime = request.pool->serviceTime;
     const Duration taken = state.now - request.dispatchedAt;
-    const Seconds usual = serviceTime.estimate(0, 0);
-    observeSpeed(*request.server, Seconds(taken) / usual);
+    observeSpeed(*request.server, taken);
     serviceTime.learnPlainCall(taken);
 }
 
--- a/src/snipestall/policy/peer_table.cpp
+++ b/src/snipestall/policy/peer_table.cpp
@@ -14,6 +14,9 @@
 /// know those slots without a hop.
 constexpr double BelievedShare = 0.8;
 
+/// A wait that was told grows with its age by this part: in a second many senders read it.
+constexpr int AgePart = 4;
+
 double freshness(Duration age)
 {
     const auto lifetime = static_cast<double>(SummaryLifetime.count());
@@ -29,9 +32,8 @@
     for (const PoolSummary &pool : summary.pools) {
         Offer offer;
         offer.heardAt = now;
-        offer.freeSlots = pool.freeSlots;
-        offer.servers = pool.servers;
-        offer.wait = pool.wait;
+        offer.summary = pool;
+        std::sort(offer.summary.prefixSketch.begin(), offer.summary.prefixSketch.end());
         m_offers[pool.service].insert_or_assign(summary.peer, offer);
     }
 }
@@ -43,31 +45,65 @@
         offers.erase(peer);
 }
 
-std::optional<PeerTable::Choice> PeerTable::best(Time now, std::string_view service) const
+std::optional<PeerTable::Choice> PeerTable::best(Time now, std::string_view service,
+                                                 Lane lane) const
 {
     const auto it = m_offers.find(service);
     if (it == m_offers.end())
         return std::nullopt;
     std::optional<Choice> choice;
     for (const auto &[peer, offer] : it->second) {
-        const std::optional<Duration> wait = expectedWait(offer, now);
+        const std::optional<Duration> wait = expectedWait(offer, now, lane);
         if (wait && (!choice || *wait < choice->wait))
             choice = Choice { peer, *wait };
     }
     return choice;
 }
 
-std::optional<Duration> PeerTable::expectedWait(const Offer &offer, Time now)
+std::optional<PeerHandle> PeerTable::holder(Time now, std::string_view service, Lane lane,
+                                            std::uint32_t prefixKey) const
+{
+    const auto it = m_offers.find(service);
+    if (it == m_offers.end())
+        return std::nullopt;
+    for (const auto &[peer, offer] : it->second) {
+        const std::vector<std::uint32_t> &sketch = offer.summary.prefixSketch;
+        const bool holds = std::binary_search(sketch.begin(), sketch.end(), prefixKey);
+        if (holds && expectedWait(offer, now, lane) == Duration::zero())
+            return peer;
+    }
+    return std::nullopt;
+}
+
+std::optional<Duration> PeerTable::expectedWait(const Offer &offer, Time now, Lane lane)
 {
     const Duration age = now - offer.heardAt;
-    if (offer.declined || offer.servers == 0 || age >= SummaryLifetime)
+    const PoolSummary &summary = offer.summary;
+    if (offer.declined || summary.servers == 0 || age >= SummaryLifetime)
         return std::nullopt;
-    const double believed = BelievedShare * freshness(age) * offer.freeSlots;
-    const double left = believed - offer.sent;
-    if (left >= 1)
+    const bool urgent = lane == Lane::Urgent;
+    const std::uint32_t freeSlots =
+        urgent ? std::max(summary.urgentFreeSlots, summary.freeSlots) : summary.freeSlots;
+    const double believed = BelievedShare * freshness(age) * freeSlots;
+    if (believed - offer.sent >= 1)
         return Duration::zero();
-    const Duration queuedSince = offer.sentService / std::max(1U, offer.servers);
-    return std::max(offer.wait, Duration(1)) + age + queuedSince;
+    const Duration told = urgent ? summary.urgentWait.value_or(summary.wait) : summary.wait;
+    const Duration queuedSince = offer.sentService / std::max(1U, summary.servers);
+    return std::max(told, Duration(1)) + age / AgePart + queuedSince;
+}
+
+std::vector<const PoolSummary *> PeerTable::fresh(Time now, std::string_view service) const
+{
+    std::vector<const PoolSummary *> summaries;
+    const auto it = m_offers.find(service);
+    if (it == m_offers.end())
+        return summaries;
+    summaries.reserve(it->second.size());
+    for (const auto &[peer, offer] : it->second) {
+        if (now - offer.heardAt < SummaryLifetime)
+            summaries.push_back(&offer.summary);
+    }
+    return summaries;
 }
 
 void PeerTable::countForward(PeerHandle peer, std::string_view service, Duration requestService)
--- a/src/snipestall/policy/peer_table.hpp
+++ b/src/snipestall/policy/peer_table.hpp
@@ -2,14 +2,16 @@
 
 #include "snipestall/policy/event.hpp"
 #include "snipestall/policy/handles.hpp"
+#include "snipestall/policy/queue_lane.hpp"
 #include "snipestall/policy/time.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace snipestall::policy {
 
@@ -33,7 +35,11 @@
     void erase(PeerHandle peer);
 
     /// The peer where a request for `service` would start first, if any takes work.
-    [[nodiscard]] std::optional<Choice> best(Time now, std::string_view service) const;
+    [[nodiscard]] std::optional<Choice> best(Time now, std::string_view service, Lane lane) const;
+
+    /// A peer with a free slot that has the prefix in a cache.
+    [[nodiscard]] std::optional<PeerHandle> holder(Time now, std::string_view service, Lane lane,
+                                                   std::uint32_t prefixKey) const;
 
     void countForward(PeerHandle peer, std::string_view service, Duration requestService);
 
@@ -43,13 +49,14 @@
     /// Live peers of a data centre.
     [[nodiscard]] std::uint32_t countIn(std::string_view dataCentre) const;
 
+    /// Summaries of a service that are still believed.
+    [[nodiscard]] std::vector<const PoolSummary *> fresh(Time now, std::string_view service) const;
+
 private:
     struct Offer
     {
         Time heardAt;
-        std::uint32_t freeSlots = 0;
-        std::uint32_t servers = 0;
-        Duration wait {};
+        PoolSummary summary;
         /// Spent since the summary.
         std::uint32_t sent = 0;
         Duration sentService {};
@@ -58,7 +65,8 @@
 
     using Offers = std::map<PeerHandle, Offer>;
 
-    [[nodiscard]] static std::optional<Duration> expectedWait(const Offer &offer, Time now);
+    [[nodiscard]] static std::optional<Duration> expectedWait(const Offer &offer, Time now,
+                                                              Lane lane);
     [[nodiscard]] Offer *find(PeerHandle peer, std::string_view service);
 
     std::map<std::string, Offers, std::less<>> m_offers;
--- a/src/snipestall/policy/placing.cpp
+++ b/src/snipestall/policy/placing.cpp
@@ -8,13 +8,14 @@
 #include "snipestall/policy/state.hpp"
 
 #include <chrono>
+#include <vector>
 
 namespace snipestall::policy {
 namespace {
 
 bool onlyReservedLeft(const Pool &pool)
 {
-    return pool.index.totals().runningOther >= pool.slotsFor(Lane::Other);
+    return pool.freeFor(Lane::Other) == 0;
 }
 
 /// Time in a slot that is lost if the server goes away half-way.
@@ -23,13 +24,25 @@
     return std::chrono::duration<double>(request.service).count() / 2;
 }
 
+/// Not where the last attempt failed, unless no other server has a free slot.
+Server *leastLoaded(const State &state, const Request &request)
+{
+    const ServerIndex &index = request.pool->index;
+    Server *server = index.pick(state.now, lossSeconds(request));
+    if (server->handle != request.failedOn)
+        return server;
+    const std::vector<Server *> two = index.best(state.now, lossSeconds(request), 2);
+    return two.back();
+}
+
 Server *choose(State &state, const Request &request)
 {
     if (Server *server = serverToProbe(state, request))
         return server;
-    if (Server *server = cachedServer(state, request))
-        return server;
-    return request.pool->index.pick(state.now, lossSeconds(request));
+    Server *cached = cachedServer(state, request);
+    if (cached && cached->handle != request.failedOn)
+        return cached;
+    return leastLoaded(state, request);
 }
 
 void serve(State &state, Request &request, Server &server)
@@ -49,7 +62,12 @@
     Request *request = pool.queue.next(state.now, onlyReservedLeft(pool));
     if (!request)
         return false;
-    serve(state, *request, *choose(state, *request));
+    if (forwardToCache(state, *request))
+        return true;
+    Server *server = choose(state, *request);
+    if (server->handle == request->failedOn && forwardAway(state, *request))
+        return true;
+    serve(state, *request, *server);
     return true;
 }
 
--- a/src/snipestall/policy/pool.cpp
+++ b/src/snipestall/policy/pool.cpp
@@ -25,4 +25,14 @@
     return lane == Lane::Urgent ? slots : slots - reservedSlots();
 }
 
+std::uint32_t Pool::freeFor(Lane lane) const
+{
+    const ServerIndex::Totals &totals = index.totals();
+    if (lane == Lane::Urgent)
+        return totals.free;
+    const std::uint32_t most = slotsFor(lane);
+    const std::uint32_t open = most - std::min(most, totals.runningOther);
+    return std::min(open, totals.free);
+}
+
 } // namespace snipestall::policy
--- a/src/snipestall/policy/pool.hpp
+++ b/src/snipestall/policy/pool.hpp
@@ -4,6 +4,7 @@
 #include "snipestall/policy/fair_queue.hpp"
 #include "snipestall/policy/flow.hpp"
 #include "snipestall/policy/planned_move.hpp"
+#include "snipestall/policy/prefix_heat.hpp"
 #include "snipestall/policy/prefix_index.hpp"
 #include "snipestall/policy/retry_budget.hpp"
 #include "snipestall/policy/server.hpp"
@@ -33,6 +34,7 @@
     std::map<std::string, std::unique_ptr<Flow>, std::less<>> flows;
     ServiceTime serviceTime;
     PrefixIndex prefixes;
+    PrefixHeat heat;
 
     /// Streams that wait for a place away from a server under notice.
     std::set<PlannedMove> moves;
@@ -49,6 +51,8 @@
     [[nodiscard]] std::uint32_t reservedSlots() const;
     /// Slots that work of a lane can count on.
     [[nodiscard]] std::uint32_t slotsFor(Lane lane) const;
+    /// Of these, the free ones.
+    [[nodiscard]] std::uint32_t freeFor(Lane lane) const;
 };
 
 } // namespace snipestall::policy
--- a/src/snipestall/policy/prefix_placing.cpp
+++ b/src/snipestall/policy/prefix_placing.cpp
@@ -16,7 +16,8 @@
 /// Below this part of its limit a server is not slowed by company, so it may be filled that far.
 constexpr std::uint32_t HarmlessPart = 2;
 
-/// Longest prefixes looked up, and blocks remembered, of one request; bounds the work per event.
+/// First blocks of a prompt that are remembered and looked up; bounds the work per event. What
+/// prompts share lies at their beginning, and a server that holds it is likely to hold more.
 constexpr std::size_t BlocksLookedAt = 8;
 
 bool withinBound(const Server &server)
@@ -44,13 +45,16 @@
 
 } // namespace
 
+bool isCachedHere(const Request &request)
+{
+    const bool known = !request.prefix.empty();
+    return known && !request.pool->prefixes.holders(request.prefix.front()).empty();
+}
+
 Server *cachedServer(State &state, const Request &request)
 {
-    const std::size_t blocks = request.prefix.size();
-    const std::size_t looks = std::min(blocks, BlocksLookedAt);
-    for (std::size_t i = 0; i < looks; ++i) {
-        const std::uint64_t prefix = request.prefix[blocks - 1 - i];
-        if (Server *server = bestHolder(state, *request.pool, prefix))
+    for (std::size_t i = std::min(request.prefix.size(), BlocksLookedAt); i > 0; --i) {
+        if (Server *server = bestHolder(state, *request.pool, request.prefix[i - 1]))
             return server;
     }
     return nullptr;
@@ -61,6 +65,7 @@
     const std::size_t blocks = std::min(request.prefix.size(), BlocksLookedAt);
     for (std::size_t i = 0; i < blocks; ++i)
         request.pool->prefixes.add(request.prefix[i], server.handle);
+    request.pool->heat.touch(request.prefix);
 }
 
 } // namespace snipestall::policy
--- a/src/snipestall/policy/prefix_placing.hpp
+++ b/src/snipestall/policy/prefix_placing.hpp
@@ -10,6 +10,9 @@
 /// the prefix is so hot that its holders carry more than their share. Null when there is none.
 Server *cachedServer(State &state, const Request &request);
 
+/// Some server here holds the beginning of the request's prompt.
+bool isCachedHere(const Request &request);
+
 /// Remembers that the request's prefix is in the server's cache from now on.
 void rememberPrefix(const Request &request, const Server &server);
 
--- a/src/snipestall/policy/queue_lane.hpp
+++ b/src/snipestall/policy/queue_lane.hpp
@@ -4,7 +4,7 @@
 
 namespace snipestall::policy {
 
-/// Urgent work has a lane of its own, so that its wait depends on urgent work alone.
+/// Short urgent work has a lane of its own, so that its wait depends on such work alone.
 enum class Lane : std::size_t {
     Urgent,
     Other,
--- a/src/snipestall/policy/request.hpp
+++ b/src/snipestall/policy/request.hpp
@@ -78,6 +78,8 @@
     bool importing = false;
 
     std::uint32_t retries = 0;
+    /// The server on which the last attempt failed.
+    ServerHandle failedOn;
     std::uint32_t forwards = 0;
     std::uint32_t crashes = 0;
     Time crashedAt;
--- a/src/snipestall/policy/retry.cpp
+++ b/src/snipestall/policy/retry.cpp
@@ -93,6 +93,12 @@
     delay(state, request, std::max(retryAfter, backoff(state, request)));
 }
 
+void noteFailure(State &state, Request &request)
+{
+    request.failedOn = request.server->handle;
+    observeFailure(state, request);
+}
+
 } // namespace
 
 void retry(State &state, Request &request, const AttemptEnded &event)
@@ -101,7 +107,7 @@
     if (died && request.phase == Phase::Running)
         countCrash(state, request);
     else if (request.phase == Phase::Running)
-        observeFailure(state, request);
+        noteFailure(state, request);
     if (request.crashes >= CrashTable::QuarantinedAt)
         refuse(state, request, RefusalReason::Quarantined, Duration::zero());
     else if (mayHaveRun(request, event.result))
--- a/src/snipestall/policy/server.hpp
+++ b/src/snipestall/policy/server.hpp
@@ -64,8 +64,8 @@
     Standing standing = Standing::Healthy;
     Time probeAt;
     Duration probeWait {};
-    /// Recent time for a piece of work over what its pool expects.
-    double slowness = 1;
+    /// Recent time for a piece of work.
+    double workSeconds = 0;
     std::uint32_t speedSamples = 0;
     /// When at the latest something must come from what runs there.
     Time progressDue;
--- a/src/snipestall/policy/wait_estimate.cpp
+++ b/src/snipestall/policy/wait_estimate.cpp
@@ -37,10 +37,10 @@
     const ServerIndex::Totals &totals = pool.index.totals();
     if (totals.slots == 0)
         return std::nullopt;
-    if (totals.free > 0 && pool.queue.empty())
+    const Lane lane = FairQueue::laneOf(request);
+    if (pool.freeFor(lane) > 0 && pool.queue.size(lane) == 0)
         return Duration::zero();
     const Flow &flow = *request.flow;
-    const Lane lane = FairQueue::laneOf(request);
     const double slots = pool.slotsFor(lane);
     const Duration all = divided(workAhead(pool, lane), slots);
     // A customer waits behind its own work at its share of the pool, not behind another's flood.
@@ -50,11 +50,11 @@
     return std::min(all, own) + nextSlot;
 }
 
-std::optional<Duration> expectedWait(const Pool &pool)
+std::optional<Duration> expectedWait(const Pool &pool, Lane lane)
 {
     if (pool.index.totals().slots == 0)
         return std::nullopt;
-    return divided(workAhead(pool, Lane::Other), pool.slotsFor(Lane::Other));
+    return divided(workAhead(pool, lane), pool.slotsFor(lane));
 }
 
 } // namespace snipestall::policy
--- a/src/snipestall/policy/wait_estimate.hpp
+++ b/src/snipestall/policy/wait_estimate.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipestall/policy/queue_lane.hpp"
 #include "snipestall/policy/time.hpp"
 
 #include <optional>
@@ -14,6 +15,6 @@
 std::optional<Duration> expectedWait(const Pool &pool, const Request &request);
 
 /// The same for an average request, as told to peers.
-std::optional<Duration> expectedWait(const Pool &pool);
+std::optional<Duration> expectedWait(const Pool &pool, Lane lane);
 
 } // namespace snipestall::policy
--- a/src/snipestall/policy/world.cpp
+++ b/src/snipestall/policy/world.cpp
@@ -56,14 +56,21 @@
 /// Fingerprints told to peers in one summary; a summary stays about 40 bytes on a usual day.
 constexpr std::size_t QuarantinesTold = 8;
 
+/// Prefixes told to peers of one pool: 64 bytes.
+constexpr std::size_t PrefixesTold = 16;
+
 PoolSummary summaryOf(const Pool &pool)
 {
     PoolSummary summary;
     summary.service = pool.service;
-    summary.freeSlots = pool.index.totals().free;
+    summary.freeSlots = pool.freeFor(Lane::Other);
+    summary.urgentFreeSlots = pool.freeFor(Lane::Urgent);
     summary.servers = pool.index.totals().servers;
     summary.queued = static_cast<std::uint32_t>(pool.queue.size());
-    summary.wait = expectedWait(pool).value_or(Duration::zero());
+    summary.wait = expectedWait(pool, Lane::Other).value_or(Duration::zero());
+    summary.urgentWait = expectedWait(pool, Lane::Urgent);
+    summary.prefixSketch = pool.heat.hottest(PrefixesTold);
+    describeHealth(pool, summary);
     return summary;
 }
 
