Don't run here what killed a peer's servers

Change: a death reported for a forwarded attempt waits 1.5 s, for the peer's next summary; quarantined there, the request is refused; else it is a suspect and runs alone. A delayed suspect is isolated as well.

--- a/src/snipestall/policy/retry.cpp
+++ b/src/snipestall/policy/retry.cpp
@@ -18,6 +18,9 @@
 /// A request that failed this often fails for a reason of its own.
 constexpr std::uint32_t MaxRetries = 6;
 
+/// Time in which a peer's next summary comes, with some delay.
+constexpr Duration SummaryWait = std::chrono::milliseconds(1500);
+
 /// Failure: the connection broke after bytes left. It shows as a cut, and nobody can tell whether
 /// the call ran. Sent again, a top-up is booked twice; so it ends here, and the edge, which knows
 /// that bytes left, answers `unknown`.
@@ -70,11 +73,8 @@
     request.crashes = std::max(request.crashes, known);
 }
 
-/// What was lost with its server goes on at once: it is not the cause of any overload, and its
-/// caller has waited already.
-void resumeAfterDeath(State &state, Request &request)
+void startAgain(State &state, Request &request)
 {
-    withdraw(state, request);
     estimate(state, request);
     if (request.crashes > 0)
         isolate(state, request);
@@ -82,6 +82,25 @@
         enqueue(state, request);
 }
 
+/// What was lost with its server goes on at once: it is not the cause of any overload, and its
+/// caller has waited already.
+void resumeAfterDeath(State &state, Request &request)
+{
+    withdraw(state, request);
+    startAgain(state, request);
+}
+
+/// Failure: a peer ran the request, its servers died of it, and run here it would take down a
+/// third one. It shows as a death reported for a forwarded attempt; but the peer itself may have
+/// died just as well. So it waits for the peer's next summary, which tells what it quarantined.
+void askPeersFirst(State &state, Request &request)
+{
+    ++request.crashes;
+    withdraw(state, request);
+    estimate(state, request);
+    delay(state, request, SummaryWait);
+}
+
 void retryLater(State &state, Request &request, Duration retryAfter)
 {
     if (request.retries++ >= MaxRetries) {
@@ -116,6 +135,8 @@
         takeBack(state, request);
     else if (died && request.phase == Phase::Running)
         resumeAfterDeath(state, request);
+    else if (died)
+        askPeersFirst(state, request);
     else
         retryLater(state, request, event.retryAfter);
 }
@@ -127,13 +148,17 @@
         if (!request)
             continue;
         withdraw(state, *request);
+        const std::uint32_t known = state.crashes.crashes(state.now, request->fingerprint);
+        if (known >= CrashTable::QuarantinedAt) {
+            refuse(state, *request, RefusalReason::Quarantined, Duration::zero());
+            continue;
+        }
         // Not refused for want of budget: it was accepted. It waits for first attempts to earn it.
         if (!request->pool->retryBudget.spend()) {
             delay(state, *request, state.jittered(LongestBackoff));
             continue;
         }
-        estimate(state, *request);
-        enqueue(state, *request);
+        startAgain(state, *request);
     }
 }
 
--- a/src/snipestall/policy/retry_test.cpp
+++ b/src/snipestall/policy/retry_test.cpp
@@ -102,6 +102,29 @@
     EXPECT_TRUE(neighbour.of(neighbour.send(elsewhere)).refused);
 }
 
+// A peer ran the request and lost its servers to it. Run here at once, it would cost a third one,
+// though the peer's summary that names it is already under way.
+TEST_F(RetryTest, AForwardThatKilledThePeersServersIsNotRunHere)
+{
+    PeerSummary summary { { 7 }, "samsun-2", "samsun-hall", {} };
+    summary.pools.emplace_back().service = "airtime";
+    summary.pools.back().freeSlots = 8;
+    summary.pools.back().servers = 2;
+    m_fleet.give(summary);
+    const RequestHandle request = sendCrasher(77);
+    ASSERT_EQ(m_fleet.of(request).forwards.size(), 1U);
+    m_fleet.addServer(4);
+    const AttemptHandle attempt = m_fleet.of(request).forwards.front().attempt;
+    m_fleet.give(AttemptEnded { request, attempt, AttemptResult::ServerDied, {} });
+    m_fleet.runFor(800ms);
+    summary.pools.back().quarantined = { 77 };
+    m_fleet.give(summary);
+    m_fleet.runFor(5s);
+    EXPECT_EQ(serversLost(), 0);
+    ASSERT_TRUE(m_fleet.of(request).refused);
+    EXPECT_EQ(m_fleet.of(request).refused->reason, RefusalReason::Quarantined);
+}
+
 // A rack loses power: four of eight servers die at the same moment. Were all that ran there
 // suspected, the survivors would be emptied to run dozens of requests one by one.
 TEST_F(RetryTest, ManyDeathsAtOnceMakeFewSuspects)
