--- a/src/snipestall/entry/node.cpp
+++ b/src/snipestall/entry/node.cpp
@@ -41,6 +41,18 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
 }
 
+policy::PoolSummary toPolicy(const peer::PoolLoad &load)
+{
+    policy::PoolSummary pool;
+    pool.service = load.service;
+    pool.freeSlots = load.freeSlots;
+    pool.queued = load.queued;
+    pool.servers = load.servers;
+    pool.wait = load.wait;
+    pool.prefixSketch = load.prefixSketch;
+    return pool;
+}
+
 } // namespace
 
 Node::State::State(boost::asio::io_context &context, LocalSettings settings, std::uint64_t number)
@@ -56,15 +68,15 @@
     , policy(context, policy::World::create(local.dataCentre, stableHash(local.instance)),
              dispatcher)
     , backends(context, *platform, http, members, policy)
-    , network(context, members, keeper, number,
-              { [this] { return ownPools(); }, [this] { return backends.leavingServers(); },
-                [this](const peer::LeavingServer &server) {
-                    backends.markLeaving(server.server, server.incarnation, milliseconds(0));
-                },
-                [this] { return crashes.recent(); },
-                [this](const peer::CrashReport &report) {
-                    crashes.note(report, steady_clock::now());
-                } })
+    , network(
+          context, members, keeper, number,
+          { [this] { return ownPools(); }, [this] { return backends.leavingServers(); },
+            [this](const peer::LeavingServer &server) {
+                backends.markLeaving(server.server, server.incarnation, milliseconds(0));
+            },
+            [this] { return crashes.recent(); },
+            [this](const peer::CrashReport &report) { crashes.note(report, steady_clock::now()); },
+            [this](const std::string &name) { tellPolicyOfPeer(name); } })
     , records(
           context, members, network, number,
           [this](const peer::v1::RequestRecord &record, bool released) { adopt(record, released); })
@@ -89,7 +101,7 @@
     members.subscribe([this](const peer::Member &member, peer::MemberState before) {
         onMemberChange(member, before);
     });
-    backends.onNewLeaving([this] { network.announce(); });
+    backends.onChange([this] { network.announce(); });
     backends.onSelfLeaving([this](milliseconds notice) {
         if (!draining)
             beginDrain(notice, [] {});
@@ -111,40 +123,40 @@
 void Node::State::onMemberChange(const peer::Member &member, peer::MemberState)
 {
     backends.reassign();
-    const bool usable =
-        member.state == peer::MemberState::Live && member.dataCentre == local.dataCentre;
     const auto it = peerHandles.find(member.name);
-    if (!usable && it != peerHandles.end()) {
+    if (member.state != peer::MemberState::Live && it != peerHandles.end()) {
         policy.post(policy::PeerGone { it->second });
         peerHandles.erase(it);
     }
 }
 
-void Node::State::tellPolicyOfPeers()
+// A request stays in its data centre, unless that has no backend server of its service: then the
+// linked instances of other data centres are offered to the policy for that service alone.
+void Node::State::tellPolicyOfPeer(const std::string &name)
 {
-    for (const std::string &name : members.livePeers()) {
-        const peer::Member &member = *members.find(name);
-        const auto [it, added] = peerHandles.try_emplace(name);
-        if (added) {
-            it->second = { ++nextPeer };
-            dispatcher.addPeer(it->second, name);
-        }
-        policy::PeerSummary summary;
-        summary.peer = it->second;
-        summary.name = name;
-        summary.dataCentre = member.dataCentre;
-        for (const peer::PoolLoad &load : member.pools) {
-            policy::PoolSummary pool;
-            pool.service = load.service;
-            pool.freeSlots = load.freeSlots;
-            pool.queued = load.queued;
-            pool.servers = load.servers;
-            pool.wait = load.wait;
-            pool.prefixSketch = load.prefixSketch;
-            summary.pools.push_back(std::move(pool));
-        }
-        policy.post(std::move(summary));
+    const peer::Member *member = members.find(name);
+    if (member == nullptr || member->state != peer::MemberState::Live)
+        return;
+    const bool near = member->dataCentre == local.dataCentre;
+    policy::PeerSummary summary;
+    summary.peer = handleOf(name);
+    summary.name = name;
+    summary.dataCentre = member->dataCentre;
+    for (const peer::PoolLoad &load : member->pools) {
+        if (near || !backends.serves(load.service))
+            summary.pools.push_back(toPolicy(load));
+    }
+    policy.post(std::move(summary));
+}
+
+policy::PeerHandle Node::State::handleOf(const std::string &name)
+{
+    const auto [it, added] = peerHandles.try_emplace(name);
+    if (added) {
+        it->second = { ++nextPeer };
+        dispatcher.addPeer(it->second, name);
     }
+    return it->second;
 }
 
 std::vector<peer::PoolLoad> Node::State::ownPools() const
@@ -224,7 +236,6 @@
 {
     const auto self = shared_from_this();
     while (!stopped) {
-        tellPolicyOfPeers();
         crashes.expire(steady_clock::now());
         for (const RequestPtr &gone : requests.expire(steady_clock::now()))
             records.forget(gone->spec().id);
