--- a/bench/experiment/aims.cpp
+++ b/bench/experiment/aims.cpp
@@ -60,7 +60,9 @@
     const double own = recomputed(results.of(deployment, Wave, results.contestants().front()));
     Aim aim { deployment, "tokens recomputed after a wave <= 25% of the best baseline's", "",
               own <= RecomputedAim * best.value };
-    aim.found = thousands(own) + " against " + thousands(best.value) + " (" + best.contestant + ")";
+    const auto &found = results.of(deployment, Wave, results.contestants().front());
+    aim.found = thousands(own) + " against " + thousands(best.value) + " (" + best.contestant
+        + "); after losses alone " + thousands(static_cast<double>(found.lostTokens));
     return aim;
 }
 
