Metrics move: requests, delays, outcomes and totals reach GET /metrics

Cause: the daemon made the metric families and nothing fed them; the page in docs named series that would never appear.

Ruled out: the entry layer calling admin's Metrics (points upward), so it tells an observer; counting at the callers' listener (a request that comes back or is taken over would stand twice).

Change: entry::RequestObserver, told by a Request at arrival, each piece and the end, for requests that this instance answers for and not for those that it runs for another home. admin::RequestMetrics counts them; totalsOf takes over the counters of dispatcher, platform client and claims at each scrape. Three families without a source went (retries by reason, writes by table and result); attempts, forwards, dropped answers, platform transactions, row writes, failures and abandoned claims came. Touches the entry layer's request.* and request_store.* and the daemon's main.cpp in a few lines each.

--- a/apps/snipestalld/main.cpp
+++ b/apps/snipestalld/main.cpp
@@ -1,9 +1,12 @@
 #include "snipestall/admin/admin_api.hpp"
 #include "snipestall/admin/metrics.hpp"
+#include "snipestall/admin/node_totals.hpp"
+#include "snipestall/admin/request_metrics.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/entry/local_settings.hpp"
 #include "snipestall/entry/node.hpp"
+#include "snipestall/entry/request_store.hpp"
 
 #include "snipestall/wire/http_server.hpp"
 
@@ -56,18 +59,24 @@
 int run(LocalSettings local)
 {
     boost::asio::io_context io(1);
+    // Outlives the node, whose requests report to it to their end.
+    const auto metrics = snipestall::admin::Metrics::create();
     auto node = Node::create(io, std::move(local));
     if (!node) {
         logEvent(events::ListenFailed, { { "error", node.error().message } });
         return ExitFailed;
     }
     const NodeStatus status(**node);
-    const auto metrics = snipestall::admin::Metrics::create();
+    (*node)->requests().observe(
+        snipestall::admin::RequestMetrics::create(*metrics, (*node)->settings()));
+    const auto beforeMetrics = [&node, &metrics] {
+        metrics->setTotals(snipestall::admin::totalsOf(**node));
+    };
     const auto drain = [&node, &io] { (*node)->drain(std::nullopt, [&io] { io.stop(); }); };
     const LocalSettings &own = (*node)->local();
     auto api = snipestall::admin::AdminApi::create(
         { &(*node)->settingsStore(), &(*node)->settings(), &status, &(*node)->clock(),
-          metrics->registry(), drain, own.bootstrapKeyHash });
+          metrics->registry(), drain, own.bootstrapKeyHash, beforeMetrics });
     if (!api) {
         logEvent(events::ListenFailed, { { "error", api.error().message } });
         return ExitFailed;
--- a/include/snipestall/admin/admin_api.hpp
+++ b/include/snipestall/admin/admin_api.hpp
@@ -52,6 +52,8 @@
         std::function<void()> drain;
         /// SHA-256 of the key that is accepted while there are no settings at all; empty: none.
         std::string bootstrapKeyHash;
+        /// Called before the metrics are written, to bring counters up to date; may be empty.
+        std::function<void()> beforeMetrics {};
     };
 
     /// InvalidArgument if a dependency is missing or the bootstrap hash is no hash.
--- a/include/snipestall/admin/metrics.hpp
+++ b/include/snipestall/admin/metrics.hpp
@@ -16,7 +16,7 @@
 
 /// How a request is counted, apart from its customer: customers' names are no labels, since their
 /// number would multiply every series.
-enum class RequestClass {
+enum class RequestClass : int {
     Short,
     Long,
     Plain,
@@ -34,6 +34,20 @@
     Received,
 };
 
+/// Counters that the parts of an instance keep themselves, since its start.
+struct InstanceTotals
+{
+    std::uint64_t attempts = 0;
+    std::uint64_t forwards = 0;
+    std::uint64_t answersDropped = 0;
+    std::uint64_t tokensRecomputed = 0;
+    std::uint64_t platformTransactions = 0;
+    std::uint64_t platformRowWrites = 0;
+    std::uint64_t platformReads = 0;
+    std::uint64_t platformFailures = 0;
+    std::uint64_t claimsAbandoned = 0;
+};
+
 /// The product's metric families, listed in docs/metrics.md. Updates are cheap enough for every
 /// request and token; they are thread-safe.
 ///
@@ -49,7 +63,7 @@
 
     [[nodiscard]] std::shared_ptr<prometheus::Registry> registry() const;
 
-    void requestAccepted(RequestClass requestClass);
+    void requestArrived(RequestClass requestClass);
     void requestEnded(RequestClass requestClass, RequestOutcome outcome);
     /// From a request's arrival to the first byte of its answer.
     void firstToken(RequestClass requestClass, std::chrono::nanoseconds delay);
@@ -58,10 +72,7 @@
 
     void setQueueLength(std::string_view service, std::uint64_t waiting);
     void setSlots(std::string_view service, std::uint64_t total, std::uint64_t used);
-    /// `reason` is one of a few fixed words, such as "reclaim", "lost-server" or "cut".
-    void retried(std::string_view reason);
-    void tokensRecomputed(std::string_view service, std::uint64_t tokens);
-    void tokensGenerated(std::string_view service, std::uint64_t tokens);
+    void tokensGenerated(RequestClass requestClass, std::uint64_t tokens);
     /// Price of the backend servers that this instance owns, in units an hour.
     void setCost(std::string_view service, double unitsPerHour);
 
@@ -69,10 +80,8 @@
     void controlBytes(ControlDirection direction, std::uint64_t bytes);
     void setSettingsVersion(std::uint64_t version);
     void setStewardLease(bool isHeld);
-    /// `table` and `result` are fixed words; result is "committed", "conflict", "unavailable" or
-    /// "unknown".
-    void platformWrite(std::string_view table, std::string_view result);
-    void platformReads(std::uint64_t rows);
+    /// Takes over counters that others keep; each total must not fall.
+    void setTotals(const InstanceTotals &totals);
     void handedOver(std::uint64_t requests);
 
     /// Every gauge that an instance's status tells: settings version, lease, queues, slots.
--- /dev/null
+++ b/include/snipestall/admin/request_metrics.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "snipestall/entry/request_observer.hpp"
+
+#include <memory>
+
+namespace snipestall::peer {
+class SettingsKeeper;
+}
+
+namespace snipestall::admin {
+
+class Metrics;
+enum class RequestClass : int;
+
+/// Counts an instance's requests and their delays.
+///
+///     node.requests().observe(RequestMetrics::create(*metrics, node.settings()));
+class RequestMetrics final : public entry::RequestObserver
+{
+public:
+    /// Both must outlive the requests that are observed.
+    static std::shared_ptr<RequestMetrics> create(Metrics &metrics,
+                                                  const peer::SettingsKeeper &settings);
+
+    void arrived(const entry::RequestSpec &spec) override;
+    void began(const entry::RequestSpec &spec, std::chrono::nanoseconds sinceArrival) override;
+    void wentOn(const entry::RequestSpec &spec, std::chrono::nanoseconds sinceLastPiece) override;
+    void ended(const entry::RequestSpec &spec, const entry::FinalAnswer &answer) override;
+
+private:
+    RequestMetrics(Metrics &metrics, const peer::SettingsKeeper &settings);
+    [[nodiscard]] RequestClass classOf(const entry::RequestSpec &spec) const;
+
+    Metrics &m_metrics;
+    const peer::SettingsKeeper &m_settings;
+};
+
+} // namespace snipestall::admin
--- a/include/snipestall/entry/request.hpp
+++ b/include/snipestall/entry/request.hpp
@@ -18,6 +18,8 @@
 
 namespace snipestall::entry {
 
+class RequestObserver;
+
 /// What is asked, fixed at arrival.
 struct RequestSpec
 {
@@ -82,6 +84,9 @@
     /// Backend servers that died with it.
     std::set<std::string> &crashedServers() { return m_crashedServers; }
 
+    /// From now on tells what becomes of it.
+    void observe(std::shared_ptr<RequestObserver> observer);
+
     /// How to break off the attempt under way.
     std::map<std::uint64_t, std::function<void()>> &cancels() { return m_cancels; }
     std::uint32_t attempts = 0;
@@ -106,6 +111,8 @@
     ~Request() override;
 
 private:
+    void noteProgress();
+
     RequestSpec m_spec;
     policy::RequestHandle m_handle;
     std::uint64_t m_firstOffset = 0;
@@ -116,6 +123,9 @@
     std::set<std::string> m_crashedServers;
     std::map<std::uint64_t, std::function<void()>> m_cancels;
     wire::Signal m_changed;
+    std::shared_ptr<RequestObserver> m_observer;
+    /// Arrival or last piece; nothing until the first piece of a request that began elsewhere.
+    std::optional<std::chrono::steady_clock::time_point> m_lastProgress;
 };
 
 using RequestPtr = std::shared_ptr<Request>;
--- a/include/snipestall/entry/request_store.hpp
+++ b/include/snipestall/entry/request_store.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -27,6 +28,9 @@
 
     explicit RequestStore(Options options = {});
 
+    /// Is told of every request that is added from now on and that this instance answers for.
+    void observe(std::shared_ptr<RequestObserver> observer) { m_observer = std::move(observer); }
+
     policy::RequestHandle nextHandle();
     void add(const RequestPtr &request);
     void remove(const RequestPtr &request);
@@ -44,6 +48,7 @@
 
 private:
     Options m_options;
+    std::shared_ptr<RequestObserver> m_observer;
     std::uint64_t m_next = 0;
     std::unordered_map<policy::RequestHandle, RequestPtr> m_byHandle;
     std::unordered_map<std::string, RequestPtr> m_byId;
--- a/src/snipestall/admin/admin_routes.cpp
+++ b/src/snipestall/admin/admin_routes.cpp
@@ -299,6 +299,8 @@
 
 HttpResponse AdminApi::Routes::metrics()
 {
+    if (m_uses.beforeMetrics)
+        m_uses.beforeMetrics();
     m_gauges->setFrom(m_uses.status->status());
     HttpResponse response;
     response.fields.set("Content-Type", "text/plain; version=0.0.4");
--- a/src/snipestall/admin/metric_info.hpp
+++ b/src/snipestall/admin/metric_info.hpp
@@ -14,7 +14,7 @@
 
 /// The families in the order of the table.
 enum class MetricId : std::uint8_t {
-    RequestsAccepted,
+    RequestsArrived,
     Requests,
     FirstToken,
     InterToken,
@@ -22,15 +22,20 @@
     QueueLength,
     Slots,
     SlotsUsed,
-    Retries,
+    Attempts,
+    Forwards,
+    AnswersDropped,
     TokensRecomputed,
     TokensGenerated,
     Cost,
     ControlBytes,
     SettingsVersion,
     StewardLease,
+    PlatformTransactions,
     PlatformWrites,
     PlatformReads,
+    PlatformFailures,
+    ClaimsAbandoned,
     RequestsHandedOver,
 };
 
--- a/src/snipestall/admin/metrics.cpp
+++ b/src/snipestall/admin/metrics.cpp
@@ -117,10 +117,9 @@
     return m_families->registry;
 }
 
-void Metrics::requestAccepted(RequestClass requestClass)
+void Metrics::requestArrived(RequestClass requestClass)
 {
-    m_families->count(MetricId::RequestsAccepted,
-                      { { "class", nameOf(ClassNames, requestClass) } });
+    m_families->count(MetricId::RequestsArrived, { { "class", nameOf(ClassNames, requestClass) } });
 }
 
 void Metrics::requestEnded(RequestClass requestClass, RequestOutcome outcome)
@@ -158,19 +157,10 @@
     m_families->set(MetricId::SlotsUsed, labels, static_cast<double>(used));
 }
 
-void Metrics::retried(std::string_view reason)
+void Metrics::tokensGenerated(RequestClass requestClass, std::uint64_t tokens)
 {
-    m_families->count(MetricId::Retries, { { "reason", std::string(reason) } });
-}
-
-void Metrics::tokensRecomputed(std::string_view service, std::uint64_t tokens)
-{
-    m_families->count(MetricId::TokensRecomputed, { { "service", std::string(service) } }, tokens);
-}
-
-void Metrics::tokensGenerated(std::string_view service, std::uint64_t tokens)
-{
-    m_families->count(MetricId::TokensGenerated, { { "service", std::string(service) } }, tokens);
+    m_families->count(MetricId::TokensGenerated, { { "class", nameOf(ClassNames, requestClass) } },
+                      tokens);
 }
 
 void Metrics::setCost(std::string_view service, double unitsPerHour)
@@ -194,15 +184,30 @@
     m_families->set(MetricId::StewardLease, {}, isHeld ? 1 : 0);
 }
 
-void Metrics::platformWrite(std::string_view table, std::string_view result)
+void Metrics::setTotals(const InstanceTotals &totals)
 {
-    m_families->count(MetricId::PlatformWrites,
-                      { { "table", std::string(table) }, { "result", std::string(result) } });
-}
-
-void Metrics::platformReads(std::uint64_t rows)
-{
-    m_families->count(MetricId::PlatformReads, {}, rows);
+    struct Total
+    {
+        MetricId id;
+        std::uint64_t InstanceTotals::*member;
+    };
+    constexpr std::array Totals {
+        Total { MetricId::Attempts, &InstanceTotals::attempts },
+        Total { MetricId::Forwards, &InstanceTotals::forwards },
+        Total { MetricId::AnswersDropped, &InstanceTotals::answersDropped },
+        Total { MetricId::TokensRecomputed, &InstanceTotals::tokensRecomputed },
+        Total { MetricId::PlatformTransactions, &InstanceTotals::platformTransactions },
+        Total { MetricId::PlatformWrites, &InstanceTotals::platformRowWrites },
+        Total { MetricId::PlatformReads, &InstanceTotals::platformReads },
+        Total { MetricId::PlatformFailures, &InstanceTotals::platformFailures },
+        Total { MetricId::ClaimsAbandoned, &InstanceTotals::claimsAbandoned },
+    };
+    for (const Total &total : Totals) {
+        Counter &counter = m_families->counters.at(total.id)->Add({});
+        const double now = static_cast<double>(totals.*total.member);
+        if (now > counter.Value())
+            counter.Increment(now - counter.Value());
+    }
 }
 
 void Metrics::handedOver(std::uint64_t requests)
--- a/src/snipestall/entry/request.cpp
+++ b/src/snipestall/entry/request.cpp
@@ -1,5 +1,7 @@
 #include "snipestall/entry/request.hpp"
 
+#include "snipestall/entry/request_observer.hpp"
+
 #include "peer.pb.h"
 
 #include <algorithm>
@@ -73,7 +75,9 @@
 RequestPtr Request::create(const boost::asio::any_io_executor &executor, RequestSpec spec,
                            policy::RequestHandle handle)
 {
-    return std::make_shared<Request>(executor, std::move(spec), handle);
+    auto request = std::make_shared<Request>(executor, std::move(spec), handle);
+    request->m_lastProgress = steady_clock::now();
+    return request;
 }
 
 RequestPtr Request::fromRecord(const boost::asio::any_io_executor &executor,
@@ -107,16 +111,39 @@
     if (offset < nextOffset())
         return true;
     m_pieces.push_back(std::move(piece));
+    noteProgress();
     m_changed.notifyAll();
     return true;
 }
 
+void Request::observe(std::shared_ptr<RequestObserver> observer)
+{
+    m_observer = std::move(observer);
+    if (m_observer && m_lastProgress)
+        m_observer->arrived(m_spec);
+}
+
+void Request::noteProgress()
+{
+    const auto now = steady_clock::now();
+    if (m_observer && m_lastProgress) {
+        const auto delay = now - *m_lastProgress;
+        if (m_pieces.size() == 1)
+            m_observer->began(m_spec, delay);
+        else
+            m_observer->wentOn(m_spec, delay);
+    }
+    m_lastProgress = now;
+}
+
 bool Request::finish(FinalAnswer answer)
 {
     if (finished())
         return false;
     m_final = std::move(answer);
     finishedAt = steady_clock::now();
+    if (m_observer)
+        m_observer->ended(m_spec, *m_final);
     m_changed.notifyAll();
     return true;
 }
--- a/src/snipestall/entry/request_store.cpp
+++ b/src/snipestall/entry/request_store.cpp
@@ -36,6 +36,7 @@
     // What runs here for another home is not this instance's to answer for.
     if (request->forwarded)
         return;
+    request->observe(m_observer);
     const RequestSpec &spec = request->spec();
     m_byId[spec.id] = request;
     if (!spec.idempotencyKey.empty())
--- a/tests/settings/settings_path_test.cpp
+++ b/tests/settings/settings_path_test.cpp
@@ -1,3 +1,4 @@
+#include "harness/http_call.hpp"
 #include "harness/port_pool.hpp"
 #include "harness/proxy_control.hpp"
 #include "harness/settings_text.hpp"
@@ -9,6 +10,7 @@
 #include <gmock/gmock.h>
 
 #include <algorithm>
+#include <sstream>
 
 namespace snipestall::harness {
 namespace {
@@ -171,5 +173,49 @@
     EXPECT_EQ(audit->records[0].toVersion, 2U);
 }
 
+constexpr auto Mix = R"(
+rate: 20
+duration_ms: 2000
+seed: 5
+classes:
+  - {name: chat, share: 2, model: writer, max_tokens: [8, 32]}
+  - {name: ledger, share: 1, service: ledger, keyed_share: 1, non_idempotent_share: 1}
+)";
+
+/// Sum of a family's samples over every entry instance.
+double sumOf(Topology &topology, const std::string &family)
+{
+    double sum = 0;
+    for (const EntrySpec &entry : topology.spec().entries) {
+        const auto page = httpGet(topology.operators(entry.name), "/metrics");
+        std::istringstream lines(page ? page->body : std::string());
+        for (std::string line; std::getline(lines, line);) {
+            const bool isSample = line.starts_with(family + "{") || line.starts_with(family + " ");
+            if (isSample)
+                sum += std::stod(line.substr(line.rfind(' ')));
+        }
+    }
+    return sum;
+}
+
+TEST_F(SettingsPathTest, MetricsOfAllInstancesCountEveryRequestOnce)
+{
+    start(TopologySpec::small());
+    const double before = sumOf(topology(), "snipestall_requests_total");
+    const auto load = topology().startLoad(Mix);
+    const auto report = topology().loadReport(*load);
+    const auto &phase = report.at("phases").as_array().at(0).as_object();
+    const auto calls = phase.at("calls").to_number<double>();
+    const auto resends = phase.at("resends").to_number<double>();
+    const double counted = sumOf(topology(), "snipestall_requests_total") - before;
+    EXPECT_GE(counted, calls);
+    EXPECT_LE(counted, calls + resends);
+    EXPECT_GT(sumOf(topology(), "snipestall_first_token_seconds_count"), 0);
+    EXPECT_GT(sumOf(topology(), "snipestall_inter_token_seconds_count"), 0);
+    EXPECT_GT(sumOf(topology(), "snipestall_platform_transactions_total"), 0);
+    EXPECT_GE(sumOf(topology(), "snipestall_attempts_total"), calls);
+    EXPECT_EQ(sumOf(topology(), "snipestall_settings_version"), 4);
+}
+
 } // namespace
 } // namespace snipestall::harness
