Metrics: cost of the owned backend servers at the prices in force

Change: at each scrape the prices of the classes in force are summed over the status's backend servers, by service; a service that lost its last server falls to 0. The two families that have no source yet say so on the page.

--- a/include/snipestall/admin/metrics.hpp
+++ b/include/snipestall/admin/metrics.hpp
@@ -5,11 +5,16 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace prometheus {
 class Registry;
 }
 
+namespace snipestall::settings {
+struct ClassSettings;
+}
+
 namespace snipestall::admin {
 
 struct InstanceStatus;
@@ -86,6 +91,9 @@
 
     /// Every gauge that an instance's status tells: settings version, lease, queues, slots.
     void setFrom(const InstanceStatus &status);
+    /// What the backend servers of the status cost at the prices in force.
+    void setCosts(const InstanceStatus &status,
+                  const std::vector<settings::ClassSettings> &classes);
 
 private:
     struct Families;
--- a/src/snipestall/admin/admin_api_test.cpp
+++ b/src/snipestall/admin/admin_api_test.cpp
@@ -32,7 +32,7 @@
 }
 
 const std::string First = document(R"(
-data_centres: {north: {share: 0.5}, south: {share: 0.5}}
+data_centres: {north: {share: 0.5, classes: {spot: {price_per_hour: 0.5}}}, south: {share: 0.5}}
 services: {text: {models: [m]}}
 customers: {kiyi: {weight: 2, services: {text: {}}}}
 )");
@@ -290,6 +290,7 @@
     const auto metrics = call(m_north, "GET", "/metrics", "");
     EXPECT_THAT(metrics.body, HasSubstr("snipestall_settings_version 3"));
     EXPECT_THAT(metrics.body, HasSubstr("snipestall_slots{service=\"text\"} 12"));
+    EXPECT_THAT(metrics.body, HasSubstr("snipestall_cost_units_per_hour{service=\"text\"} 1\n"));
     EXPECT_THAT(metrics.body, Not(HasSubstr("kiyi")));
 }
 
--- a/src/snipestall/admin/admin_routes.cpp
+++ b/src/snipestall/admin/admin_routes.cpp
@@ -7,6 +7,7 @@
 #include "snipestall/base/log.hpp"
 #include "snipestall/peer/settings_keeper.hpp"
 #include "snipestall/peer/settings_store.hpp"
+#include "snipestall/settings/effective_settings.hpp"
 #include "snipestall/settings/explain_effective.hpp"
 #include "snipestall/settings/tree.hpp"
 #include "snipestall/settings/tree_edits.hpp"
@@ -301,7 +302,10 @@
 {
     if (m_uses.beforeMetrics)
         m_uses.beforeMetrics();
-    m_gauges->setFrom(m_uses.status->status());
+    const InstanceStatus status = m_uses.status->status();
+    m_gauges->setFrom(status);
+    if (const auto view = m_uses.keeper->effective())
+        m_gauges->setCosts(status, view->classes);
     HttpResponse response;
     response.fields.set("Content-Type", "text/plain; version=0.0.4");
     response.body = prometheus::TextSerializer().Serialize(m_uses.metrics->Collect());
--- a/src/snipestall/admin/metric_info.cpp
+++ b/src/snipestall/admin/metric_info.cpp
@@ -44,7 +44,8 @@
                  "Price of the backend servers that this instance owns." },
     MetricInfo { MetricId::ControlBytes, MetricKind::Counter, "snipestall_control_bytes_total",
                  "direction",
-                 "Bytes between instances, without requests and answers: sent, received." },
+                 "Bytes between instances, without requests and answers: sent, received. "
+                 "Not counted yet." },
     MetricInfo { MetricId::SettingsVersion, MetricKind::Gauge, "snipestall_settings_version", "",
                  "Version of the settings in force on this instance; 0 while there is none." },
     MetricInfo { MetricId::StewardLease, MetricKind::Gauge, "snipestall_steward_lease_held", "",
@@ -65,7 +66,8 @@
                  "Claims whose write could not be settled; they were never dispatched." },
     MetricInfo { MetricId::RequestsHandedOver, MetricKind::Counter,
                  "snipestall_requests_handed_over_total", "",
-                 "Accepted requests that this instance handed to another when it left." },
+                 "Accepted requests that this instance handed to another when it left. "
+                 "Not counted yet." },
 };
 
 constexpr std::array KindNames { "counter", "gauge", "histogram" };
--- a/src/snipestall/admin/metrics.cpp
+++ b/src/snipestall/admin/metrics.cpp
@@ -1,6 +1,7 @@
 #include "snipestall/admin/metrics.hpp"
 
 #include "snipestall/admin/instance_status.hpp"
+#include "snipestall/settings/class_settings.hpp"
 
 #include "metric_info.hpp"
 
@@ -233,4 +234,20 @@
         setSlots(service, slots.total, slots.used);
 }
 
+void Metrics::setCosts(const InstanceStatus &status,
+                       const std::vector<settings::ClassSettings> &classes)
+{
+    std::map<std::string, double> costs;
+    for (const auto &entry : m_families->slotsOf)
+        costs[entry.first] = 0;
+    for (const BackendServerStatus &server : status.backendServers) {
+        for (const settings::ClassSettings &instanceClass : classes) {
+            if (instanceClass.name == server.instanceClass)
+                costs[server.service] += instanceClass.pricePerHour;
+        }
+    }
+    for (const auto &[service, cost] : costs)
+        setCost(service, cost);
+}
+
 } // namespace snipestall::admin
