--- a/include/snipestall/peer/claim_keeper.hpp
+++ b/include/snipestall/peer/claim_keeper.hpp
@@ -51,9 +51,11 @@
     /// for no limit. When they are used up claims gather into larger batches. 25 is the share of
     /// one of eight instances in 200 writes a second.
     double writesPerSecond = 25;
-    /// First and longest pause before the table is asked again.
+    /// First and longest pause before the table is asked again. Claims queue behind those that are
+    /// tried again, so the longest bounds how late they notice that the table is back; what paces
+    /// the calls of an outage is the platform client's circuit.
     std::chrono::milliseconds firstPause { 20 };
-    std::chrono::milliseconds longestPause { 2000 };
+    std::chrono::milliseconds longestPause { 250 };
 };
 
 struct ClaimCounters
--- a/tests/store/store_on_standin_test.cpp
+++ b/tests/store/store_on_standin_test.cpp
@@ -12,6 +12,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace snipestall {
 namespace {
 
@@ -121,6 +123,47 @@
     EXPECT_EQ(claim(*samsun, "a2"), peer::ClaimVerdict::Granted);
 }
 
+// The platform has been down for long, and every instance has claims waiting. Each trying on its
+// own as soon as it can would meet the platform, just back, with all of them at once. Each instance
+// comes with a probe and then its claims in one batch.
+TEST_F(StoreOnStandinTest, ARecoveringPlatformMeetsBatchesAndNoBurst)
+{
+    constexpr int Instances = 8;
+    constexpr int ClaimsEach = 50;
+    std::vector<std::unique_ptr<HttpPlatform>> platforms;
+    std::vector<std::unique_ptr<peer::ClaimKeeper>> keepers;
+    std::vector<Slot<peer::ClaimOutcome>> outcomes;
+    faults(R"({"table":"down"})");
+    for (int instance = 0; instance < Instances; ++instance) {
+        platforms.push_back(connect());
+        keepers.push_back(keeper(*platforms.back(), std::to_string(instance)));
+        for (int i = 0; i < ClaimsEach; ++i) {
+            const std::string name = std::to_string(instance) + "." + std::to_string(i);
+            peer::ClaimRequest request {
+                { "kiyi", "ledger", name }, name, name, "body", m_clock.steadyNow() + 30s
+            };
+            outcomes.push_back(startTask(m_io, keepers.back()->claim(std::move(request))));
+        }
+    }
+    // Long enough for each instance's circuit to have opened and probed.
+    runUntil(m_io, [&] {
+        return std::ranges::all_of(platforms,
+                                   [](const auto &each) { return each->counters().failures >= 5; });
+    });
+    const auto before = harness::httpGetObject(m_endpoint, "/control/counters");
+    faults(R"({"table":"up"})");
+    runUntil(m_io, [&] {
+        return std::ranges::all_of(outcomes, [](const auto &slot) { return slot->has_value(); });
+    });
+    const auto after = harness::httpGetObject(m_endpoint, "/control/counters");
+    for (const auto &outcome : outcomes)
+        EXPECT_EQ((*outcome)->verdict, peer::ClaimVerdict::Granted);
+    const auto transactions =
+        harness::numberOf(after, "transactions") - harness::numberOf(before, "transactions");
+    RecordProperty("transactions", static_cast<int>(transactions));
+    EXPECT_LE(transactions, 2 * Instances);
+}
+
 // An operator's change is taken and its answer lost, and the client repeats it after another
 // change.
 TEST_F(StoreOnStandinTest, ASettingsChangeTakesEffectOnce)
