--- a/include/snipestall/peer/settings_store.hpp
+++ b/include/snipestall/peer/settings_store.hpp
@@ -59,6 +59,11 @@
     /// Newest first, from `before` (0: from the head) down, at most `limit`.
     wire::Task<Result<std::vector<AuditRecord>>> audit(std::uint64_t before, std::size_t limit);
 
+    /// Removes the oldest versions beyond the newest `keep`, at most one batch a call; the audit
+    /// stays. Run now and then, by the steward alone. A change against a removed version is
+    /// refused.
+    wire::Task<Result<std::size_t>> removeOld(std::uint64_t keep);
+
 private:
     platform::TableService &m_table;
     const Clock &m_clock;
--- a/src/snipestall/peer/settings_rows.cpp
+++ b/src/snipestall/peer/settings_rows.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::string_view SettingsTable = "settings";
 constexpr std::string_view AuditTable = "audit";
+constexpr std::string_view VersionPrefix = "v/";
 
 /// Fixed width, so that the table's order by key is the order of versions.
 std::string padded(std::uint64_t version)
@@ -43,7 +44,7 @@
 
 platform::RowKey versionKey(std::uint64_t version)
 {
-    return { std::string(SettingsTable), "v/" + padded(version) };
+    return { std::string(SettingsTable), std::string(VersionPrefix) + padded(version) };
 }
 
 platform::RowKey auditKey(std::uint64_t version)
@@ -111,6 +112,21 @@
     });
 }
 
+platform::RowKey versionPrefix()
+{
+    return { std::string(SettingsTable), std::string(VersionPrefix) };
+}
+
+Result<StoredVersion> decodeStoredVersion(const platform::Row &row)
+{
+    return decode<StoredVersion>(row, [&row](const json::object &object) {
+        StoredVersion stored;
+        stored.version = std::stoull(row.key.key.substr(VersionPrefix.size()));
+        stored.changeId = std::string(object.at("change").as_string());
+        return stored;
+    });
+}
+
 Result<std::uint64_t> decodeChange(const platform::Row &row)
 {
     return decode<std::uint64_t>(row, [](const json::object &object) {
--- a/src/snipestall/peer/settings_rows.hpp
+++ b/src/snipestall/peer/settings_rows.hpp
@@ -38,4 +38,15 @@
 Result<SettingsDocument> decodeVersion(std::uint64_t version, const platform::Row &row);
 Result<std::uint64_t> decodeChange(const platform::Row &row);
 
+/// What retention has to know of a version row.
+struct StoredVersion
+{
+    std::uint64_t version = 0;
+    std::string changeId;
+};
+
+/// Where version rows are found by a scan.
+platform::RowKey versionPrefix();
+Result<StoredVersion> decodeStoredVersion(const platform::Row &row);
+
 } // namespace snipestall::peer
--- a/src/snipestall/peer/settings_store.cpp
+++ b/src/snipestall/peer/settings_store.cpp
@@ -21,6 +21,9 @@
 /// Each round loses only to another operator's change that took effect; eight lost races in a row
 /// mean a script that changes settings without end, and its author should hear of it.
 constexpr int MaxRounds = 8;
+/// Versions removed in one go: their rows are read whole, and 16 documents of 20 KB are about what
+/// a table answers in one piece.
+constexpr std::size_t RemovedTogether = 16;
 
 /// The rows that say where a change stands, read in one go.
 struct Standing
@@ -195,6 +198,22 @@
     co_return co_await writeOnce(table, std::move(*proposal), standing->head, std::move(audit));
 }
 
+// Version and change rows go together. Were a change's row removed alone, its late repeat would be
+// made a second time; without the version that it was made against, the repeat is refused instead.
+Transaction removalOf(const std::vector<Row> &oldest, std::uint64_t newestRemoved)
+{
+    Transaction transaction;
+    for (const Row &row : oldest) {
+        const auto stored = decodeStoredVersion(row);
+        if (!stored || stored->version > newestRemoved)
+            break;
+        transaction.conditions.push_back({ row.key, row.version });
+        transaction.writes.push_back({ row.key, std::nullopt });
+        transaction.writes.push_back({ changeKey(stored->changeId), std::nullopt });
+    }
+    return transaction;
+}
+
 } // namespace
 
 SettingsStore::SettingsStore(platform::TableService &table, const Clock &clock)
@@ -259,6 +278,31 @@
     co_return decodeVersion(version, *row);
 }
 
+Task<Result<std::size_t>> SettingsStore::removeOld(std::uint64_t keep)
+{
+    const auto current = co_await headVersion();
+    if (!current)
+        co_return tl::unexpected<Error>(current.error());
+    // The head's own version is always kept.
+    const std::uint64_t kept = std::max<std::uint64_t>(keep, 1);
+    if (*current <= kept)
+        co_return std::size_t(0);
+    const RowKey prefix = versionPrefix();
+    const std::string fromTheFirst;
+    const auto oldest =
+        co_await m_table.scan(prefix.table, prefix.key, fromTheFirst, RemovedTogether);
+    if (!oldest)
+        co_return tl::unexpected<Error>(oldest.error());
+    Transaction transaction = removalOf(*oldest, *current - kept);
+    const std::size_t removed = transaction.conditions.size();
+    if (removed == 0)
+        co_return removed;
+    const auto outcome = co_await m_table.transact(std::move(transaction));
+    if (!outcome)
+        co_return tl::unexpected<Error>(outcome.error());
+    co_return outcome->committed ? removed : 0;
+}
+
 Task<Result<std::vector<AuditRecord>>> SettingsStore::audit(std::uint64_t before, std::size_t limit)
 {
     if (before == 0) {
--- a/src/snipestall/peer/settings_store_test.cpp
+++ b/src/snipestall/peer/settings_store_test.cpp
@@ -195,5 +195,26 @@
     EXPECT_EQ(result->hash, runTask(m_io, m_store.version(1))->hash);
 }
 
+// Old versions are removed, and only then a client repeats a change that made one of them. Its row
+// is gone with the version; made again, the change would undo what came after it.
+TEST_F(SettingsStoreTest, ARepeatOfARemovedChangeIsNotMadeAgain)
+{
+    change(whole("c1"));
+    for (std::uint64_t version = 1; version <= 4; ++version) {
+        const std::string value = std::to_string(version + 1);
+        change(edit("e" + value, version, "customers/kiyi/weight", value));
+    }
+    EXPECT_EQ(runTask(m_io, m_store.removeOld(2)).value(), 3U);
+    EXPECT_EQ(runTask(m_io, m_store.removeOld(2)).value(), 0U);
+    EXPECT_EQ(runTask(m_io, m_store.version(3)).error().kind, ErrorKind::NotFound);
+    EXPECT_TRUE(runTask(m_io, m_store.version(4)).has_value());
+    EXPECT_FALSE(change(edit("e2", 1, "customers/kiyi/weight", "2")).has_value());
+    EXPECT_FALSE(change(edit("e3", 2, "customers/kiyi/weight", "3")).has_value());
+    EXPECT_EQ(head(), 5U);
+    EXPECT_EQ(audit(0, 10).size(), 5U);
+    EXPECT_TRUE(runTask(m_io, m_store.removeOld(0)).has_value());
+    EXPECT_EQ(runTask(m_io, m_store.head())->version, 5U);
+}
+
 } // namespace
 } // namespace snipestall::peer
