--- a/src/snipestall/peer/claim_expiry.cpp
+++ b/src/snipestall/peer/claim_expiry.cpp
@@ -3,6 +3,7 @@
 #include "snipestall/peer/claim_context.hpp"
 #include "snipestall/peer/claim_row.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -16,52 +17,85 @@
 
 namespace {
 
-/// The oldest batch row, if its whole hour is past the lifetime.
-wire::Task<std::optional<Row>> oldestExpired(std::shared_ptr<ClaimContext> context)
+/// Batch rows looked at in one call: at low rates a batch names one claim or two, and a call for
+/// each would double the writes.
+constexpr std::size_t BatchesTogether = 64;
+/// Claims removed in one call, so that the transaction stays of a size that a table takes.
+constexpr std::size_t ClaimsTogether = 512;
+
+/// Whole batches whose hour is past the lifetime, oldest first.
+struct ExpiredBatches
+{
+    /// Hours before this one are past the lifetime.
+    std::string firstKeptHour;
+    std::vector<Row> batches;
+    std::vector<RowKey> claims;
+};
+
+wire::Task<ExpiredBatches> findExpired(std::shared_ptr<ClaimContext> context)
 {
     const std::string table(ClaimBatchTable);
     const std::string all;
-    const auto rows = co_await context->table.scan(table, all, all, 1);
-    if (!rows || rows->empty())
-        co_return std::nullopt;
-    const std::string lastKept = claimHour(context->clock.wallNow() - context->options.lifetime);
-    if (rows->front().key.key >= lastKept)
-        co_return std::nullopt;
-    co_return rows->front();
+    ExpiredBatches expired;
+    expired.firstKeptHour = claimHour(context->clock.wallNow() - context->options.lifetime);
+    const auto rows = co_await context->table.scan(table, all, all, BatchesTogether);
+    if (!rows)
+        co_return expired;
+    for (const Row &batch : *rows) {
+        // A damaged batch row goes alone: its claims stay, which only refuses repeats for longer.
+        const auto names = decodeBatch(batch).value_or(std::vector<RowKey>());
+        const bool full = expired.claims.size() + names.size() > ClaimsTogether;
+        const bool isKept = batch.key.key >= expired.firstKeptHour;
+        if (isKept || (full && !expired.batches.empty()))
+            break;
+        expired.batches.push_back(batch);
+        expired.claims.insert(expired.claims.end(), names.begin(), names.end());
+    }
+    co_return expired;
+}
+
+void remove(Transaction &transaction, const Row &row)
+{
+    transaction.conditions.push_back({ row.key, row.version });
+    transaction.writes.push_back({ row.key, std::nullopt });
 }
 
-/// Deletes the batch's row and those claims that still belong to it. An abandoned row that was
-/// taken over later carries the later hour: deleting it would let its key run a second time.
-Transaction deletion(const Row &batch, const std::vector<Row> &claims)
+/// Deletes the batch rows and those claims that are as old. An abandoned row that was taken over
+/// later carries the later hour: deleting it would let its key run a second time.
+Transaction removalOf(const ExpiredBatches &expired, const std::vector<Row> &claims)
 {
     Transaction transaction;
-    transaction.conditions.push_back({ batch.key, batch.version });
-    transaction.writes.push_back({ batch.key, std::nullopt });
+    for (const Row &batch : expired.batches)
+        remove(transaction, batch);
     for (const Row &row : claims) {
         const auto claim = decodeClaim(row);
-        const bool belongs = claim && batch.key.key.starts_with(claim->hour + "/");
-        if (!belongs)
-            continue;
-        transaction.conditions.push_back({ row.key, row.version });
-        transaction.writes.push_back({ row.key, std::nullopt });
+        if (claim && claim->hour < expired.firstKeptHour)
+            remove(transaction, row);
     }
     return transaction;
 }
 
+/// Two batches name the same row if the later one took it over; it must be read and removed once.
+void removeRepeats(std::vector<RowKey> &keys)
+{
+    std::ranges::sort(keys);
+    const auto repeats = std::ranges::unique(keys);
+    keys.erase(repeats.begin(), repeats.end());
+}
+
 } // namespace
 
-wire::Task<void> removeExpiredBatch(std::shared_ptr<ClaimContext> context)
+wire::Task<void> removeExpiredClaims(std::shared_ptr<ClaimContext> context)
 {
-    const auto batch = co_await oldestExpired(context);
-    if (!batch)
+    ExpiredBatches expired = co_await findExpired(context);
+    if (expired.batches.empty())
         co_return;
-    // A damaged batch row goes alone: its claims stay, which only refuses repeats for longer.
-    std::vector<RowKey> names = decodeBatch(*batch).value_or(std::vector<RowKey>());
-    const auto claims = co_await context->read(std::move(names));
+    removeRepeats(expired.claims);
+    const auto claims = co_await context->read(expired.claims);
     if (!claims)
         co_return;
-    Transaction transaction = deletion(*batch, *claims);
-    const std::size_t removed = transaction.writes.size() - 1;
+    Transaction transaction = removalOf(expired, *claims);
+    const std::size_t removed = transaction.writes.size() - expired.batches.size();
     const auto outcome = co_await context->transact(std::move(transaction));
     // Anything but a commit is left to the next call, which begins from the rows as they are.
     if (outcome && outcome->committed)
--- a/src/snipestall/peer/claim_keeper.cpp
+++ b/src/snipestall/peer/claim_keeper.cpp
@@ -271,7 +271,7 @@
 Task<void> ClaimKeeper::removeExpired()
 {
     const auto context = m_state->context;
-    co_await removeExpiredBatch(context);
+    co_await removeExpiredClaims(context);
 }
 
 void ClaimKeeper::limitWrites(double perSecond)
--- a/src/snipestall/peer/claim_keeper_test.cpp
+++ b/src/snipestall/peer/claim_keeper_test.cpp
@@ -328,6 +328,19 @@
     EXPECT_EQ(samsun->counters().rowsExpired, 1U);
 }
 
+TEST_F(ClaimKeeperTest, ManySmallBatchesExpireInOneTransaction)
+{
+    const auto samsun = keeper("samsun-1");
+    for (int i = 0; i < 10; ++i)
+        claim(*samsun, request("k" + std::to_string(i), "a"));
+    m_clock.advance(26h);
+    const std::uint64_t before = samsun->counters().transactions;
+    removeExpired(*samsun);
+    EXPECT_EQ(samsun->counters().transactions, before + 1);
+    EXPECT_EQ(samsun->counters().rowsExpired, 10U);
+    EXPECT_TRUE(m_table.rows.empty());
+}
+
 // A claim is given up in one hour and its key taken over in a later one. When the first hour's
 // batch expires, deleting the row by its name alone would free a key that has run within the day.
 TEST_F(ClaimKeeperTest, ExpiryLeavesARowThatALaterHourTookOver)
