--- a/src/snipestall/peer/claim_keeper_test.cpp
+++ b/src/snipestall/peer/claim_keeper_test.cpp
@@ -158,6 +158,20 @@
     EXPECT_EQ(claim(*keeper("sinop-1"), request("k", "a2")).verdict, ClaimVerdict::Granted);
 }
 
+// The table takes the claim but is slow to say so. The caller has been refused by the time that its
+// yes comes; nobody will send, so the row must not hold the key.
+TEST_F(ClaimKeeperTest, AGrantThatComesAfterItsCallerWasRefusedIsTakenBack)
+{
+    const auto samsun = keeper("samsun-1");
+    m_table.freeze();
+    const auto outcome = start(*samsun, request("k", "a1", 3ms));
+    runUntil(m_io, [&] { return outcome->has_value(); });
+    EXPECT_EQ((*outcome)->verdict, ClaimVerdict::Unsettled);
+    m_table.thaw();
+    drain(m_io);
+    EXPECT_EQ(rowOf("k").state, ClaimState::Abandoned);
+}
+
 // A claim's write is stuck in a slow network. Its caller is refused, and only then the write lands.
 // A row that nobody will ever send for would block the key for a day; a row put there beforehand
 // makes the late write's condition fail.
