--- a/src/snipestall/peer/claim_expiry.cpp
+++ b/src/snipestall/peer/claim_expiry.cpp
@@ -79,8 +79,7 @@
 void removeRepeats(std::vector<RowKey> &keys)
 {
     std::ranges::sort(keys);
-    const auto repeats = std::ranges::unique(keys);
-    keys.erase(repeats.begin(), repeats.end());
+    keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
 }
 
 } // namespace
