Queue: lanes for normal and patient work, admission by the target

Cause: at 150% load 5% of normal requests met their target. Patient work that had aged 30 s was older than any normal work and went first for as long as the overload lasted; normal work was let in up to its deadline of 30 s, and every one came late. Forwards to a queue that was 50 ms shorter moved the queues about each second.

Change: three lanes; a quarter of the slot time that normal and patient work share goes to patient work, which goes first once its slack is gone. Normal work is admitted up to a wait of 0.75 of its first-token target, urgent 1.5, patient by its deadline. The wait is reckoned per lane from the slots it was given of late and the customer's share.

--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -77,6 +77,8 @@
         event.customer = "customer-" + std::to_string(m_lastRequest % Customers);
         event.service = "airtime";
         event.urgency = static_cast<Urgency>(m_lastRequest % 3);
+        // Or it would be refused, and the queue be shorter than asked for.
+        event.accepted = true;
         event.promptTokens = 1000;
         event.maxTokens = 100;
         event.deadline = m_now + 24h;
--- a/include/snipestall/policy/event.hpp
+++ b/include/snipestall/policy/event.hpp
@@ -151,6 +151,8 @@
     std::uint32_t urgentFreeSlots = 0;
     /// Wait of short urgent work; when not told, `wait`.
     std::optional<Duration> urgentWait {};
+    /// Wait of patient work; when not told, `wait`.
+    std::optional<Duration> patientWait {};
     /// Usual time for one output token, or for one call of a plain service; 0 when not known.
     Duration tokenTime {};
     /// Backend servers that are ejected at the moment; not among `servers`.
--- a/src/snipestall/policy/admission.cpp
+++ b/src/snipestall/policy/admission.cpp
@@ -34,6 +34,14 @@
 /// admitted just makes it, and half of those would then miss.
 constexpr int WaitMargin = 10;
 
+/// Normal work is let in while its wait takes up to three quarters of its target. The rest covers
+/// the prompt, and an estimate made for the mean request while more urgent work keeps coming.
+constexpr double NormalTargetPart = 0.75;
+
+/// Urgent work is refused later: it seldom waits long, a rush of it is over within a second, and an
+/// answer that comes a little late helps its caller more than none.
+constexpr double UrgentTargetPart = 1.5;
+
 void fillIn(Request &request, const RequestArrived &event)
 {
     request.handle = event.request;
@@ -115,16 +123,29 @@
     return Verdict { RefusalReason::NoCapacity, std::max(startTime / 4, LeastRetryAfter) };
 }
 
-/// Load: more work than the pool can finish in time, as after a wave of reclaims. Harm: what
-/// can't make its deadline takes the slots of what can, and its caller learns it too late to go
-/// elsewhere. Come back once the queue has drained to where the deadline would have been met.
+/// Longest wait with which a request still meets what was promised for it.
+Duration longestWait(const State &state, const Request &request)
+{
+    const Duration untilLate = request.deadline - request.service - state.now;
+    if (request.urgency == Urgency::Patient)
+        return untilLate;
+    const bool urgent = request.urgency == Urgency::Urgent;
+    const std::chrono::duration<double> target = request.flow->leaf.firstTokenTarget;
+    const auto longest = target * (urgent ? UrgentTargetPart : NormalTargetPart);
+    return std::min(untilLate, std::chrono::duration_cast<Duration>(longest));
+}
+
+/// Load: more work than the pool can finish in time, as after a wave of reclaims. Harm: what can't
+/// meet its target takes the slots of what can, until nothing does, and the queue outlasts the
+/// overload; its callers learn too late to go elsewhere. Come back once the queue has drained to
+/// where the target would have been met. Patient work has its deadline as its only target. What a
+/// peer sent on an old summary goes back to it: it has a place in the queue there.
 std::optional<Verdict> checkWait(const State &state, const Request &request)
 {
     const std::optional<Duration> wait = shortestWait(state, request);
     if (!wait)
         return checkWithoutCapacity(state, request);
-    const Duration over =
-        state.now + *wait + *wait / WaitMargin - (request.deadline - request.service);
+    const Duration over = *wait + *wait / WaitMargin - longestWait(state, request);
     if (over <= Duration::zero())
         return std::nullopt;
     return Verdict { RefusalReason::Late, std::max(over, LeastRetryAfter) };
--- a/src/snipestall/policy/fair_queue.cpp
+++ b/src/snipestall/policy/fair_queue.cpp
@@ -26,6 +26,11 @@
 /// a fifth of the picks would give long work most of the slots.
 constexpr int UrgentPart = 4;
 
+/// The same between normal and patient work: of the slot time they share, a quarter goes to patient
+/// work while both wait. Aging by waiting time instead made all patient work of a long overload
+/// older than any normal work, which then came late without exception.
+constexpr int NormalPart = 3;
+
 constexpr double LeastWeight = 1e-6;
 
 void charge(Flow &flow, double cost)
@@ -49,7 +54,9 @@
 
 Lane FairQueue::laneOf(const Request &request)
 {
-    return request.shortUrgent ? Lane::Urgent : Lane::Other;
+    if (request.urgency == Urgency::Patient)
+        return Lane::Patient;
+    return request.shortUrgent ? Lane::Urgent : Lane::Normal;
 }
 
 void FairQueue::push(Request &request)
@@ -74,9 +81,7 @@
 void FairQueue::serve(Request &request)
 {
     Flow &flow = *request.flow;
-    const bool othersWait = size(Lane::Other) > 0;
-    const bool urgent = laneOf(request) == Lane::Urgent;
-    m_urgentRun = urgent && othersWait ? m_urgentRun + request.service : Duration::zero();
+    countTurn(request);
     unindex(flow);
     m_virtualTime = std::max(m_virtualTime, flow.virtualTime);
     remove(request);
@@ -103,13 +108,40 @@
     Request *urgent = head(now, Lane::Urgent);
     if (urgentOnly)
         return urgent;
-    Request *other = head(now, Lane::Other);
+    Request *other = background(now);
     if (!urgent)
         return other;
     const bool turnOfOthers = other && m_urgentRun >= UrgentPart * other->service;
     return turnOfOthers ? other : urgent;
 }
 
+// Deadline slack first: patient work with none left goes before normal work, of which less is
+// admitted the longer it would wait.
+Request *FairQueue::background(Time now) const
+{
+    Request *normal = head(now, Lane::Normal);
+    Request *patient = head(now, Lane::Patient);
+    if (!normal || !patient)
+        return normal ? normal : patient;
+    const bool pressing = patient->startBy <= now + PressingWindow;
+    const bool turnOfPatient = m_normalRun >= NormalPart * patient->service;
+    return pressing || turnOfPatient ? patient : normal;
+}
+
+void FairQueue::countTurn(const Request &request)
+{
+    const Lane lane = laneOf(request);
+    const bool othersWait = size(Lane::Normal) + size(Lane::Patient) > 0;
+    const bool patientWaits = size(Lane::Patient) > 0;
+    if (lane == Lane::Urgent) {
+        m_urgentRun = othersWait ? m_urgentRun + request.service : Duration::zero();
+        return;
+    }
+    m_urgentRun = Duration::zero();
+    const bool overtakes = lane == Lane::Normal && patientWaits;
+    m_normalRun = overtakes ? m_normalRun + request.service : Duration::zero();
+}
+
 Request *FairQueue::head(Time now, Lane lane) const
 {
     const LaneIndex &index = m_lanes[indexOf(lane)];
--- a/src/snipestall/policy/fair_queue.hpp
+++ b/src/snipestall/policy/fair_queue.hpp
@@ -70,6 +70,8 @@
     void index(Flow &flow);
     void insert(Request &request);
     void remove(Request &request);
+    [[nodiscard]] Request *background(Time now) const;
+    void countTurn(const Request &request);
     [[nodiscard]] Request *pressing(const LaneIndex &lane, Time now) const;
 
     std::array<LaneIndex, LaneCount> m_lanes;
@@ -77,8 +79,10 @@
     double m_activeWeight = 0;
     /// Virtual time of the last flow served.
     double m_virtualTime = 0;
-    /// Slot time given to urgent requests while other work waited, since other work had its turn.
+    /// Slot time given to urgent work while other work waited, since other work had its turn.
     Duration m_urgentRun {};
+    /// The same of normal work while patient work waited.
+    Duration m_normalRun {};
 };
 
 } // namespace snipestall::policy
--- a/src/snipestall/policy/flow.hpp
+++ b/src/snipestall/policy/flow.hpp
@@ -44,8 +44,14 @@
     std::array<std::set<QueuedRequest>, LaneCount> lanes;
     std::array<Duration, LaneCount> queuedService {};
 
-    [[nodiscard]] bool idle() const { return lanes[0].empty() && lanes[1].empty(); }
-    [[nodiscard]] std::size_t queued() const { return lanes[0].size() + lanes[1].size(); }
+    [[nodiscard]] std::size_t queued() const
+    {
+        std::size_t count = 0;
+        for (const auto &lane : lanes)
+            count += lane.size();
+        return count;
+    }
+    [[nodiscard]] bool idle() const { return queued() == 0; }
 };
 
 } // namespace snipestall::policy
--- a/src/snipestall/policy/forwarding.cpp
+++ b/src/snipestall/policy/forwarding.cpp
@@ -11,9 +11,10 @@
 namespace snipestall::policy {
 namespace {
 
-/// A peer must be this much sooner. Less is within the error of both estimates, and requests
-/// would change places for nothing.
-constexpr Duration LeastGain = std::chrono::milliseconds(50);
+/// Without a free slot there, a peer must be this much sooner. Every sender reads the same summary
+/// and picks the same shortest queue; with a smaller gain all queues change places each second.
+constexpr Duration LeastGain = std::chrono::milliseconds(500);
+constexpr int LeastRatio = 2;
 
 /// A request is offered to this many peers; then it waits here, or the offers themselves become
 /// load on peers that are full already.
@@ -34,7 +35,7 @@
     if (!peer)
         return std::nullopt;
     const std::optional<Duration> wait = expectedWait(pool, request);
-    const bool sooner = !wait || peer->wait + LeastGain < *wait;
+    const bool sooner = !wait || LeastRatio * peer->wait + LeastGain < *wait;
     // A free slot there is worth a hop whenever there is none here.
     const bool freeSlot = peer->wait == Duration::zero() && pool.freeFor(lane) == 0;
     if (!sooner && !freeSlot)
@@ -74,7 +75,8 @@
 void forwardQueued(State &state, Pool &pool)
 {
     forwardLane(state, pool, Lane::Urgent);
-    forwardLane(state, pool, Lane::Other);
+    forwardLane(state, pool, Lane::Normal);
+    forwardLane(state, pool, Lane::Patient);
 }
 
 bool forwardToCache(State &state, Request &request)
--- a/src/snipestall/policy/lifecycle.cpp
+++ b/src/snipestall/policy/lifecycle.cpp
@@ -19,26 +19,25 @@
 /// Every request costs something, or calls without tokens would be free in the fair shares.
 constexpr double LeastCost = 1.0;
 
-/// Load: long work under a steady stream of shorter work. After this wait it counts as pressing,
-/// whatever its deadline; shorter, and it competes with work that people wait for.
-constexpr Duration PatientAging = std::chrono::seconds(30);
+/// Patient work becomes pressing a quarter of its own time before its latest start.
+constexpr int PatientMargin = 4;
 
 /// Estimates are off by some; a queued request is given up on once less than this part of its
 /// estimated time is left. Higher, and half of what is given up on would have made it; lower, and
 /// a full pool spends its slots on answers that all come just too late.
 constexpr double LeastPartLeft = 0.9;
 
-Duration targetOf(const Request &request)
+Time startByOf(const Request &request)
 {
+    const Time latestStart = request.deadline - request.service;
     if (request.urgency == Urgency::Patient)
-        return PatientAging;
-    return request.flow->leaf.firstTokenTarget;
+        return latestStart - request.service / PatientMargin;
+    return std::min<Time>(latestStart, request.arrived + request.flow->leaf.firstTokenTarget);
 }
 
 void setTimes(Request &request)
 {
-    const Time latestStart = request.deadline - request.service;
-    request.startBy = std::min(latestStart, request.arrived + targetOf(request));
+    request.startBy = startByOf(request);
     const auto leastLeft = LeastPartLeft * std::chrono::duration<double>(request.service);
     request.giveUpAt = request.deadline - std::chrono::duration_cast<Duration>(leastLeft);
     // What another instance accepted is given up on only when its caller's deadline has passed.
--- a/src/snipestall/policy/peer_table.cpp
+++ b/src/snipestall/policy/peer_table.cpp
@@ -17,6 +17,19 @@
 /// A wait that was told grows with its age by this part: in a second many senders read it.
 constexpr int AgePart = 4;
 
+Duration toldWait(const PoolSummary &summary, Lane lane)
+{
+    switch (lane) {
+    case Lane::Urgent:
+        return summary.urgentWait.value_or(summary.wait);
+    case Lane::Patient:
+        return summary.patientWait.value_or(summary.wait);
+    case Lane::Normal:
+        break;
+    }
+    return summary.wait;
+}
+
 double freshness(Duration age)
 {
     const auto lifetime = static_cast<double>(SummaryLifetime.count());
@@ -87,7 +100,7 @@
     const double believed = BelievedShare * freshness(age) * freeSlots;
     if (believed - offer.sent >= 1)
         return Duration::zero();
-    const Duration told = urgent ? summary.urgentWait.value_or(summary.wait) : summary.wait;
+    const Duration told = toldWait(summary, lane);
     const Duration queuedSince = offer.sentService / std::max(1U, summary.servers);
     return std::max(told, Duration(1)) + age / AgePart + queuedSince;
 }
--- a/src/snipestall/policy/placing.cpp
+++ b/src/snipestall/policy/placing.cpp
@@ -15,7 +15,7 @@
 
 bool onlyReservedLeft(const Pool &pool)
 {
-    return pool.freeFor(Lane::Other) == 0;
+    return pool.freeFor(Lane::Normal) == 0;
 }
 
 /// Time in a slot that is lost if the server goes away half-way.
@@ -47,9 +47,11 @@
 
 void serve(State &state, Request &request, Server &server)
 {
-    request.pool->queue.serve(request);
+    Pool &pool = *request.pool;
+    pool.queue.serve(request);
+    pool.served[indexOf(FairQueue::laneOf(request))].add(state.now, request.service);
     if (request.retries == 0)
-        request.pool->retryBudget.earn();
+        pool.retryBudget.earn();
     state.giveUps.remove(request.giveUpAt, request.handle);
     rememberPrefix(request, server);
     dispatch(state, request, server);
--- a/src/snipestall/policy/pool.hpp
+++ b/src/snipestall/policy/pool.hpp
@@ -13,6 +13,7 @@
 #include "snipestall/policy/service_time.hpp"
 #include "snipestall/settings/service_settings.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -37,6 +38,8 @@
     /// Of short urgent work, and the time up to which it is reckoned.
     OfferedLoad urgentLoad;
     Time now;
+    /// Slots that each lane's work was given of late.
+    std::array<OfferedLoad, LaneCount> served;
     PrefixIndex prefixes;
     PrefixHeat heat;
 
--- a/src/snipestall/policy/queue_lane.hpp
+++ b/src/snipestall/policy/queue_lane.hpp
@@ -4,13 +4,15 @@
 
 namespace snipestall::policy {
 
-/// Short urgent work has a lane of its own, so that its wait depends on such work alone.
+/// Work of one kind queues in a lane of its own, so that its wait depends on such work alone.
 enum class Lane : std::size_t {
+    /// Short urgent work.
     Urgent,
-    Other,
+    Normal,
+    Patient,
 };
 
-constexpr std::size_t LaneCount = 2;
+constexpr std::size_t LaneCount = 3;
 
 constexpr std::size_t indexOf(Lane lane)
 {
--- a/src/snipestall/policy/shifting.cpp
+++ b/src/snipestall/policy/shifting.cpp
@@ -104,7 +104,7 @@
     const bool late = state.now >= source.noticeHalf;
     if (!late || request.forwarded || request.pool->index.totals().free > 0)
         return std::nullopt;
-    const auto choice = state.peers.best(state.now, request.pool->service, Lane::Other);
+    const auto choice = state.peers.best(state.now, request.pool->service, Lane::Normal);
     if (!choice || choice->wait > Duration::zero())
         return std::nullopt;
     return choice->peer;
--- a/src/snipestall/policy/wait_estimate.cpp
+++ b/src/snipestall/policy/wait_estimate.cpp
@@ -15,11 +15,29 @@
     return std::chrono::duration_cast<Duration>(parts);
 }
 
-/// Work that goes before a request of this lane, whoever sent it.
-Duration workAhead(const Pool &pool, Lane lane)
+/// Least part of the slots that a lane gets when all want them; the queue's turns see to it.
+double leastPart(Lane lane)
 {
-    const Duration urgent = pool.queue.service(Lane::Urgent);
-    return lane == Lane::Urgent ? urgent : urgent + pool.queue.service(Lane::Other);
+    constexpr double NormalPart = 0.75;
+    constexpr double PatientPart = 0.25;
+    switch (lane) {
+    case Lane::Urgent:
+        return 1.0;
+    case Lane::Normal:
+        return NormalPart;
+    case Lane::Patient:
+        return PatientPart;
+    }
+    return 1.0;
+}
+
+/// Slots at which the lane drains: what it was given of late, while it queued, or its least part.
+/// More urgent lanes go first, so that the whole pool is no measure for patient work.
+double drainOf(const Pool &pool, Lane lane)
+{
+    const double slots = pool.slotsFor(lane);
+    const double served = pool.served[indexOf(lane)].at(pool.now);
+    return std::clamp(served, leastPart(lane) * slots, slots);
 }
 
 /// Share of the pool that the flow gets while others want it too.
@@ -41,20 +59,19 @@
     if (pool.freeFor(lane) > 0 && pool.queue.size(lane) == 0)
         return Duration::zero();
     const Flow &flow = *request.flow;
-    const double slots = pool.slotsFor(lane);
-    const Duration all = divided(workAhead(pool, lane), slots);
+    const double drain = drainOf(pool, lane);
     // A customer waits behind its own work at its share of the pool, not behind another's flood.
-    const Duration ownWork = flow.queuedService[0] + flow.queuedService[1];
-    const Duration own = divided(ownWork, slots * shareOf(pool, flow));
-    const Duration nextSlot = divided(request.service, slots);
-    return std::min(all, own) + nextSlot;
+    const Duration ownWork = flow.queuedService[indexOf(lane)];
+    const Duration own = divided(ownWork, drain * shareOf(pool, flow));
+    const Duration nextSlot = divided(request.service, totals.slots);
+    return own + nextSlot;
 }
 
 std::optional<Duration> expectedWait(const Pool &pool, Lane lane)
 {
     if (pool.index.totals().slots == 0)
         return std::nullopt;
-    return divided(workAhead(pool, lane), pool.slotsFor(lane));
+    return divided(pool.queue.service(lane), drainOf(pool, lane));
 }
 
 } // namespace snipestall::policy
