--- a/src/snipestall/policy/admission.cpp
+++ b/src/snipestall/policy/admission.cpp
@@ -79,7 +79,7 @@
     const std::uint32_t crashes = state.crashes.crashes(state.now, request.fingerprint);
     request.crashes = std::max(request.crashes, crashes);
     ++request.flow->live;
-    estimate(state, request);
+    estimate(request);
     return request;
 }
 
--- a/src/snipestall/policy/health.cpp
+++ b/src/snipestall/policy/health.cpp
@@ -164,7 +164,7 @@
             continue;
         state.emit(CancelAttempt { request.handle, request.attempt });
         withdraw(state, request);
-        estimate(state, request);
+        estimate(request);
         enqueue(state, request);
     }
 }
@@ -244,7 +244,7 @@
     server.progressDue = std::max(server.progressDue, state.now + StallTime + within);
 }
 
-void observeSuccess(State & /*state*/, const Request &request)
+void observeSuccess(const Request &request)
 {
     Server &server = *request.server;
     ++server.results;
--- a/src/snipestall/policy/health.hpp
+++ b/src/snipestall/policy/health.hpp
@@ -23,7 +23,7 @@
 void expectProgress(const State &state, Server &server, Duration within);
 
 /// An attempt on an owned server ended well; its request still holds the slot.
-void observeSuccess(State &state, const Request &request);
+void observeSuccess(const Request &request);
 
 /// An attempt on an owned server failed; its request still holds the slot.
 void observeFailure(State &state, const Request &request);
--- a/src/snipestall/policy/lifecycle.cpp
+++ b/src/snipestall/policy/lifecycle.cpp
@@ -91,7 +91,7 @@
 
 } // namespace
 
-void estimate(State & /*state*/, Request &request)
+void estimate(Request &request)
 {
     request.expectedOutput = request.maxTokens * request.flow->outputFraction;
     const double output = std::max(0.0, request.expectedOutput - request.produced);
@@ -127,7 +127,7 @@
 {
     const AttemptHandle from = request.attempt;
     withdraw(state, request);
-    estimate(state, request);
+    estimate(request);
     occupy(state, request, target);
     request.importing = true;
     ++target.imports;
--- a/src/snipestall/policy/lifecycle.hpp
+++ b/src/snipestall/policy/lifecycle.hpp
@@ -13,7 +13,7 @@
 /// timers and the slots always agree with it.
 
 /// Estimates cost and time of what is left to do.
-void estimate(State &state, Request &request);
+void estimate(Request &request);
 
 void enqueue(State &state, Request &request);
 
--- a/src/snipestall/policy/outcomes.cpp
+++ b/src/snipestall/policy/outcomes.cpp
@@ -68,7 +68,7 @@
         return;
     if (request.promptTokens + request.maxTokens == 0)
         learnPlainCall(state, request);
-    observeSuccess(state, request);
+    observeSuccess(request);
     settle(request);
     // It ran to its end with nothing beside it: the deaths before had another cause.
     if (request.crashes > 0)
--- a/src/snipestall/policy/retry.cpp
+++ b/src/snipestall/policy/retry.cpp
@@ -47,7 +47,7 @@
 {
     state.peers.countDecline(request.peer, request.pool->service);
     withdraw(state, request);
-    estimate(state, request);
+    estimate(request);
     enqueue(state, request);
 }
 
@@ -75,7 +75,7 @@
 
 void startAgain(State &state, Request &request)
 {
-    estimate(state, request);
+    estimate(request);
     if (request.crashes > 0)
         isolate(state, request);
     else
@@ -97,7 +97,7 @@
 {
     ++request.crashes;
     withdraw(state, request);
-    estimate(state, request);
+    estimate(request);
     delay(state, request, SummaryWait);
 }
 
@@ -108,7 +108,7 @@
         return;
     }
     withdraw(state, request);
-    estimate(state, request);
+    estimate(request);
     delay(state, request, std::max(retryAfter, backoff(state, request)));
 }
 
--- a/src/snipestall/policy/shifting.cpp
+++ b/src/snipestall/policy/shifting.cpp
@@ -114,7 +114,7 @@
 {
     state.emit(CancelAttempt { request.handle, request.attempt });
     withdraw(state, request);
-    estimate(state, request);
+    estimate(request);
     forward(state, request, peer);
 }
 
--- a/src/snipestall/policy/world.cpp
+++ b/src/snipestall/policy/world.cpp
@@ -121,7 +121,8 @@
     std::vector<PoolSummary> summaries;
     for (const auto &[service, pool] : m_tables->pools) {
         // A leaving instance offers nothing: what it took now would be handed over at once.
-        if (!m_tables->leaving && pool.index.totals().servers > 0)
+        // One whose servers are all ejected still tells that, and what it quarantined.
+        if (!m_tables->leaving && !pool.servers.empty())
             summaries.push_back(summaryOf(pool));
     }
     if (!summaries.empty())
