--- a/src/snipestall/policy/shifting.cpp
+++ b/src/snipestall/policy/shifting.cpp
@@ -104,7 +104,7 @@
     const bool late = state.now >= source.noticeHalf;
     if (!late || request.forwarded || request.pool->index.totals().free > 0)
         return std::nullopt;
-    const auto choice = state.peers.best(state.now, request.pool->service, Lane::Other);
+    const auto choice = state.peers.best(state.now, request.pool->service, Lane::Normal);
     if (!choice || choice->wait > Duration::zero())
         return std::nullopt;
     return choice->peer;
@@ -114,7 +114,7 @@
 {
     state.emit(CancelAttempt { request.handle, request.attempt });
     withdraw(state, request);
-    estimate(state, request);
+    estimate(request);
     forward(state, request, peer);
 }
 
--- a/src/snipestall/policy/world.cpp
+++ b/src/snipestall/policy/world.cpp
@@ -64,11 +64,12 @@
 {
     PoolSummary summary;
     summary.service = pool.service;
-    summary.freeSlots = pool.freeFor(Lane::Other);
+    summary.freeSlots = pool.freeFor(Lane::Normal);
     summary.urgentFreeSlots = pool.freeFor(Lane::Urgent);
     summary.servers = pool.index.totals().servers;
     summary.queued = static_cast<std::uint32_t>(pool.queue.size());
-    summary.wait = expectedWait(pool, Lane::Other).value_or(Duration::zero());
+    summary.wait = expectedWait(pool, Lane::Normal).value_or(Duration::zero());
+    summary.patientWait = expectedWait(pool, Lane::Patient);
     summary.urgentWait = expectedWait(pool, Lane::Urgent);
     summary.prefixSketch = pool.heat.hottest(PrefixesTold);
     describeHealth(pool, summary);
@@ -120,7 +121,8 @@
     std::vector<PoolSummary> summaries;
     for (const auto &[service, pool] : m_tables->pools) {
         // A leaving instance offers nothing: what it took now would be handed over at once.
-        if (!m_tables->leaving && pool.index.totals().servers > 0)
+        // One whose servers are all ejected still tells that, and what it quarantined.
+        if (!m_tables->leaving && !pool.servers.empty())
             summaries.push_back(summaryOf(pool));
     }
     if (!summaries.empty())
