--- a/apps/snipestall_load/chat_call.cpp
+++ b/apps/snipestall_load/chat_call.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t RoundsOfTargets = 3;
 constexpr milliseconds RoundPause { 100 };
 constexpr milliseconds SilenceLimit { 30000 };
+/// Of calls that name none; the settings' default.
+constexpr milliseconds UsualDeadline { 60000 };
 
 enum class StreamEnd {
     Whole,
@@ -48,7 +50,8 @@
         , m_record(newRecord(context, call))
         , m_target(call.target)
     {
-        const milliseconds deadline = context.mix.classes[call.workClass].deadline;
+        const milliseconds asked = context.mix.classes[call.workClass].deadline;
+        const milliseconds deadline = asked.count() > 0 ? asked : UsualDeadline;
         m_giveUp = due + deadline + context.patience;
     }
 
--- a/apps/snipestall_load/mix.cpp
+++ b/apps/snipestall_load/mix.cpp
@@ -91,6 +91,7 @@
         field("key", &WorkClass::key),
         field("urgency", &WorkClass::urgency),
         field("deadline_ms", &WorkClass::deadline),
+        field("prompt", &WorkClass::prompt),
         field("prompt_characters", &WorkClass::promptCharacters),
         field("max_tokens", &WorkClass::maxTokens),
         field("prefixes", &WorkClass::prefixes),
--- a/apps/snipestall_load/mix.hpp
+++ b/apps/snipestall_load/mix.hpp
@@ -31,6 +31,8 @@
     /// urgent, normal or patient; empty: left to snipestall.
     std::string urgency;
     std::chrono::milliseconds deadline { 0 };
+    /// Empty: each prompt is its own; otherwise every call sends this one.
+    std::string prompt;
     Span promptCharacters { 100, 400 };
     Span maxTokens { 16, 64 };
     /// Number of shared prefixes that prompts begin with; 0: none.
--- a/apps/snipestall_load/plan.cpp
+++ b/apps/snipestall_load/plan.cpp
@@ -65,7 +65,7 @@
     PlannedCall call;
     call.workClass = drawClass(random, mix);
     const WorkClass &work = mix.classes[call.workClass];
-    call.prompt = drawPrompt(random, work, unique);
+    call.prompt = work.prompt.empty() ? drawPrompt(random, work, unique) : work.prompt;
     call.maxTokens = draw(random, work.maxTokens);
     call.idempotent = random.uniform() >= work.nonIdempotentShare;
     const bool keyed = random.uniform() < work.keyedShare;
--- a/standins/service/ledger_service.cpp
+++ b/standins/service/ledger_service.cpp
@@ -78,12 +78,17 @@
         exchange.abort();
         co_return;
     }
+    const bool stranger = m_strangerNext > 0;
+    if (stranger)
+        --m_strangerNext;
+    const std::string own = run.key.empty() ? run.request : run.key;
+    const std::string attempt = stranger ? "stranger" : run.attempt;
     json::object answer;
-    answer["receipt"] = "receipt-" + (run.key.empty() ? run.request : run.key);
-    answer["attempt"] = run.attempt;
+    answer["receipt"] = "receipt-" + (stranger ? attempt : own);
+    answer["attempt"] = attempt;
     answer["runs"] = count;
     HttpResponse response = HttpResponse::json(200, json::serialize(answer));
-    response.fields.set("Snipestall-Attempt", run.attempt);
+    response.fields.set("Snipestall-Attempt", attempt);
     co_await exchange.respond(std::move(response));
 }
 
@@ -119,6 +124,7 @@
     const auto body = parseObject(request.body);
     m_cutNext = numberField(body, "cut_next_answers", m_cutNext);
     m_dropNext = numberField(body, "drop_next_calls", m_dropNext);
+    m_strangerNext = numberField(body, "stranger_answers", m_strangerNext);
     m_options.work = millisecondsField(body, "work_ms", m_options.work);
     return noContent();
 }
--- a/standins/service/ledger_service.hpp
+++ b/standins/service/ledger_service.hpp
@@ -58,6 +58,8 @@
     std::int64_t m_cutNext = 0;
     /// Cut before the call takes effect.
     std::int64_t m_dropNext = 0;
+    /// Answered as another attempt's, with another receipt.
+    std::int64_t m_strangerNext = 0;
     std::optional<SteadyTime> m_noticed;
     SteadyTime m_noticeEnd {};
     std::function<void()> m_onTaken;
--- a/tests/harness/scenario/check_reader.cpp
+++ b/tests/harness/scenario/check_reader.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <map>
 
 namespace snipestall::harness {
@@ -109,6 +110,23 @@
     };
 }
 
+/// Backend servers that do not run any more, at most.
+ProcessExpectation readServersEnded(YamlFields &fields, const std::string &key, Faults &)
+{
+    const auto most = static_cast<std::ptrdiff_t>(fields.number(key));
+    return [most](Stage &stage) -> std::optional<std::string> {
+        Topology &topology = stage.topology();
+        const auto &servers = topology.spec().servers;
+        const auto ended =
+            std::count_if(servers.begin(), servers.end(), [&topology](const ServerSpec &server) {
+                return !topology.process(server.name).running();
+            });
+        if (ended <= most)
+            return std::nullopt;
+        return std::to_string(ended) + " servers ended, at most " + std::to_string(most);
+    };
+}
+
 /// At the end each of these entry instances answers every model and service.
 ProcessExpectation readServes(YamlFields &fields, const std::string &key, Faults &)
 {
@@ -126,6 +144,7 @@
     { "latest_after_notice", readAfterNotice },
     { "exit", readExit },
     { "serves", readServes },
+    { "servers_ended", readServersEnded },
 };
 
 } // namespace
--- a/tests/harness/scenario/topology_reader.cpp
+++ b/tests/harness/scenario/topology_reader.cpp
@@ -112,6 +112,12 @@
     const YAML::Node settings = fields.child("settings");
     if (settings.IsDefined())
         spec.settings = readSource(settings.Scalar(), path + "/settings", faults);
+    const YAML::Node operatorKey = fields.child("operator_key");
+    if (operatorKey.IsDefined())
+        spec.operatorKey = operatorKey.Scalar();
+    const YAML::Node customerKey = fields.child("customer_key");
+    if (customerKey.IsDefined())
+        spec.customerKey = customerKey.Scalar();
     fields.rejectOthers();
     if (spec.entries.empty() && spec.servers.empty()) {
         const TopologySpec small = TopologySpec::small();
--- a/tests/harness/topology_control.cpp
+++ b/tests/harness/topology_control.cpp
@@ -22,30 +22,30 @@
 
 using Servers = std::vector<admin::BackendServerStatus>;
 
-wire::HttpRequest operatorRequest(const std::string &method, const std::string &target,
-                                  const std::string &key, std::string body)
+wire::HttpRequest keyedRequest(const std::string &method, const std::string &target,
+                               const std::string &key, std::string body)
 {
     wire::HttpRequest request { method, target, {}, std::move(body) };
     request.fields.set("Authorization", "Bearer " + key);
     return request;
 }
 
-wire::HttpRequest probe(const std::string &target, std::string body)
+wire::HttpRequest probe(const std::string &target, const std::string &key, std::string body)
 {
-    wire::HttpRequest request = operatorRequest("POST", target, CustomerKey, std::move(body));
+    wire::HttpRequest request = keyedRequest("POST", target, key, std::move(body));
     request.fields.set("Snipestall-Idempotent", "yes");
     return request;
 }
 
-wire::HttpRequest modelProbe(const std::string &model)
+wire::HttpRequest modelProbe(const std::string &model, const std::string &key)
 {
-    return probe("/v1/completions",
+    return probe("/v1/completions", key,
                  R"({"model":")" + model + R"(","prompt":"probe","max_tokens":1})");
 }
 
-wire::HttpRequest serviceProbe(const std::string &service)
+wire::HttpRequest serviceProbe(const std::string &service, const std::string &key)
 {
-    return probe("/services/" + service + "/probe", "{}");
+    return probe("/services/" + service + "/probe", key, "{}");
 }
 
 std::string changeId()
@@ -75,7 +75,7 @@
     change.reason = "test begins";
     change.yaml = m_spec.settings;
     const auto request =
-        operatorRequest("POST", "/settings/changes", BootstrapKey, admin::encodeChange(change));
+        keyedRequest("POST", "/settings/changes", BootstrapKey, admin::encodeChange(change));
     const std::string first = m_spec.entries.front().name;
     const std::uint64_t version = accepted(httpCall(operators(first), request));
     for (const auto &entry : m_spec.entries) {
@@ -110,10 +110,12 @@
         const auto response = httpCall(callers(entry), request);
         return response && response->status == 200;
     };
-    return std::all_of(models.begin(), models.end(),
-                       [&](const auto &model) { return answered(modelProbe(model)); })
-        && std::all_of(services.begin(), services.end(),
-                       [&](const auto &service) { return answered(serviceProbe(service)); });
+    return std::all_of(
+               models.begin(), models.end(),
+               [&](const auto &model) { return answered(modelProbe(model, m_spec.customerKey)); })
+        && std::all_of(services.begin(), services.end(), [&](const auto &service) {
+               return answered(serviceProbe(service, m_spec.customerKey));
+           });
 }
 
 void Topology::waitForService()
@@ -158,13 +160,13 @@
     change.reason = "test";
     change.edits.push_back({ path, value });
     const auto request =
-        operatorRequest("POST", "/settings/changes", OperatorKey, admin::encodeChange(change));
+        keyedRequest("POST", "/settings/changes", m_spec.operatorKey, admin::encodeChange(change));
     return accepted(httpCall(operators(entry), request));
 }
 
 std::optional<admin::InstanceStatus> Topology::status(const std::string &entry) const
 {
-    const auto request = operatorRequest("GET", "/status", OperatorKey, {});
+    const auto request = keyedRequest("GET", "/status", m_spec.operatorKey, {});
     const auto response = httpCall(operators(entry), request);
     if (!response || response->status != 200)
         return std::nullopt;
@@ -260,7 +262,7 @@
     ProcessSpec spec { name, "snipestall-load", arguments, m_directory.file(name + ".log") };
     spec.arguments.push_back("--mix=" + mixFile);
     spec.arguments.push_back("--targets=" + targets);
-    spec.arguments.push_back(std::string("--key=") + CustomerKey);
+    spec.arguments.push_back("--key=" + m_spec.customerKey);
     spec.arguments.push_back("--ledger_files=" + ledgers);
     spec.arguments.emplace_back("--output=json");
     auto process = Process::start(std::move(spec));
--- a/tests/harness/topology_spec.hpp
+++ b/tests/harness/topology_spec.hpp
@@ -30,6 +30,9 @@
     std::vector<ServerSpec> servers;
     /// The settings tree; empty: one made from the rest, see defaultSettings().
     std::string settings;
+    /// Keys of an operator and a customer of that tree.
+    std::string operatorKey = "test-operator-key";
+    std::string customerKey = "test-customer-key";
     /// A proxy `platform/<data centre>` between each data centre's entry instances and the
     /// platform.
     bool platformProxied = false;
