Experiment: capacity that the policy buys, against the fixed fleet

Cause: cost had only been measured on a fixed fleet. The harness reports tokens answered per wholly busy server instead; the contract should say so. Change: a rising load of half an hour, on the fixed fleet and with the policy buying and releasing; price, cost and shares in the report.

--- a/bench/experiment/condition.cpp
+++ b/bench/experiment/condition.cpp
@@ -56,6 +56,25 @@
     return made;
 }
 
+Condition risingLoad()
+{
+    constexpr double Low = 0.3;
+    constexpr double High = 0.8;
+    constexpr Time Rise { 10min };
+    constexpr Time Fall { 20min };
+    auto made = steady("rising load", Low);
+    made.scenario.duration = 30min;
+    made.window.to = Time { made.scenario.duration };
+    const auto step = [&made](Time at, double level) {
+        Load load;
+        load.level = level;
+        made.scenario.steps.push_back({ at, [load](Stage &stage) { stage.setLoad(load); } });
+    };
+    step(Rise, High);
+    step(Fall, Low);
+    return made;
+}
+
 std::vector<Condition> conditions()
 {
     return {
--- a/bench/experiment/condition.hpp
+++ b/bench/experiment/condition.hpp
@@ -24,6 +24,9 @@
 
 std::vector<Condition> conditions();
 
+/// Half an hour: 30% load, 80% for ten minutes, and 30% again.
+Condition risingLoad();
+
 /// Load at one level from the start; measured after a warm-up.
 Condition steady(std::string name, double level);
 
--- a/bench/experiment/contestant.cpp
+++ b/bench/experiment/contestant.cpp
@@ -40,4 +40,14 @@
              baseline<baselines::PrefixHash>("prefix hash") };
 }
 
+std::vector<Contestant> capacityContestants()
+{
+    auto fixed = world();
+    fixed.name = "fixed fleet";
+    auto buying = world();
+    buying.name = "buying and releasing";
+    buying.options.policyBuysCapacity = true;
+    return { fixed, buying };
+}
+
 } // namespace snipestall::policy::experiment
--- a/bench/experiment/contestant.hpp
+++ b/bench/experiment/contestant.hpp
@@ -17,4 +17,7 @@
 /// World first, then the baselines.
 std::vector<Contestant> contestants();
 
+/// World on the fixed fleet, and World that starts and releases instances itself.
+std::vector<Contestant> capacityContestants();
+
 } // namespace snipestall::policy::experiment
--- a/bench/experiment/measurement.cpp
+++ b/bench/experiment/measurement.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double Million = 1e6;
+constexpr double SecondsPerHour = 3600;
 
 void append(harness::Ledger &all, harness::Ledger one)
 {
@@ -55,6 +56,7 @@
     made.goodput = static_cast<double>(inTarget) / (length * static_cast<double>(seeds.size()));
     const double costPerSecond =
         ledger.cost / (seconds(condition.scenario.duration) * static_cast<double>(seeds.size()));
+    made.costPerHour = costPerSecond * SecondsPerHour;
     made.costPerMillionInTarget = made.goodput > 0 ? costPerSecond / made.goodput * Million : 0;
     made.lostTokens = ledger.lostTokens(condition.window.from);
     made.missedTokens = ledger.missedTokens(condition.window.from);
--- a/bench/experiment/measurement.hpp
+++ b/bench/experiment/measurement.hpp
@@ -21,6 +21,7 @@
     /// "urgent", "normal", "patient", "plain"
     std::map<std::string, harness::Tally> classes;
     double fairness = 0;
+    double costPerHour = 0;
     double costPerMillionInTarget = 0;
     double goodput = 0;
     std::uint64_t lostTokens = 0;
--- a/bench/experiment/policy_experiment.cpp
+++ b/bench/experiment/policy_experiment.cpp
@@ -14,7 +14,7 @@
 DEFINE_uint32(seeds, 3, "runs of each contestant under each condition");
 DEFINE_uint64(first_seed, 101, "seed of the first run");
 DEFINE_string(out, "docs/decisions", "directory of the report");
-DEFINE_bool(smallest_fleet, true, "also search the smallest fleet that keeps the target");
+DEFINE_bool(fleets, true, "also search the smallest fleet in target and let the policy buy one");
 
 namespace {
 
@@ -36,11 +36,16 @@
                     measure(deployment, condition, contestant, results.seeds));
             }
         }
+        if (!FLAGS_fleets) {
+            continue;
+        }
         for (const auto &contestant : contestants()) {
-            if (FLAGS_smallest_fleet) {
-                results.smallestFleets.push_back(
-                    findSmallestFleet(deployment, contestant, results.seeds));
-            }
+            results.smallestFleets.push_back(
+                findSmallestFleet(deployment, contestant, results.seeds));
+        }
+        for (const auto &contestant : capacityContestants()) {
+            results.capacity.push_back(
+                measure(deployment, risingLoad(), contestant, results.seeds));
         }
     }
     return results;
--- a/bench/experiment/report.cpp
+++ b/bench/experiment/report.cpp
@@ -17,7 +17,7 @@
 Written by `policy_experiment`; don't edit. All contestants run on the same seeds, fleet, prices,
 arrivals and faults, under a virtual clock; the model is in `tests/policy/harness`.
 The fleet is fixed: what is reclaimed is replaced after the start time, once starts are granted, for
-every contestant alike. Capacity decisions are not part of these figures.
+every contestant alike. Capacity decisions are part of the section on capacity alone.
 
 A request is in target when its first token came within 1.2 s, the mean time between tokens is at most
 35 ms and the answer was whole by the deadline; patient work needs the last of these alone. Refused
@@ -144,6 +144,27 @@
     }
 }
 
+void writeCapacity(std::ostream &out, const Results &results)
+{
+    if (results.capacity.empty()) {
+        return;
+    }
+    out << "\n## Capacity decided by the policy\n\nHalf an hour at 30%, 80% and 30% load, ten "
+           "minutes "
+           "each. The fixed fleet is that of all other figures.\n\n| deployment | fleet | price an "
+           "hour, "
+           "plain servers too | cost per million in target | urgent | normal | patient | plain |\n"
+           "|---|---|---|---|---|---|---|---|\n";
+    for (const auto &found : results.capacity) {
+        out << "| " << found.deployment << " | " << found.contestant << " | "
+            << decimal(found.costPerHour) << " | " << decimal(found.costPerMillionInTarget) << " |";
+        for (const auto *name : Classes) {
+            out << " " << percent(found.share(name)) << " |";
+        }
+        out << "\n";
+    }
+}
+
 } // namespace
 
 std::string report(const Results &results)
@@ -153,6 +174,7 @@
     writeConditions(out, results);
     writeAims(out, results);
     writeSmallestFleets(out, results);
+    writeCapacity(out, results);
     for (const auto &deployment : results.deployments()) {
         out << "\n## " << deployment << "\n";
         for (const auto &table : Tables) {
--- a/bench/experiment/results.hpp
+++ b/bench/experiment/results.hpp
@@ -16,6 +16,7 @@
     std::vector<Condition> conditions;
     std::vector<Measurement> measurements;
     std::vector<SmallestFleet> smallestFleets;
+    std::vector<Measurement> capacity;
 
     [[nodiscard]] const Measurement &of(const std::string &deployment, const std::string &condition,
                                         const std::string &contestant) const;
--- a/tests/policy/harness/cluster.cpp
+++ b/tests/policy/harness/cluster.cpp
@@ -137,6 +137,9 @@
         if (!server.isAlive()) {
             continue;
         }
+        const double slots = server.fake->model().slots;
+        m_demand.countBusy(server.group.dataCentre, server.group.service,
+                           server.fake->running() / slots, ReportPeriod);
         const ServerReport report { server.handle, server.fake->running(), server.fake->queued(),
                                     m_options.reportLag };
         m_loop.after(m_options.reportLag, [this, report] {
--- a/tests/policy/harness/cluster_capacity.cpp
+++ b/tests/policy/harness/cluster_capacity.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 
 namespace snipestall::policy::harness {
 
@@ -100,7 +101,7 @@
 CapacityReport Cluster::capacityOf(const std::string &dataCentre)
 {
     CapacityReport report;
-    std::map<std::string, std::uint32_t> running;
+    std::set<std::string> services;
     for (const auto &group : m_deployment.groups) {
         if (group.dataCentre != dataCentre) {
             continue;
@@ -110,14 +111,14 @@
             return isOf(*server, group.dataCentre, group.instanceClass);
         });
         const auto alreadyRunning = static_cast<std::uint32_t>(count);
-        running[group.service] += alreadyRunning;
+        services.insert(group.service);
         report.groups.push_back({ group.service, dataCentre, group.instanceClass, alreadyRunning,
                                   m_fleet.starting(group) });
     }
-    for (const auto &[service, count] : running) {
+    for (const auto &service : services) {
         const auto rate = m_demand.rate(dataCentre, service);
-        report.demand.push_back({ service, rate.asked, rate.answered / std::max(1U, count),
-                                  queuedIn(dataCentre, service) });
+        report.demand.push_back(
+            { service, rate.asked, rate.perBusyServer(), queuedIn(dataCentre, service) });
     }
     return report;
 }
--- a/tests/policy/harness/demand_meter.cpp
+++ b/tests/policy/harness/demand_meter.cpp
@@ -14,6 +14,13 @@
     m_counts[{ dataCentre, call.service }].answered += call.promptTokens + call.outputTokens;
 }
 
+void DemandMeter::countBusy(const std::string &dataCentre, const std::string &service,
+                            double servers, Duration period)
+{
+    m_counts[{ dataCentre, service }].busyServers +=
+        servers * std::chrono::duration<double>(period).count();
+}
+
 void DemandMeter::roll(Duration length)
 {
     const double seconds = std::chrono::duration<double>(length).count();
@@ -21,6 +28,7 @@
     for (auto &[key, rate] : m_rates) {
         rate.asked /= seconds;
         rate.answered /= seconds;
+        rate.busyServers /= seconds;
     }
 }
 
