Experiment: faults come once caches are filled

Cause: a run of 90 s with its fault at 30 s counted the first filling of each server's cache as recomputed after the wave, for all who spread a prefix.

--- a/bench/experiment/condition.cpp
+++ b/bench/experiment/condition.cpp
@@ -13,8 +13,10 @@
 
 constexpr Time LoadAt { 2s };
 constexpr Time MeasureFrom { 12s };
-constexpr Time FaultAt { 30s };
 constexpr Duration Length = 90s;
+/// Late enough for caches to be filled: what a cold cache costs is no result of the fault.
+constexpr Time FaultAt { 120s };
+constexpr Duration FaultLength = 180s;
 constexpr Duration Notice = 5s;
 constexpr Duration StartsRefused = 60s;
 constexpr double FaultLoad = 0.6;
@@ -24,7 +26,8 @@
     auto made = steady(std::move(name), FaultLoad);
     made.meaning = std::move(meaning);
     made.scenario.steps.push_back({ FaultAt, std::move(fault) });
-    made.window = { FaultAt, Time { Length } };
+    made.scenario.duration = FaultLength;
+    made.window = { FaultAt, Time { FaultLength } };
     return made;
 }
 
@@ -95,9 +98,9 @@
                        stage.reclaimDataCentre(0, Notice);
                    }),
         underFault("slow server", "60% load; one server 10 times slower",
-                   [](Stage &stage) { stage.slow(1, 10, Length); }),
+                   [](Stage &stage) { stage.slow(1, 10, FaultLength); }),
         underFault("failing server", "60% load; one server cuts every request off",
-                   [](Stage &stage) { stage.failFast(1, Length); }),
+                   [](Stage &stage) { stage.failFast(1, FaultLength); }),
     };
 }
 
--- a/bench/experiment/measurement.cpp
+++ b/bench/experiment/measurement.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <future>
+#include <vector>
 
 namespace snipestall::policy::experiment {
 
@@ -36,10 +38,16 @@
                     const Contestant &contestant, std::span<const std::uint64_t> seeds)
 {
     harness::Ledger ledger;
+    std::vector<std::future<harness::Ledger>> runs;
     for (const auto seed : seeds) {
-        auto scenario = condition.scenario;
-        scenario.seed = seed;
-        append(ledger, harness::runScenario(scenario, deployment, contestant.options).ledger);
+        runs.push_back(std::async(std::launch::async, [&, seed] {
+            auto scenario = condition.scenario;
+            scenario.seed = seed;
+            return harness::runScenario(scenario, deployment, contestant.options).ledger;
+        }));
+    }
+    for (auto &run : runs) {
+        append(ledger, run.get());
     }
     Measurement made;
     made.deployment = deployment.name;
