--- a/bench/experiment/measurement.cpp
+++ b/bench/experiment/measurement.cpp
@@ -4,12 +4,15 @@
 
 #include <algorithm>
 #include <chrono>
+#include <future>
+#include <vector>
 
 namespace snipestall::policy::experiment {
 
 namespace {
 
 constexpr double Million = 1e6;
+constexpr double SecondsPerHour = 3600;
 
 void append(harness::Ledger &all, harness::Ledger one)
 {
@@ -35,10 +38,16 @@
                     const Contestant &contestant, std::span<const std::uint64_t> seeds)
 {
     harness::Ledger ledger;
+    std::vector<std::future<harness::Ledger>> runs;
     for (const auto seed : seeds) {
-        auto scenario = condition.scenario;
-        scenario.seed = seed;
-        append(ledger, harness::runScenario(scenario, deployment, contestant.options).ledger);
+        runs.push_back(std::async(std::launch::async, [&, seed] {
+            auto scenario = condition.scenario;
+            scenario.seed = seed;
+            return harness::runScenario(scenario, deployment, contestant.options).ledger;
+        }));
+    }
+    for (auto &run : runs) {
+        append(ledger, run.get());
     }
     Measurement made;
     made.deployment = deployment.name;
@@ -55,6 +64,7 @@
     made.goodput = static_cast<double>(inTarget) / (length * static_cast<double>(seeds.size()));
     const double costPerSecond =
         ledger.cost / (seconds(condition.scenario.duration) * static_cast<double>(seeds.size()));
+    made.costPerHour = costPerSecond * SecondsPerHour;
     made.costPerMillionInTarget = made.goodput > 0 ? costPerSecond / made.goodput * Million : 0;
     made.lostTokens = ledger.lostTokens(condition.window.from);
     made.missedTokens = ledger.missedTokens(condition.window.from);
