An answer is never held back by a copy that can't be made; three faults around copies mended

Cause, found with the demo under the debug log and a test that failed first: (1) a caller refused in the first second of a data centre never got its answer. co_spawn on the loop's thread runs a coroutine at once; the copy's sender, whose buddy had no address yet, failed without ever suspending, its wake came before hold() waited, and nothing woke it again. An earlier guess (a lost policy event) was ruled out: the refusal was in the log. (2) a peer first heard of by its own call had no address until the platform's list named it. Change: the sender starts after its caller waits; heartbeats carry the sender's address; a new incarnation is announced to listeners; claims given back at hand-over, dropped bodies said to be; table maintenance on the steward's instance and a share of claim writes by the instances seen.

--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -34,6 +34,8 @@
 extern const EventInfo RequestOutcomeUnknown;
 extern const EventInfo RequestResumed;
 extern const EventInfo RequestTakenOver;
+extern const EventInfo AttemptStarted;
+extern const EventInfo AttemptEnded;
 extern const EventInfo ClaimLost;
 extern const EventInfo ClaimAbandoned;
 extern const EventInfo RequestQuarantined;
--- a/include/snipestall/peer/membership.hpp
+++ b/include/snipestall/peer/membership.hpp
@@ -20,6 +20,8 @@
     bool leaving = false;
     std::uint64_t settingsVersion = 0;
     std::vector<PoolLoad> pools;
+    /// Where it listens for peers; empty if it does not say.
+    std::string address {};
 };
 
 /// Who lives and who leaves, as one instance sees it: soft state, nothing is agreed. A member
@@ -61,7 +63,7 @@
     void subscribe(Listener listener) { m_listeners.push_back(std::move(listener)); }
 
 private:
-    void change(Member &member, MemberState state);
+    void change(Member &member, MemberState state, bool reborn = false);
 
     std::string m_self;
     std::string m_dataCentre;
--- a/include/snipestall/peer/peer_network.hpp
+++ b/include/snipestall/peer/peer_network.hpp
@@ -39,6 +39,9 @@
     std::chrono::milliseconds timeout { 800 };
     /// Members of each other data centre that this instance exchanges heartbeats with.
     std::size_t linksPerDataCentre = 2;
+    /// Where this instance listens for peers, told in each heartbeat: a peer that was first heard
+    /// of by its own call can be called back while the platform's list is down.
+    std::string ownAddress {};
 };
 
 /// Channels to peers and the heartbeats on them: each member of the own data centre once an
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,7 +13,7 @@
 stop_all() {
     for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
     for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-    rm -rf "$work"
+    [ -n "${DEMO_KEEP:-}" ] || rm -rf "$work"
 }
 trap stop_all EXIT
 
@@ -59,6 +59,7 @@
     - {instance: entry-1, data_centre: samsun-hall, address: "127.0.0.1:$((base + 301))"}
     - {instance: entry-3, data_centre: trabzon-hall, address: "127.0.0.1:$((base + 303))"}
 platform: {address: "$platform"}
+log: {level: ${DEMO_LOG_LEVEL:-info}}
 Y
         "$bin/snipestalld" --settings "$work/entry-$number.yaml" --check
         start "entry-$number" "$bin/snipestalld" --settings "$work/entry-$number.yaml"
@@ -101,24 +102,24 @@
     echo "entry-$number: offsets $offsets"
     [ "$offsets" = "0 1 2 3 4 5 " ]
 done
-forwarded=$("$bin/snipestallctl" status --server "$operators" --output json |
-    grep -c '"name"' || true)
-echo "status names $forwarded peers and backend servers"
+"$bin/snipestallctl" status --server "$operators"
 
 say "one top-up, sent to three entry instances with the same key"
 topup() {
     curl -sS "http://127.0.0.1:$((base + 100 + $1))/services/airtime-ledger/topups" \
-        -H "Authorization: Bearer $caller" -H "Idempotency-Key: demo-topup" \
+        -H "Authorization: Bearer $caller" -H "Idempotency-Key: $2" \
         -d '{"account":"vessel-7","amount":20}'
 }
+confirmed() { topup "$1" "warm-up-$1" | grep -q receipt; }
+for number in 1 2 3; do wait_for confirmed "$number"; done
 for number in 1 2 3; do
-    receipt=$(topup "$number")
+    receipt=$(topup "$number" demo-topup)
     echo "entry-$number: $receipt"
     [[ $receipt == *receipt-demo-topup* ]]
 done
 runs=$(curl -sS "http://127.0.0.1:$((base + 411))/control/runs")
 echo "the ledger's own count: $runs"
-[[ $runs == *'"count":1'* && $runs != *'"count":2'* ]]
+[[ $runs == *'"key":"demo-topup"'* && $runs != *'"count":2'* ]]
 
 say "a settings change takes effect on the next request, with no further step"
 "$bin/snipestallctl" set customers/coastal-ferries/limits/requests_per_second 0.001 \
--- a/src/snipestall/entry/attempt_on_peer.cpp
+++ b/src/snipestall/entry/attempt_on_peer.cpp
@@ -1,3 +1,5 @@
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
 #include "snipestall/entry/dispatcher.hpp"
 #include "snipestall/entry/policy_loop.hpp"
 #include "snipestall/entry/request_store.hpp"
@@ -40,6 +42,8 @@
     attempt.handle = handle;
     attempt.id = attemptId(handle);
     ++m_counters.forwards;
+    logEvent(events::AttemptStarted,
+             { { "request", request->spec().id }, { "attempt", attempt.id }, { "on", peer } });
     request->cancels()[handle.value] = [&attempt] { attempt.cancelled = true; };
     co_await accept(request);
     peer::PeerClient *client = m_links.network->client(peer);
--- a/src/snipestall/entry/attempt_on_server.cpp
+++ b/src/snipestall/entry/attempt_on_server.cpp
@@ -118,6 +118,10 @@
     attempt.kv = std::move(kv);
     ++m_counters.attempts;
     m_onServer[handle] = attempt.server.handle;
+    logEvent(events::AttemptStarted,
+             { { "request", request->spec().id },
+               { "attempt", attempt.id },
+               { "on", attempt.server.listed.name } });
     request->cancels()[handle.value] = [&attempt] { attempt.cancelled = true; };
     const bool may = co_await mayRun(attempt);
     if (may) {
@@ -165,7 +169,7 @@
     const peer::ClaimOutcome outcome = co_await m_links.claims->claim(claim);
     if (outcome.verdict == peer::ClaimVerdict::Granted)
         request->claimedBy = attempt.id;
-    if (request->finished()) {
+    if (request->finished() || request->moved || attempt.cancelled) {
         giveBackClaim(*request);
         co_return false;
     }
@@ -216,9 +220,16 @@
             answer.status = stored.status;
             answer.contentType = stored.contentType;
             answer.body = stored.body;
+            // What is not kept can't be given again, and an empty body would pass for the answer.
+            if (stored.bodyDropped) {
+                answer.outcome = Outcome::Unknown;
+                answer.status = StatusGatewayTimeout;
+                answer.reason = "it ran once, but its answer was too long to be kept";
+            }
             if (answer.outcome != Outcome::Completed) {
                 answer.code = "outcome-unknown";
-                answer.reason = "an earlier attempt with this key ended so";
+                if (answer.reason.empty())
+                    answer.reason = "an earlier attempt with this key ended so";
             }
             finish(request, std::move(answer));
             co_return;
--- a/src/snipestall/entry/dispatcher.cpp
+++ b/src/snipestall/entry/dispatcher.cpp
@@ -202,6 +202,7 @@
 void Dispatcher::release(const RequestPtr &request)
 {
     request->moved = true;
+    giveBackClaim(*request);
     m_links.policy->post(policy::RequestCancelled { request->handle() });
     const auto cancels = std::exchange(request->cancels(), {});
     for (const auto &[attempt, cancel] : cancels)
@@ -332,6 +333,10 @@
 {
     if (std::exchange(attempt.over, true))
         return;
+    logEvent(events::AttemptEnded,
+             { { "request", attempt.request->spec().id },
+               { "attempt", attempt.id },
+               { "result", std::to_string(static_cast<int>(result)) } });
     attempt.request->cancels().erase(attempt.handle.value);
     m_onServer.erase(attempt.handle);
     if (attempt.cancelled || attempt.request->finished())
--- a/src/snipestall/entry/node.cpp
+++ b/src/snipestall/entry/node.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace snipestall::entry {
@@ -34,6 +35,9 @@
 constexpr milliseconds SecondInterval { 1000 };
 /// Instances of a data centre that read the settings head each second; two, so that one may die.
 constexpr std::size_t SettingsPollers = 2;
+/// Of the several hundred writes a second that the table takes, what all instances together may
+/// spend on claims.
+constexpr double ClaimWritesPerSecond = 200.0;
 
 std::uint64_t newIncarnation()
 {
@@ -41,6 +45,13 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
 }
 
+peer::PeerNetworkOptions networkOptions(const LocalSettings &local)
+{
+    peer::PeerNetworkOptions options;
+    options.ownAddress = local.peersAdvertise.toString();
+    return options;
+}
+
 policy::PoolSummary toPolicy(const peer::PoolLoad &load)
 {
     policy::PoolSummary pool;
@@ -76,13 +87,16 @@
             },
             [this] { return crashes.recent(); },
             [this](const peer::CrashReport &report) { crashes.note(report, steady_clock::now()); },
-            [this](const std::string &name) { tellPolicyOfPeer(name); } })
+            [this](const std::string &name) { tellPolicyOfPeer(name); } },
+          networkOptions(local))
     , records(
           context, members, network, number,
           [this](const peer::v1::RequestRecord &record, bool released) { adopt(record, released); })
     , claims(peer::ClaimKeeper::create(context, *platform, clock, local.instance))
     , steward(peer::Steward::create(context, *platform, clock, local.dataCentre, local.instance,
                                     number))
+    , maintenance(peer::TableMaintenance::create(
+          context, *claims, store, [this] { return steward->mayOrder().has_value(); }))
     , callers({ &context, &requests, &dispatcher, &keeper, &members, &network, &records },
               stableHash(local.instance) ^ std::random_device {}())
 { }
@@ -115,6 +129,7 @@
     network.start();
     backends.start();
     steward->start();
+    maintenance->start();
     boost::asio::co_spawn(io, registerLoop(), boost::asio::detached);
     boost::asio::co_spawn(io, settingsLoop(), boost::asio::detached);
     boost::asio::co_spawn(io, secondLoop(), boost::asio::detached);
@@ -175,6 +190,15 @@
     return loads;
 }
 
+double Node::State::writeShare() const
+{
+    std::set<std::string> dataCentres { local.dataCentre };
+    for (const auto &[name, member] : members.members())
+        dataCentres.insert(member.dataCentre);
+    const auto here = static_cast<double>(members.livePeers().size() + 1);
+    return ClaimWritesPerSecond / (here * static_cast<double>(dataCentres.size()));
+}
+
 bool Node::State::pollsSettings() const
 {
     const auto order = rendezvousOrder("settings-poller", members.owners());
@@ -237,6 +261,7 @@
     const auto self = shared_from_this();
     while (!stopped) {
         crashes.expire(steady_clock::now());
+        claims->limitWrites(writeShare());
         for (const RequestPtr &gone : requests.expire(steady_clock::now()))
             records.forget(gone->spec().id);
         co_await wire::sleepFor(SecondInterval);
--- a/src/snipestall/entry/node_state.hpp
+++ b/src/snipestall/entry/node_state.hpp
@@ -18,6 +18,7 @@
 #include "snipestall/peer/settings_keeper.hpp"
 #include "snipestall/peer/settings_store.hpp"
 #include "snipestall/peer/steward.hpp"
+#include "snipestall/peer/table_maintenance.hpp"
 #include "snipestall/platform/http_platform.hpp"
 #include "snipestall/wire/http_client.hpp"
 #include "snipestall/wire/http_server.hpp"
@@ -63,6 +64,8 @@
     void tellPolicyOfPeer(const std::string &name);
     policy::PeerHandle handleOf(const std::string &name);
     [[nodiscard]] bool pollsSettings() const;
+    /// This instance's share of the table's writes for claims.
+    [[nodiscard]] double writeShare() const;
     [[nodiscard]] std::vector<peer::PoolLoad> ownPools() const;
     [[nodiscard]] bool idle() const;
 
@@ -89,6 +92,7 @@
     peer::RecordKeeper records;
     std::unique_ptr<peer::ClaimKeeper> claims;
     std::unique_ptr<peer::Steward> steward;
+    std::unique_ptr<peer::TableMaintenance> maintenance;
     RequestStore requests;
     CallerApi callers;
     std::unique_ptr<wire::HttpServer> callerServer;
--- a/src/snipestall/peer/membership.cpp
+++ b/src/snipestall/peer/membership.cpp
@@ -58,11 +58,12 @@
     member.lastHeard = now;
     member.settingsVersion = heartbeat.settingsVersion;
     member.pools = heartbeat.pools;
+    if (!heartbeat.address.empty())
+        member.address = heartbeat.address;
     const bool stays = member.state == MemberState::Leaving && !reborn;
-    if (heartbeat.leaving || stays)
-        change(member, MemberState::Leaving);
-    else
-        change(member, MemberState::Live);
+    // A quick replacement is never seen as silent; its listeners must hear of it all the same.
+    const bool gone = heartbeat.leaving || stays;
+    change(member, gone ? MemberState::Leaving : MemberState::Live, reborn);
 }
 
 void Membership::markLeaving(const std::string &name, std::uint64_t incarnation)
@@ -116,10 +117,10 @@
     return it == m_members.end() ? nullptr : &it->second;
 }
 
-void Membership::change(Member &member, MemberState state)
+void Membership::change(Member &member, MemberState state, bool reborn)
 {
     const MemberState before = std::exchange(member.state, state);
-    if (before == state)
+    if (before == state && !reborn)
         return;
     logChange(member);
     for (const Listener &listener : m_listeners)
--- a/src/snipestall/peer/peer_network.cpp
+++ b/src/snipestall/peer/peer_network.cpp
@@ -89,7 +89,7 @@
     , m_settings(settings)
     , m_incarnation(incarnation)
     , m_hooks(std::move(hooks))
-    , m_options(options)
+    , m_options(std::move(options))
 { }
 
 PeerNetwork::~PeerNetwork()
@@ -201,6 +201,7 @@
     putPools(m_hooks.pools(), request);
     putLeaving(m_hooks.leavingServers(), request);
     putCrashes(m_hooks.crashes(), request);
+    request.set_address(m_options.ownAddress);
     return request;
 }
 
@@ -218,6 +219,7 @@
     putPools(m_hooks.pools(), reply);
     putLeaving(m_hooks.leavingServers(), reply);
     putCrashes(m_hooks.crashes(), reply);
+    reply.set_address(m_options.ownAddress);
     return reply;
 }
 
@@ -229,6 +231,7 @@
     heartbeat.leaving = message.leaving();
     heartbeat.settingsVersion = message.settings_version();
     heartbeat.pools = poolsOf(message.pools());
+    heartbeat.address = message.address();
     m_members.heard(heartbeat, std::chrono::steady_clock::now());
     m_hooks.onHeard(heartbeat.name);
     for (const v1::LeavingServer &server : message.leaving_servers())
--- a/src/snipestall/peer/record_keeper.cpp
+++ b/src/snipestall/peer/record_keeper.cpp
@@ -11,6 +11,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <map>
 #include <set>
@@ -128,6 +130,10 @@
 
 Task<void> RecordKeeper::State::send([[maybe_unused]] std::shared_ptr<State> self, std::string name)
 {
+    // co_spawn runs this inside hold(), before hold() waits. Where nothing below suspends, as when
+    // the buddy has no address, its wake would come before the wait and be lost: the request's
+    // answer would then never be released to its caller.
+    co_await boost::asio::post(io, boost::asio::use_awaitable);
     Buddy &buddy = buddies[name];
     if (buddy.sending)
         co_return;
