--- a/src/snipestall/policy/health.cpp
+++ b/src/snipestall/policy/health.cpp
@@ -310,6 +310,11 @@
     state.nextReview = state.now + ReviewInterval;
     for (auto &[service, pool] : state.pools) {
         pool.heat.decay();
+        // Reserves fall with time alone; without this, work queued in a pool where nothing else
+        // happens would wait for the next event.
+        const bool quiet = state.now - pool.now >= ReviewInterval;
+        if (quiet && !pool.queue.empty())
+            state.touch(pool);
         PoolNorm norm = normOf(state, pool);
         for (const auto &[handle, server] : pool.servers)
             reviewServer(state, *server, norm);
