Keep room for normal work beside patient work

Patient work took every slot that was free for a moment and held it for ten seconds, so normal work waited for the next slot to end.

Change: patient work leaves the slots that normal work used in the last 5 s and half its standard deviation, keeps at least a quarter, and may use beyond that what stays free besides a small headroom.

--- a/src/snipestall/policy/admission.cpp
+++ b/src/snipestall/policy/admission.cpp
@@ -178,6 +178,15 @@
     return checkWait(state, request);
 }
 
+void countLoad(const State &state, Request &request)
+{
+    const Lane lane = FairQueue::laneOf(request);
+    if (lane == Lane::Urgent)
+        request.pool->urgentLoad.add(state.now, request.service);
+    else if (lane == Lane::Normal)
+        request.pool->normalLoad.add(state.now, request.service);
+}
+
 /// A name that no settings know gets no rows, or callers could fill the tables with names.
 bool refuseUnknown(State &state, const RequestArrived &event)
 {
@@ -202,8 +211,7 @@
     }
     if (!request.forwarded)
         takeLimits(state, request);
-    if (request.shortUrgent)
-        request.pool->urgentLoad.add(state.now, request.service);
+    countLoad(state, request);
     if (request.crashes > 0)
         isolate(state, request);
     else
--- a/src/snipestall/policy/fair_queue.cpp
+++ b/src/snipestall/policy/fair_queue.cpp
@@ -103,12 +103,10 @@
     index(flow);
 }
 
-Request *FairQueue::next(Time now, bool urgentOnly) const
+Request *FairQueue::next(Time now, OpenLanes open) const
 {
     Request *urgent = head(now, Lane::Urgent);
-    if (urgentOnly)
-        return urgent;
-    Request *other = background(now);
+    Request *other = background(now, open);
     if (!urgent)
         return other;
     const bool turnOfOthers = other && m_urgentRun >= UrgentPart * other->service;
@@ -117,10 +115,10 @@
 
 // Deadline slack first: patient work with none left goes before normal work, of which less is
 // admitted the longer it would wait.
-Request *FairQueue::background(Time now) const
+Request *FairQueue::background(Time now, OpenLanes open) const
 {
-    Request *normal = head(now, Lane::Normal);
-    Request *patient = head(now, Lane::Patient);
+    Request *normal = open.normal ? head(now, Lane::Normal) : nullptr;
+    Request *patient = open.patient ? head(now, Lane::Patient) : nullptr;
     if (!normal || !patient)
         return normal ? normal : patient;
     const bool pressing = patient->startBy <= now + PressingWindow;
--- a/src/snipestall/policy/fair_queue.hpp
+++ b/src/snipestall/policy/fair_queue.hpp
@@ -26,7 +26,7 @@
     [[nodiscard]] Request *head(Time now, Lane lane) const;
 
     /// The request to serve next, still queued; null when the lanes allowed hold none.
-    [[nodiscard]] Request *next(Time now, bool urgentOnly) const;
+    [[nodiscard]] Request *next(Time now, OpenLanes open) const;
 
     /// Takes a request out in order to serve it, and charges its cost to its flow.
     void serve(Request &request);
@@ -70,7 +70,7 @@
     void index(Flow &flow);
     void insert(Request &request);
     void remove(Request &request);
-    [[nodiscard]] Request *background(Time now) const;
+    [[nodiscard]] Request *background(Time now, OpenLanes open) const;
     void countTurn(const Request &request);
     [[nodiscard]] Request *pressing(const LaneIndex &lane, Time now) const;
 
--- a/src/snipestall/policy/health.cpp
+++ b/src/snipestall/policy/health.cpp
@@ -310,6 +310,9 @@
     state.nextReview = state.now + ReviewInterval;
     for (auto &[service, pool] : state.pools) {
         pool.heat.decay();
+        // Reserves fall with time alone; without this, queued work would wait for the next event.
+        if (!pool.queue.empty())
+            state.touch(pool);
         PoolNorm norm = normOf(state, pool);
         for (const auto &[handle, server] : pool.servers)
             reviewServer(state, *server, norm);
--- a/src/snipestall/policy/lifecycle.cpp
+++ b/src/snipestall/policy/lifecycle.cpp
@@ -63,6 +63,7 @@
     Server &server = *request.server;
     server.requests.erase(request.handle.value);
     server.runningOther -= request.shortUrgent ? 0 : 1;
+    server.runningPatient -= request.urgency == Urgency::Patient ? 1 : 0;
     request.server = nullptr;
     server.pool->index.update(server);
     state.touch(*server.pool);
@@ -85,6 +86,7 @@
     server.requests.insert(request.handle.value);
     server.peak = std::max(server.peak, server.running());
     server.runningOther += request.shortUrgent ? 0 : 1;
+    server.runningPatient += request.urgency == Urgency::Patient ? 1 : 0;
     expectProgress(state, server, expectedSilence(request));
     server.pool->index.update(server);
 }
--- a/src/snipestall/policy/placing.cpp
+++ b/src/snipestall/policy/placing.cpp
@@ -13,9 +13,9 @@
 namespace snipestall::policy {
 namespace {
 
-bool onlyReservedLeft(const Pool &pool)
+OpenLanes openLanes(const Pool &pool)
 {
-    return pool.freeFor(Lane::Normal) == 0;
+    return { pool.freeFor(Lane::Normal) > 0, pool.freeFor(Lane::Patient) > 0 };
 }
 
 /// Time in a slot that is lost if the server goes away half-way.
@@ -61,7 +61,7 @@
 {
     if (pool.index.totals().free == 0)
         return false;
-    Request *request = pool.queue.next(state.now, onlyReservedLeft(pool));
+    Request *request = pool.queue.next(state.now, openLanes(pool));
     if (!request)
         return false;
     if (forwardToCache(state, *request))
--- a/src/snipestall/policy/pool.hpp
+++ b/src/snipestall/policy/pool.hpp
@@ -35,8 +35,9 @@
     std::map<ServerHandle, Server *> servers;
     std::map<std::string, std::unique_ptr<Flow>, std::less<>> flows;
     ServiceTime serviceTime;
-    /// Of short urgent work, and the time up to which it is reckoned.
+    /// Of short urgent and of normal work, and the time up to which it is reckoned.
     OfferedLoad urgentLoad;
+    OfferedLoad normalLoad;
     Time now;
     /// Slots that each lane's work was given of late.
     std::array<OfferedLoad, LaneCount> served;
--- a/src/snipestall/policy/queue_lane.hpp
+++ b/src/snipestall/policy/queue_lane.hpp
@@ -14,6 +14,13 @@
 
 constexpr std::size_t LaneCount = 3;
 
+/// Lanes besides the urgent one that may have a slot now.
+struct OpenLanes
+{
+    bool normal = true;
+    bool patient = true;
+};
+
 constexpr std::size_t indexOf(Lane lane)
 {
     return static_cast<std::size_t>(lane);
--- a/src/snipestall/policy/queueing_test.cpp
+++ b/src/snipestall/policy/queueing_test.cpp
@@ -145,6 +145,25 @@
     EXPECT_LE(late, 3);
 }
 
+// Normal work was there a moment ago and room is kept for more of it. None comes, and nothing else
+// happens either: the reviews that wait must still get the room.
+TEST_F(QueueingTest, RoomKeptForNormalWorkIsGivenUpInTime)
+{
+    m_fleet.addCustomer("newsroom");
+    m_fleet.start();
+    m_fleet.addServer(8);
+    for (int i = 0; i < 7; ++i)
+        m_fleet.give(RequestCancelled { m_fleet.send(make("newsroom", 200, 30s)) });
+    for (int i = 0; i < 7; ++i)
+        m_fleet.send(make("newsroom", 2000, 600s, Urgency::Patient));
+    const auto started = [](const Outcome &o) {
+        return o.request.urgency == Urgency::Patient && !o.dispatches.empty();
+    };
+    EXPECT_LT(m_fleet.count(started), 7);
+    m_fleet.runFor(20s);
+    EXPECT_EQ(m_fleet.count(started), 7);
+}
+
 // Urgent work alone asks for more than the pool can do, for two minutes. Long work, always last,
 // would stand still until its deadline; a fifth of the picks goes to it all the same.
 TEST_F(QueueingTest, LongWorkIsNotStarvedByUrgentWork)
--- a/src/snipestall/policy/server.hpp
+++ b/src/snipestall/policy/server.hpp
@@ -50,6 +50,8 @@
     std::set<std::uint64_t> requests;
     /// Of these, those that may not use the reserved slots.
     std::uint32_t runningOther = 0;
+    /// Of these, patient work.
+    std::uint32_t runningPatient = 0;
 
     /// Recent time for one token over its target; 1 is just in time.
     double pace = RestingPace;
--- a/src/snipestall/policy/server_index.cpp
+++ b/src/snipestall/policy/server_index.cpp
@@ -35,7 +35,7 @@
 {
     if (!server.usable())
         return {};
-    return { 1, server.allowed(), server.freeSlots(), server.runningOther };
+    return { 1, server.allowed(), server.freeSlots(), server.runningOther, server.runningPatient };
 }
 
 } // namespace
@@ -54,6 +54,7 @@
     m_totals.slots += entry.totals.slots;
     m_totals.free += entry.totals.free;
     m_totals.runningOther += entry.totals.runningOther;
+    m_totals.runningPatient += entry.totals.runningPatient;
     if (entry.totals.free == 0)
         return;
     entry.group = &m_groups[{ server.dataCentre, server.instanceClass }];
@@ -76,6 +77,7 @@
     m_totals.slots -= entry.totals.slots;
     m_totals.free -= entry.totals.free;
     m_totals.runningOther -= entry.totals.runningOther;
+    m_totals.runningPatient -= entry.totals.runningPatient;
     entry.totals = {};
     if (entry.group)
         entry.group->free.erase(entry.place);
--- a/src/snipestall/policy/server_index.hpp
+++ b/src/snipestall/policy/server_index.hpp
@@ -28,6 +28,7 @@
         std::uint32_t slots = 0;
         std::uint32_t free = 0;
         std::uint32_t runningOther = 0;
+        std::uint32_t runningPatient = 0;
     };
 
     /// Takes the server's present state into account; called after each change of it.
--- a/src/snipestall/policy/wait_estimate.cpp
+++ b/src/snipestall/policy/wait_estimate.cpp
@@ -37,7 +37,8 @@
 {
     const double slots = pool.slotsFor(lane);
     const double served = pool.served[indexOf(lane)].at(pool.now);
-    return std::clamp(served, leastPart(lane) * slots, slots);
+    const double least = std::min(slots, leastPart(lane) * pool.slotsFor(Lane::Normal));
+    return std::clamp(served, least, slots);
 }
 
 /// Share of the pool that the flow gets while others want it too.
