--- a/src/snipestall/peer/claim_keeper_test.cpp
+++ b/src/snipestall/peer/claim_keeper_test.cpp
@@ -158,6 +158,20 @@
     EXPECT_EQ(claim(*keeper("sinop-1"), request("k", "a2")).verdict, ClaimVerdict::Granted);
 }
 
+// The table takes the claim but is slow to say so. The caller has been refused by the time that its
+// yes comes; nobody will send, so the row must not hold the key.
+TEST_F(ClaimKeeperTest, AGrantThatComesAfterItsCallerWasRefusedIsTakenBack)
+{
+    const auto samsun = keeper("samsun-1");
+    m_table.freeze();
+    const auto outcome = start(*samsun, request("k", "a1", 3ms));
+    runUntil(m_io, [&] { return outcome->has_value(); });
+    EXPECT_EQ((*outcome)->verdict, ClaimVerdict::Unsettled);
+    m_table.thaw();
+    drain(m_io);
+    EXPECT_EQ(rowOf("k").state, ClaimState::Abandoned);
+}
+
 // A claim's write is stuck in a slow network. Its caller is refused, and only then the write lands.
 // A row that nobody will ever send for would block the key for a day; a row put there beforehand
 // makes the late write's condition fail.
@@ -227,6 +241,21 @@
     EXPECT_TRUE(m_table.rows.empty());
 }
 
+// In an outage a claim is tried over and over against a share of one write a second. Were these
+// tries counted, the claims that come after the outage would wait for as many seconds.
+TEST_F(ClaimKeeperTest, TriesOfAnOutageDoNotUseUpTheShareOfWrites)
+{
+    const auto samsun = keeper("samsun-1");
+    samsun->limitWrites(1);
+    m_table.down = true;
+    const auto outcome = start(*samsun, request("k", "a1", 20s));
+    runUntil(m_io, [&] { return m_table.transactions == 60; });
+    m_table.down = false;
+    drain(m_io);
+    EXPECT_EQ((*outcome)->verdict, ClaimVerdict::Granted);
+    EXPECT_EQ(claim(*samsun, request("k2", "a1", 20s)).verdict, ClaimVerdict::Granted);
+}
+
 // One of three keys in a batch was claimed elsewhere. The transaction is all-or-nothing: without a
 // second try of the rest one repeat would refuse its neighbours.
 TEST_F(ClaimKeeperTest, AConflictSettlesItsOwnKeyAndTheRestOfTheBatchGoesOn)
@@ -328,6 +357,19 @@
     EXPECT_EQ(samsun->counters().rowsExpired, 1U);
 }
 
+TEST_F(ClaimKeeperTest, ManySmallBatchesExpireInOneTransaction)
+{
+    const auto samsun = keeper("samsun-1");
+    for (int i = 0; i < 10; ++i)
+        claim(*samsun, request("k" + std::to_string(i), "a"));
+    m_clock.advance(26h);
+    const std::uint64_t before = samsun->counters().transactions;
+    removeExpired(*samsun);
+    EXPECT_EQ(samsun->counters().transactions, before + 1);
+    EXPECT_EQ(samsun->counters().rowsExpired, 10U);
+    EXPECT_TRUE(m_table.rows.empty());
+}
+
 // A claim is given up in one hour and its key taken over in a later one. When the first hour's
 // batch expires, deleting the row by its name alone would free a key that has run within the day.
 TEST_F(ClaimKeeperTest, ExpiryLeavesARowThatALaterHourTookOver)
