--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -17,6 +17,7 @@
 extern const EventInfo SettingsApplied;
 extern const EventInfo SettingsRefused;
 extern const EventInfo SettingsStale;
+extern const EventInfo DataCentreUnknown;
 extern const EventInfo PlatformUnavailable;
 extern const EventInfo PlatformRecovered;
 extern const EventInfo OutcomeSettled;
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -36,6 +36,11 @@
     "Neither the platform nor a peer has confirmed the settings for longer than the stated time.",
     "Check the connection to the platform and between data centres."
 };
+const EventInfo DataCentreUnknown {
+    203, Severity::Error, "data-centre-unknown",
+    "The settings in force do not name this instance's data centre: it refuses every request.",
+    "Add the data centre with its share, or correct data_centre in the local settings file."
+};
 const EventInfo PlatformUnavailable {
     300, Severity::Warning, "platform-unavailable",
     "The platform's service does not answer; serving goes on without it.",
--- a/src/snipestall/base/log.cpp
+++ b/src/snipestall/base/log.cpp
@@ -5,6 +5,9 @@
 #include <easylogging++.h>
 
 #include <array>
+#include <chrono>
+#include <ctime>
+#include <iomanip>
 #include <sstream>
 
 INITIALIZE_EASYLOGGINGPP
@@ -32,9 +35,25 @@
     return SeverityNames.at(static_cast<std::size_t>(severity));
 }
 
+/// UTC with milliseconds, as RFC 3339 writes it.
+std::string wallTime()
+{
+    using namespace std::chrono;
+    const auto now = system_clock::now();
+    const std::time_t seconds = system_clock::to_time_t(now);
+    const auto rest = duration_cast<milliseconds>(now.time_since_epoch()) % 1s;
+    std::tm utc {};
+    gmtime_r(&seconds, &utc);
+    std::ostringstream text;
+    text << std::put_time(&utc, "%FT%T") << '.' << std::setfill('0') << std::setw(3) << rest.count()
+         << 'Z';
+    return text.str();
+}
+
 std::string asJson(const EventInfo &event, std::initializer_list<LogField> fields)
 {
     boost::json::object line;
+    line["time"] = wallTime();
     line["severity"] = severityName(event.severity);
     line["event"] = event.number;
     line["name"] = event.name;
--- a/src/snipestall/entry/caller_api.cpp
+++ b/src/snipestall/entry/caller_api.cpp
@@ -8,7 +8,7 @@
 #include "snipestall/peer/membership.hpp"
 #include "snipestall/peer/settings_keeper.hpp"
 #include "snipestall/settings/effective_settings.hpp"
-#include "snipestall/settings/sha256.hpp"
+#include "snipestall/settings/key_holder.hpp"
 #include "snipestall/wire/http_exchange.hpp"
 
 #include "answer_writer.hpp"
@@ -130,12 +130,12 @@
         co_return;
     }
     const auto &keys = call.settings->customerByKeyHash;
-    const auto customer = keys.find(settings::sha256Hex(bearer(call.request)));
-    if (customer == keys.end()) {
+    const auto customer = settings::holderOfKey(keys, bearer(call.request));
+    if (!customer) {
         co_await refuseInvalid(call, 401, "no customer has this key; send Authorization: Bearer");
         co_return;
     }
-    call.customer = customer->second;
+    call.customer = *customer;
     for (const RouteEntry &entry : routes) {
         const std::string_view path = call.request.path();
         const bool fits = entry.prefix ? path.starts_with(entry.path) : path == entry.path;
--- a/src/snipestall/peer/membership.cpp
+++ b/src/snipestall/peer/membership.cpp
@@ -51,6 +51,7 @@
     // A message of a former incarnation, late on its way, says nothing of the present one.
     if (heartbeat.incarnation < member.incarnation)
         return;
+    const bool known = member.incarnation != 0;
     const bool reborn = heartbeat.incarnation > member.incarnation;
     member.name = heartbeat.name;
     member.dataCentre = heartbeat.dataCentre;
@@ -58,7 +59,10 @@
     member.lastHeard = now;
     member.settingsVersion = heartbeat.settingsVersion;
     member.pools = heartbeat.pools;
-    if (!heartbeat.address.empty())
+    // What the settings or the list name stands, since it may lead through a gateway; but a new
+    // incarnation may have moved.
+    const bool moved = reborn && known;
+    if (!heartbeat.address.empty() && (member.address.empty() || moved))
         member.address = heartbeat.address;
     const bool stays = member.state == MemberState::Leaving && !reborn;
     // A quick replacement is never seen as silent; its listeners must hear of it all the same.
--- a/src/snipestall/peer/membership_test.cpp
+++ b/src/snipestall/peer/membership_test.cpp
@@ -51,6 +51,30 @@
     EXPECT_EQ(m_members.livePeers().size(), 1U);
 }
 
+// Two data centres are joined by gateways, whose addresses stand in the settings. A heartbeat names
+// the address behind the gateway; were that taken, this instance could not call its peer back.
+TEST_F(MembershipTest, TheAddressOfTheSettingsStandsUntilTheInstanceIsReplaced)
+{
+    m_members.learn("samsun-2", "samsun-hall", "127.0.0.1:1");
+    Heartbeat heartbeat = beat("samsun-2", 1);
+    heartbeat.address = "127.0.0.1:2";
+    m_members.heard(heartbeat, Start);
+    EXPECT_EQ(m_members.find("samsun-2")->address, "127.0.0.1:1");
+    heartbeat.incarnation = 2;
+    m_members.heard(heartbeat, Start + 1s);
+    EXPECT_EQ(m_members.find("samsun-2")->address, "127.0.0.1:2");
+}
+
+// The platform's list is down and a peer is first heard of by its own call: without the address
+// it names, it could never be given a copy or a request.
+TEST_F(MembershipTest, AnUnknownPeersOwnAddressIsTaken)
+{
+    Heartbeat heartbeat = beat("samsun-3", 1);
+    heartbeat.address = "127.0.0.1:3";
+    m_members.heard(heartbeat, Start);
+    EXPECT_EQ(m_members.find("samsun-3")->address, "127.0.0.1:3");
+}
+
 TEST_F(MembershipTest, ALeavingInstanceOwnsNothing)
 {
     EXPECT_EQ(m_members.owners().size(), 1U);
--- a/src/snipestall/peer/settings_keeper.cpp
+++ b/src/snipestall/peer/settings_keeper.cpp
@@ -4,6 +4,7 @@
 #include "snipestall/base/log.hpp"
 #include "snipestall/settings/tree.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace snipestall::peer {
@@ -27,6 +28,10 @@
     m_document = document;
     m_effective = tree->effective(m_dataCentre, document.version);
     logEvent(events::SettingsApplied, { { "version", std::to_string(document.version) } });
+    // Such an instance has no share of any limit. Without a word it would look healthy.
+    const std::vector<std::string> dataCentres = tree->dataCentres();
+    if (std::ranges::find(dataCentres, m_dataCentre) == dataCentres.end())
+        logEvent(events::DataCentreUnknown, { { "data_centre", m_dataCentre } });
     for (const Listener &listener : m_listeners)
         listener(m_effective);
     return true;
