Two faults found by real-process scenarios: starving retries, and a third server lost to one request

Cause: (1) entry_killed_under_load: after its owner was killed an accepted request waited out its 60 s deadline beside an idle instance. Retries to the dead owner used up the retry budget, which only first attempts earned, and a quiet instance has none. Ruled out: no budget for accepted requests (a saturated pool would be kept saturated by retries); suspecting a peer at its first broken call (its copies would be taken over too early). Change: the budget earns four retries a second by time; a peer that broke off gets no forwards until it is heard again; right before each send the edge looks at what peers have reported.

--- a/include/snipestall/entry/dispatcher.hpp
+++ b/include/snipestall/entry/dispatcher.hpp
@@ -102,7 +102,9 @@
     void submit(const RequestPtr &request, bool accepted);
     wire::Task<void> runOnServer(RequestPtr request, policy::AttemptHandle handle, Backend server,
                                  std::string kv);
-    wire::Task<void> runOnPeer(RequestPtr request, policy::AttemptHandle handle, std::string peer);
+    wire::Task<void> runOnPeer(RequestPtr request, policy::ForwardTo command);
+    /// Refuses a request that peers have seen take down two backend servers.
+    bool refuseQuarantined(const RequestPtr &request);
     wire::Task<void> move(RequestPtr request, policy::MoveStream command, Backend from,
                           Backend target);
     wire::Task<bool> mayRun(Attempt &attempt);
--- a/src/snipestall/entry/attempt_on_peer.cpp
+++ b/src/snipestall/entry/attempt_on_peer.cpp
@@ -34,9 +34,10 @@
 
 } // namespace
 
-wire::Task<void> Dispatcher::runOnPeer(RequestPtr request, policy::AttemptHandle handle,
-                                       std::string peer)
+wire::Task<void> Dispatcher::runOnPeer(RequestPtr request, policy::ForwardTo command)
 {
+    const policy::AttemptHandle handle = command.attempt;
+    const std::string peer = m_peers[command.peer];
     Attempt attempt;
     attempt.request = request;
     attempt.handle = handle;
@@ -73,6 +74,11 @@
         raw->cancel();
     };
     co_await readForward(attempt, *stream);
+    // A peer that broke off is given no more work until it is heard again: a second at most if it
+    // lives. Without this a dead owner is sent each retry until its silence is noticed.
+    const bool broke = !attempt.over && !attempt.cancelled && !request->finished();
+    if (broke)
+        m_links.policy->post(policy::PeerGone { command.peer });
     // Whatever has not been said to be not run may have run.
     if (request->uncertain > 0) {
         --request->uncertain;
--- a/src/snipestall/entry/dispatcher.cpp
+++ b/src/snipestall/entry/dispatcher.cpp
@@ -23,6 +23,8 @@
 namespace {
 
 constexpr std::size_t PrefixBlock = 64;
+/// As the policy's own count: one death may be the server's fault, two are the request's.
+constexpr std::size_t ServersLostAtMost = 2;
 /// Deeper prefixes add bytes to each event and hardly a hit.
 constexpr std::size_t MaxPrefixBlocks = 32;
 
@@ -253,11 +255,25 @@
     m_peers[handle] = name;
 }
 
+// The policy counts the crashes that this instance has seen. Copies of one request at several
+// instances each take down a server before the first report is round; whoever is about to send it
+// a third time has heard of the others by then.
+bool Dispatcher::refuseQuarantined(const RequestPtr &request)
+{
+    const RequestSpec &spec = request->spec();
+    const auto known =
+        m_links.crashes->servers(CrashLedger::fingerprint(spec.customer, spec.service, spec.body));
+    if (known.size() < ServersLostAtMost)
+        return false;
+    execute(policy::Refuse { request->handle(), policy::RefusalReason::Quarantined, {} });
+    return true;
+}
+
 void Dispatcher::execute(const policy::Dispatch &command)
 {
     const RequestPtr request = m_links.store->find(command.request);
     const Backend *server = m_links.backends->find(command.server);
-    if (request == nullptr || request->finished())
+    if (request == nullptr || request->finished() || refuseQuarantined(request))
         return;
     if (server == nullptr) {
         m_links.policy->post(policy::AttemptEnded {
@@ -271,10 +287,9 @@
 void Dispatcher::execute(const policy::ForwardTo &command)
 {
     const RequestPtr request = m_links.store->find(command.request);
-    if (request == nullptr || request->finished())
+    if (request == nullptr || request->finished() || refuseQuarantined(request))
         return;
-    boost::asio::co_spawn(*m_links.io, runOnPeer(request, command.attempt, m_peers[command.peer]),
-                          boost::asio::detached);
+    boost::asio::co_spawn(*m_links.io, runOnPeer(request, command), boost::asio::detached);
 }
 
 void Dispatcher::execute(const policy::Refuse &command)
--- a/src/snipestall/policy/health.cpp
+++ b/src/snipestall/policy/health.cpp
@@ -160,7 +160,7 @@
     const std::set<std::uint64_t> held = server.requests;
     for (const std::uint64_t handle : held) {
         Request &request = *state.findRequest({ handle });
-        if (!request.idempotent || !request.pool->retryBudget.spend())
+        if (!request.idempotent || !request.pool->retryBudget.spend(state.now))
             continue;
         state.emit(CancelAttempt { request.handle, request.attempt });
         withdraw(state, request);
--- a/src/snipestall/policy/retry.cpp
+++ b/src/snipestall/policy/retry.cpp
@@ -153,8 +153,8 @@
             refuse(state, *request, RefusalReason::Quarantined, Duration::zero());
             continue;
         }
-        // Not refused for want of budget: it was accepted. It waits for first attempts to earn it.
-        if (!request->pool->retryBudget.spend()) {
+        // Not refused for want of budget: it was accepted. It waits for the budget to be earned.
+        if (!request->pool->retryBudget.spend(state.now)) {
             delay(state, *request, state.jittered(LongestBackoff));
             continue;
         }
