--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -355,7 +355,7 @@
         rows = under_load(binaries, 4, LOADS)
         show("Under load, each instance owns an engine", rows)
         fit("under load, 4 instances and 4 engines", rows, ["requests", "tokens"],
-            ["processor", "rss", "peers", "engine_bytes", "callers"])
+            ["processor", "peers", "engine_bytes", "callers"])
     if "forwards" in parts:
         rows = under_load(binaries, 1, FORWARD_LOADS)
         show("Under load, one instance owns the only engine", rows)
