Refused callers are told to come back one after the other

Change: each refused normal request is told a time behind those told before it, spaced by its slot time over the slots, 15 s at most.

Callers that never come back push the told times out, for which the bound is.

--- a/src/snipestall/policy/admission.cpp
+++ b/src/snipestall/policy/admission.cpp
@@ -25,6 +25,8 @@
 /// For what another instance can serve at once.
 constexpr Duration RetryElsewhere = std::chrono::milliseconds(200);
 
+constexpr Duration LatestReturn = std::chrono::seconds(15);
+
 constexpr Duration RetryUnknown = std::chrono::seconds(5);
 
 /// One hop to a peer and back inside a data centre, with its queueing.
@@ -135,6 +137,21 @@
     return std::min(untilLate, std::chrono::duration_cast<Duration>(longest));
 }
 
+/// Load: three times what the pool can do for some seconds. Told only when the queue has drained,
+/// all refused callers come back at that moment, and most are refused again until they give up.
+/// Each is told the time at which those told before could have been served. Bounded, since many
+/// never come back.
+Duration spacedReturn(const State &state, const Request &request, Duration soonest)
+{
+    Pool &pool = *request.pool;
+    const std::uint32_t slots = pool.slotsFor(Lane::Normal);
+    if (FairQueue::laneOf(request) != Lane::Normal || slots == 0)
+        return soonest;
+    const Time from = std::max(pool.returnsEnd, state.now + soonest);
+    pool.returnsEnd = std::min(from + request.service / slots, state.now + LatestReturn);
+    return pool.returnsEnd - state.now;
+}
+
 /// Load: more work than the pool can finish in time, as after a wave of reclaims. Harm: what can't
 /// meet its target takes the slots of what can, until nothing does, and the queue outlasts the
 /// overload; its callers learn too late to go elsewhere. Come back once the queue has drained to
@@ -148,7 +165,8 @@
     const Duration over = *wait + *wait / WaitMargin - longestWait(state, request);
     if (over <= Duration::zero())
         return std::nullopt;
-    return Verdict { RefusalReason::Late, std::max(over, LeastRetryAfter) };
+    const Duration retryAfter = std::max(over, LeastRetryAfter);
+    return Verdict { RefusalReason::Late, spacedReturn(state, request, retryAfter) };
 }
 
 std::optional<Verdict> checkLimits(State &state, const Request &request)
--- a/src/snipestall/policy/pool.hpp
+++ b/src/snipestall/policy/pool.hpp
@@ -39,6 +39,8 @@
     OfferedLoad urgentLoad;
     OfferedLoad normalLoad;
     Time now;
+    /// When the normal work refused so far could have been served, had it waited outside.
+    Time returnsEnd;
     /// Slots that each lane's work was given of late.
     std::array<OfferedLoad, LaneCount> served;
     PrefixIndex prefixes;
