Prove at most once under failures of real processes

Four cases over real processes: two submissions of one key in two data centres at once (8 keys), the claimer frozen past its request's deadline with the table's yes on the way, the answer cut after the run, the entry instance killed after dispatch. A repeat waits for the outcome of the run before it up to a deadline, so repeats carry a short one; otherwise a case takes a minute.

Ruled out: freezing by a sleep; the claimer is frozen when the platform's table shows its claim row, while a proxy still delays the answer.

--- /dev/null
+++ b/tests/proof/at_most_once_test.cpp
@@ -0,0 +1,166 @@
+#include "harness/http_call.hpp"
+#include "harness/ledger_files.hpp"
+#include "harness/topology_test_base.hpp"
+#include "harness/wait_until.hpp"
+#include "proof/caller.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace snipestall::harness {
+namespace {
+
+/// A request marked as non-idempotent runs at most once. The ledger services' own counts judge.
+class AtMostOnceTest : public TopologyTest
+{
+protected:
+    std::int64_t runs(const std::string &key) { return runsOf(topology().ledger(), key); }
+
+    /// A repeat waits for the outcome of the run before it, up to its own deadline.
+    Answer topUpAt(const std::string &entry, const std::string &key)
+    {
+        auto request = topUp(key);
+        request.fields.set("Snipestall-Deadline-Ms", "3000");
+        return call(topology().callers(entry), request);
+    }
+
+    std::size_t claimRows()
+    {
+        const auto response = httpPost(topology().platform(), "/table/scan",
+                                       R"({"table":"claims","prefix":"","after":"","limit":100})");
+        if (!response || response->status != 200)
+            return 0;
+        constexpr std::string_view RowBegin = R"("key":)";
+        std::size_t count = 0;
+        for (std::size_t at = response->body.find(RowBegin); at != std::string::npos;
+             at = response->body.find(RowBegin, at + 1))
+            ++count;
+        return count;
+    }
+
+    /// What the callers were told must fit what the ledgers say.
+    void expectTruth(const std::string &key, const std::vector<Answer> &answers)
+    {
+        const std::int64_t count = runs(key);
+        EXPECT_LE(count, 1) << key;
+        std::string told;
+        for (const Answer &answer : answers)
+            told += "\n" + answer.toString();
+        const auto completed = [](const Answer &answer) { return answer.completed(); };
+        const auto notRun = [](const Answer &answer) { return answer.notRun(); };
+        if (std::any_of(answers.begin(), answers.end(), completed)) {
+            EXPECT_EQ(count, 1) << key << told;
+        }
+        if (std::all_of(answers.begin(), answers.end(), notRun)) {
+            EXPECT_EQ(count, 0) << key << told;
+        }
+    }
+};
+
+TopologySpec slowLedgers(const std::string &workMs)
+{
+    TopologySpec spec = TopologySpec::small();
+    for (ServerSpec &server : spec.servers) {
+        if (server.models.empty())
+            server.arguments.push_back("--work_ms=" + workMs);
+    }
+    return spec;
+}
+
+// A client library sends a top-up to both data centres at the same moment, as one that hedges does.
+// Both instances claim the key. The account must be charged once, and each caller must be told the
+// one outcome or that it can't be known; this for several keys at once.
+TEST_F(AtMostOnceTest, TwoSubmissionsOfOneKeyReachTwoDataCentresAtTheSameMoment)
+{
+    constexpr int Keys = 8;
+    start(slowLedgers("50"));
+    std::vector<std::vector<std::future<Answer>>> calls;
+    for (int i = 0; i < Keys; ++i) {
+        const std::string key = "hedged-" + std::to_string(i);
+        calls.emplace_back();
+        for (const auto *entry : { "north-1", "south-1" })
+            calls.back().push_back(callLater(topology().callers(entry), topUp(key)));
+    }
+    for (int i = 0; i < Keys; ++i) {
+        const std::string key = "hedged-" + std::to_string(i);
+        std::vector<Answer> answers;
+        for (auto &answer : calls[static_cast<std::size_t>(i)])
+            answers.push_back(answer.get());
+        expectTruth(key, answers);
+        EXPECT_EQ(runs(key), 1) << answers[0].toString() << answers[1].toString();
+    }
+}
+
+// The only instance of a data centre has written its claim and is paused before the table's yes
+// reaches it. The request's deadline passes, and the caller sends the top-up again elsewhere. The
+// instance then wakes with the yes on its socket: it must not send what its caller has given up.
+TEST_F(AtMostOnceTest, TheClaimerIsFrozenPastTheDeadlineAndWakes)
+{
+    constexpr std::chrono::milliseconds Deadline { 4000 };
+    TopologySpec spec = TopologySpec::small();
+    spec.entries = { { "north-1", "north" }, { "south-1", "south" } };
+    spec.platformProxied = true;
+    start(spec);
+    const std::size_t before = claimRows();
+    topology().proxy("platform/north").set(R"({"delay_ms":400})");
+    auto request = topUp("frozen");
+    request.fields.set("Snipestall-Deadline-Ms", std::to_string(Deadline.count()));
+    auto first = callLater(topology().callers("north-1"), request);
+    ASSERT_TRUE(waitUntil([&] { return claimRows() > before; }));
+    topology().process("north-1").freeze();
+    EXPECT_EQ(runs("frozen"), 0);
+    std::this_thread::sleep_for(Deadline + std::chrono::seconds(1));
+    const Answer again = topUpAt("south-1", "frozen");
+    EXPECT_EQ(runs("frozen"), 0) << "the claim is the frozen instance's: " << again.toString();
+    EXPECT_FALSE(again.completed()) << again.toString();
+    topology().process("north-1").thaw();
+    topology().proxy("platform/north").heal();
+    const Answer woken = first.get();
+    EXPECT_FALSE(woken.completed()) << woken.toString();
+    expectTruth("frozen", { woken, again });
+    EXPECT_EQ(runs("frozen"), 0);
+}
+
+// The service books the top-up and the connection breaks before its receipt is out. The caller sees
+// no outcome and sends it again, here and in the other data centre. It must not be booked again,
+// and nobody may be told that it was not run.
+TEST_F(AtMostOnceTest, TheServiceRunsItAndItsAnswerIsCut)
+{
+    start(TopologySpec::small());
+    for (const auto *service : { "ledger-1", "ledger-2" })
+        topology().controlServer(service, R"({"cut_next_answers":1})");
+    std::vector<Answer> answers { topUpAt("north-1", "cut") };
+    EXPECT_EQ(runs("cut"), 1) << answers.back().toString();
+    for (const auto *entry : { "north-1", "north-2", "south-1", "south-2" })
+        answers.push_back(topUpAt(entry, "cut"));
+    for (const Answer &answer : answers)
+        EXPECT_FALSE(answer.notRun()) << answer.toString();
+    EXPECT_EQ(runs("cut"), 1);
+}
+
+// The instance that took the top-up dies while the service works on it. The caller's connection
+// breaks, and it sends the top-up again to the instance beside and to the other data centre. It
+// must not be booked again, and nobody may be told that it was not run.
+TEST_F(AtMostOnceTest, TheEntryInstanceIsKilledAfterDispatchAndTheCallerRepeatsElsewhere)
+{
+    start(slowLedgers("2000"));
+    auto request = topUp("killed");
+    request.fields.set("Snipestall-Deadline-Ms", "8000");
+    auto first = callLater(topology().callers("north-1"), request);
+    ASSERT_TRUE(waitUntil([this] { return runs("killed") == 1; }));
+    topology().process("north-1").kill();
+    EXPECT_EQ(first.get().status, 0);
+    for (const auto *entry : { "north-2", "south-1", "south-2", "north-2" }) {
+        const Answer answer = topUpAt(entry, "killed");
+        EXPECT_FALSE(answer.notRun()) << answer.toString();
+        EXPECT_NE(answer.status, 0) << answer.toString();
+    }
+    EXPECT_EQ(runs("killed"), 1);
+}
+
+} // namespace
+} // namespace snipestall::harness
