The edge carries what the policy tells its peers: quarantine, urgent slots and waits, health

Cause: the policy's summaries grew fields (quarantined, urgent and patient waits, token time, ejected, failure rate) and arrivals a fingerprint; the peers' messages dropped them all, so that a peer's urgent slots read as none and a repeat of a crashing request was not known. Ruled out: leaving quarantine to the crash ledger alone (it counts single deaths over instances; the policy's list tells what is settled). The ledger blames no request for a rack: where four or more servers die within 5 s, only one that was on at least half of them. Conclusion: in place; what it gives under real load is not measured.

--- a/include/snipestall/peer/pool_load.hpp
+++ b/include/snipestall/peer/pool_load.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,14 @@
     std::uint32_t servers = 0;
     std::chrono::milliseconds wait {};
     std::vector<std::uint32_t> prefixSketch;
+    // The rest as in policy::PoolSummary, which says what each is for.
+    std::vector<std::uint64_t> quarantined {};
+    std::uint32_t urgentFreeSlots = 0;
+    std::optional<std::chrono::milliseconds> urgentWait {};
+    std::optional<std::chrono::milliseconds> patientWait {};
+    std::chrono::microseconds tokenTime {};
+    std::uint32_t ejected = 0;
+    double failureRate = 0;
 };
 
 } // namespace snipestall::peer
--- a/src/snipestall/entry/crash_ledger.cpp
+++ b/src/snipestall/entry/crash_ledger.cpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::minutes KeepReports { 15 };
 /// Bounds the heartbeat: 32 reports are some 800 bytes, and only while servers crash.
 constexpr std::size_t MaxReports = 32;
+constexpr std::chrono::seconds TogetherWithin { 5 };
+constexpr std::size_t ManyServers = 4;
 
 } // namespace
 
@@ -35,14 +37,26 @@
     return true;
 }
 
+// A rack that loses its power takes many servers at once, and with them requests that did nothing;
+// one that is moved from the first to die to the next would pass for the cause. So where many
+// servers died together, only a request that was on at least half of them is blamed.
 std::set<std::string> CrashLedger::servers(std::uint64_t fingerprint) const
 {
     std::set<std::string> names;
+    std::chrono::steady_clock::time_point last {};
     for (const Entry &entry : m_entries) {
-        if (entry.report.fingerprint == fingerprint)
-            names.insert(entry.report.server);
+        if (entry.report.fingerprint != fingerprint)
+            continue;
+        names.insert(entry.report.server);
+        last = std::max(last, entry.at);
     }
-    return names;
+    std::set<std::string> together;
+    for (const Entry &entry : m_entries) {
+        if (std::chrono::abs(entry.at - last) <= TogetherWithin)
+            together.insert(entry.report.server);
+    }
+    const bool commonCause = together.size() >= ManyServers && names.size() * 2 < together.size();
+    return commonCause ? std::set<std::string> {} : names;
 }
 
 std::vector<peer::CrashReport> CrashLedger::recent() const
--- /dev/null
+++ b/src/snipestall/entry/crash_ledger_test.cpp
@@ -0,0 +1,47 @@
+#include "snipestall/entry/crash_ledger.hpp"
+
+#include <gtest/gtest.h>
+
+namespace snipestall::entry {
+namespace {
+
+using namespace std::chrono_literals;
+const std::chrono::steady_clock::time_point Start { 1h };
+
+TEST(CrashLedgerTest, ServersAddUpOverReportsAndRepeatsCountOnce)
+{
+    CrashLedger ledger;
+    EXPECT_TRUE(ledger.note({ 7, "a" }, Start));
+    EXPECT_FALSE(ledger.note({ 7, "a" }, Start + 1s));
+    EXPECT_TRUE(ledger.note({ 7, "b" }, Start + 2s));
+    EXPECT_EQ(ledger.servers(7).size(), 2U);
+    EXPECT_TRUE(ledger.servers(8).empty());
+    ledger.expire(Start + 1h);
+    EXPECT_TRUE(ledger.servers(7).empty());
+}
+
+// A rack fails: six servers die within a second, and a request that was moved from the first to
+// the second was on both. Refusing it for good would blame the caller for the power supply.
+TEST(CrashLedgerTest, ARequestOnTwoServersOfARackThatFailedIsNotBlamed)
+{
+    CrashLedger ledger;
+    ledger.note({ 7, "s0" }, Start);
+    ledger.note({ 7, "s1" }, Start + 500ms);
+    for (int i = 0; i < 6; ++i)
+        ledger.note({ 100U + static_cast<unsigned>(i), "s" + std::to_string(i) }, Start + 1s);
+    EXPECT_TRUE(ledger.servers(7).empty());
+}
+
+// A crashing request takes down four servers in a row with all that ran beside it. It was on each.
+TEST(CrashLedgerTest, ARequestThatWasOnAllOfThemIsBlamed)
+{
+    CrashLedger ledger;
+    for (int i = 0; i < 4; ++i) {
+        ledger.note({ 7, "s" + std::to_string(i) }, Start + i * 1s);
+        ledger.note({ 100U + static_cast<unsigned>(i), "s" + std::to_string(i) }, Start + i * 1s);
+    }
+    EXPECT_EQ(ledger.servers(7).size(), 4U);
+}
+
+} // namespace
+} // namespace snipestall::entry
--- a/src/snipestall/entry/dispatcher.cpp
+++ b/src/snipestall/entry/dispatcher.cpp
@@ -156,10 +156,12 @@
     // A caller whose request took a server down sends it again, perhaps at another instance. Its
     // fingerprint brings along which servers died with it, so that it is not given a third.
     const RequestSpec &spec = request->spec();
-    const auto known =
-        m_links.crashes->servers(CrashLedger::fingerprint(spec.customer, spec.service, spec.body));
+    const std::uint64_t fingerprint =
+        CrashLedger::fingerprint(spec.customer, spec.service, spec.body);
+    const auto known = m_links.crashes->servers(fingerprint);
     request->crashedServers().insert(known.begin(), known.end());
     policy::RequestArrived event = arrival(*request, accepted);
+    event.fingerprint = fingerprint;
     event.crashes = static_cast<std::uint32_t>(request->crashedServers().size());
     m_links.policy->post(std::move(event));
 }
--- a/src/snipestall/entry/node.cpp
+++ b/src/snipestall/entry/node.cpp
@@ -52,6 +52,13 @@
     return options;
 }
 
+std::optional<milliseconds> toMilliseconds(const std::optional<policy::Duration> &duration)
+{
+    if (!duration)
+        return std::nullopt;
+    return std::chrono::duration_cast<milliseconds>(*duration);
+}
+
 policy::PoolSummary toPolicy(const peer::PoolLoad &load)
 {
     policy::PoolSummary pool;
@@ -61,6 +68,13 @@
     pool.servers = load.servers;
     pool.wait = load.wait;
     pool.prefixSketch = load.prefixSketch;
+    pool.quarantined = load.quarantined;
+    pool.urgentFreeSlots = load.urgentFreeSlots;
+    pool.urgentWait = load.urgentWait;
+    pool.patientWait = load.patientWait;
+    pool.tokenTime = load.tokenTime;
+    pool.ejected = load.ejected;
+    pool.failureRate = load.failureRate;
     return pool;
 }
 
@@ -185,6 +199,13 @@
         load.servers = pool.servers;
         load.wait = std::chrono::duration_cast<milliseconds>(pool.wait);
         load.prefixSketch = std::move(pool.prefixSketch);
+        load.quarantined = std::move(pool.quarantined);
+        load.urgentFreeSlots = pool.urgentFreeSlots;
+        load.urgentWait = toMilliseconds(pool.urgentWait);
+        load.patientWait = toMilliseconds(pool.patientWait);
+        load.tokenTime = pool.tokenTime;
+        load.ejected = pool.ejected;
+        load.failureRate = pool.failureRate;
         loads.push_back(std::move(load));
     }
     return loads;
--- a/src/snipestall/peer/peer_network.cpp
+++ b/src/snipestall/peer/peer_network.cpp
@@ -32,6 +32,15 @@
         pool.servers = summary.servers();
         pool.wait = std::chrono::milliseconds(summary.wait_ms());
         pool.prefixSketch.assign(summary.prefix_sketch().begin(), summary.prefix_sketch().end());
+        pool.quarantined.assign(summary.quarantined().begin(), summary.quarantined().end());
+        pool.urgentFreeSlots = summary.urgent_free_slots();
+        if (summary.has_urgent_wait_ms())
+            pool.urgentWait = std::chrono::milliseconds(summary.urgent_wait_ms());
+        if (summary.has_patient_wait_ms())
+            pool.patientWait = std::chrono::milliseconds(summary.patient_wait_ms());
+        pool.tokenTime = std::chrono::microseconds(summary.token_time_us());
+        pool.ejected = summary.ejected();
+        pool.failureRate = summary.failure_rate();
         pools.push_back(std::move(pool));
     }
     return pools;
@@ -49,6 +58,16 @@
         summary->set_wait_ms(static_cast<std::uint32_t>(pool.wait.count()));
         for (const std::uint32_t prefix : pool.prefixSketch)
             summary->add_prefix_sketch(prefix);
+        for (const std::uint64_t fingerprint : pool.quarantined)
+            summary->add_quarantined(fingerprint);
+        summary->set_urgent_free_slots(pool.urgentFreeSlots);
+        if (pool.urgentWait)
+            summary->set_urgent_wait_ms(static_cast<std::uint32_t>(pool.urgentWait->count()));
+        if (pool.patientWait)
+            summary->set_patient_wait_ms(static_cast<std::uint32_t>(pool.patientWait->count()));
+        summary->set_token_time_us(static_cast<std::uint32_t>(pool.tokenTime.count()));
+        summary->set_ejected(pool.ejected);
+        summary->set_failure_rate(static_cast<float>(pool.failureRate));
     }
 }
 
