Shifting test: the wave of reclaims at its former load again

Cause: the test of a wave had been taken from 8 to 2 requests a second when normal work came to be refused at the gate; a wave over hardly loaded servers shows little. Change: 8 a second as before, as patient work, which waits instead of being refused. Conclusion: as strict as it was.

--- a/src/snipestall/policy/shifting_test.cpp
+++ b/src/snipestall/policy/shifting_test.cpp
@@ -134,10 +134,10 @@
         servers.push_back(m_fleet.addServer(8));
     for (int i = 0; i < 24; ++i)
         m_fleet.send(review());
-    m_fleet.load(2, 10s, [&] { return m_fleet.request("newsroom"); });
+    m_fleet.load(8, 10s, [&] { return m_fleet.request("newsroom", Urgency::Patient); });
     for (int i = 0; i < 4; ++i)
         m_fleet.reclaim(servers[i], 5s);
-    m_fleet.load(2, 30s, [&] { return m_fleet.request("newsroom"); });
+    m_fleet.load(8, 30s, [&] { return m_fleet.request("newsroom", Urgency::Patient); });
     m_fleet.runFor(300s);
     EXPECT_EQ(notAnsweredOnce(), 0);
     EXPECT_TRUE(m_fleet.faults.empty());
