Red: crashing request's neighbours, and the refusal without a time to come back

These tests fail at the product and are left as they are; not for the passing set.

The run that failed: "server-lost engine-3" and "engine-2" at 21:35:52.9, five requests expired at 21:36:48 (SN503 reason=expired at north-3 and north-1), one stream with 3 of 300 tokens. The first crashing call itself was answered at 60 s only (expired).

The answer is true, "503 not-run ... type expired", but has no Retry-After, with a deadline of 3 s and of 60 s.

Not shown with a guard off: the crash cases fail by themselves.

--- a/tests/proof/at_most_once_test.cpp
+++ b/tests/proof/at_most_once_test.cpp
@@ -162,5 +162,25 @@
     EXPECT_EQ(runs("killed"), 1);
 }
 
+// The platform's table is down, so nobody can know whether a key has run. The top-up is refused as
+// not run with a time to come back, and that is true; after the outage the same key runs, once.
+TEST_F(AtMostOnceTest, ThePlatformIsDownAndTheTopUpIsRefusedAndNotRun)
+{
+    start(TopologySpec::small());
+    topology().platformFaults(R"({"table":"down"})");
+    std::vector<Answer> answers;
+    for (const auto *entry : { "north-1", "south-1" })
+        answers.push_back(topUpAt(entry, "outage"));
+    for (const Answer &answer : answers) {
+        EXPECT_TRUE(answer.notRun()) << answer.toString();
+        EXPECT_FALSE(answer.retryAfter.empty()) << answer.toString();
+    }
+    EXPECT_EQ(runs("outage"), 0);
+    topology().platformFaults(R"({"table":"up"})");
+    EXPECT_TRUE(waitUntil([this] { return topUpAt("south-1", "outage").completed(); }));
+    EXPECT_TRUE(topUpAt("north-1", "outage").completed());
+    EXPECT_EQ(runs("outage"), 1);
+}
+
 } // namespace
 } // namespace snipestall::harness
--- /dev/null
+++ b/tests/proof/crashing_request_test.cpp
@@ -0,0 +1,100 @@
+#include "harness/ledger_files.hpp"
+#include "harness/topology_test_base.hpp"
+#include "harness/wait_until.hpp"
+#include "proof/caller.hpp"
+#include "proof/event_text.hpp"
+
+#include <algorithm>
+#include <future>
+#include <string>
+#include <vector>
+
+namespace snipestall::harness {
+namespace {
+
+constexpr auto CrashingPrompt = "CRASH-THE-SERVER";
+
+/// A request that crashes every engine that runs it, sent again and again by its caller.
+class CrashingRequestTest : public TopologyTest
+{
+protected:
+    bool everyEngineRuns()
+    {
+        const auto &servers = topology().spec().servers;
+        return std::all_of(servers.begin(), servers.end(), [this](const ServerSpec &server) {
+            const load::Ledger ledger = topology().ledgerOf(server.name);
+            const auto &attempts = ledger.attempts();
+            return std::any_of(attempts.begin(), attempts.end(), [](const auto &attempt) {
+                return attempt.second.ended == "running";
+            });
+        });
+    }
+
+    std::int64_t enginesDead()
+    {
+        const auto &servers = topology().spec().servers;
+        return std::count_if(servers.begin(), servers.end(), [this](const ServerSpec &server) {
+            return !topology().process(server.name).running();
+        });
+    }
+
+    /// Neighbours take 14 of the 16 slots and so stream on every engine while the crashing
+    /// request goes from entry to entry.
+    void sendAtEachEntry(TopologySpec spec)
+    {
+        constexpr int Neighbours = 14;
+        constexpr int Tokens = 300;
+        for (ServerSpec &server : spec.servers)
+            server.arguments = { "--token_ms=20", "--slots=4" };
+        start(std::move(spec));
+        const auto &entries = topology().spec().entries;
+        std::vector<std::future<Answer>> neighbours;
+        for (int i = 0; i < Neighbours; ++i) {
+            const auto &entry = entries[static_cast<std::size_t>(i) % entries.size()].name;
+            const auto request = completion("neighbour " + std::to_string(i), Tokens, true);
+            neighbours.push_back(callLater(topology().callers(entry), request));
+        }
+        ASSERT_TRUE(waitUntil([this] { return everyEngineRuns(); }));
+        std::string told;
+        for (const EntrySpec &entry : entries) {
+            const Answer answer =
+                call(topology().callers(entry.name), completion(CrashingPrompt, 8, false));
+            EXPECT_FALSE(answer.completed()) << answer.toString();
+            told += "\n" + entry.name + ": " + answer.toString();
+        }
+        for (int i = 0; i < Neighbours; ++i) {
+            const Answer answer = neighbours[static_cast<std::size_t>(i)].get();
+            EXPECT_EQ(eventText(answer.body), wholeText("neighbour " + std::to_string(i), Tokens));
+        }
+        EXPECT_GE(enginesDead(), 1) << told;
+        EXPECT_LE(enginesDead(), 2) << told;
+    }
+};
+
+// A caller's prompt kills each engine that runs it, and the caller sends it again at the next
+// instance each time it fails. Two of the four engines may die of it, no more, and the callers
+// whose streams ran beside it must get their answers in full.
+TEST_F(CrashingRequestTest, SentAtThreeInstancesOfOneDataCentre)
+{
+    TopologySpec spec;
+    spec.entries = { { "north-1", "north" }, { "north-2", "north" }, { "north-3", "north" } };
+    for (const auto *name : { "engine-1", "engine-2", "engine-3", "engine-4" })
+        spec.servers.push_back({ name, "north", "language", { "writer" } });
+    sendAtEachEntry(spec);
+}
+
+// The same with a second data centre, to which the caller turns last: what the first has learned
+// must be known there too.
+TEST_F(CrashingRequestTest, SentAtThreeInstancesOfTwoDataCentres)
+{
+    TopologySpec spec;
+    spec.entries = { { "north-1", "north" }, { "north-2", "north" }, { "south-1", "south" } };
+    spec.servers = { { "engine-1", "north", "language", { "writer" } },
+                     { "engine-2", "north", "language", { "writer" } },
+                     { "engine-3", "south", "language", { "writer" } },
+                     { "engine-4", "south", "language", { "writer" } } };
+    sendAtEachEntry(spec);
+}
+
+} // namespace
+} // namespace snipestall::harness
