Other data centres serve once the own one's servers are dead; entry layer read through

Both engines of north had died of the prompt; a neighbour's stream expired there beside south's idle engines, since the platform's list still named north's. Change: a service is served here if a server of it is up here or a live peer owns one.

--- a/include/snipestall/entry/backend_directory.hpp
+++ b/include/snipestall/entry/backend_directory.hpp
@@ -69,8 +69,8 @@
     /// Runs when a server has come up here, or its leaving is first heard of: peers are told at
     /// once instead of with the next heartbeat.
     void onChange(std::function<void()> callback) { m_onChange = std::move(callback); }
-    /// Whether this data centre has a backend server of the service that is not leaving.
-    [[nodiscard]] bool serves(const std::string &service) const;
+    /// Whether a backend server of the service is up that this instance owns.
+    [[nodiscard]] bool hasUp(const std::string &service) const;
     /// Runs when the platform's list names this very instance as leaving.
     void onSelfLeaving(std::function<void(std::chrono::milliseconds)> callback)
     {
--- a/include/snipestall/entry/dispatcher.hpp
+++ b/include/snipestall/entry/dispatcher.hpp
@@ -110,6 +110,7 @@
     wire::Task<bool> mayRun(Attempt &attempt);
     wire::Task<bool> claim(Attempt &attempt);
     wire::Task<void> awaitOutcome(RequestPtr request);
+    static bool beginSending(Attempt &attempt);
     wire::Task<void> readModel(Attempt &attempt);
     wire::Task<void> readPlain(Attempt &attempt);
     wire::Task<void> readTokens(Attempt &attempt, wire::HttpStream &stream);
--- a/include/snipestall/peer/forward_call.hpp
+++ b/include/snipestall/peer/forward_call.hpp
@@ -1,14 +1,11 @@
 #pragma once
 
 #include "snipestall/base/result.hpp"
+#include "snipestall/peer/messages.hpp"
 #include "snipestall/wire/task.hpp"
 
 #include <optional>
 
-namespace snipestall::peer::v1 {
-class ForwardEvent;
-}
-
 namespace snipestall::peer {
 
 /// The sender's end of a forwarded request. Destroying it before its end cancels the call.
--- a/include/snipestall/peer/forward_sink.hpp
+++ b/include/snipestall/peer/forward_sink.hpp
@@ -1,11 +1,8 @@
 #pragma once
 
+#include "snipestall/peer/messages.hpp"
 #include <functional>
 
-namespace snipestall::peer::v1 {
-class ForwardEvent;
-}
-
 namespace snipestall::peer {
 
 /// The owner's end of a forwarded request: events go back to the sender in order. Used on the
--- a/include/snipestall/peer/peer_client.hpp
+++ b/include/snipestall/peer/peer_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipestall/base/result.hpp"
+#include "snipestall/peer/messages.hpp"
 #include "snipestall/wire/task.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -9,19 +10,6 @@
 #include <memory>
 #include <string>
 
-namespace snipestall::peer::v1 {
-class FetchSettingsRequest;
-class FindRequestRequest;
-class ForwardRequest;
-class HandoverReply;
-class HandoverRequest;
-class HeartbeatReply;
-class HeartbeatRequest;
-class HoldReply;
-class HoldRequest;
-class SettingsDocument;
-} // namespace snipestall::peer::v1
-
 namespace snipestall::peer {
 
 class ForwardCall;
--- a/include/snipestall/peer/peer_handler.hpp
+++ b/include/snipestall/peer/peer_handler.hpp
@@ -1,22 +1,10 @@
 #pragma once
 
+#include "snipestall/peer/messages.hpp"
 #include "snipestall/wire/task.hpp"
 
 #include <memory>
 
-namespace snipestall::peer::v1 {
-class FetchSettingsRequest;
-class FindRequestRequest;
-class ForwardRequest;
-class HandoverReply;
-class HandoverRequest;
-class HeartbeatReply;
-class HeartbeatRequest;
-class HoldReply;
-class HoldRequest;
-class SettingsDocument;
-} // namespace snipestall::peer::v1
-
 namespace snipestall::peer {
 
 class ForwardSink;
--- a/include/snipestall/peer/peer_network.hpp
+++ b/include/snipestall/peer/peer_network.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipestall/peer/crash_report.hpp"
+#include "snipestall/peer/messages.hpp"
 #include "snipestall/peer/pool_load.hpp"
 #include "snipestall/wire/task.hpp"
 
@@ -14,11 +15,6 @@
 #include <string>
 #include <vector>
 
-namespace snipestall::peer::v1 {
-class HeartbeatReply;
-class HeartbeatRequest;
-} // namespace snipestall::peer::v1
-
 namespace snipestall::peer {
 
 class Membership;
--- a/include/snipestall/peer/record_keeper.hpp
+++ b/include/snipestall/peer/record_keeper.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipestall/peer/messages.hpp"
 #include "snipestall/wire/task.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -10,14 +11,6 @@
 #include <string>
 #include <vector>
 
-namespace snipestall::peer::v1 {
-class HandoverReply;
-class HandoverRequest;
-class HoldReply;
-class HoldRequest;
-class RequestRecord;
-} // namespace snipestall::peer::v1
-
 namespace snipestall::peer {
 
 class Membership;
--- a/include/snipestall/peer/record_source.hpp
+++ b/include/snipestall/peer/record_source.hpp
@@ -1,12 +1,9 @@
 #pragma once
 
+#include "snipestall/peer/messages.hpp"
 #include <cstdint>
 #include <string>
 
-namespace snipestall::peer::v1 {
-class RequestRecord;
-}
-
 namespace snipestall::peer {
 
 /// An accepted request as its home keeps it, seen by the keeper of copies.
--- a/include/snipestall/wire/signal.hpp
+++ b/include/snipestall/wire/signal.hpp
@@ -20,12 +20,9 @@
     explicit Signal(const boost::asio::any_io_executor &executor);
 
     Task<void> wait();
-    /// False once the time has come.
-    Task<bool> waitUntil(std::chrono::steady_clock::time_point time);
     void notifyAll();
 
 private:
-    boost::asio::any_io_executor m_executor;
     boost::asio::steady_timer m_timer;
 };
 
--- a/src/snipestall/entry/attempt_on_peer.cpp
+++ b/src/snipestall/entry/attempt_on_peer.cpp
@@ -8,6 +8,7 @@
 #include "snipestall/peer/peer_network.hpp"
 
 #include "attempt.hpp"
+#include "outcome_unknown.hpp"
 #include "peer.pb.h"
 
 #include <utility>
@@ -57,12 +58,7 @@
         co_return ended(attempt, policy::AttemptResult::NotSent);
     // See mayRun: nobody sends a non-idempotent request a second time.
     if (!request->spec().idempotent && request->maybeSent()) {
-        FinalAnswer answer;
-        answer.outcome = Outcome::Unknown;
-        answer.status = 504;
-        answer.code = "outcome-unknown";
-        answer.reason = "an earlier attempt may have run";
-        co_return finish(request, std::move(answer));
+        co_return finish(request, outcomeUnknown("an earlier attempt may have run"));
     }
     peer::v1::ForwardRequest call;
     *call.mutable_record() = request->record(true, request->nextOffset());
--- a/src/snipestall/entry/attempt_on_server.cpp
+++ b/src/snipestall/entry/attempt_on_server.cpp
@@ -7,12 +7,12 @@
 #include "snipestall/entry/request_store.hpp"
 #include "snipestall/peer/claim_keeper.hpp"
 #include "snipestall/peer/peer_network.hpp"
-#include "snipestall/settings/sha256.hpp"
 #include "snipestall/wire/event_stream_parser.hpp"
 #include "snipestall/wire/http_client.hpp"
 #include "snipestall/wire/http_stream.hpp"
 
 #include "attempt.hpp"
+#include "outcome_unknown.hpp"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -34,10 +34,6 @@
 constexpr milliseconds ProbeTimeout { 300 };
 constexpr milliseconds ExportTimeout { 3000 };
 constexpr milliseconds DefaultRetryAfter { 1000 };
-/// A platform that has not settled a claim by then is down or slow for longer; the caller had
-/// better hear so and come back than wait out its deadline.
-constexpr milliseconds ClaimPatience { 2000 };
-constexpr milliseconds OutcomePoll { 200 };
 constexpr int StatusUnavailable = 503;
 constexpr int StatusGatewayTimeout = 504;
 constexpr int FirstErrorStatus = 400;
@@ -95,16 +91,6 @@
     return call;
 }
 
-FinalAnswer unknown(std::string reason)
-{
-    FinalAnswer answer;
-    answer.outcome = Outcome::Unknown;
-    answer.status = StatusGatewayTimeout;
-    answer.code = "outcome-unknown";
-    answer.reason = std::move(reason);
-    return answer;
-}
-
 } // namespace
 
 wire::Task<void> Dispatcher::runOnServer(RequestPtr request, policy::AttemptHandle handle,
@@ -145,7 +131,7 @@
     // A non-idempotent request goes out once. Whatever made the policy try again, a byte that may
     // have left settles it: what became of it is unknown, and nobody sends it a second time.
     if (request->maybeSent()) {
-        finish(request, unknown("an earlier attempt may have run"));
+        finish(request, outcomeUnknown("an earlier attempt may have run"));
         co_return false;
     }
     if (!request->spec().idempotencyKey.empty())
@@ -153,90 +139,17 @@
     co_return true;
 }
 
-wire::Task<bool> Dispatcher::claim(Attempt &attempt)
-{
-    const RequestPtr request = attempt.request;
-    const RequestSpec &spec = request->spec();
-    // An earlier attempt got the claim and left no byte: the permission is still unused.
-    if (!request->claimedBy.empty())
-        co_return true;
-    peer::ClaimRequest claim;
-    claim.key = { spec.customer, spec.service, spec.idempotencyKey };
-    claim.request = spec.id;
-    claim.attempt = attempt.id;
-    claim.bodyHash = settings::sha256Hex(spec.body);
-    claim.deadline = std::min(spec.deadline, steady_clock::now() + ClaimPatience);
-    const peer::ClaimOutcome outcome = co_await m_links.claims->claim(claim);
-    if (outcome.verdict == peer::ClaimVerdict::Granted)
-        request->claimedBy = attempt.id;
-    if (request->finished() || request->moved || attempt.cancelled) {
-        giveBackClaim(*request);
-        co_return false;
-    }
-    if (outcome.verdict == peer::ClaimVerdict::Granted)
-        co_return true;
-    if (outcome.verdict == peer::ClaimVerdict::Unsettled) {
-        FinalAnswer answer;
-        answer.outcome = Outcome::NotRun;
-        answer.status = StatusUnavailable;
-        answer.code = "platform-unavailable";
-        answer.reason = "the platform's table does not answer: a request that must not run twice "
-                        "can't be claimed";
-        answer.retryAfter = DefaultRetryAfter;
-        finish(request, std::move(answer));
-        co_return false;
-    }
-    if (outcome.bodyHash != claim.bodyHash) {
-        FinalAnswer answer;
-        answer.outcome = Outcome::NotRun;
-        answer.status = 409;
-        answer.code = "key-reused";
-        answer.reason = "this Idempotency-Key was used with another body; choose a new key";
-        finish(request, std::move(answer));
-        co_return false;
-    }
-    // The slot is given back while the other attempt's outcome is waited for.
-    m_links.policy->post(policy::RequestCancelled { request->handle() });
-    attempt.over = true;
-    request->cancels().erase(attempt.handle.value);
-    m_onServer.erase(attempt.handle);
-    co_await awaitOutcome(request);
-    co_return false;
-}
-
-wire::Task<void> Dispatcher::awaitOutcome(RequestPtr request)
+// The last look before a byte leaves. A process that was frozen between the decision and the send
+// wakes past the deadline, when its caller has been told that nothing ran; a request handed over
+// in between is another instance's to send. From here on `not-run` is out of the question.
+bool Dispatcher::beginSending(Attempt &attempt)
 {
-    const RequestSpec &spec = request->spec();
-    while (!request->finished() && steady_clock::now() < spec.deadline) {
-        const peer::ClaimKey key { spec.customer, spec.service, spec.idempotencyKey };
-        const auto found = co_await m_links.claims->lookup(key);
-        // The holder gave the key back, or its claim never took effect: this request's turn.
-        if (found && !found->has_value())
-            co_return submit(request, true);
-        if (found && (*found)->outcome) {
-            const peer::StoredOutcome &stored = *(*found)->outcome;
-            FinalAnswer answer;
-            answer.outcome = outcomeFrom(stored.outcome);
-            answer.status = stored.status;
-            answer.contentType = stored.contentType;
-            answer.body = stored.body;
-            // What is not kept can't be given again, and an empty body would pass for the answer.
-            if (stored.bodyDropped) {
-                answer.outcome = Outcome::Unknown;
-                answer.status = StatusGatewayTimeout;
-                answer.reason = "it ran once, but its answer was too long to be kept";
-            }
-            if (answer.outcome != Outcome::Completed) {
-                answer.code = "outcome-unknown";
-                if (answer.reason.empty())
-                    answer.reason = "an earlier attempt with this key ended so";
-            }
-            finish(request, std::move(answer));
-            co_return;
-        }
-        co_await wire::sleepFor(OutcomePoll);
-    }
-    finish(request, unknown("another attempt holds this key and its outcome is not known"));
+    Request &request = *attempt.request;
+    const bool late = steady_clock::now() >= request.spec().deadline;
+    if (attempt.cancelled || request.finished() || request.suspended || late)
+        return false;
+    request.markSent();
+    return true;
 }
 
 wire::Task<void> Dispatcher::readModel(Attempt &attempt)
@@ -245,14 +158,7 @@
     wire::HttpCallOptions options;
     options.idleTimeout = std::min(TokenSilence, timeLeft(*request));
     options.freshConnection = !request->spec().idempotent;
-    options.beforeSend = [&attempt] {
-        const Request &r = *attempt.request;
-        const bool late = steady_clock::now() >= r.spec().deadline;
-        if (attempt.cancelled || r.finished() || r.suspended || late)
-            return false;
-        attempt.request->markSent();
-        return true;
-    };
+    options.beforeSend = [&attempt] { return beginSending(attempt); };
     wire::HttpRequest call = engineRequest(*request, attempt.id, attempt.kv);
     auto stream = co_await m_links.http->open(attempt.server.endpoint, std::move(call), options);
     if (!stream) {
@@ -339,14 +245,7 @@
     wire::HttpCallOptions options;
     options.idleTimeout = timeLeft(*request);
     options.freshConnection = !request->spec().idempotent;
-    options.beforeSend = [&attempt] {
-        const Request &r = *attempt.request;
-        const bool late = steady_clock::now() >= r.spec().deadline;
-        if (attempt.cancelled || r.finished() || r.suspended || late)
-            return false;
-        attempt.request->markSent();
-        return true;
-    };
+    options.beforeSend = [&attempt] { return beginSending(attempt); };
     wire::HttpRequest call = plainRequest(*request, attempt.id);
     auto response = co_await m_links.http->fetch(attempt.server.endpoint, std::move(call), options);
     if (!response) {
@@ -419,18 +318,6 @@
     ended(attempt, crashed ? policy::AttemptResult::ServerDied : policy::AttemptResult::Cut);
 }
 
-/// A claimed request whose answer was cut: its repeats are told at once that nobody knows.
-void Dispatcher::storeUnknown(const Attempt &attempt)
-{
-    const RequestSpec &spec = attempt.request->spec();
-    if (attempt.request->claimedBy.empty())
-        return;
-    const FinalAnswer answer = unknown("the answer of the backend server was cut");
-    m_links.claims->storeOutcome({ spec.customer, spec.service, spec.idempotencyKey },
-                                 attempt.request->claimedBy,
-                                 { answer.status, "", "", std::string(toString(answer.outcome)) });
-}
-
 void Dispatcher::noteCrash(const Attempt &attempt)
 {
     const RequestSpec &spec = attempt.request->spec();
--- a/src/snipestall/entry/backend_directory.cpp
+++ b/src/snipestall/entry/backend_directory.cpp
@@ -264,10 +264,10 @@
     return servers;
 }
 
-bool BackendDirectory::serves(const std::string &service) const
+bool BackendDirectory::hasUp(const std::string &service) const
 {
     return std::any_of(m_backends.begin(), m_backends.end(), [&](const auto &entry) {
-        return entry.second.listed.service == service && !entry.second.leaving;
+        return entry.second.listed.service == service && entry.second.up && !entry.second.leaving;
     });
 }
 
--- a/src/snipestall/entry/dispatcher.cpp
+++ b/src/snipestall/entry/dispatcher.cpp
@@ -7,7 +7,6 @@
 #include "snipestall/entry/crash_ledger.hpp"
 #include "snipestall/entry/policy_loop.hpp"
 #include "snipestall/entry/request_store.hpp"
-#include "snipestall/peer/claim_keeper.hpp"
 #include "snipestall/peer/record_keeper.hpp"
 
 #include "attempt.hpp"
@@ -194,15 +193,6 @@
         cancel();
 }
 
-void Dispatcher::giveBackClaim(Request &request)
-{
-    if (request.maybeSent() || request.claimedBy.empty())
-        return;
-    const RequestSpec &spec = request.spec();
-    const std::string attempt = std::exchange(request.claimedBy, {});
-    m_links.claims->giveBack({ spec.customer, spec.service, spec.idempotencyKey }, attempt);
-}
-
 void Dispatcher::suspend(const RequestPtr &request)
 {
     request->suspended = true;
@@ -226,11 +216,6 @@
     request->changed().notifyAll();
 }
 
-void Dispatcher::awaitStoredOutcome(const RequestPtr &request)
-{
-    boost::asio::co_spawn(*m_links.io, awaitOutcome(request), boost::asio::detached);
-}
-
 wire::Task<void> Dispatcher::accept(RequestPtr request)
 {
     if (!request->forwarded)
@@ -345,7 +330,8 @@
 
 void Dispatcher::execute(const policy::StartInstance &)
 {
-    // Orders belong to the steward; the node carries them out once it holds the lease.
+    // Not carried out yet, nor is the policy given the report that it would decide by: without a
+    // measure of what a busy server can serve it buys too much (docs/decisions).
 }
 
 void Dispatcher::execute(const policy::ReleaseInstance &) { }
--- a/src/snipestall/entry/final_answer.cpp
+++ b/src/snipestall/entry/final_answer.cpp
@@ -1,11 +1,15 @@
 #include "snipestall/entry/final_answer.hpp"
 
+#include "outcome_unknown.hpp"
+
 #include <array>
+#include <utility>
 
 namespace snipestall::entry {
 
 namespace {
 
+constexpr int StatusGatewayTimeout = 504;
 constexpr std::array<std::string_view, 4> Names { "completed", "not-run", "unknown", "failed" };
 
 } // namespace
@@ -24,4 +28,14 @@
     return Outcome::Unknown;
 }
 
+FinalAnswer outcomeUnknown(std::string reason)
+{
+    FinalAnswer answer;
+    answer.outcome = Outcome::Unknown;
+    answer.status = StatusGatewayTimeout;
+    answer.code = "outcome-unknown";
+    answer.reason = std::move(reason);
+    return answer;
+}
+
 } // namespace snipestall::entry
--- a/src/snipestall/entry/node.cpp
+++ b/src/snipestall/entry/node.cpp
@@ -172,12 +172,27 @@
     summary.name = name;
     summary.dataCentre = member->dataCentre;
     for (const peer::PoolLoad &load : member->pools) {
-        if (near || !backends.serves(load.service))
+        if (near || !servedHere(load.service))
             summary.pools.push_back(toPolicy(load));
     }
     policy.post(std::move(summary));
 }
 
+// By what answers, not by the platform's list: that goes on naming servers that have crashed, and
+// their callers would wait for them beside another data centre's idle ones.
+bool Node::State::servedHere(const std::string &service) const
+{
+    if (backends.hasUp(service))
+        return true;
+    const std::vector<std::string> peers = members.livePeers();
+    return std::ranges::any_of(peers, [&](const std::string &name) {
+        const std::vector<peer::PoolLoad> &pools = members.find(name)->pools;
+        return std::ranges::any_of(pools, [&](const peer::PoolLoad &pool) {
+            return pool.service == service && pool.servers > 0;
+        });
+    });
+}
+
 policy::PeerHandle Node::State::handleOf(const std::string &name)
 {
     const auto [it, added] = peerHandles.try_emplace(name);
--- a/src/snipestall/entry/node_peers.cpp
+++ b/src/snipestall/entry/node_peers.cpp
@@ -4,6 +4,7 @@
 #include "snipestall/peer/forward_sink.hpp"
 
 #include "node_state.hpp"
+#include "outcome_unknown.hpp"
 #include "peer.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -15,20 +16,6 @@
 
 namespace v1 = peer::v1;
 
-namespace {
-
-FinalAnswer outcomeUnknown(std::string reason)
-{
-    FinalAnswer answer;
-    answer.outcome = Outcome::Unknown;
-    answer.status = 504;
-    answer.code = "outcome-unknown";
-    answer.reason = std::move(reason);
-    return answer;
-}
-
-} // namespace
-
 v1::HeartbeatReply Node::State::onHeartbeat(const v1::HeartbeatRequest &request)
 {
     return network.onHeartbeat(request);
--- a/src/snipestall/entry/node_state.hpp
+++ b/src/snipestall/entry/node_state.hpp
@@ -62,6 +62,8 @@
     void adopt(const peer::v1::RequestRecord &record, bool released);
     void onMemberChange(const peer::Member &member, peer::MemberState before);
     void tellPolicyOfPeer(const std::string &name);
+    /// Whether a live instance of this data centre owns a backend server of the service.
+    [[nodiscard]] bool servedHere(const std::string &service) const;
     policy::PeerHandle handleOf(const std::string &name);
     [[nodiscard]] bool pollsSettings() const;
     /// This instance's share of the table's writes for claims.
--- a/src/snipestall/wire/signal.cpp
+++ b/src/snipestall/wire/signal.cpp
@@ -15,8 +15,7 @@
 } // namespace
 
 Signal::Signal(const asio::any_io_executor &executor)
-    : m_executor(executor)
-    , m_timer(executor, std::chrono::steady_clock::time_point::max())
+    : m_timer(executor, std::chrono::steady_clock::time_point::max())
 { }
 
 Task<void> Signal::wait()
@@ -24,19 +23,6 @@
     co_await m_timer.async_wait(UseTuple);
 }
 
-Task<bool> Signal::waitUntil(std::chrono::steady_clock::time_point time)
-{
-    // One timer serves waiters of different patience: each brings an alarm that wakes them all.
-    asio::steady_timer alarm(m_executor, time);
-    alarm.async_wait([this](const boost::system::error_code &ec) {
-        if (!ec)
-            notifyAll();
-    });
-    co_await m_timer.async_wait(UseTuple);
-    alarm.cancel();
-    co_return std::chrono::steady_clock::now() < time;
-}
-
 void Signal::notifyAll()
 {
     m_timer.cancel();
