What backs off goes home too when its owner's last server has died

Change: a pool remembers that its last server died without notice; what starts again there goes home. Before: RetryTest.ABackoffThatOutlivesTheLastServerEndsAtTheHome failed without the change. Conclusion: mended.

--- a/src/snipestall/policy/fleet.cpp
+++ b/src/snipestall/policy/fleet.cpp
@@ -131,8 +131,10 @@
         eraseServer(state, *server);
     // After a wave with notice the homes are as short of servers as this instance: given back all
     // at once, the work crowds out what arrives (tried: normal in target 68% where 80% is asked).
-    if (!announced && !hasServer(pool))
-        releaseStranded(state, pool);
+    if (announced || hasServer(pool))
+        return;
+    pool.deserted = true;
+    releaseStranded(state, pool);
 }
 
 void onPeerSummary(State &state, const PeerSummary &event)
--- a/src/snipestall/policy/pool.hpp
+++ b/src/snipestall/policy/pool.hpp
@@ -51,6 +51,8 @@
 
     RetryBudget retryBudget;
     DeathWindow deaths;
+    /// The last backend server died without notice, and none has come since.
+    bool deserted = false;
     /// Suspects without a server, and the servers kept for others.
     std::set<QueuedRequest> suspects;
     std::set<ServerHandle> isolated;
--- a/src/snipestall/policy/retry.cpp
+++ b/src/snipestall/policy/retry.cpp
@@ -77,7 +77,7 @@
 void startAgain(State &state, Request &request)
 {
     estimate(request);
-    if (request.crashes > 0 && startElsewhere(state, request))
+    if (startElsewhere(state, request))
         return;
     if (request.crashes > 0)
         isolate(state, request);
--- a/src/snipestall/policy/retry_test.cpp
+++ b/src/snipestall/policy/retry_test.cpp
@@ -146,6 +146,23 @@
     EXPECT_EQ(m_fleet.of(second).refused->reason, RefusalReason::NoCapacity);
 }
 
+// A forwarded request's attempt finds nobody at the server's address and waits out a backoff. The
+// server is given up meanwhile; when the backoff ends there is none left that it could wait for.
+TEST_F(RetryTest, ABackoffThatOutlivesTheLastServerEndsAtTheHome)
+{
+    const ServerHandle only = m_fleet.addServer(1);
+    RequestArrived arrived = m_fleet.request("ferries", Urgency::Patient);
+    arrived.forwarded = true;
+    const RequestHandle request = m_fleet.send(arrived);
+    ASSERT_EQ(m_fleet.of(request).dispatches.size(), 1U);
+    const AttemptHandle attempt = m_fleet.of(request).dispatches.front().attempt;
+    m_fleet.give(AttemptEnded { request, attempt, AttemptResult::NotSent, {} });
+    m_fleet.give(ServerGone { only });
+    m_fleet.runFor(5s);
+    ASSERT_TRUE(m_fleet.of(request).refused);
+    EXPECT_EQ(m_fleet.of(request).refused->reason, RefusalReason::NoCapacity);
+}
+
 // The same of this instance's own request: it is a suspect of the death, and no engine is left here
 // that could be emptied for it. A peer has one.
 TEST_F(RetryTest, ASuspectWithoutAServerHereIsForwarded)
--- a/src/snipestall/policy/stranded.cpp
+++ b/src/snipestall/policy/stranded.cpp
@@ -52,6 +52,9 @@
 bool startElsewhere(State &state, Request &request)
 {
     if (hasServer(*request.pool))
+        request.pool->deserted = false;
+    const bool stranded = request.pool->deserted || request.crashes > 0;
+    if (hasServer(*request.pool) || !stranded)
         return false;
     enqueue(state, request);
     if (request.forwarded)
--- a/src/snipestall/policy/stranded.hpp
+++ b/src/snipestall/policy/stranded.hpp
@@ -15,7 +15,7 @@
 void releaseStranded(State &state, Pool &pool);
 
 /// Queues what was lost with the last backend server, or gives it back to the peer it came from.
-/// False if the pool has a server.
+/// False if the pool has a server, or lost its last one by an announced reclaim.
 bool startElsewhere(State &state, Request &request);
 
 } // namespace snipestall::policy
