A new copy of a request that has just taken down a server waits until it has been tried again

Copies that arrived after the first death were each tried again alone, at their own instances. Ruled out: one instance to try for all (it would have to be agreed); refusing retries (an accepted request must go on). Change: a fresh copy whose fingerprint crashed a server within 10 s is refused as not run, with the time left; retries and forwarded work are not touched. Conclusion: two copies that begin before the first report still can cost a third server.

--- a/include/snipestall/entry/crash_ledger.hpp
+++ b/include/snipestall/entry/crash_ledger.hpp
@@ -26,6 +26,10 @@
     /// True if it was not known.
     bool note(const peer::CrashReport &report, std::chrono::steady_clock::time_point now);
     [[nodiscard]] std::set<std::string> servers(std::uint64_t fingerprint) const;
+    /// Time left in which a request that has just taken down a server is not begun anew; zero if
+    /// none.
+    [[nodiscard]] std::chrono::milliseconds
+    trialLeft(std::uint64_t fingerprint, std::chrono::steady_clock::time_point now) const;
     /// The newest reports, for heartbeats.
     [[nodiscard]] std::vector<peer::CrashReport> recent() const;
     void expire(std::chrono::steady_clock::time_point now);
--- a/include/snipestall/entry/dispatcher.hpp
+++ b/include/snipestall/entry/dispatcher.hpp
@@ -103,6 +103,9 @@
     wire::Task<void> runOnServer(RequestPtr request, policy::AttemptHandle handle, Backend server,
                                  std::string kv);
     wire::Task<void> runOnPeer(RequestPtr request, policy::ForwardTo command);
+    /// Refuses a new copy of a request that has just taken down a server, while that is tried
+    /// again.
+    bool refuseDuringTrial(const RequestPtr &request);
     /// Refuses a request that peers have seen take down two backend servers.
     bool refuseQuarantined(const RequestPtr &request);
     wire::Task<void> move(RequestPtr request, policy::MoveStream command, Backend from,
--- a/src/snipestall/entry/crash_ledger.cpp
+++ b/src/snipestall/entry/crash_ledger.cpp
@@ -13,6 +13,8 @@
 /// Bounds the heartbeat: 32 reports are some 800 bytes, and only while servers crash.
 constexpr std::size_t MaxReports = 32;
 constexpr std::chrono::seconds TogetherWithin { 5 };
+/// A second try waits for a peer's summary and for a server to be emptied; then it takes moments.
+constexpr std::chrono::seconds TrialTime { 10 };
 constexpr std::size_t ManyServers = 4;
 
 } // namespace
@@ -59,6 +61,22 @@
     return commonCause ? std::set<std::string> {} : names;
 }
 
+// Failure: a caller sends a crashing request to several instances at once. After the first death
+// each instance tries its own copy alone on a server; it shows as three and more servers lost to
+// one prompt. The copy that was there first has its second try; others wait until that is decided.
+std::chrono::milliseconds CrashLedger::trialLeft(std::uint64_t fingerprint,
+                                                 std::chrono::steady_clock::time_point now) const
+{
+    std::chrono::milliseconds left {};
+    for (const Entry &entry : m_entries) {
+        const auto rest =
+            std::chrono::duration_cast<std::chrono::milliseconds>(entry.at + TrialTime - now);
+        if (entry.report.fingerprint == fingerprint)
+            left = std::max(left, rest);
+    }
+    return left;
+}
+
 std::vector<peer::CrashReport> CrashLedger::recent() const
 {
     std::vector<peer::CrashReport> reports;
--- a/src/snipestall/entry/crash_ledger_test.cpp
+++ b/src/snipestall/entry/crash_ledger_test.cpp
@@ -20,6 +20,18 @@
     EXPECT_TRUE(ledger.servers(7).empty());
 }
 
+// Three copies of a crashing request reach three instances within a second. Were each tried again
+// after the first death, three servers would be lost where two are allowed.
+TEST(CrashLedgerTest, ACopyThatArrivesDuringTheTrialWaits)
+{
+    CrashLedger ledger;
+    EXPECT_EQ(ledger.trialLeft(7, Start), 0ms);
+    ledger.note({ 7, "a" }, Start);
+    EXPECT_GT(ledger.trialLeft(7, Start + 1s), 0ms);
+    EXPECT_EQ(ledger.trialLeft(8, Start + 1s), 0ms);
+    EXPECT_EQ(ledger.trialLeft(7, Start + 11s), 0ms);
+}
+
 // A rack fails: six servers die within a second, and a request that was moved from the first to
 // the second was on both. Refusing it for good would blame the caller for the power supply.
 TEST(CrashLedgerTest, ARequestOnTwoServersOfARackThatFailedIsNotBlamed)
--- a/src/snipestall/entry/dispatcher.cpp
+++ b/src/snipestall/entry/dispatcher.cpp
@@ -23,6 +23,7 @@
 
 /// For refusals to which the policy names no time, such as that of an expired request.
 constexpr std::chrono::milliseconds LeastRetryAfter { 1000 };
+constexpr int StatusUnavailable = 503;
 constexpr std::size_t PrefixBlock = 64;
 /// As the policy's own count: one death may be the server's fault, two are the request's.
 constexpr std::size_t ServersLostAtMost = 2;
@@ -150,11 +151,33 @@
 void Dispatcher::arrive(const RequestPtr &request, bool accepted)
 {
     m_links.store->add(request);
-    submit(request, accepted);
+    const bool fresh = !accepted && !request->forwarded;
+    if (!fresh || !refuseDuringTrial(request))
+        submit(request, accepted);
     if (!request->forwarded)
         boost::asio::co_spawn(*m_links.io, replicate(request), boost::asio::detached);
 }
 
+bool Dispatcher::refuseDuringTrial(const RequestPtr &request)
+{
+    const RequestSpec &spec = request->spec();
+    const auto left =
+        m_links.crashes->trialLeft(CrashLedger::fingerprint(spec.customer, spec.service, spec.body),
+                                   std::chrono::steady_clock::now());
+    if (left.count() <= 0)
+        return false;
+    FinalAnswer answer;
+    answer.outcome = Outcome::NotRun;
+    answer.status = StatusUnavailable;
+    answer.code = "suspected";
+    answer.reason =
+        "the same request has just taken down a backend server and is being tried again";
+    answer.retryAfter = left;
+    logRefusal(*request, answer);
+    finish(request, std::move(answer));
+    return true;
+}
+
 void Dispatcher::submit(const RequestPtr &request, bool accepted)
 {
     // A caller whose request took a server down sends it again, perhaps at another instance. Its
