A body that is too large gets its 413 instead of a reset

Ruled out: reading the whole body first (that is what the limit is for). Change: after the answer the rest is read and thrown away, at most 64 MB and 2 s.

--- a/src/snipestall/wire/http_server.cpp
+++ b/src/snipestall/wire/http_server.cpp
@@ -15,6 +15,7 @@
 
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace snipestall::wire {
 
@@ -31,6 +32,9 @@
 constexpr std::chrono::seconds ReadPatience { 60 };
 /// A caller that takes no bytes for this long is gone; it can come back at its offset.
 constexpr std::chrono::seconds WritePatience { 30 };
+constexpr std::chrono::seconds DiscardPatience { 2 };
+constexpr std::size_t DiscardChunk = 64 * 1024;
+constexpr std::size_t MaxDiscarded = 64 * 1024 * 1024;
 
 HttpRequest toRequest(http::request<http::string_body> &&message)
 {
@@ -144,6 +148,24 @@
     asio::cancellation_signal m_watch;
 };
 
+// A caller that is still sending when the connection closes gets a reset in place of the answer
+// that names its mistake. So the rest is read and thrown away, within bounds.
+Task<void> discardRest(beast::tcp_stream &stream)
+{
+    beast::error_code ignored;
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream.expires_after(DiscardPatience);
+    std::vector<char> bytes(DiscardChunk);
+    std::size_t total = 0;
+    while (total < MaxDiscarded) {
+        const auto buffer = asio::buffer(bytes);
+        auto [ec, count] = co_await stream.async_read_some(buffer, UseTuple);
+        if (ec)
+            co_return;
+        total += count;
+    }
+}
+
 HttpResponse refusal(int status, const std::string &message)
 {
     return HttpResponse::json(
@@ -216,6 +238,7 @@
     if (ec == http::error::body_limit || ec == http::error::header_limit) {
         TcpExchange exchange(stream, {}, false);
         co_await exchange.respond(refusal(413, "the body is too large; send a shorter one"));
+        co_await discardRest(stream);
         co_return false;
     }
     if (ec && ec.category() == http::make_error_code(http::error::bad_version).category()
