--- /dev/null
+++ b/apps/snipestall_gateway/main.cpp
@@ -0,0 +1,99 @@
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
+#include "snipestall/gateway/gateway.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+DEFINE_string(settings, "",
+              "settings file (YAML); if not given, the file that the environment names");
+DEFINE_string(settings_variable, "SNIPESTALL_BOOT",
+              "environment variable that holds the path of the settings file");
+DEFINE_bool(check, false, "check the settings file, say what is wrong with it, and exit");
+
+namespace {
+
+using snipestall::logEvent;
+using snipestall::gateway::Gateway;
+using snipestall::gateway::GatewaySettings;
+namespace events = snipestall::events;
+
+constexpr int ExitOk = 0;
+constexpr int ExitFailed = 1;
+constexpr int ExitBadInput = 2;
+
+std::string settingsPath()
+{
+    if (!FLAGS_settings.empty())
+        return FLAGS_settings;
+    const char *path = std::getenv(FLAGS_settings_variable.c_str());
+    return path == nullptr ? std::string() : path;
+}
+
+std::optional<GatewaySettings> readSettings()
+{
+    std::ifstream file(settingsPath());
+    std::stringstream text;
+    text << file.rdbuf();
+    auto settings = GatewaySettings::parse(text.str());
+    if (settings)
+        return std::move(*settings);
+    logEvent(events::SettingsFaulty,
+             { { "file", settingsPath() }, { "error", settings.error().message } });
+    return std::nullopt;
+}
+
+int run(GatewaySettings settings)
+{
+    boost::asio::io_context io(1);
+    auto gateway = Gateway::create(io, settings);
+    if (!gateway) {
+        logEvent(events::ListenFailed, { { "error", gateway.error().message } });
+        return ExitFailed;
+    }
+    (*gateway)->start();
+    logEvent(events::ProcessStarted, { { "instance", settings.instance },
+                                       { "callers", settings.callers.toString() } });
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+    std::function<void()> waitForSignal = [&] {
+        signals.async_wait([&](const boost::system::error_code &error, int signal) {
+            if (error)
+                return;
+            if (signal != SIGHUP)
+                (*gateway)->drain();
+            else if (const auto changed = readSettings())
+                (*gateway)->settingsChanged(*changed);
+            waitForSignal();
+        });
+    };
+    waitForSignal();
+    io.run();
+    return ExitOk;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("one gateway instance of snipestall\n"
+                            "  snipestall-gateway [--settings FILE] [--check]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    snipestall::initLog(snipestall::LogFormat::Json, snipestall::Severity::Info);
+    auto settings = readSettings();
+    if (!settings)
+        return ExitBadInput;
+    if (FLAGS_check) {
+        std::cout << settingsPath() << ": ok\n";
+        return ExitOk;
+    }
+    return run(std::move(*settings));
+}
--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,7 +1,8 @@
 add_compile_definitions(BOOST_ASIO_NO_DEPRECATED ELPP_NO_DEFAULT_LOG_FILE ELPP_THREAD_SAFE)
+# GCC 12 with -O3 reports overlapping copies inside std::string that can't happen (its bug 105651).
 # GCC 12 takes the frame allocator of asio's awaitable for a mismatched pair.
 set(SNIPESTALL_WARNINGS -Wall -Wextra -Wpedantic -Werror -Wno-error=maybe-uninitialized
-  -Wno-mismatched-new-delete)
+  -Wno-mismatched-new-delete -Wno-restrict)
 
 # snipestall_module(NAME LIBS...): one target a module, from src/snipestall/NAME/*.cpp; its
 # *_test.cpp files make the test program NAME_test.
@@ -29,6 +30,9 @@
 
 # snipestall_test(NAME LABEL LIB SOURCES...): a GoogleTest program.
 function(snipestall_test name label lib)
+  if(SNIPESTALL_GATEWAY_ONLY)
+    return()
+  endif()
   add_executable(${name} ${ARGN})
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/src)
   target_compile_definitions(${name} PRIVATE SNIPESTALL_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -7,7 +7,8 @@
 namespace snipestall::events {
 
 // Numbers are never reused. 1xx process, 2xx settings, 3xx platform, 4xx membership and peers,
-// 5xx requests, 6xx backend servers, 7xx operators, 8xx stand-ins and tools.
+// 5xx requests, 6xx backend servers, 7xx operators, 8xx stand-ins and tools,
+// 9xx the gateway.
 extern const EventInfo ProcessStarted;
 extern const EventInfo ProcessStopping;
 extern const EventInfo ProcessStopped;
@@ -49,6 +50,22 @@
 extern const EventInfo OperatorRefused;
 extern const EventInfo OperatorDrain;
 extern const EventInfo OperatorChangeUnknown;
+extern const EventInfo GatewayRequestEnded;
+extern const EventInfo GatewayAttemptEnded;
+extern const EventInfo GatewayReady;
+extern const EventInfo StoreLost;
+extern const EventInfo StoreRegained;
+extern const EventInfo StoreRowFaulty;
+extern const EventInfo ServerListed;
+extern const EventInfo ServerDelisted;
+extern const EventInfo DutyLeaseTaken;
+extern const EventInfo DutyLeaseLost;
+extern const EventInfo UsageReported;
+extern const EventInfo UsageReportFailed;
+extern const EventInfo FleetOrdered;
+extern const EventInfo FleetOrderFailed;
+extern const EventInfo GatewayPeerHeard;
+extern const EventInfo GatewayPeerSilent;
 
 /// Every event, by number.
 std::span<const EventInfo *const> all();
--- /dev/null
+++ b/include/snipestall/gateway/boot_clock.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "snipestall/base/clock.hpp"
+
+namespace snipestall::gateway {
+
+/// Clock whose steady time goes on while the instance is suspended. Leases and the ages of what
+/// peers said must count that time; std::chrono::steady_clock does not.
+class BootClock final : public Clock
+{
+public:
+    [[nodiscard]] SteadyTime steadyNow() const override;
+    [[nodiscard]] WallTime wallNow() const override;
+};
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/include/snipestall/gateway/gateway_counters.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+
+namespace snipestall::gateway {
+
+/// Totals since the process started.
+struct GatewayCounters
+{
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;
+    /// Refused as not run.
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t callersGone = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t repeats = 0;
+    std::uint64_t resumes = 0;
+};
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/include/snipestall/gateway/gateway_settings.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "snipestall/base/result.hpp"
+#include "snipestall/wire/endpoint.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace snipestall::gateway {
+
+/// Figures that the operators promise for the whole deployment.
+struct Bounds
+{
+    /// A backend server gets nothing new this long after its leaving was listed.
+    std::chrono::milliseconds drain { 2000 };
+    /// From a stop signal until the process is ended.
+    std::chrono::milliseconds grace { 8000 };
+    /// How long an instance must have been undisturbed for its promises to count.
+    std::chrono::milliseconds contact { 3000 };
+    std::chrono::milliseconds configApply { 2000 };
+    /// Repeats that a service may get: a part of its first attempts and a fixed number besides.
+    double retryRatio = 0.2;
+    std::chrono::milliseconds retryWindow { 10000 };
+    double retrySlack = 0;
+    std::chrono::milliseconds lease { 3000 };
+    std::chrono::milliseconds usageWindow { 5000 };
+    std::chrono::milliseconds usageDelay { 10000 };
+};
+
+/// Settings of one gateway process.
+struct GatewaySettings
+{
+    std::string instance;
+    std::string dataCentre;
+    std::vector<std::string> dataCentres;
+    /// True only when the whole system starts for the first time.
+    bool firstStart = false;
+    /// IP number of this instance.
+    std::string address;
+    wire::Endpoint callers;
+    wire::Endpoint readiness;
+    std::uint16_t peerPort = 0;
+    std::uint16_t metricsPort = 0;
+    wire::Endpoint store;
+    wire::Endpoint duties;
+    std::size_t fileDescriptors = 1024;
+    Bounds bounds;
+
+    /// Reads the YAML text. InvalidArgument lists every field that is missing or faulty.
+    static Result<GatewaySettings> parse(std::string_view yaml);
+};
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "snipestall/base/random.hpp"
+#include "snipestall/gateway/backend_pool.hpp"
+#include "snipestall/gateway/boot_clock.hpp"
+#include "snipestall/gateway/gateway_counters.hpp"
+#include "snipestall/gateway/gateway_settings.hpp"
+#include "snipestall/gateway/true_time.hpp"
+#include "snipestall/serving/catalogue.hpp"
+#include "snipestall/serving/peer_loads.hpp"
+#include "snipestall/serving/placement.hpp"
+#include "snipestall/serving/quota_keeper.hpp"
+#include "snipestall/serving/retry_allowance.hpp"
+#include "snipestall/serving/server_table.hpp"
+#include "snipestall/serving/usage_windows.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+
+namespace snipestall::gateway {
+
+/// What the parts of one gateway process share. All of it belongs to the I/O loop's thread.
+struct GatewayState
+{
+    GatewayState(boost::asio::io_context &loop, GatewaySettings given, std::uint64_t seed);
+
+    boost::asio::io_context &io;
+    GatewaySettings settings;
+    BootClock clock;
+    Random random;
+    /// New at each start of the process.
+    std::uint64_t incarnation;
+
+    /// Null until the first configuration is known.
+    std::shared_ptr<const serving::Catalogue> catalogue;
+    serving::ServerTable servers;
+    serving::PeerLoads peerLoads;
+    serving::Placement placement;
+    serving::QuotaKeeper quotas;
+    serving::RetryAllowance retries;
+    serving::UsageWindows usage;
+    TrueTime trueTime;
+    BackendPool backends;
+    GatewayCounters counters;
+
+    /// The list of backend servers has been read at least once.
+    bool listKnown = false;
+    std::int64_t listVersion = 0;
+    /// A graceful shutdown has begun.
+    bool draining = false;
+    std::size_t requestsInFlight = 0;
+};
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "snipestall/base/clock.hpp"
+#include "snipestall/base/result.hpp"
+#include "snipestall/wire/task.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace snipestall::exchange::v1 {
+class LoadReport;
+}
+
+namespace snipestall::platform {
+class StoreClient;
+}
+
+namespace snipestall::gateway {
+
+class ExchangeServer;
+class ExchangeChannel;
+struct GatewayState;
+
+/// Tells the other instances several times a second what this one has at each backend server and
+/// has taken from each quota, and takes in what they say.
+///
+/// Each pair of instances needs one call per interval: it carries both sides' reports, and whoever
+/// comes first makes it. Instances find each other by a table in the store, which is read rarely:
+/// a new instance calls all others itself.
+class LoadExchange
+{
+public:
+    /// `holdsLease` tells whether this instance acts on behalf of all; `holderHeard` is called
+    /// when a peer says that it does.
+    struct Hooks
+    {
+        std::function<bool()> holdsLease;
+        std::function<void()> holderHeard;
+    };
+
+    static Result<std::unique_ptr<LoadExchange>> create(GatewayState &state,
+                                                        platform::StoreClient &store, Hooks hooks);
+    ~LoadExchange();
+
+    void start();
+    /// Tells the store that this instance is gone.
+    wire::Task<void> leave();
+    /// Instances heard of lately, this one included.
+    [[nodiscard]] std::size_t instances() const;
+
+private:
+    struct Peer
+    {
+        std::string address;
+        std::uint64_t incarnation = 0;
+        SteadyTime heard;
+        SteadyTime calledAt;
+        bool silent = true;
+        bool calling = false;
+        std::shared_ptr<ExchangeChannel> channel;
+    };
+
+    LoadExchange(GatewayState &state, platform::StoreClient &store, Hooks hooks);
+    wire::Task<void> registerLoop();
+    wire::Task<void> exchangeLoop();
+    wire::Task<bool> registerSelf();
+    wire::Task<bool> readInstances();
+    void callPeers();
+    void call(const std::string &name, Peer &peer);
+    [[nodiscard]] exchange::v1::LoadReport ownReport() const;
+    void take(const exchange::v1::LoadReport &report);
+    void markSilent();
+    [[nodiscard]] std::string ownAddress() const;
+
+    GatewayState &m_state;
+    platform::StoreClient &m_store;
+    Hooks m_hooks;
+    std::unique_ptr<ExchangeServer> m_server;
+    std::map<std::string, Peer> m_peers;
+    std::int64_t m_ownRow = 0;
+};
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "platform/caller_header.hpp"
+#include "snipestall/gateway/backend_call.hpp"
+#include "snipestall/gateway/caller_link.hpp"
+#include "snipestall/serving/placement.hpp"
+#include "snipestall/wire/event_splitter.hpp"
+#include "snipestall/wire/task.hpp"
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace snipestall::serving {
+class Catalogue;
+struct Customer;
+struct Route;
+} // namespace snipestall::serving
+
+namespace snipestall::gateway {
+
+class LoadClaim;
+struct GatewayState;
+
+/// Serves one request of a caller: checks it, sends it to backend servers one after the other as
+/// far as its kind allows, and returns the answer.
+class RequestRelay
+{
+public:
+    RequestRelay(GatewayState &state, std::shared_ptr<CallerLink> caller);
+    ~RequestRelay();
+
+    /// Returns whether the caller's connection can carry another request.
+    wire::Task<bool> run();
+
+private:
+    /// How one attempt at a backend server ended.
+    enum class AttemptEnd {
+        /// The caller has its final answer, or can't get one any more.
+        Final,
+        /// The server did not run it.
+        NotRun,
+        /// It failed or its outcome is unknown.
+        Failed,
+        /// The time that the request has is over.
+        TimedOut,
+    };
+
+    /// Refuses what may not be served; true if it goes on.
+    wire::Task<bool> admit();
+    wire::Task<void> serve();
+    wire::Task<AttemptEnd> attempt(serving::Placed placed);
+    wire::Task<AttemptEnd> takeAnswer(serving::ServerState &server);
+    wire::Task<AttemptEnd> relayWhole(serving::ServerState &server);
+    wire::Task<AttemptEnd> relayStream(serving::ServerState &server);
+    wire::Task<bool> passEvents(std::vector<wire::RawEvent> events);
+    wire::Task<bool> beginAnswer();
+    wire::Task<void> finishUnserved(AttemptEnd last);
+
+    [[nodiscard]] BackendCall::Request serverRequest(const serving::ServerState &server) const;
+    [[nodiscard]] bool mayTryAgain(AttemptEnd last);
+    [[nodiscard]] bool timeIsUp() const;
+    [[nodiscard]] double quotaUnits() const;
+    [[nodiscard]] CallerLink::Answer ownAnswer(unsigned status) const;
+    [[nodiscard]] CallerLink::Answer refusal(unsigned status,
+                                             std::chrono::milliseconds retryAfter) const;
+    wire::Task<void> answer(CallerLink::Answer answer, const char *reason);
+    void firstByteCame();
+    void callerLeft();
+    /// Ends the caller's connection, so that a broken answer doesn't look complete.
+    void breakOff(const char *reason);
+    void logEnd(unsigned status, const char *reason) const;
+
+    GatewayState &m_state;
+    std::shared_ptr<CallerLink> m_caller;
+    std::shared_ptr<const serving::Catalogue> m_catalogue;
+    platform::CallerHeader m_header;
+    const serving::Route *m_route = nullptr;
+    const serving::Customer *m_customer = nullptr;
+    serving::Demand m_demand;
+    SteadyTime m_received;
+    /// When the request must have its final answer.
+    SteadyTime m_until;
+    /// When the caller stops waiting.
+    SteadyTime m_callerUntil;
+    std::shared_ptr<BackendCall> m_call;
+    /// The caller has all events up to this one.
+    std::optional<std::uint64_t> m_lastEvent;
+    /// A failure that a server answered, to be passed on if no repeat does better.
+    std::optional<CallerLink::Answer> m_failure;
+    int m_runs = 0;
+    int m_sends = 0;
+    /// Set while an attempt runs.
+    LoadClaim *m_load = nullptr;
+    bool m_maybeRan = false;
+    bool m_counted = false;
+    bool m_begun = false;
+    bool m_callerGone = false;
+    bool m_keepAlive = true;
+    bool m_finished = false;
+};
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/include/snipestall/gateway/socket_options.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace snipestall::gateway {
+
+/// Sets a connection up so that a peer which vanishes without a reset is noticed.
+///
+/// Failure: a peer loses power or is cut off, and no reset arrives. It shows as a call that hangs
+/// until its timeout. Unacknowledged bytes end the connection after the user timeout, and
+/// keep-alive probes find the loss while only an answer is awaited.
+void detectLostPeer(boost::asio::ip::tcp::socket &socket);
+
+/// Whether a kept connection is open and has nothing to read: what has arrived on an idle
+/// connection is its end or bytes that belong to no request.
+bool isIdleAndOpen(boost::asio::ip::tcp::socket &socket);
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/include/snipestall/serving/catalogue.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "snipestall/serving/customer.hpp"
+#include "snipestall/serving/route.hpp"
+#include "snipestall/serving/service.hpp"
+#include "snipestall/serving/traffic_limits.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace snipestall::serving {
+
+/// One version of what the operator wants served. Immutable once built.
+class Catalogue
+{
+public:
+    Catalogue(std::int64_t version, std::vector<Route> routes, std::vector<Service> services,
+              std::vector<Customer> customers, TrafficLimits limits);
+
+    [[nodiscard]] std::int64_t version() const { return m_version; }
+    [[nodiscard]] const TrafficLimits &limits() const { return m_limits; }
+    [[nodiscard]] const std::vector<Route> &routes() const { return m_routes; }
+    [[nodiscard]] const std::vector<Customer> &customers() const { return m_customers; }
+    [[nodiscard]] const std::map<std::string, Service> &services() const { return m_services; }
+
+    /// The route of this host with the longest prefix that begins the path; null if none.
+    [[nodiscard]] const Route *route(std::string_view host, std::string_view path) const;
+    /// Null for a key that nobody holds.
+    [[nodiscard]] const Customer *customerOfKey(std::string_view key) const;
+    [[nodiscard]] const Service *service(const std::string &name) const;
+    /// Whether requests need a key at all.
+    [[nodiscard]] bool hasCustomers() const { return !m_customers.empty(); }
+
+private:
+    std::int64_t m_version;
+    std::vector<Route> m_routes;
+    std::map<std::string, Service> m_services;
+    std::vector<Customer> m_customers;
+    TrafficLimits m_limits;
+    /// Indices into m_routes by host, then by prefix.
+    std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>> m_byHost;
+    std::unordered_map<std::string, std::size_t> m_byKey;
+};
+
+} // namespace snipestall::serving
--- /dev/null
+++ b/include/snipestall/serving/quota_keeper.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "snipestall/base/clock.hpp"
+#include "snipestall/serving/customer.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace snipestall::serving {
+
+/// Whether a request fits a customer's quota.
+struct QuotaVerdict
+{
+    bool admitted = true;
+    /// When refused: how long until as much is free again.
+    std::chrono::milliseconds retryAfter { 0 };
+};
+
+/// Units taken from each customer's quota since a process started; it only grows.
+using QuotaUse = std::unordered_map<std::string, double>;
+
+/// Quotas that all instances share, without asking anyone per request.
+///
+/// Load: a customer sends several times its quota to all instances at once. Harm: instances that
+/// each admit from the whole quota overshoot it by their number; instances that each admit a fixed
+/// part refuse a customer whose connections hash to few of them. So each instance keeps the whole
+/// bucket, drains it by its own takes and by what its peers say they took, and reckons with what
+/// each peer takes until it is heard again at the rate it last showed. The share of a peer that is
+/// known but silent is not refilled: it may be serving behind a network partition.
+class QuotaKeeper
+{
+public:
+    /// Keeps fill levels; a new customer starts with `initialFill` of its burst, 0 to 1.
+    void configure(const std::vector<Customer> &customers, double initialFill, SteadyTime now);
+
+    QuotaVerdict take(const std::string &customer, double units, SteadyTime now);
+    /// Units taken for a request that did not run.
+    void giveBack(const std::string &customer, double units);
+    [[nodiscard]] const QuotaUse &ownUse() const { return m_ownUse; }
+
+    /// A peer's totals since its process, `incarnation`, started.
+    void peerUse(const std::string &peer, std::uint64_t incarnation, const QuotaUse &use,
+                 SteadyTime now);
+
+private:
+    /// A peer silent for longer is taken as stopped: its share goes to the others.
+    static constexpr std::chrono::seconds PeerKeptFor { 12 };
+    /// A peer silent for longer than several heartbeats may be behind a partition.
+    static constexpr std::chrono::milliseconds PeerHeardWithin { 1500 };
+
+    struct Bucket
+    {
+        double rate = 0;
+        double burst = 0;
+        double level = 0;
+        SteadyTime filledAt;
+    };
+    struct PeerUse
+    {
+        std::uint64_t incarnation = 0;
+        SteadyTime heard;
+        QuotaUse totals;
+        /// Units a second, smoothed.
+        QuotaUse rates;
+    };
+
+    void refill(Bucket &bucket, SteadyTime now) const;
+    [[nodiscard]] double expectedPeerTakes(const std::string &customer, SteadyTime now) const;
+    [[nodiscard]] double refillShare(SteadyTime now) const;
+    void forgetStoppedPeers(SteadyTime now);
+
+    std::map<std::string, Bucket> m_buckets;
+    std::map<std::string, PeerUse> m_peers;
+    QuotaUse m_ownUse;
+};
+
+} // namespace snipestall::serving
--- /dev/null
+++ b/include/snipestall/serving/server_load.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+
+namespace snipestall::serving {
+
+/// Work that some instance has at one backend server.
+struct ServerLoad
+{
+    std::uint32_t inFlight = 0;
+    /// Prompt tokens of requests whose first token has not come yet.
+    double pendingTokens = 0;
+    /// Prompt tokens of all requests in flight: what they occupy of the KV cache.
+    double heldTokens = 0;
+
+    ServerLoad &operator+=(const ServerLoad &other)
+    {
+        inFlight += other.inFlight;
+        pendingTokens += other.pendingTokens;
+        heldTokens += other.heldTokens;
+        return *this;
+    }
+};
+
+} // namespace snipestall::serving
--- /dev/null
+++ b/include/snipestall/serving/server_table.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "snipestall/base/clock.hpp"
+#include "snipestall/serving/backend_server.hpp"
+#include "snipestall/serving/server_health.hpp"
+#include "snipestall/serving/server_load.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace snipestall::serving {
+
+/// A backend server with what this instance knows of it.
+struct ServerState
+{
+    BackendServer info;
+    /// Work of this instance alone.
+    ServerLoad own;
+    ServerHealth health;
+    /// Set while the server is reclaimed: when it stops, on this instance's clock.
+    std::optional<SteadyTime> leavesAt;
+    /// The entry is gone from the list; work that runs there goes on, nothing new is sent.
+    bool departed = false;
+
+    [[nodiscard]] bool takesWork() const { return !departed && !info.leaving; }
+};
+
+using ServerStatePtr = std::shared_ptr<ServerState>;
+
+/// The backend servers this instance knows of. One incarnation that has left never comes back: a
+/// list that lags could otherwise send work to a server that is shutting down.
+class ServerTable
+{
+public:
+    /// Adds or changes an entry; ignored for an id that has left.
+    void put(const BackendServer &server, SteadyTime now);
+    /// The entry left the list for good.
+    void remove(const std::string &id);
+    /// The entry left the list while the list's keeper was away: it is taken as gone at `until`
+    /// unless it is listed again before.
+    void lapse(const std::string &id, SteadyTime until);
+    /// Removes the lapsed entries whose time has come. Returns their ids.
+    std::vector<std::string> expireLapsed(SteadyTime now);
+
+    [[nodiscard]] ServerStatePtr find(const std::string &id) const;
+    /// Entries of a service in the order of their ids.
+    [[nodiscard]] std::vector<ServerStatePtr> ofService(const std::string &service) const;
+    [[nodiscard]] const std::map<std::string, ServerStatePtr> &all() const { return m_servers; }
+
+private:
+    /// Ids that have left are remembered up to this many; at the planned size several days.
+    static constexpr std::size_t MostDeparted = 20000;
+
+    std::map<std::string, ServerStatePtr> m_servers;
+    std::unordered_set<std::string> m_departed;
+    std::unordered_map<std::string, SteadyTime> m_lapsed;
+};
+
+} // namespace snipestall::serving
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -139,6 +139,55 @@
     "Send the change again with the id in the line: it takes effect once at most."
 };
 
+const EventInfo GatewayRequestEnded {
+    900, Severity::Info, "gateway-request-ended",
+    "A caller's attempt has its final answer, with the reason and what it took.",
+    "None; follow the attempt id to its 901 lines."
+};
+const EventInfo GatewayAttemptEnded {
+    901, Severity::Info, "gateway-attempt-ended",
+    "A request was sent to one backend server; how that began and ended.",
+    "None; many lost ones at one server point to that server or the path to it."
+};
+const EventInfo GatewayReady { 902, Severity::Info, "gateway-ready",
+                               "Readiness changed: whether new connections are asked for.",
+                               "None." };
+const EventInfo StoreLost { 910, Severity::Warning, "store-lost",
+                            "The platform's store does not answer; what is known stays in force.",
+                            "Check the store and the path to it if this lasts." };
+const EventInfo StoreRegained { 911, Severity::Info, "store-regained",
+                                "The platform's store answers again.", "None." };
+const EventInfo StoreRowFaulty {
+    912, Severity::Error, "store-row-faulty",
+    "A row can't be read and was passed over; the last good value stays in force.",
+    "Mend the field that the line names."
+};
+const EventInfo ServerListed { 920, Severity::Info, "server-listed",
+                               "The list of backend servers has a new or changed entry.", "None." };
+const EventInfo ServerDelisted { 921, Severity::Info, "server-delisted",
+                                 "A backend server is gone from the list and gets nothing new.",
+                                 "None." };
+const EventInfo DutyLeaseTaken { 930, Severity::Info, "duty-lease-taken",
+                                 "This instance acts on behalf of all from now on.", "None." };
+const EventInfo DutyLeaseLost { 931, Severity::Info, "duty-lease-lost",
+                                "This instance no longer acts on behalf of all.", "None." };
+const EventInfo UsageReported { 932, Severity::Info, "usage-reported",
+                                "The usage of one window was reported.", "None." };
+const EventInfo UsageReportFailed { 933, Severity::Warning, "usage-report-failed",
+                                    "A usage report was not taken; it is sent again unchanged.",
+                                    "Check the platform's API if this lasts." };
+const EventInfo FleetOrdered { 934, Severity::Info, "fleet-ordered",
+                               "A number of backend servers was ordered.", "None." };
+const EventInfo FleetOrderFailed { 935, Severity::Warning, "fleet-order-failed",
+                                   "An order for backend servers was not taken.",
+                                   "None if it says that none are available; it is tried again." };
+const EventInfo GatewayPeerHeard { 940, Severity::Info, "gateway-peer-heard",
+                                   "Another instance was heard for the first time or again.",
+                                   "None." };
+const EventInfo GatewayPeerSilent { 941, Severity::Warning, "gateway-peer-silent",
+                                    "Another instance has not been heard for a while.",
+                                    "Check the instance and the path to it if this lasts." };
+
 namespace {
 
 const std::array AllEvents {
@@ -152,6 +201,10 @@
     &ClaimLost,      &ClaimAbandoned,      &RequestQuarantined, &ServerUp,
     &ServerLeaving,  &ServerLost,          &ServerEjected,      &ServerOrdered,
     &OperatorChange, &OperatorRefused,     &OperatorDrain,      &OperatorChangeUnknown,
+    &GatewayRequestEnded, &GatewayAttemptEnded, &GatewayReady, &StoreLost, &StoreRegained,
+    &StoreRowFaulty, &ServerListed, &ServerDelisted, &DutyLeaseTaken, &DutyLeaseLost,
+    &UsageReported, &UsageReportFailed, &FleetOrdered, &FleetOrderFailed, &GatewayPeerHeard,
+    &GatewayPeerSilent,
 };
 
 } // namespace
--- /dev/null
+++ b/src/snipestall/gateway/backend_call.cpp
@@ -0,0 +1,217 @@
+#include "snipestall/gateway/backend_call.hpp"
+
+#include "platform/server_header.hpp"
+#include "snipestall/gateway/backend_pool.hpp"
+#include "snipestall/gateway/socket_options.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace snipestall::gateway {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using std::chrono::milliseconds;
+using wire::Task;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t ReadBytes = 16 * 1024;
+constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
+/// For servers that name no idle timeout of their own.
+constexpr std::chrono::seconds DefaultIdle { 20 };
+/// A connection is given up this much before the server would close it, so that a request never
+/// crosses the close.
+constexpr milliseconds IdleMargin { 700 };
+/// First status that is no interim response.
+constexpr unsigned FinalStatus = 200;
+
+/// The idle timeout that the server names, in whole seconds.
+milliseconds idleTimeoutOf(const http::fields &fields)
+{
+    const auto found = fields.find(http::field::keep_alive);
+    if (found == fields.end())
+        return DefaultIdle;
+    const std::string_view value(found->value().data(), found->value().size());
+    constexpr std::string_view Name = "timeout=";
+    const std::size_t at = value.find(Name);
+    if (at == std::string_view::npos)
+        return DefaultIdle;
+    int seconds = 0;
+    const char *from = value.data() + at + Name.size();
+    if (std::from_chars(from, value.data() + value.size(), seconds).ec != std::errc())
+        return DefaultIdle;
+    return std::max(milliseconds(std::chrono::seconds(seconds)) - IdleMargin, milliseconds(0));
+}
+
+} // namespace
+
+BackendCall::BackendCall(asio::io_context &io, BackendPool &pool, const Clock &clock,
+                         std::string server, wire::Endpoint address)
+    : m_io(io)
+    , m_pool(pool)
+    , m_clock(clock)
+    , m_server(std::move(server))
+    , m_address(std::move(address))
+    , m_lastHeard(clock.steadyNow())
+{ }
+
+BackendCall::~BackendCall() = default;
+
+void BackendCall::expireAt(SteadyTime until)
+{
+    // The stream's timers run on the monotonic clock, `until` on the clock that counts suspension.
+    m_link->stream.expires_after(until - m_clock.steadyNow());
+}
+
+Task<bool> BackendCall::connect(milliseconds timeout)
+{
+    m_link = m_pool.take(m_server, m_clock.steadyNow());
+    if (m_link != nullptr)
+        co_return !m_aborted;
+    m_link = std::make_unique<BackendLink>(m_io);
+    beast::error_code bad;
+    const asio::ip::tcp::endpoint remote(asio::ip::make_address(m_address.host, bad),
+                                         m_address.port);
+    m_link->stream.expires_after(timeout);
+    auto [error] = co_await m_link->stream.async_connect(remote, UseTuple);
+    if (error || m_aborted)
+        co_return false;
+    detectLostPeer(m_link->stream.socket());
+    co_return true;
+}
+
+Task<void> BackendCall::writeRequest()
+{
+    auto [error, bytes] = co_await http::async_write(m_link->stream, m_request, UseTuple);
+    m_written = !error;
+}
+
+void BackendCall::beginAnswer()
+{
+    m_parser.emplace();
+    m_parser->body_limit(boost::none);
+    m_parser->header_limit(MaxHeadBytes);
+    if (m_request.method() == http::verb::head)
+        m_parser->skip(true);
+}
+
+Task<boost::system::error_code> BackendCall::readHead(SteadyTime until)
+{
+    while (true) {
+        beginAnswer();
+        expireAt(until);
+        auto [error, bytes] = co_await http::async_read_header(m_link->stream, m_link->buffer,
+                                                               *m_parser, UseTuple);
+        if (error)
+            co_return error;
+        m_lastHeard = m_clock.steadyNow();
+        if (m_parser->get().result_int() < FinalStatus)
+            continue;
+        const auto answer =
+            platform::readServerAnswer(m_parser->get().result_int(), m_parser->get());
+        if (answer.attemptId == m_attemptId)
+            co_return beast::error_code();
+        // An answer without an id can't be told from somebody else's.
+        if (answer.attemptId.empty() || m_parser->get().need_eof())
+            co_return http::make_error_code(http::error::bad_field);
+        if (const auto broken = co_await dropBody(until))
+            co_return broken;
+    }
+}
+
+Task<boost::system::error_code> BackendCall::dropBody(SteadyTime until)
+{
+    while (true) {
+        const BodyRead piece = co_await readBody(until);
+        if (piece.kind == BodyRead::Kind::End)
+            co_return beast::error_code();
+        if (piece.kind != BodyRead::Kind::Bytes)
+            co_return http::make_error_code(http::error::partial_message);
+    }
+}
+
+Task<CallStart> BackendCall::start(Request request, std::string attemptId,
+                                   milliseconds connectTimeout, SteadyTime until)
+{
+    m_request = std::move(request);
+    m_attemptId = std::move(attemptId);
+    const bool connected = co_await connect(connectTimeout);
+    if (!connected)
+        co_return CallStart::Unreachable;
+    m_maybeSent = true;
+    m_lastHeard = m_clock.steadyNow();
+    expireAt(until);
+    // The server may answer before it has read a long body: the answer is awaited meanwhile.
+    asio::co_spawn(
+        m_io, [self = shared_from_this()]() -> Task<void> { co_await self->writeRequest(); },
+        asio::detached);
+    const boost::system::error_code error = co_await readHead(until);
+    if (!error && !m_aborted)
+        co_return CallStart::Answered;
+    abort();
+    co_return error == beast::error::timeout ? CallStart::TimedOut : CallStart::Lost;
+}
+
+Task<BodyRead> BackendCall::readBody(SteadyTime until)
+{
+    std::string bytes(ReadBytes, '\0');
+    while (!m_parser->is_done()) {
+        if (m_aborted)
+            co_return BodyRead { BodyRead::Kind::Broken, {} };
+        m_parser->get().body().data = bytes.data();
+        m_parser->get().body().size = bytes.size();
+        m_parser->get().body().more = true;
+        expireAt(until);
+        auto [error, transferred] = co_await http::async_read_some(
+            m_link->stream, m_link->buffer, *m_parser, UseTuple);
+        m_lastHeard = m_clock.steadyNow();
+        if (error && error != http::error::need_buffer) {
+            abort();
+            co_return BodyRead { error == beast::error::timeout ? BodyRead::Kind::TimedOut
+                                                                : BodyRead::Kind::Broken,
+                                 {} };
+        }
+        const std::size_t got = bytes.size() - m_parser->get().body().size;
+        if (got == 0)
+            continue;
+        bytes.resize(got);
+        co_return BodyRead { BodyRead::Kind::Bytes, std::move(bytes) };
+    }
+    const auto answer = platform::readServerAnswer(m_parser->get().result_int(), m_parser->get());
+    if (answer.attemptId == m_attemptId)
+        keepConnection();
+    co_return BodyRead { BodyRead::Kind::End, {} };
+}
+
+void BackendCall::keepConnection()
+{
+    const auto &message = m_parser->get();
+    const bool whole = m_written && m_link->buffer.size() == 0;
+    if (m_aborted || !whole || !message.keep_alive() || message.need_eof()) {
+        abort();
+        return;
+    }
+    m_link->idleUntil = m_clock.steadyNow() + idleTimeoutOf(message);
+    m_pool.giveBack(m_server, std::move(m_link));
+}
+
+void BackendCall::abort()
+{
+    m_aborted = true;
+    if (m_link != nullptr)
+        m_link->stream.close();
+}
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/src/snipestall/gateway/caller_link.cpp
@@ -0,0 +1,193 @@
+#include "snipestall/gateway/caller_link.hpp"
+
+#include "snipestall/gateway/socket_options.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+#include <optional>
+#include <utility>
+
+namespace snipestall::gateway {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using wire::Task;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+using RequestParser = http::request_parser<http::string_body>;
+
+/// Longest that a caller may take to accept one piece of an answer.
+constexpr std::chrono::seconds WriteTimeout { 10 };
+constexpr std::size_t FirstReadBytes = 4096;
+
+RequestRead meaningOf(const beast::error_code &error)
+{
+    if (error == http::error::header_limit)
+        return RequestRead::HeaderTooLarge;
+    if (error == http::error::body_limit)
+        return RequestRead::BodyTooLarge;
+    if (error == beast::error::timeout)
+        return RequestRead::HeaderTimeout;
+    const auto &parserErrors = http::make_error_code(http::error::end_of_stream).category();
+    const bool ended = error == http::error::end_of_stream
+        || error == http::error::partial_message || error.category() != parserErrors;
+    return ended ? RequestRead::Closed : RequestRead::Malformed;
+}
+
+/// Whether the framing can be read in one way only. A request that this side and a backend server
+/// delimit differently could carry a second one inside its body.
+bool framingIsPlain(const RequestParser &parser)
+{
+    const auto &fields = parser.get();
+    if (fields.count(http::field::content_length) > 1 || fields.count(http::field::host) != 1
+        || fields.count(http::field::transfer_encoding) > 1)
+        return false;
+    const auto encoding = fields.find(http::field::transfer_encoding);
+    if (encoding == fields.end())
+        return true;
+    return beast::iequals(encoding->value(), "chunked")
+        && fields.find(http::field::content_length) == fields.end();
+}
+
+} // namespace
+
+CallerLink::CallerLink(tcp::socket socket)
+    : m_stream(std::move(socket))
+{
+    detectLostPeer(m_stream.socket());
+}
+
+Task<RequestRead> CallerLink::readRequest(serving::TrafficLimits limits)
+{
+    if (m_buffer.size() == 0) {
+        m_idle = true;
+        m_stream.expires_after(limits.idleTimeout);
+        auto [error, bytes] =
+            co_await m_stream.async_read_some(m_buffer.prepare(FirstReadBytes), UseTuple);
+        m_idle = false;
+        if (error)
+            co_return RequestRead::Closed;
+        m_buffer.commit(bytes);
+    }
+    RequestParser parser;
+    parser.header_limit(limits.maxHeaderBytes);
+    parser.body_limit(limits.maxBodyBytes);
+    m_stream.expires_after(limits.headerTimeout);
+    auto [headError, headBytes] =
+        co_await http::async_read_header(m_stream, m_buffer, parser, UseTuple);
+    if (headError)
+        co_return meaningOf(headError);
+    if (!framingIsPlain(parser))
+        co_return RequestRead::Malformed;
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+        auto [error, bytes] = co_await asio::async_write(
+            m_stream, asio::buffer(Continue.data(), Continue.size()), UseTuple);
+        if (error)
+            co_return RequestRead::Closed;
+    }
+    // A body is bounded in silence, not in total: a slow caller may send a large one.
+    while (!parser.is_done()) {
+        m_stream.expires_after(limits.idleTimeout);
+        auto [error, bytes] = co_await http::async_read_some(m_stream, m_buffer, parser, UseTuple);
+        if (error)
+            co_return meaningOf(error);
+    }
+    m_request = parser.release();
+    co_return RequestRead::Ok;
+}
+
+void CallerLink::watchLeaving(std::function<void()> left)
+{
+    m_left = std::move(left);
+    if (!m_watchArmed && m_buffer.size() == 0)
+        armWatch();
+}
+
+void CallerLink::armWatch()
+{
+    m_watchArmed = true;
+    m_stream.socket().async_wait(
+        tcp::socket::wait_read, [self = shared_from_this()](const beast::error_code &error) {
+            self->m_watchArmed = false;
+            if (!error)
+                self->onReadable();
+        });
+}
+
+void CallerLink::onReadable()
+{
+    if (m_left == nullptr || m_closed)
+        return;
+    beast::error_code error;
+    m_stream.socket().non_blocking(true, error);
+    std::array<char, 1> byte {};
+    const std::size_t got =
+        m_stream.socket().receive(asio::buffer(byte), tcp::socket::message_peek, error);
+    if (error == asio::error::would_block) {
+        armWatch();
+        return;
+    }
+    // The caller's next request is there already; it is read after this one.
+    if (!error && got > 0)
+        return;
+    std::exchange(m_left, nullptr)();
+}
+
+Task<bool> CallerLink::write(Answer answer)
+{
+    m_stream.expires_after(WriteTimeout);
+    auto [error, bytes] = co_await http::async_write(m_stream, answer, UseTuple);
+    co_return !error;
+}
+
+Task<bool> CallerLink::beginStream(http::response_header<> head)
+{
+    http::response<http::empty_body> message(std::move(head));
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    m_stream.expires_after(WriteTimeout);
+    auto [error, bytes] = co_await http::async_write_header(m_stream, serializer, UseTuple);
+    co_return !error;
+}
+
+Task<bool> CallerLink::writePiece(std::string piece)
+{
+    if (piece.empty())
+        co_return !m_closed;
+    m_stream.expires_after(WriteTimeout);
+    const auto chunk = http::make_chunk(asio::buffer(piece));
+    auto [error, bytes] = co_await asio::async_write(m_stream, chunk, UseTuple);
+    co_return !error;
+}
+
+Task<bool> CallerLink::endStream()
+{
+    m_stream.expires_after(WriteTimeout);
+    const auto last = http::make_chunk_last();
+    auto [error, bytes] = co_await asio::async_write(m_stream, last, UseTuple);
+    co_return !error;
+}
+
+void CallerLink::close()
+{
+    m_closed = true;
+    m_left = nullptr;
+    m_stream.close();
+}
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -0,0 +1,157 @@
+#include "snipestall/gateway/caller_listener.hpp"
+
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
+#include "snipestall/gateway/caller_link.hpp"
+#include "snipestall/gateway/gateway_state.hpp"
+#include "snipestall/gateway/request_relay.hpp"
+#include "snipestall/wire/signal.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <array>
+#include <exception>
+#include <utility>
+#include <vector>
+
+namespace snipestall::gateway {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using wire::Task;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+/// Descriptors kept free for files, peers, the store and backend servers.
+constexpr std::size_t ReservedDescriptors = 700;
+/// Pause of the accept loop when descriptors run out.
+constexpr std::chrono::milliseconds AcceptPause { 20 };
+
+struct ReadFault
+{
+    RequestRead read;
+    unsigned status;
+};
+
+constexpr std::array<ReadFault, 4> ReadFaults { {
+    { RequestRead::Malformed, 400 },
+    { RequestRead::HeaderTooLarge, 431 },
+    { RequestRead::BodyTooLarge, 413 },
+    { RequestRead::HeaderTimeout, 408 },
+} };
+
+CallerLink::Answer faultAnswer(RequestRead read)
+{
+    CallerLink::Answer answer;
+    answer.version(11);
+    for (const ReadFault &fault : ReadFaults) {
+        if (fault.read == read)
+            answer.result(fault.status);
+    }
+    answer.keep_alive(false);
+    answer.prepare_payload();
+    return answer;
+}
+
+} // namespace
+
+CallerListener::CallerListener(GatewayState &state, tcp::acceptor acceptor)
+    : m_state(state)
+    , m_acceptor(std::move(acceptor))
+{ }
+
+Result<std::unique_ptr<CallerListener>> CallerListener::create(GatewayState &state,
+                                                               const wire::Endpoint &address)
+{
+    boost::system::error_code error;
+    const tcp::endpoint local(asio::ip::make_address(address.host, error), address.port);
+    tcp::acceptor acceptor(state.io);
+    if (!error)
+        acceptor.open(local.protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(local, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return fail(ErrorKind::Unavailable, "can't listen on " + address.toString() + ": "
+                                                + error.message() + "; free the address");
+    return std::unique_ptr<CallerListener>(new CallerListener(state, std::move(acceptor)));
+}
+
+void CallerListener::start()
+{
+    asio::co_spawn(m_state.io, accept(), asio::detached);
+}
+
+Task<void> CallerListener::accept()
+{
+    const std::size_t most = m_state.settings.fileDescriptors > 2 * ReservedDescriptors
+        ? m_state.settings.fileDescriptors - ReservedDescriptors
+        : m_state.settings.fileDescriptors / 2;
+    while (true) {
+        if (m_links.size() >= most) {
+            // Without a descriptor left nothing could be sent to a backend server either.
+            closeIdle();
+            co_await wire::sleepFor(AcceptPause);
+        }
+        auto [error, socket] = co_await m_acceptor.async_accept(UseTuple);
+        if (error) {
+            co_await wire::sleepFor(AcceptPause);
+            continue;
+        }
+        auto link = std::make_shared<CallerLink>(std::move(socket));
+        m_links.insert(link);
+        asio::co_spawn(m_state.io, serve(std::move(link)), asio::detached);
+    }
+}
+
+Task<void> CallerListener::serve(std::shared_ptr<CallerLink> link)
+{
+    try {
+        co_await serveRequests(*link, link);
+    } catch (const std::exception &error) {
+        logEvent(events::UnexpectedException, { { "error", error.what() } });
+    }
+    link->close();
+    m_links.erase(link);
+}
+
+Task<void> CallerListener::serveRequests(CallerLink &link, std::shared_ptr<CallerLink> shared)
+{
+    while (true) {
+        const serving::TrafficLimits limits =
+            m_state.catalogue ? m_state.catalogue->limits() : serving::TrafficLimits {};
+        const RequestRead read = co_await link.readRequest(limits);
+        if (read == RequestRead::Closed)
+            co_return;
+        if (read != RequestRead::Ok) {
+            CallerLink::Answer answer = faultAnswer(read);
+            logEvent(events::GatewayRequestEnded,
+                     { { "attempt", "" },
+                       { "status", std::to_string(answer.result_int()) },
+                       { "reason", "unreadable" } });
+            co_await link.write(std::move(answer));
+            co_return;
+        }
+        RequestRelay relay(m_state, shared);
+        if (!co_await relay.run())
+            co_return;
+    }
+}
+
+void CallerListener::closeIdle()
+{
+    for (const auto &link : m_links) {
+        if (link->idle())
+            link->close();
+    }
+}
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/src/snipestall/gateway/exchange_transport.cpp
@@ -0,0 +1,144 @@
+#include "snipestall/gateway/exchange_transport.hpp"
+
+#include "exchange.grpc.pb.h"
+
+#include <boost/asio/post.hpp>
+#include <grpcpp/grpcpp.h>
+
+#include <utility>
+
+namespace snipestall::gateway {
+
+namespace asio = boost::asio;
+namespace v1 = exchange::v1;
+
+namespace {
+
+/// A peer that came back is reached within two intervals, not after gRPC's default of minutes.
+constexpr int ReconnectBackoffMs = 400;
+/// A connection that has gone silent is replaced after these two together.
+constexpr int KeepAliveIntervalMs = 1000;
+constexpr int KeepAliveTimeoutMs = 700;
+
+class Service final : public v1::LoadExchange::CallbackService
+{
+public:
+    Service(asio::io_context &io, ExchangeServer::Handler handler)
+        : m_io(io)
+        , m_handler(std::move(handler))
+    { }
+
+    grpc::ServerUnaryReactor *Exchange(grpc::CallbackServerContext *context,
+                                       const v1::LoadReport *request,
+                                       v1::LoadReport *reply) override
+    {
+        grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+        // Request and reply live until the call is finished, which happens in the loop.
+        asio::post(m_io, [this, request, reply, reactor] {
+            *reply = m_handler(*request);
+            reactor->Finish(grpc::Status::OK);
+        });
+        return reactor;
+    }
+
+private:
+    asio::io_context &m_io;
+    ExchangeServer::Handler m_handler;
+};
+
+grpc::ChannelArguments channelArguments()
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, ReconnectBackoffMs);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, ReconnectBackoffMs);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, ReconnectBackoffMs);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, KeepAliveIntervalMs);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepAliveTimeoutMs);
+    arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    return arguments;
+}
+
+struct Call
+{
+    grpc::ClientContext context;
+    v1::LoadReport request;
+    v1::LoadReport reply;
+};
+
+} // namespace
+
+struct ExchangeServer::State
+{
+    State(asio::io_context &io, Handler handler)
+        : service(io, std::move(handler))
+    { }
+
+    Service service;
+    std::unique_ptr<grpc::Server> server;
+};
+
+ExchangeServer::ExchangeServer(std::unique_ptr<State> state)
+    : m_state(std::move(state))
+{ }
+
+ExchangeServer::~ExchangeServer()
+{
+    m_state->server->Shutdown(std::chrono::system_clock::now());
+}
+
+Result<std::unique_ptr<ExchangeServer>>
+ExchangeServer::create(asio::io_context &io, const std::string &address, Handler handler)
+{
+    auto state = std::make_unique<State>(io, std::move(handler));
+    grpc::ServerBuilder builder;
+    int port = 0;
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    // Peers probe idle connections often; gRPC would otherwise end them as abusive.
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
+                               KeepAliveIntervalMs / 2);
+    builder.RegisterService(&state->service);
+    state->server = builder.BuildAndStart();
+    if (!state->server || port == 0)
+        return fail(ErrorKind::Unavailable,
+                    "can't listen for peers on " + address + "; free the port");
+    return std::unique_ptr<ExchangeServer>(new ExchangeServer(std::move(state)));
+}
+
+struct ExchangeChannel::State
+{
+    State(asio::io_context &loop, const std::string &address)
+        : io(loop)
+        , channel(grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(),
+                                            channelArguments()))
+        , stub(v1::LoadExchange::NewStub(channel))
+    { }
+
+    asio::io_context &io;
+    std::shared_ptr<grpc::Channel> channel;
+    std::unique_ptr<v1::LoadExchange::Stub> stub;
+};
+
+ExchangeChannel::ExchangeChannel(asio::io_context &io, const std::string &address)
+    : m_state(std::make_shared<State>(io, address))
+{ }
+
+ExchangeChannel::~ExchangeChannel() = default;
+
+void ExchangeChannel::send(const v1::LoadReport &report, std::chrono::milliseconds timeout,
+                           std::function<void(const v1::LoadReport *)> done)
+{
+    auto call = std::make_shared<Call>();
+    call->request = report;
+    call->context.set_deadline(std::chrono::system_clock::now() + timeout);
+    m_state->stub->async()->Exchange(
+        &call->context, &call->request, &call->reply,
+        [state = m_state, call, done = std::move(done)](const grpc::Status &status) {
+            asio::post(state->io, [call, done, ok = status.ok()] {
+                done(ok ? &call->reply : nullptr);
+            });
+        });
+}
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/src/snipestall/gateway/gateway.cpp
@@ -0,0 +1,164 @@
+#include "snipestall/gateway/gateway.hpp"
+
+#include "platform/store_client.hpp"
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
+#include "snipestall/gateway/caller_listener.hpp"
+#include "snipestall/gateway/duty_runner.hpp"
+#include "snipestall/gateway/gateway_state.hpp"
+#include "snipestall/gateway/load_exchange.hpp"
+#include "snipestall/gateway/store_follower.hpp"
+#include "snipestall/wire/http_exchange.hpp"
+#include "snipestall/wire/http_server.hpp"
+#include "snipestall/wire/signal.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <random>
+#include <utility>
+
+namespace snipestall::gateway {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using wire::Task;
+
+namespace {
+
+constexpr milliseconds HousekeepingEvery { 250 };
+/// Kept connections that carry nothing are closed this long before the process would be killed:
+/// callers had most of the grace to hear "close" with an answer.
+constexpr milliseconds CloseIdleBeforeEnd { 2500 };
+/// Time left for the last writes to the store and the end of the process.
+constexpr milliseconds EndMargin { 700 };
+constexpr milliseconds DrainTick { 50 };
+/// New connections may come until the readiness has been asked for a few times, once a second.
+constexpr milliseconds LeastDrain { 2600 };
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+} // namespace
+
+struct Gateway::Parts
+{
+    Parts(asio::io_context &io, GatewaySettings settings)
+        : state(io, std::move(settings), randomSeed())
+        , store(io, state.settings.store)
+        , follower(state, store)
+        , duties(state, store)
+    { }
+
+    [[nodiscard]] bool ready() const
+    {
+        return !state.draining && state.catalogue && state.listKnown;
+    }
+
+    Task<void> housekeeping();
+    Task<void> drain();
+
+    GatewayState state;
+    platform::StoreClient store;
+    StoreFollower follower;
+    DutyRunner duties;
+    std::unique_ptr<LoadExchange> exchange;
+    std::unique_ptr<CallerListener> callers;
+    std::unique_ptr<wire::HttpServer> readiness;
+};
+
+Gateway::Gateway(std::unique_ptr<Parts> parts)
+    : m_parts(std::move(parts))
+{ }
+
+Gateway::~Gateway() = default;
+
+Result<std::unique_ptr<Gateway>> Gateway::create(asio::io_context &io, GatewaySettings settings)
+{
+    auto parts = std::make_unique<Parts>(io, std::move(settings));
+    Parts *raw = parts.get();
+    LoadExchange::Hooks hooks { [raw] { return raw->duties.holdsLease(); },
+                                [raw] { raw->duties.holderHeard(); } };
+    auto exchange = LoadExchange::create(raw->state, raw->store, std::move(hooks));
+    if (!exchange)
+        return tl::unexpected<Error>(exchange.error());
+    raw->exchange = std::move(*exchange);
+    auto callers = CallerListener::create(raw->state, raw->state.settings.callers);
+    if (!callers)
+        return tl::unexpected<Error>(callers.error());
+    raw->callers = std::move(*callers);
+    auto readiness = wire::HttpServer::create(
+        io, raw->state.settings.readiness, [raw](wire::HttpExchange &exchange) -> Task<void> {
+            wire::HttpResponse response;
+            response.status = raw->ready() ? 200 : 503;
+            co_await exchange.respond(std::move(response));
+        });
+    if (!readiness)
+        return tl::unexpected<Error>(readiness.error());
+    raw->readiness = std::move(*readiness);
+    return std::unique_ptr<Gateway>(new Gateway(std::move(parts)));
+}
+
+void Gateway::start()
+{
+    m_parts->follower.start([] {});
+    m_parts->exchange->start();
+    m_parts->duties.start();
+    m_parts->callers->start();
+    asio::co_spawn(m_parts->state.io, m_parts->housekeeping(), asio::detached);
+}
+
+Task<void> Gateway::Parts::housekeeping()
+{
+    bool wasReady = false;
+    while (true) {
+        follower.expireLapsed();
+        state.backends.prune(state.clock.steadyNow());
+        if (ready() != wasReady) {
+            wasReady = !wasReady;
+            logEvent(events::GatewayReady, { { "ready", wasReady ? "yes" : "no" } });
+        }
+        co_await wire::sleepFor(HousekeepingEvery);
+    }
+}
+
+void Gateway::drain()
+{
+    if (std::exchange(m_parts->state.draining, true))
+        return;
+    logEvent(events::ProcessStopping,
+             { { "requests", std::to_string(m_parts->state.requestsInFlight) } });
+    asio::co_spawn(m_parts->state.io, m_parts->drain(), asio::detached);
+}
+
+Task<void> Gateway::Parts::drain()
+{
+    const SteadyTime begun = state.clock.steadyNow();
+    const SteadyTime end = begun + state.settings.bounds.grace - EndMargin;
+    co_await exchange->leave();
+    co_await duties.leave();
+    while (state.clock.steadyNow() < end) {
+        const SteadyTime now = state.clock.steadyNow();
+        if (now >= end + EndMargin - CloseIdleBeforeEnd)
+            callers->closeIdle();
+        if (now - begun >= LeastDrain && callers->connections() == 0)
+            break;
+        co_await wire::sleepFor(DrainTick);
+    }
+    // What was counted since, for requests that began meanwhile.
+    co_await duties.leave();
+    logEvent(events::ProcessStopped,
+             { { "requests", std::to_string(state.requestsInFlight) } });
+    state.io.stop();
+}
+
+void Gateway::settingsChanged(const GatewaySettings &settings)
+{
+    m_parts->state.settings.bounds = settings.bounds;
+    logEvent(events::SettingsApplied, { { "file", "local" } });
+}
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/src/snipestall/gateway/gateway_settings.cpp
@@ -0,0 +1,141 @@
+#include "snipestall/gateway/gateway_settings.hpp"
+
+#include <yaml-cpp/yaml.h>
+
+namespace snipestall::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Reads fields and gathers faults instead of stopping at the first.
+class Reader
+{
+public:
+    template<typename Value>
+    Value required(const YAML::Node &parent, const std::string &name)
+    {
+        const YAML::Node node = parent.IsMap() ? parent[name] : YAML::Node();
+        if (!node.IsDefined() || node.IsNull()) {
+            fault(name + " is missing");
+            return {};
+        }
+        return read<Value>(node, name, {});
+    }
+
+    template<typename Value>
+    Value optional(const YAML::Node &parent, const std::string &name, Value otherwise)
+    {
+        const YAML::Node node = parent.IsMap() ? parent[name] : YAML::Node();
+        if (!node.IsDefined() || node.IsNull())
+            return otherwise;
+        return read<Value>(node, name, otherwise);
+    }
+
+    wire::Endpoint endpoint(const YAML::Node &parent, const std::string &name)
+    {
+        const auto text = required<std::string>(parent, name);
+        const auto parsed = wire::Endpoint::parse(text);
+        if (!parsed)
+            fault(name + " '" + text + "' is no address such as 10.0.0.1:8080");
+        return parsed.value_or(wire::Endpoint {});
+    }
+
+    milliseconds millis(const YAML::Node &parent, const std::string &name, milliseconds otherwise)
+    {
+        const auto value = optional(parent, name, static_cast<double>(otherwise.count()));
+        return milliseconds(static_cast<std::int64_t>(value));
+    }
+
+    milliseconds seconds(const YAML::Node &parent, const std::string &name, milliseconds otherwise)
+    {
+        constexpr double MillisPerSecond = 1000;
+        const auto value =
+            optional(parent, name, static_cast<double>(otherwise.count()) / MillisPerSecond);
+        return milliseconds(static_cast<std::int64_t>(value * MillisPerSecond));
+    }
+
+    [[nodiscard]] const std::string &faults() const { return m_faults; }
+
+private:
+    template<typename Value>
+    Value read(const YAML::Node &node, const std::string &name, Value otherwise)
+    {
+        try {
+            return node.as<Value>();
+        } catch (const YAML::Exception &) {
+            fault(name + " has the wrong type");
+            return otherwise;
+        }
+    }
+
+    void fault(const std::string &text)
+    {
+        if (!m_faults.empty())
+            m_faults += "; ";
+        m_faults += text;
+    }
+
+    std::string m_faults;
+};
+
+Bounds readBounds(Reader &reader, const YAML::Node &node)
+{
+    Bounds bounds;
+    bounds.drain = reader.millis(node, "drain_ms", bounds.drain);
+    bounds.grace = reader.seconds(node, "grace_s", bounds.grace);
+    bounds.contact = reader.millis(node, "contact_ms", bounds.contact);
+    bounds.configApply = reader.millis(node, "config_apply_ms", bounds.configApply);
+    bounds.retryRatio = reader.optional(node, "retry_ratio", bounds.retryRatio);
+    bounds.retryWindow = reader.seconds(node, "retry_window_s", bounds.retryWindow);
+    bounds.retrySlack = reader.optional(node, "retry_slack", bounds.retrySlack);
+    bounds.lease = reader.millis(node, "lease_ms", bounds.lease);
+    bounds.usageWindow = reader.seconds(node, "usage_window_s", bounds.usageWindow);
+    bounds.usageDelay = reader.seconds(node, "usage_delay_s", bounds.usageDelay);
+    return bounds;
+}
+
+Result<YAML::Node> load(std::string_view yaml)
+{
+    try {
+        YAML::Node root = YAML::Load(std::string(yaml));
+        if (!root.IsMap())
+            return fail(ErrorKind::InvalidArgument, "the settings are no map; see docs/gateway.md");
+        return root;
+    } catch (const YAML::Exception &error) {
+        return fail(ErrorKind::InvalidArgument,
+                    std::string("the settings are no YAML: ") + error.what());
+    }
+}
+
+} // namespace
+
+Result<GatewaySettings> GatewaySettings::parse(std::string_view yaml)
+{
+    const auto root = load(yaml);
+    if (!root)
+        return tl::unexpected<Error>(root.error());
+    Reader reader;
+    GatewaySettings settings;
+    settings.instance = reader.required<std::string>(*root, "instance");
+    settings.dataCentre = reader.required<std::string>(*root, "data_centre");
+    settings.dataCentres = reader.required<std::vector<std::string>>(*root, "data_centres");
+    settings.firstStart = reader.optional(*root, "first_start", false);
+    settings.address = reader.required<std::string>(*root, "address");
+    settings.callers = reader.endpoint(*root, "callers");
+    settings.readiness = reader.endpoint(*root, "readiness");
+    settings.peerPort = reader.required<std::uint16_t>(*root, "peer_port");
+    settings.metricsPort = reader.required<std::uint16_t>(*root, "metrics_port");
+    settings.store = reader.endpoint(*root, "store");
+    settings.duties = reader.endpoint(*root, "duties");
+    const YAML::Node limits = (*root)["limits"];
+    settings.fileDescriptors =
+        reader.optional(limits, "file_descriptors", settings.fileDescriptors);
+    settings.bounds = readBounds(reader, (*root)["bounds"]);
+    if (!reader.faults().empty())
+        return fail(ErrorKind::InvalidArgument,
+                    "faulty settings: " + reader.faults() + "; see docs/gateway.md");
+    return settings;
+}
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/src/snipestall/gateway/gateway_state.cpp
@@ -0,0 +1,19 @@
+#include "snipestall/gateway/gateway_state.hpp"
+
+#include <utility>
+
+namespace snipestall::gateway {
+
+GatewayState::GatewayState(boost::asio::io_context &loop, GatewaySettings given,
+                           std::uint64_t seed)
+    : io(loop)
+    , settings(std::move(given))
+    , random(seed)
+    , incarnation(seed)
+    , placement(servers, peerLoads, seed)
+    , retries({ settings.bounds.retryWindow, settings.bounds.retryRatio,
+                settings.bounds.retrySlack })
+    , usage(settings.bounds.usageWindow)
+{ }
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -0,0 +1,241 @@
+#include "snipestall/gateway/load_exchange.hpp"
+
+#include "platform/store_client.hpp"
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
+#include "snipestall/gateway/exchange_transport.hpp"
+#include "snipestall/gateway/gateway_state.hpp"
+#include "snipestall/wire/signal.hpp"
+
+#include "exchange.pb.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace snipestall::gateway {
+
+using std::chrono::milliseconds;
+using wire::Task;
+namespace v1 = exchange::v1;
+
+namespace {
+
+constexpr auto InstancesTable = "instances";
+/// About the time in which a server reads a long prompt: fresher figures change no choice.
+constexpr milliseconds Interval { 200 };
+/// With many peers each is called less often, so that an instance's calls stay below this rate.
+constexpr double MostCallsPerSecond = 60;
+constexpr milliseconds CallTimeout { 600 };
+/// Peers that are silent for longer are logged and called rarely.
+constexpr milliseconds SilentAfter { 1500 };
+constexpr milliseconds SilentInterval { 1000 };
+/// The table is read rarely; a new instance calls all others itself.
+constexpr milliseconds ReadEvery { 15000 };
+constexpr milliseconds StoreTimeout { 1500 };
+constexpr milliseconds RetryPause { 300 };
+/// A peer silent for this long is forgotten unless the table still lists it.
+constexpr milliseconds ForgetAfter { 12000 };
+
+} // namespace
+
+LoadExchange::LoadExchange(GatewayState &state, platform::StoreClient &store, Hooks hooks)
+    : m_state(state)
+    , m_store(store)
+    , m_hooks(std::move(hooks))
+{ }
+
+LoadExchange::~LoadExchange() = default;
+
+Result<std::unique_ptr<LoadExchange>>
+LoadExchange::create(GatewayState &state, platform::StoreClient &store, Hooks hooks)
+{
+    std::unique_ptr<LoadExchange> exchange(new LoadExchange(state, store, std::move(hooks)));
+    auto server = ExchangeServer::create(
+        state.io, exchange->ownAddress(), [raw = exchange.get()](const v1::LoadReport &report) {
+            raw->take(report);
+            return raw->ownReport();
+        });
+    if (!server)
+        return tl::unexpected<Error>(server.error());
+    exchange->m_server = std::move(*server);
+    return exchange;
+}
+
+std::string LoadExchange::ownAddress() const
+{
+    return m_state.settings.address + ":" + std::to_string(m_state.settings.peerPort);
+}
+
+void LoadExchange::start()
+{
+    boost::asio::co_spawn(m_state.io, registerLoop(), boost::asio::detached);
+    boost::asio::co_spawn(m_state.io, exchangeLoop(), boost::asio::detached);
+}
+
+std::size_t LoadExchange::instances() const
+{
+    const SteadyTime now = m_state.clock.steadyNow();
+    const auto recent =
+        std::count_if(m_peers.begin(), m_peers.end(), [now](const auto &entry) {
+            return now - entry.second.heard < ForgetAfter;
+        });
+    return static_cast<std::size_t>(recent) + 1;
+}
+
+Task<bool> LoadExchange::registerSelf()
+{
+    const platform::RowName name { InstancesTable, std::string(), m_state.settings.instance };
+    std::vector<platform::RowWrite> writes { { name, ownAddress() } };
+    const auto written = co_await m_store.write({}, std::move(writes), StoreTimeout);
+    co_return written.has_value();
+}
+
+Task<bool> LoadExchange::readInstances()
+{
+    const auto rows = co_await m_store.read(InstancesTable, std::string(), StoreTimeout);
+    if (!rows)
+        co_return false;
+    for (const platform::StoredRow &row : rows->rows) {
+        if (row.name.key == m_state.settings.instance)
+            continue;
+        Peer &peer = m_peers[row.name.key];
+        if (peer.address == row.value)
+            continue;
+        peer.address = row.value;
+        peer.channel = std::make_shared<ExchangeChannel>(m_state.io, row.value);
+    }
+    co_return true;
+}
+
+Task<void> LoadExchange::registerLoop()
+{
+    while (!co_await registerSelf())
+        co_await wire::sleepFor(RetryPause);
+    while (true) {
+        const bool read = co_await readInstances();
+        const auto jitter = static_cast<std::int64_t>(
+            m_state.random.below(static_cast<std::uint64_t>(ReadEvery.count() / 4)));
+        co_await wire::sleepFor(read ? ReadEvery + milliseconds(jitter) : RetryPause);
+    }
+}
+
+Task<void> LoadExchange::leave()
+{
+    const platform::RowName name { InstancesTable, std::string(), m_state.settings.instance };
+    std::vector<platform::RowWrite> writes { { name, std::nullopt } };
+    const auto written = co_await m_store.write({}, std::move(writes), StoreTimeout);
+    if (!written)
+        logEvent(events::StoreLost,
+                 { { "table", InstancesTable }, { "error", written.error().message } });
+}
+
+Task<void> LoadExchange::exchangeLoop()
+{
+    while (true) {
+        callPeers();
+        markSilent();
+        co_await wire::sleepFor(Interval / 2);
+    }
+}
+
+void LoadExchange::callPeers()
+{
+    const SteadyTime now = m_state.clock.steadyNow();
+    const auto spread = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(
+        static_cast<double>(m_peers.size()) / MostCallsPerSecond));
+    const milliseconds interval = std::max(Interval, spread);
+    for (auto &[name, peer] : m_peers) {
+        if (peer.calling)
+            continue;
+        const milliseconds pause = peer.silent ? SilentInterval : interval;
+        // Half an interval early: whoever of the two comes first saves the other its call.
+        if (now - std::max(peer.heard, peer.calledAt) >= pause - Interval / 4)
+            call(name, peer);
+    }
+}
+
+void LoadExchange::call(const std::string &name, Peer &peer)
+{
+    peer.calling = true;
+    peer.calledAt = m_state.clock.steadyNow();
+    peer.channel->send(ownReport(), CallTimeout, [this, name](const v1::LoadReport *report) {
+        const auto found = m_peers.find(name);
+        if (found != m_peers.end())
+            found->second.calling = false;
+        if (report != nullptr)
+            take(*report);
+    });
+}
+
+v1::LoadReport LoadExchange::ownReport() const
+{
+    v1::LoadReport report;
+    report.set_instance(m_state.settings.instance);
+    report.set_incarnation(m_state.incarnation);
+    report.set_address(ownAddress());
+    report.set_config_version(m_state.catalogue ? m_state.catalogue->version() : 0);
+    report.set_list_version(m_state.listVersion);
+    report.set_holds_lease(m_hooks.holdsLease());
+    for (const auto &[id, server] : m_state.servers.all()) {
+        if (server->own.inFlight == 0)
+            continue;
+        v1::ServerWork *work = report.add_servers();
+        work->set_server(id);
+        work->set_in_flight(server->own.inFlight);
+        work->set_pending_tokens(static_cast<std::uint32_t>(server->own.pendingTokens));
+        work->set_held_tokens(static_cast<std::uint64_t>(server->own.heldTokens));
+    }
+    for (const auto &[customer, units] : m_state.quotas.ownUse()) {
+        v1::CustomerUse *use = report.add_customers();
+        use->set_customer(customer);
+        use->set_units(units);
+    }
+    return report;
+}
+
+void LoadExchange::take(const v1::LoadReport &report)
+{
+    if (report.instance().empty() || report.instance() == m_state.settings.instance)
+        return;
+    const SteadyTime now = m_state.clock.steadyNow();
+    Peer &peer = m_peers[report.instance()];
+    if (peer.address != report.address()) {
+        peer.address = report.address();
+        peer.channel = std::make_shared<ExchangeChannel>(m_state.io, peer.address);
+    }
+    if (peer.silent)
+        logEvent(events::GatewayPeerHeard, { { "peer", report.instance() },
+                                             { "address", peer.address } });
+    peer.silent = false;
+    peer.heard = now;
+    peer.incarnation = report.incarnation();
+    serving::PeerLoads::Loads loads;
+    for (const v1::ServerWork &work : report.servers())
+        loads[work.server()] = { work.in_flight(), static_cast<double>(work.pending_tokens()),
+                                 static_cast<double>(work.held_tokens()) };
+    m_state.peerLoads.report(report.instance(), std::move(loads), now);
+    serving::QuotaUse use;
+    for (const v1::CustomerUse &each : report.customers())
+        use[each.customer()] = each.units();
+    m_state.quotas.peerUse(report.instance(), report.incarnation(), use, now);
+    m_state.retries.setInstances(instances());
+    if (report.holds_lease())
+        m_hooks.holderHeard();
+}
+
+void LoadExchange::markSilent()
+{
+    const SteadyTime now = m_state.clock.steadyNow();
+    for (auto &[name, peer] : m_peers) {
+        if (peer.silent || now - peer.heard < SilentAfter)
+            continue;
+        peer.silent = true;
+        m_state.peerLoads.forget(name);
+        logEvent(events::GatewayPeerSilent, { { "peer", name }, { "address", peer.address } });
+    }
+}
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -0,0 +1,476 @@
+#include "snipestall/gateway/request_relay.hpp"
+
+#include "load_claim.hpp"
+#include "platform/server_header.hpp"
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
+#include "snipestall/gateway/gateway_state.hpp"
+
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cstdio>
+#include <utility>
+
+namespace snipestall::gateway {
+
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+using wire::Task;
+
+namespace {
+
+/// Sends beyond the runs that a route allows: a server that says it did not run a request, or
+/// that can't be reached, has not used an attempt up, but the search must end.
+constexpr int MostRejections = 3;
+/// Bodies of plain answers are held back up to this size, so that one that breaks off can still
+/// be repeated or replaced by a true failure. Bytes.
+constexpr std::size_t MostHeldBytes = 512 * 1024;
+/// A server of the same region accepts a connection within some round trips; the kernel sends a
+/// lost opening packet again after a second.
+constexpr milliseconds ConnectTimeout { 400 };
+/// When to come back after a refusal for want of a server: about as long as a restart takes.
+constexpr milliseconds RetryAfterNoServer { 700 };
+/// When to come back to an instance that knows no configuration yet.
+constexpr milliseconds RetryAfterNoConfig { 500 };
+constexpr unsigned FirstFailure = 500;
+constexpr unsigned FirstNoSuccess = 300;
+constexpr int LowestPriority = 9;
+
+std::string hostOf(const CallerLink::Request &request)
+{
+    const auto field = request[http::field::host];
+    std::string host(field.data(), field.size());
+    // The port is no part of the name.
+    host = host.substr(0, host.find(':'));
+    std::transform(host.begin(), host.end(), host.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return host;
+}
+
+std::string_view pathOf(const CallerLink::Request &request)
+{
+    const std::string_view target(request.target().data(), request.target().size());
+    return target.substr(0, target.find('?'));
+}
+
+const std::string &pickService(const serving::Route &route, Random &random)
+{
+    double total = 0;
+    for (const serving::RouteTarget &target : route.targets)
+        total += target.weight;
+    double at = random.uniform() * total;
+    for (const serving::RouteTarget &target : route.targets) {
+        at -= target.weight;
+        if (at < 0)
+            return target.service;
+    }
+    return route.targets.back().service;
+}
+
+std::string secondsText(milliseconds time)
+{
+    std::array<char, 32> text {};
+    std::snprintf(text.data(), text.size(), "%.3f",
+                  std::chrono::duration<double>(time).count());
+    return text.data();
+}
+
+} // namespace
+
+RequestRelay::RequestRelay(GatewayState &state, std::shared_ptr<CallerLink> caller)
+    : m_state(state)
+    , m_caller(std::move(caller))
+    , m_catalogue(state.catalogue)
+    , m_received(state.clock.steadyNow())
+{
+    ++m_state.requestsInFlight;
+    ++m_state.counters.requests;
+}
+
+RequestRelay::~RequestRelay()
+{
+    --m_state.requestsInFlight;
+    m_caller->stopWatching();
+}
+
+CallerLink::Answer RequestRelay::ownAnswer(unsigned status) const
+{
+    CallerLink::Answer answer;
+    answer.result(status);
+    answer.version(m_caller->request().version());
+    platform::markOwnAnswer(m_header.attemptId, answer);
+    answer.prepare_payload();
+    return answer;
+}
+
+CallerLink::Answer RequestRelay::refusal(unsigned status, milliseconds retryAfter) const
+{
+    CallerLink::Answer answer = ownAnswer(status);
+    answer.set(http::field::retry_after, secondsText(retryAfter));
+    return answer;
+}
+
+Task<void> RequestRelay::answer(CallerLink::Answer answer, const char *reason)
+{
+    m_finished = true;
+    const unsigned status = answer.result_int();
+    if (m_state.draining)
+        m_keepAlive = false;
+    answer.keep_alive(m_keepAlive);
+    m_keepAlive = co_await m_caller->write(std::move(answer)) && m_keepAlive;
+    logEnd(status, reason);
+}
+
+void RequestRelay::logEnd(unsigned status, const char *reason) const
+{
+    const auto took = std::chrono::duration_cast<milliseconds>(m_state.clock.steadyNow()
+                                                               - m_received);
+    logEvent(events::GatewayRequestEnded,
+             { { "attempt", m_header.attemptId },
+               { "status", std::to_string(status) },
+               { "reason", reason },
+               { "route", m_route == nullptr ? "" : m_route->name },
+               { "config", m_catalogue ? std::to_string(m_catalogue->version()) : "none" },
+               { "runs", std::to_string(m_runs) },
+               { "sends", std::to_string(m_sends) },
+               { "ms", std::to_string(took.count()) } });
+}
+
+Task<bool> RequestRelay::run()
+{
+    m_header = platform::readCallerHeader(m_caller->request());
+    m_keepAlive = m_caller->request().keep_alive();
+    m_caller->watchLeaving([this] { callerLeft(); });
+    if (co_await admit())
+        co_await serve();
+    co_return m_keepAlive && !m_callerGone;
+}
+
+Task<bool> RequestRelay::admit()
+{
+    const auto refuse = [this](CallerLink::Answer response, const char *reason) -> Task<bool> {
+        ++m_state.counters.refused;
+        co_await answer(std::move(response), reason);
+        co_return false;
+    };
+    if (!m_catalogue)
+        co_return co_await refuse(refusal(503, RetryAfterNoConfig), "no-configuration");
+    if (m_header.attemptId.empty())
+        co_return co_await refuse(ownAnswer(400), "no-attempt-id");
+    const CallerLink::Request &request = m_caller->request();
+    m_route = m_catalogue->route(hostOf(request), pathOf(request));
+    if (m_route == nullptr)
+        co_return co_await refuse(ownAnswer(404), "no-route");
+    m_customer = m_catalogue->customerOfKey(m_header.key);
+    if (m_customer == nullptr && m_catalogue->hasCustomers() && !m_route->anonymous)
+        co_return co_await refuse(ownAnswer(401), "unknown-key");
+    m_callerUntil = m_received + m_header.deadline.value_or(m_route->timeout);
+    m_until = std::min(m_callerUntil, m_received + m_route->timeout);
+    m_demand.service = m_catalogue->service(pickService(*m_route, m_state.random));
+    if (m_demand.service == nullptr)
+        co_return co_await refuse(refusal(503, RetryAfterNoServer), "unknown-service");
+    m_demand.prompt = m_header.prompt;
+    m_lastEvent = m_header.resumeAfter;
+    if (m_customer == nullptr)
+        co_return true;
+    const auto verdict = m_state.quotas.take(m_customer->name, quotaUnits(), m_received);
+    if (!verdict.admitted)
+        co_return co_await refuse(refusal(429, verdict.retryAfter), "over-quota");
+    co_return true;
+}
+
+double RequestRelay::quotaUnits() const
+{
+    if (!m_customer->countsTokens)
+        return 1;
+    if (!m_header.prompt)
+        return m_customer->defaultTokens;
+    return static_cast<double>(m_header.prompt->promptTokens) + m_header.prompt->maxOutputTokens;
+}
+
+bool RequestRelay::timeIsUp() const
+{
+    return m_state.clock.steadyNow() >= m_until;
+}
+
+bool RequestRelay::mayTryAgain(AttemptEnd last)
+{
+    if (last == AttemptEnd::Final || last == AttemptEnd::TimedOut || m_callerGone || timeIsUp())
+        return false;
+    if (m_sends >= m_route->maxAttempts + MostRejections)
+        return false;
+    if (m_maybeRan && (!m_route->mayRepeat() || m_runs >= m_route->maxAttempts))
+        return false;
+    return m_state.retries.repeat(m_demand.service->name, m_state.clock.steadyNow());
+}
+
+Task<void> RequestRelay::serve()
+{
+    m_state.retries.first(m_demand.service->name, m_received);
+    AttemptEnd last = AttemptEnd::NotRun;
+    do {
+        const auto placed = m_state.placement.choose(m_demand, m_state.clock.steadyNow());
+        if (!placed)
+            break;
+        last = co_await attempt(*placed);
+    } while (mayTryAgain(last));
+    if (last == AttemptEnd::Final || m_finished)
+        co_return;
+    co_await finishUnserved(last);
+}
+
+Task<void> RequestRelay::finishUnserved(AttemptEnd last)
+{
+    if (m_callerGone) {
+        ++m_state.counters.callersGone;
+        logEnd(0, "caller-left");
+        co_return;
+    }
+    if (!m_maybeRan && m_customer != nullptr)
+        m_state.quotas.giveBack(m_customer->name, quotaUnits());
+    if (m_begun) {
+        breakOff("stream-broken");
+        co_return;
+    }
+    if (m_failure) {
+        ++m_state.counters.failed;
+        co_await answer(std::move(*m_failure), "server-failed");
+        co_return;
+    }
+    if (!m_maybeRan) {
+        ++m_state.counters.refused;
+        co_await answer(refusal(503, RetryAfterNoServer), "no-server");
+        co_return;
+    }
+    ++m_state.counters.failed;
+    const bool late = last == AttemptEnd::TimedOut;
+    co_await answer(ownAnswer(late ? 504 : 502), late ? "timeout" : "answer-lost");
+}
+
+BackendCall::Request RequestRelay::serverRequest(const serving::ServerState &server) const
+{
+    const CallerLink::Request &from = m_caller->request();
+    BackendCall::Request request;
+    request.method_string(from.method_string());
+    request.target(from.target());
+    request.version(11);
+    platform::ServerCall call;
+    call.expectedServer = server.info.id;
+    if (m_customer != nullptr)
+        call.customer = m_customer->name;
+    const auto left = m_callerUntil - m_state.clock.steadyNow();
+    call.deadline = std::max(std::chrono::duration_cast<milliseconds>(left), milliseconds(1));
+    if (m_demand.prompt) {
+        const int priority = m_customer != nullptr && m_customer->priority
+            ? *m_customer->priority
+            : m_route->priority;
+        call.priority = std::clamp(priority, 0, LowestPriority);
+    }
+    call.resumeAfter = m_lastEvent;
+    platform::writeServerHeader(from, call, request);
+    request.body() = from.body();
+    request.prepare_payload();
+    return request;
+}
+
+Task<RequestRelay::AttemptEnd> RequestRelay::attempt(serving::Placed placed)
+{
+    const serving::ServerStatePtr server = placed.server;
+    m_demand.tried.insert(server->info.id);
+    ++m_sends;
+    ++m_state.counters.attempts;
+    const double held = m_demand.prompt ? m_demand.prompt->promptTokens : 0;
+    LoadClaim load(server, placed.uncachedTokens, held);
+    m_load = &load;
+    m_state.placement.sent(m_demand, server->info.id, m_state.clock.steadyNow());
+    m_call = std::make_shared<BackendCall>(m_state.io, m_state.backends, m_state.clock,
+                                           server->info.id, server->info.address);
+    const auto call = m_call;
+    BackendCall::Request request = serverRequest(*server);
+    const CallStart start =
+        co_await call->start(std::move(request), m_header.attemptId, ConnectTimeout, m_until);
+    AttemptEnd end = AttemptEnd::Failed;
+    if (start == CallStart::Answered) {
+        end = co_await takeAnswer(*server);
+    } else if (start == CallStart::Unreachable) {
+        server->health.lost(m_state.clock.steadyNow());
+        end = AttemptEnd::NotRun;
+    } else {
+        m_maybeRan = true;
+        ++m_runs;
+        if (!m_callerGone && start == CallStart::Lost)
+            server->health.lost(m_state.clock.steadyNow());
+        end = start == CallStart::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Failed;
+    }
+    m_load = nullptr;
+    m_call.reset();
+    logEvent(events::GatewayAttemptEnded,
+             { { "attempt", m_header.attemptId },
+               { "server", server->info.id },
+               { "start", std::to_string(static_cast<int>(start)) },
+               { "end", std::to_string(static_cast<int>(end)) } });
+    co_return end;
+}
+
+Task<RequestRelay::AttemptEnd> RequestRelay::takeAnswer(serving::ServerState &server)
+{
+    const unsigned status = m_call->head().result_int();
+    const auto said = platform::readServerAnswer(status, m_call->head());
+    if (said.notRun) {
+        // Its rest is read so that the connection can be used again.
+        const BodyRead rest = co_await m_call->readBody(m_until);
+        if (rest.kind == BodyRead::Kind::Bytes)
+            co_await m_call->readBody(m_until);
+        co_return AttemptEnd::NotRun;
+    }
+    m_maybeRan = true;
+    ++m_runs;
+    if (status < FirstNoSuccess && m_route->isStream())
+        co_return co_await relayStream(server);
+    co_return co_await relayWhole(server);
+}
+
+void RequestRelay::firstByteCame()
+{
+    if (m_load != nullptr)
+        m_load->promptRead();
+    if (m_counted || m_customer == nullptr || !m_state.trueTime.known())
+        return;
+    m_counted = true;
+    m_state.usage.began(m_customer->name, m_state.trueTime.at(m_state.clock.steadyNow()));
+}
+
+Task<RequestRelay::AttemptEnd> RequestRelay::relayWhole(serving::ServerState &server)
+{
+    firstByteCame();
+    const unsigned status = m_call->head().result_int();
+    CallerLink::Answer whole;
+    whole.result(status);
+    whole.version(m_caller->request().version());
+    whole.reason(m_call->head().reason());
+    platform::copyAnswerHeader(m_call->head(), whole);
+    while (true) {
+        BodyRead piece = co_await m_call->readBody(m_until);
+        if (piece.kind == BodyRead::Kind::Bytes) {
+            whole.body() += piece.bytes;
+            if (whole.body().size() <= MostHeldBytes)
+                continue;
+            if (!m_begun && !co_await beginAnswer())
+                co_return AttemptEnd::Final;
+            std::string held = std::exchange(whole.body(), {});
+            if (!co_await m_caller->writePiece(std::move(held)))
+                co_return AttemptEnd::Final;
+            continue;
+        }
+        if (piece.kind == BodyRead::Kind::End)
+            break;
+        if (!m_callerGone)
+            server.health.lost(m_state.clock.steadyNow());
+        co_return piece.kind == BodyRead::Kind::TimedOut ? AttemptEnd::TimedOut
+                                                         : AttemptEnd::Failed;
+    }
+    if (m_begun) {
+        m_finished = true;
+        m_keepAlive = co_await m_caller->writePiece(std::move(whole.body()))
+            && co_await m_caller->endStream() && m_keepAlive;
+        ++m_state.counters.answered;
+        logEnd(status, "answered");
+        co_return AttemptEnd::Final;
+    }
+    whole.prepare_payload();
+    if (status >= FirstFailure) {
+        server.health.failed();
+        m_failure = std::move(whole);
+        co_return AttemptEnd::Failed;
+    }
+    server.health.answered();
+    ++m_state.counters.answered;
+    co_await answer(std::move(whole), "answered");
+    co_return AttemptEnd::Final;
+}
+
+Task<bool> RequestRelay::beginAnswer()
+{
+    http::response_header<> head;
+    head.version(11);
+    head.result(m_call->head().result_int());
+    head.reason(m_call->head().reason());
+    platform::copyAnswerHeader(m_call->head(), head);
+    if (m_state.draining) {
+        m_keepAlive = false;
+        head.set(http::field::connection, "close");
+    }
+    m_begun = true;
+    co_return co_await m_caller->beginStream(std::move(head));
+}
+
+Task<bool> RequestRelay::passEvents(std::vector<wire::RawEvent> events)
+{
+    std::string piece;
+    for (wire::RawEvent &event : events) {
+        // A resumed run may repeat the event at which it was resumed.
+        if (event.id && m_lastEvent && *event.id <= *m_lastEvent)
+            continue;
+        if (event.id)
+            m_lastEvent = event.id;
+        piece += event.text;
+    }
+    if (piece.empty())
+        co_return true;
+    firstByteCame();
+    if (!m_begun && !co_await beginAnswer())
+        co_return false;
+    co_return co_await m_caller->writePiece(std::move(piece));
+}
+
+Task<RequestRelay::AttemptEnd> RequestRelay::relayStream(serving::ServerState &server)
+{
+    wire::EventSplitter splitter;
+    while (true) {
+        const BodyRead piece = co_await m_call->readBody(m_until);
+        if (piece.kind == BodyRead::Kind::Bytes) {
+            if (co_await passEvents(splitter.feed(piece.bytes)))
+                continue;
+            m_call->abort();
+            m_keepAlive = false;
+            m_finished = true;
+            co_return AttemptEnd::Final;
+        }
+        if (piece.kind == BodyRead::Kind::End && splitter.rest().empty())
+            break;
+        if (!m_callerGone)
+            server.health.lost(m_state.clock.steadyNow());
+        co_return piece.kind == BodyRead::Kind::TimedOut ? AttemptEnd::TimedOut
+                                                         : AttemptEnd::Failed;
+    }
+    server.health.answered();
+    if (!m_begun && !co_await beginAnswer())
+        co_return AttemptEnd::Final;
+    m_finished = true;
+    m_keepAlive = co_await m_caller->endStream() && m_keepAlive;
+    ++m_state.counters.answered;
+    logEnd(200, "answered");
+    co_return AttemptEnd::Final;
+}
+
+void RequestRelay::callerLeft()
+{
+    m_callerGone = true;
+    if (m_call != nullptr)
+        m_call->abort();
+}
+
+void RequestRelay::breakOff(const char *reason)
+{
+    ++m_state.counters.failed;
+    m_keepAlive = false;
+    m_finished = true;
+    m_caller->close();
+    logEnd(0, reason);
+}
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/src/snipestall/gateway/socket_options.cpp
@@ -0,0 +1,47 @@
+#include "snipestall/gateway/socket_options.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace snipestall::gateway {
+
+namespace {
+
+using boost::asio::ip::tcp;
+template<int Name>
+using TcpOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
+
+/// Some hundred round trips between the data centres of one region, so that lost packets alone
+/// don't end a connection.
+constexpr int UserTimeoutMs = 1500;
+/// The shortest that the kernel offers.
+constexpr int KeepAliveIdleS = 1;
+constexpr int KeepAliveIntervalS = 1;
+constexpr int KeepAliveProbes = 2;
+
+} // namespace
+
+void detectLostPeer(tcp::socket &socket)
+{
+    boost::system::error_code ignored; // A socket without the options still works.
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(TcpOption<TCP_KEEPIDLE>(KeepAliveIdleS), ignored);
+    socket.set_option(TcpOption<TCP_KEEPINTVL>(KeepAliveIntervalS), ignored);
+    socket.set_option(TcpOption<TCP_KEEPCNT>(KeepAliveProbes), ignored);
+    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(UserTimeoutMs), ignored);
+}
+
+bool isIdleAndOpen(tcp::socket &socket)
+{
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    char byte = 0;
+    socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == boost::asio::error::would_block;
+}
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -0,0 +1,219 @@
+#include "snipestall/gateway/store_follower.hpp"
+
+#include "platform/listed_server.hpp"
+#include "platform/operator_config.hpp"
+#include "platform/well_known_rows.hpp"
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
+#include "snipestall/gateway/gateway_state.hpp"
+#include "snipestall/wire/signal.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace snipestall::gateway {
+
+using std::chrono::milliseconds;
+using wire::Task;
+
+namespace {
+
+/// What the answer of a long poll may take beyond the wait that was asked for.
+constexpr milliseconds AnswerSlack { 700 };
+constexpr milliseconds ReadTimeout { 1500 };
+/// Pause after a failed call, doubled by chance so that instances don't call in step.
+constexpr milliseconds RetryPause { 150 };
+/// Servers that live have listed themselves again this long after the store's return.
+constexpr milliseconds RelistTime { 2000 };
+
+} // namespace
+
+StoreFollower::StoreFollower(GatewayState &state, platform::StoreClient &store)
+    : m_state(state)
+    , m_store(store)
+    , m_config { platform::OperatorTable, &StoreFollower::configSnapshot,
+                 &StoreFollower::configChange }
+    , m_list { platform::ServerTableName, &StoreFollower::listSnapshot,
+               &StoreFollower::listChange }
+{ }
+
+void StoreFollower::start(std::function<void()> changed)
+{
+    m_changed = std::move(changed);
+    for (Feed *feed : { &m_config, &m_list })
+        boost::asio::co_spawn(m_state.io, follow(*feed), boost::asio::detached);
+}
+
+milliseconds StoreFollower::pollWait() const
+{
+    // A connection that has gone silent for good is noticed only when the wait is over; half of
+    // the time that an instance may take to come into touch again leaves room for a new one.
+    return m_state.settings.bounds.contact / 2;
+}
+
+Task<void> StoreFollower::follow(Feed &feed)
+{
+    feed.answeredAt = m_state.clock.steadyNow();
+    while (true) {
+        const bool ok = co_await step(feed);
+        if (ok)
+            continue;
+        const auto extra = static_cast<std::int64_t>(
+            m_state.random.below(static_cast<std::uint64_t>(RetryPause.count())));
+        co_await wire::sleepFor(RetryPause + milliseconds(extra));
+    }
+}
+
+Task<bool> StoreFollower::step(Feed &feed)
+{
+    if (!feed.read) {
+        const auto rows = co_await m_store.read(feed.table, std::string(), ReadTimeout);
+        if (!rows) {
+            failed(feed, rows.error());
+            co_return false;
+        }
+        answered(feed, rows->storeTime);
+        (this->*feed.snapshot)(*rows);
+        feed.version = rows->storeVersion;
+        feed.read = true;
+        co_return true;
+    }
+    const milliseconds wait = pollWait();
+    const auto rows =
+        co_await m_store.changes(feed.table, feed.version, wait, wait + AnswerSlack);
+    if (!rows && rows.error().kind == ErrorKind::NotFound) {
+        feed.read = false;
+        co_return true;
+    }
+    if (!rows) {
+        failed(feed, rows.error());
+        co_return false;
+    }
+    answered(feed, rows->storeTime);
+    for (const platform::StoredRow &row : rows->rows)
+        (this->*feed.change)(row);
+    feed.version = std::max(feed.version, rows->storeVersion);
+    co_return true;
+}
+
+void StoreFollower::answered(Feed &feed, milliseconds storeTime)
+{
+    const SteadyTime now = m_state.clock.steadyNow();
+    m_state.trueTime.storeAnswered(storeTime, now);
+    feed.answeredAt = now;
+    if (!feed.away)
+        return;
+    feed.away = false;
+    m_lapseUntil = now + RelistTime;
+    logEvent(events::StoreRegained, { { "table", feed.table } });
+}
+
+void StoreFollower::failed(Feed &feed, const Error &error)
+{
+    if (feed.away)
+        return;
+    feed.away = true;
+    logEvent(events::StoreLost, { { "table", feed.table },
+                                  { "error", error.message },
+                                  { "version", std::to_string(feed.version) } });
+}
+
+void StoreFollower::configSnapshot(const platform::StoredRows &rows)
+{
+    for (const platform::StoredRow &row : rows.rows)
+        configChange(row);
+}
+
+void StoreFollower::configChange(const platform::StoredRow &row)
+{
+    if (row.name.key != platform::ConfigKey || row.removed)
+        return;
+    const auto catalogue = platform::decodeConfig(row.value);
+    if (!catalogue) {
+        logEvent(events::StoreRowFaulty, { { "row", row.name.key },
+                                           { "version", std::to_string(row.version) },
+                                           { "error", catalogue.error().message } });
+        return;
+    }
+    const bool first = m_state.catalogue == nullptr;
+    if (!first && (*catalogue)->version() <= m_state.catalogue->version())
+        return;
+    m_state.catalogue = *catalogue;
+    // A process that starts while others serve can't know what is left of a burst.
+    const double fill = first && !m_state.settings.firstStart ? 0 : 1;
+    m_state.quotas.configure((*catalogue)->customers(), fill, m_state.clock.steadyNow());
+    logEvent(events::SettingsApplied, { { "version", std::to_string((*catalogue)->version()) },
+                                        { "row", std::to_string(row.version) } });
+    m_changed();
+}
+
+void StoreFollower::listSnapshot(const platform::StoredRows &rows)
+{
+    std::set<std::string> listed;
+    for (const platform::StoredRow &row : rows.rows) {
+        listed.insert(row.name.key);
+        listChange(row);
+    }
+    std::vector<std::string> missing;
+    for (const auto &[id, server] : m_state.servers.all()) {
+        if (!listed.contains(id))
+            missing.push_back(id);
+    }
+    for (const std::string &id : missing)
+        serverGone(id);
+    m_state.listVersion = std::max(m_state.listVersion, rows.storeVersion);
+    m_state.listKnown = true;
+    m_changed();
+}
+
+void StoreFollower::listChange(const platform::StoredRow &row)
+{
+    m_state.listVersion = std::max(m_state.listVersion, row.version);
+    if (row.removed) {
+        serverGone(row.name.key);
+        return;
+    }
+    const auto server = platform::decodeServer(row.name.key, row.value);
+    if (!server) {
+        logEvent(events::StoreRowFaulty, { { "row", row.name.key },
+                                           { "version", std::to_string(row.version) },
+                                           { "error", server.error().message } });
+        return;
+    }
+    m_state.servers.put(*server, m_state.clock.steadyNow());
+    logEvent(events::ServerListed, { { "server", server->id },
+                                     { "service", server->service },
+                                     { "data_centre", server->dataCentre },
+                                     { "leaving", server->leaving ? "yes" : "no" },
+                                     { "reclaimable", server->reclaimable ? "yes" : "no" },
+                                     { "version", std::to_string(row.version) } });
+}
+
+void StoreFollower::serverGone(const std::string &id)
+{
+    const SteadyTime now = m_state.clock.steadyNow();
+    if (now < m_lapseUntil) {
+        m_state.servers.lapse(id, m_lapseUntil);
+        return;
+    }
+    m_state.servers.remove(id);
+    m_state.placement.serverGone(id);
+    m_state.backends.drop(id);
+    logEvent(events::ServerDelisted, { { "server", id } });
+}
+
+void StoreFollower::expireLapsed()
+{
+    for (const std::string &id : m_state.servers.expireLapsed(m_state.clock.steadyNow())) {
+        m_state.placement.serverGone(id);
+        m_state.backends.drop(id);
+        logEvent(events::ServerDelisted, { { "server", id }, { "lapsed", "yes" } });
+    }
+}
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/src/snipestall/serving/server_table.cpp
@@ -0,0 +1,68 @@
+#include "snipestall/serving/server_table.hpp"
+
+namespace snipestall::serving {
+
+void ServerTable::put(const BackendServer &server, SteadyTime now)
+{
+    if (m_departed.contains(server.id))
+        return;
+    m_lapsed.erase(server.id);
+    ServerStatePtr &state = m_servers[server.id];
+    if (!state)
+        state = std::make_shared<ServerState>();
+    // Leaving is final for one incarnation, whatever an older copy of the entry says.
+    const bool leaving = state->info.leaving || server.leaving;
+    state->info = server;
+    state->info.leaving = leaving;
+    if (server.leavesIn)
+        state->leavesAt = now + *server.leavesIn;
+}
+
+void ServerTable::remove(const std::string &id)
+{
+    if (m_departed.size() >= MostDeparted)
+        m_departed.clear();
+    m_departed.insert(id);
+    m_lapsed.erase(id);
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end())
+        return;
+    found->second->departed = true;
+    m_servers.erase(found);
+}
+
+void ServerTable::lapse(const std::string &id, SteadyTime until)
+{
+    if (m_servers.contains(id))
+        m_lapsed.try_emplace(id, until);
+}
+
+std::vector<std::string> ServerTable::expireLapsed(SteadyTime now)
+{
+    std::vector<std::string> gone;
+    for (const auto &[id, until] : m_lapsed) {
+        if (now >= until)
+            gone.push_back(id);
+    }
+    for (const std::string &id : gone)
+        remove(id);
+    return gone;
+}
+
+ServerStatePtr ServerTable::find(const std::string &id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : found->second;
+}
+
+std::vector<ServerStatePtr> ServerTable::ofService(const std::string &service) const
+{
+    std::vector<ServerStatePtr> found;
+    for (const auto &[id, state] : m_servers) {
+        if (state->info.service == service)
+            found.push_back(state);
+    }
+    return found;
+}
+
+} // namespace snipestall::serving
--- /dev/null
+++ b/src/snipestall/wire/event_splitter_test.cpp
@@ -0,0 +1,44 @@
+#include "snipestall/wire/event_splitter.hpp"
+
+#include <gtest/gtest.h>
+
+namespace snipestall::wire {
+namespace {
+
+TEST(EventSplitter, KeepsTheBytesOfEachEventWhateverTheBordersOfTheChunks)
+{
+    const std::string body = "id: 1\ndata: a\n\nversion:3\r\nid:2\r\ndata: b\r\n\r\n";
+    for (std::size_t cut = 0; cut <= body.size(); ++cut) {
+        EventSplitter splitter;
+        std::vector<RawEvent> events = splitter.feed(body.substr(0, cut));
+        for (RawEvent &event : splitter.feed(body.substr(cut)))
+            events.push_back(std::move(event));
+        ASSERT_EQ(events.size(), 2U) << cut;
+        EXPECT_EQ(events[0].text + events[1].text, body);
+        EXPECT_EQ(events[0].id, 1U);
+        EXPECT_EQ(events[1].id, 2U);
+        EXPECT_TRUE(splitter.rest().empty());
+    }
+}
+
+// A caller sees half an event followed by the whole one: a backend server dies in the middle of an
+// event, the stream goes on at another server, and the half that had arrived was passed on.
+TEST(EventSplitter, HoldsBackAnEventThatBrokeOff)
+{
+    EventSplitter splitter;
+    const auto events = splitter.feed("id: 7\ndata: whole\n\nid: 8\ndata: ha");
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events[0].id, 7U);
+    EXPECT_EQ(splitter.rest(), "id: 8\ndata: ha");
+}
+
+TEST(EventSplitter, TakesNoIdFromWhatIsNoNumber)
+{
+    EventSplitter splitter;
+    const auto events = splitter.feed("id: x1\ndata: a\n\n");
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_FALSE(events[0].id);
+}
+
+} // namespace
+} // namespace snipestall::wire
