Fleet by pressure: reclaimable servers with a surplus, on-demand ones where those are missing; refuse late in a shutdown

Ruled out: fixed numbers by site. Change: the usual fleet is learned once the list has settled and kept in the store; scale follows the slower tenth's wait for the first byte as a part of the target; after 3 s a leaving process refuses.

--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -7,6 +7,7 @@
 #include "snipestall/gateway/gateway_settings.hpp"
 #include "snipestall/gateway/true_time.hpp"
 #include "snipestall/serving/catalogue.hpp"
+#include "snipestall/serving/latency_pressure.hpp"
 #include "snipestall/serving/peer_loads.hpp"
 #include "snipestall/serving/placement.hpp"
 #include "snipestall/serving/quota_keeper.hpp"
@@ -41,15 +42,19 @@
     serving::QuotaKeeper quotas;
     serving::RetryAllowance retries;
     serving::UsageWindows usage;
+    serving::LatencyPressure latency;
     TrueTime trueTime;
     BackendPool backends;
     GatewayCounters counters;
 
     /// The list of backend servers has been read at least once.
     bool listKnown = false;
+    SteadyTime listKnownSince;
     std::int64_t listVersion = 0;
     /// A graceful shutdown has begun.
     bool draining = false;
+    /// So late in the shutdown that a request might not be finished: it is refused as not run.
+    bool refusing = false;
     std::size_t requestsInFlight = 0;
 };
 
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -67,6 +67,7 @@
                                              std::chrono::milliseconds retryAfter) const;
     wire::Task<void> answer(CallerLink::Answer answer, const char *reason);
     void firstByteCame();
+    void noteLatency();
     void callerLeft();
     /// Ends the caller's connection, so that a broken answer doesn't look complete.
     void breakOff(const char *reason);
--- a/include/snipestall/serving/fleet_planner.hpp
+++ b/include/snipestall/serving/fleet_planner.hpp
@@ -10,13 +10,11 @@
 
 namespace snipestall::serving {
 
-/// Servers of one service in one data centre.
+/// Servers of one service in one data centre that take work.
 struct FleetCount
 {
     int onDemand = 0;
     int reclaimable = 0;
-    /// Leaving ones are in neither of the others.
-    int leaving = 0;
 };
 
 /// How many servers of one kind are wanted in one data centre.
@@ -31,46 +29,74 @@
 
 /// Decides how many servers of one service run where, and of which kind.
 ///
-/// Load: a service's usual demand, and a data centre whose reclaimable servers are all taken back
-/// on seconds of notice while none are to be had. Harm: on-demand servers cost several times as
-/// much for the same work; without any, the loss of a data centre's reclaimable ones leaves the
-/// rest overloaded until others start. So reclaimable servers carry the demand with enough of a
-/// surplus that the others carry it without one data centre, and on-demand ones are ordered where
-/// a reclaim has struck and no reclaimable ones are to be had.
+/// Load: demand that follows the time of day, jumps, and data centres whose reclaimable servers are
+/// all taken back on seconds of notice while none are to be had. Harm: on-demand servers cost
+/// several times as much for the same work; without any, the loss of a data centre's reclaimable
+/// ones leaves the rest overloaded until others start. So reclaimable servers carry the demand with
+/// enough of a surplus that the others carry it without one data centre; on-demand ones run where
+/// too few reclaimable ones are there, and only while that is so.
 class FleetPlanner
 {
 public:
     /// `usual`: servers that the operators started with, by data centre.
     FleetPlanner(ScalingPolicy policy, std::map<std::string, int> usual);
 
+    /// What part of the target latency the slower tenth of requests waits for its first byte: how
+    /// near the fleet is to being too small. To be told a few times a second.
+    void pressure(double partOfTarget, SteadyTime now);
     /// Orders to be sent now; the caller reports back what came of each.
     [[nodiscard]] std::vector<FleetOrder> plan(const std::map<std::string, FleetCount> &counts,
                                                SteadyTime now);
     void accepted(const FleetOrder &order, SteadyTime now);
-    /// None of this kind are to be had there at the moment.
+    /// The order was not taken; none of this kind may be had there at the moment.
     void refused(const FleetOrder &order, SteadyTime now);
+    [[nodiscard]] double scale() const { return m_scale; }
 
 private:
-    /// Reclaimable servers as a multiple of the usual number. One data centre of four lost leaves
+    /// Reclaimable servers as a multiple of the usual number: one data centre of four lost leaves
     /// the usual number at work.
     static constexpr double Surplus = 1.34;
-    /// Pause after a refusal before the same kind is asked for again.
-    static constexpr std::chrono::milliseconds RefusedPause { 2000 };
+    /// Above this pressure the fleet grows: a queue that takes half of the target leaves no room
+    /// for the next jump.
+    static constexpr double GrowAbove = 0.55;
+    static constexpr double GrowBy = 1.25;
+    /// Below this pressure, for `ShrinkAfter` at a stretch, the fleet shrinks.
+    static constexpr double ShrinkBelow = 0.25;
+    static constexpr double ShrinkBy = 0.9;
+    static constexpr std::chrono::seconds ShrinkAfter { 15 };
+    /// Never less than what the operators started with, as reclaimable servers are cheap.
+    static constexpr double LeastScale = 1;
+    static constexpr double MostScale = 4;
+    /// Pause after a refusal, and between repeats of an order that has not come true.
+    static constexpr std::chrono::milliseconds RepeatPause { 2000 };
 
+    struct Kind
+    {
+        /// -1: nothing ordered yet.
+        int ordered = -1;
+        SteadyTime askedAt;
+        bool refused = false;
+    };
     struct Place
     {
         int usual = 0;
-        int wantedReclaimable = 0;
-        int orderedReclaimable = -1;
-        int orderedOnDemand = -1;
-        SteadyTime refusedAt;
-        bool refused = false;
+        Kind reclaimable;
+        Kind onDemand;
     };
 
+    [[nodiscard]] int reclaimableWanted(const Place &place) const;
     [[nodiscard]] int onDemandWanted(const Place &place, const FleetCount &count) const;
+    [[nodiscard]] bool due(const Kind &kind, int wanted, int present, SteadyTime now) const;
+    static Kind &kindOf(Place &place, bool reclaimable)
+    {
+        return reclaimable ? place.reclaimable : place.onDemand;
+    }
 
     ScalingPolicy m_policy;
     std::map<std::string, Place> m_places;
+    double m_scale = 1;
+    SteadyTime m_scaledAt;
+    SteadyTime m_calmSince;
 };
 
 } // namespace snipestall::serving
--- a/src/snipestall/gateway/duty_runner.cpp
+++ b/src/snipestall/gateway/duty_runner.cpp
@@ -40,6 +40,8 @@
 constexpr milliseconds DutyTimeout { 1500 };
 /// After the end of a window every instance has stored its counts; a fifth of the default window.
 constexpr milliseconds CountsDelay { 1000 };
+/// Several heartbeats of the servers.
+constexpr milliseconds ListSettles { 4000 };
 /// A new holder repeats what its predecessor may have left unsent.
 constexpr std::int64_t WindowsRepeated = 3;
 
@@ -364,8 +366,8 @@
             continue;
         serving::FleetCount &count = counts[server->info.dataCentre];
         if (!server->takesWork())
-            ++count.leaving;
-        else if (server->info.reclaimable)
+            continue;
+        if (server->info.reclaimable)
             ++count.reclaimable;
         else
             ++count.onDemand;
@@ -375,6 +377,9 @@
 
 Task<bool> DutyRunner::learnUsualFleet(const std::string &service)
 {
+    // Servers that start with the system list themselves one after the other.
+    if (m_state.clock.steadyNow() - m_state.listKnownSince < ListSettles)
+        co_return false;
     std::map<std::string, int> usual;
     for (const auto &[dataCentre, count] : countServers(service))
         usual[dataCentre] = count.onDemand + count.reclaimable;
@@ -413,8 +418,10 @@
         if (!m_planners.contains(name) && !co_await learnUsualFleet(name))
             continue;
         serving::FleetPlanner &planner = m_planners.at(name);
+        const SteadyTime now = m_state.clock.steadyNow();
+        planner.pressure(m_state.latency.highest(name, now), now);
         for (const serving::FleetOrder &order :
-             planner.plan(countServers(name), m_state.clock.steadyNow())) {
+             planner.plan(countServers(name), now)) {
             if (!holdsLease())
                 co_return;
             platform::ServerOrder wanted { name, order.dataCentre, order.count,
@@ -429,6 +436,7 @@
                        { "data_centre", order.dataCentre },
                        { "count", std::to_string(order.count) },
                        { "reclaimable", order.reclaimable ? "yes" : "no" },
+                       { "scale", std::to_string(planner.scale()) },
                        { "fence", std::to_string(m_lease.fence()) },
                        { "error", done ? std::string() : done.error().message } });
         }
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -27,14 +27,12 @@
 namespace {
 
 constexpr milliseconds HousekeepingEvery { 250 };
-/// Kept connections that carry nothing are closed this long before the process would be killed:
-/// callers had most of the grace to hear "close" with an answer.
-constexpr milliseconds CloseIdleBeforeEnd { 2500 };
 /// Time left for the last writes to the store and the end of the process.
-constexpr milliseconds EndMargin { 700 };
+constexpr milliseconds EndMargin { 500 };
 constexpr milliseconds DrainTick { 50 };
 /// New connections may come until the readiness has been asked for a few times, once a second.
-constexpr milliseconds LeastDrain { 2600 };
+/// What comes later is refused: it might not be finished in time.
+constexpr milliseconds TakeWorkFor { 3000 };
 
 std::uint64_t randomSeed()
 {
@@ -142,10 +140,12 @@
     co_await duties.leave();
     while (state.clock.steadyNow() < end) {
         const SteadyTime now = state.clock.steadyNow();
-        if (now >= end + EndMargin - CloseIdleBeforeEnd)
+        if (now - begun >= TakeWorkFor) {
+            state.refusing = true;
             callers->closeIdle();
-        if (now - begun >= LeastDrain && callers->connections() == 0)
-            break;
+            if (callers->connections() == 0)
+                break;
+        }
         co_await wire::sleepFor(DrainTick);
     }
     // What was counted since, for requests that began meanwhile.
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -36,6 +36,8 @@
 constexpr milliseconds RetryAfterNoServer { 700 };
 /// When to come back to an instance that knows no configuration yet.
 constexpr milliseconds RetryAfterNoConfig { 500 };
+/// Another instance takes the caller's new connection at once.
+constexpr milliseconds RetryAfterShutdown { 50 };
 constexpr unsigned FirstFailure = 500;
 constexpr unsigned FirstNoSuccess = 300;
 constexpr int LowestPriority = 9;
@@ -157,6 +159,8 @@
         co_await answer(std::move(response), reason);
         co_return false;
     };
+    if (m_state.refusing)
+        co_return co_await refuse(refusal(503, RetryAfterShutdown), "shutting-down");
     if (!m_catalogue)
         co_return co_await refuse(refusal(503, RetryAfterNoConfig), "no-configuration");
     if (m_header.attemptId.empty())
@@ -336,14 +340,26 @@
 
 void RequestRelay::firstByteCame()
 {
-    if (m_load != nullptr)
+    if (m_load != nullptr) {
         m_load->promptRead();
+        noteLatency();
+    }
     if (m_counted || m_customer == nullptr || !m_state.trueTime.known())
         return;
     m_counted = true;
     m_state.usage.began(m_customer->name, m_state.trueTime.at(m_state.clock.steadyNow()));
 }
 
+void RequestRelay::noteLatency()
+{
+    if (m_begun || m_route->targetLatency.count() <= 0)
+        return;
+    const SteadyTime now = m_state.clock.steadyNow();
+    const std::chrono::duration<double> waited = now - m_received;
+    const std::chrono::duration<double> target = m_route->targetLatency;
+    m_state.latency.firstByte(m_demand.service->name, waited / target, now);
+}
+
 Task<RequestRelay::AttemptEnd> RequestRelay::relayWhole(serving::ServerState &server)
 {
     firstByteCame();
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -167,6 +167,8 @@
     for (const std::string &id : missing)
         serverGone(id);
     m_state.listVersion = std::max(m_state.listVersion, rows.storeVersion);
+    if (!m_state.listKnown)
+        m_state.listKnownSince = m_state.clock.steadyNow();
     m_state.listKnown = true;
     m_changed();
 }
--- /dev/null
+++ b/src/snipestall/serving/latency_pressure.cpp
@@ -0,0 +1,34 @@
+#include "snipestall/serving/latency_pressure.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace snipestall::serving {
+
+void LatencyPressure::firstByte(const std::string &service, double partOfTarget, SteadyTime now)
+{
+    auto &samples = m_services[service];
+    samples.push_back({ now, partOfTarget });
+    if (samples.size() > MostSamples)
+        samples.pop_front();
+}
+
+double LatencyPressure::highest(const std::string &service, SteadyTime now)
+{
+    constexpr double Quantile = 0.9;
+    auto &samples = m_services[service];
+    while (!samples.empty() && now - samples.front().time > Window)
+        samples.pop_front();
+    if (samples.empty())
+        return 0;
+    std::vector<double> parts;
+    parts.reserve(samples.size());
+    for (const Sample &sample : samples)
+        parts.push_back(sample.part);
+    const auto at = parts.begin()
+        + static_cast<std::ptrdiff_t>(Quantile * static_cast<double>(parts.size() - 1));
+    std::nth_element(parts.begin(), at, parts.end());
+    return *at;
+}
+
+} // namespace snipestall::serving
