--- a/src/snipestall/gateway/backend_call.cpp
+++ b/src/snipestall/gateway/backend_call.cpp
@@ -2,7 +2,7 @@
 
 #include "platform/server_header.hpp"
 #include "snipestall/gateway/backend_pool.hpp"
-#include "snipestall/gateway/socket_options.hpp"
+#include "snipestall/wire/socket_options.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -88,7 +88,8 @@
     auto [error] = co_await m_link->stream.async_connect(remote, UseTuple);
     if (error || m_aborted)
         co_return false;
-    detectLostPeer(m_link->stream.socket());
+    wire::detectLostPeer(m_link->stream.socket());
+    wire::resetOnClose(m_link->stream.socket());
     co_return true;
 }
 
--- a/src/snipestall/gateway/backend_pool.cpp
+++ b/src/snipestall/gateway/backend_pool.cpp
@@ -1,6 +1,6 @@
 #include "snipestall/gateway/backend_pool.hpp"
 
-#include "snipestall/gateway/socket_options.hpp"
+#include "snipestall/wire/socket_options.hpp"
 
 #include <utility>
 
@@ -10,7 +10,7 @@
 
 bool usable(BackendLink &link, SteadyTime now)
 {
-    return now < link.idleUntil && isIdleAndOpen(link.stream.socket());
+    return now < link.idleUntil && wire::isIdleAndOpen(link.stream.socket());
 }
 
 } // namespace
--- a/src/snipestall/gateway/caller_link.cpp
+++ b/src/snipestall/gateway/caller_link.cpp
@@ -1,6 +1,6 @@
 #include "snipestall/gateway/caller_link.hpp"
 
-#include "snipestall/gateway/socket_options.hpp"
+#include "snipestall/wire/socket_options.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -68,7 +68,7 @@
 CallerLink::CallerLink(tcp::socket socket)
     : m_stream(std::move(socket))
 {
-    detectLostPeer(m_stream.socket());
+    wire::detectLostPeer(m_stream.socket());
 }
 
 Task<RequestRead> CallerLink::readRequest(serving::TrafficLimits limits)
--- a/src/snipestall/gateway/duty_runner.cpp
+++ b/src/snipestall/gateway/duty_runner.cpp
@@ -37,7 +37,9 @@
 constexpr milliseconds UsageTick { 200 };
 constexpr milliseconds FleetTick { 300 };
 constexpr milliseconds StoreTimeout { 1200 };
-constexpr milliseconds DutyTimeout { 1500 };
+/// Shorter than the part of its lease in which a holder no longer acts, so that a call that is
+/// given up has arrived or never will when the next holder begins.
+constexpr milliseconds DutyTimeout { 900 };
 /// After the end of a window every instance has stored its counts; a fifth of the default window.
 constexpr milliseconds CountsDelay { 1000 };
 /// Several heartbeats of the servers.
@@ -136,7 +138,9 @@
 
 platform::DutyHolder DutyRunner::holder() const
 {
-    return { m_state.settings.instance, m_lease.fence() };
+    const std::int64_t fence = m_lease.fence();
+    return { m_state.settings.instance, fence,
+             [this, fence] { return holdsLease() && m_lease.fence() == fence; } };
 }
 
 // --- Lease -----------------------------------------------------------------------------------
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -32,7 +32,7 @@
 constexpr milliseconds DrainTick { 50 };
 /// New connections may come until the readiness has been asked for a few times, once a second.
 /// What comes later is refused: it might not be finished in time.
-constexpr milliseconds TakeWorkFor { 3000 };
+constexpr milliseconds TakeWorkFor { 2700 };
 
 std::uint64_t randomSeed()
 {
--- a/src/snipestall/serving/duty_lease.cpp
+++ b/src/snipestall/serving/duty_lease.cpp
@@ -8,7 +8,7 @@
 
 /// The holder stops acting this much before its lease ends: an act that is on its way arrives
 /// before anyone else may act.
-constexpr std::chrono::milliseconds StopEarly { 300 };
+constexpr std::chrono::milliseconds StopEarly { 1000 };
 
 } // namespace
 
--- /dev/null
+++ b/src/snipestall/serving/placement_test.cpp
@@ -0,0 +1,165 @@
+#include "snipestall/serving/placement.hpp"
+
+#include "snipestall/serving/peer_loads.hpp"
+#include "snipestall/serving/service.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace snipestall::serving {
+namespace {
+
+using namespace std::chrono_literals;
+
+const SteadyTime Start { 100s };
+constexpr std::uint64_t Seed = 7;
+
+class PlacementTest : public testing::Test
+{
+protected:
+    PlacementTest()
+    {
+        m_engines.name = "lm";
+        m_engines.engine = EngineProfile { 64, 500000 };
+        m_plain.name = "ledger";
+        for (int i = 0; i < 6; ++i)
+            add("lm", "lm-" + std::to_string(i), 64);
+        for (int i = 0; i < 4; ++i)
+            add("ledger", "ledger-" + std::to_string(i), 6);
+    }
+
+    void add(const std::string &service, const std::string &id, int slots)
+    {
+        BackendServer server;
+        server.id = id;
+        server.service = service;
+        server.slots = slots;
+        m_servers.put(server, Start);
+    }
+
+    Demand generation(std::uint64_t sharedPart, std::uint32_t tokens)
+    {
+        Demand demand;
+        demand.service = &m_engines;
+        Prompt prompt;
+        prompt.promptTokens = tokens;
+        prompt.maxOutputTokens = 300;
+        prompt.parts = { { 1, 500 }, { sharedPart, 4000 }, { ++m_ownPart, tokens - 4500 } };
+        demand.prompt = prompt;
+        return demand;
+    }
+
+    Demand call()
+    {
+        Demand demand;
+        demand.service = &m_plain;
+        return demand;
+    }
+
+    Service m_engines;
+    Service m_plain;
+    ServerTable m_servers;
+    PeerLoads m_peers;
+    Placement m_placement { m_servers, m_peers, Seed };
+    std::uint64_t m_ownPart = 1000000;
+};
+
+TEST_F(PlacementTest, InstancesAgreeOnTheServerOfASharedPartWithoutAMessage)
+{
+    Placement other(m_servers, m_peers, Seed + 1);
+    for (std::uint64_t part = 10; part < 60; ++part) {
+        const auto mine = m_placement.choose(generation(part, 8000), Start);
+        const auto theirs = other.choose(generation(part, 8000), Start);
+        EXPECT_EQ(mine->server->info.id, theirs->server->info.id) << part;
+    }
+}
+
+TEST_F(PlacementTest, SharedPartsSpreadOverAllServers)
+{
+    std::set<std::string> used;
+    for (std::uint64_t part = 10; part < 110; ++part)
+        used.insert(m_placement.choose(generation(part, 8000), Start)->server->info.id);
+    EXPECT_EQ(used.size(), 6U);
+}
+
+// Users of one popular document wait while other servers are idle: everything that shares its
+// prompt goes to one server, whose queue grows past the time that reading the prompt anew takes.
+TEST_F(PlacementTest, AHotPartSpillsOverOnceTheQueueCostsMoreThanReadingItAnew)
+{
+    std::set<std::string> used;
+    for (int i = 0; i < 12; ++i) {
+        const Demand demand = generation(42, 6000);
+        const auto placed = m_placement.choose(demand, Start);
+        m_placement.sent(demand, placed->server->info.id, Start);
+        placed->server->own.pendingTokens += placed->uncachedTokens;
+        ++placed->server->own.inFlight;
+        used.insert(placed->server->info.id);
+    }
+    EXPECT_GE(used.size(), 3U);
+    EXPECT_LT(used.size(), 7U);
+}
+
+// A lookup answers late although servers are idle: a review with a very long prompt is being read
+// where it was sent, and nobody but the instance that sent it knows.
+TEST_F(PlacementTest, PromptsThatPeersHaveWaitingCountLikeOwnOnes)
+{
+    const auto first = m_placement.choose(generation(42, 6000), Start);
+    m_peers.report("peer", { { first->server->info.id, { 1, 50000, 50000 } } }, Start);
+    const auto second = m_placement.choose(generation(42, 6000), Start);
+    EXPECT_NE(second->server->info.id, first->server->info.id);
+    const auto later = m_placement.choose(generation(42, 6000), Start + 10s);
+    EXPECT_EQ(later->server->info.id, first->server->info.id);
+}
+
+TEST_F(PlacementTest, AServerWithoutRoomInItsCacheIsPassedOver)
+{
+    const auto first = m_placement.choose(generation(42, 6000), Start);
+    first->server->own.heldTokens = 490000;
+    const auto second = m_placement.choose(generation(42, 6000), Start);
+    EXPECT_NE(second->server->info.id, first->server->info.id);
+}
+
+TEST_F(PlacementTest, CallsGoWhereFewestRun)
+{
+    for (int i = 0; i < 3; ++i)
+        m_servers.find("ledger-" + std::to_string(i))->own.inFlight = 3;
+    EXPECT_EQ(m_placement.choose(call(), Start)->server->info.id, "ledger-3");
+}
+
+// Callers get failures from a server whose health check is good: it answers fastest, so it always
+// has the fewest requests in flight and draws the most.
+TEST_F(PlacementTest, AServerThatFailsItsRequestsDrawsFewerOfThem)
+{
+    for (int i = 0; i < 20; ++i)
+        m_servers.find("ledger-0")->health.failed();
+    int atFailing = 0;
+    for (int i = 0; i < 400; ++i)
+        atFailing += m_placement.choose(call(), Start)->server->info.id == "ledger-0" ? 1 : 0;
+    EXPECT_EQ(atFailing, 0);
+}
+
+TEST_F(PlacementTest, SuspectedServersAreUsedOnlyWhenNoOtherIsLeft)
+{
+    for (int i = 0; i < 3; ++i)
+        m_servers.find("ledger-" + std::to_string(i))->health.lost(Start);
+    EXPECT_EQ(m_placement.choose(call(), Start)->server->info.id, "ledger-3");
+    m_servers.find("ledger-3")->health.lost(Start);
+    EXPECT_TRUE(m_placement.choose(call(), Start).has_value());
+}
+
+TEST_F(PlacementTest, LeavingAndTriedServersGetNothing)
+{
+    Demand demand = call();
+    BackendServer leaving = m_servers.find("ledger-0")->info;
+    leaving.leaving = true;
+    m_servers.put(leaving, Start);
+    demand.tried = { "ledger-1", "ledger-2" };
+    EXPECT_EQ(m_placement.choose(demand, Start)->server->info.id, "ledger-3");
+    demand.tried.insert("ledger-3");
+    EXPECT_FALSE(m_placement.choose(demand, Start).has_value());
+}
+
+} // namespace
+} // namespace snipestall::serving
--- /dev/null
+++ b/src/snipestall/serving/quota_keeper_test.cpp
@@ -0,0 +1,149 @@
+#include "snipestall/serving/quota_keeper.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <vector>
+
+namespace snipestall::serving {
+namespace {
+
+using namespace std::chrono_literals;
+
+const SteadyTime Start { 100s };
+
+Customer customer(double rate, double burst)
+{
+    Customer made;
+    made.name = "harbour";
+    made.ratePerSecond = rate;
+    made.burst = burst;
+    return made;
+}
+
+TEST(QuotaKeeper, AdmitsTheBurstAndThenTheRate)
+{
+    QuotaKeeper quotas;
+    quotas.configure({ customer(100, 200) }, 1, Start);
+    EXPECT_TRUE(quotas.take("harbour", 150, Start).admitted);
+    const auto refused = quotas.take("harbour", 100, Start);
+    EXPECT_FALSE(refused.admitted);
+    EXPECT_EQ(refused.retryAfter, 500ms);
+    EXPECT_TRUE(quotas.take("harbour", 100, Start + 500ms).admitted);
+}
+
+TEST(QuotaKeeper, CustomersWithoutQuotaAreNotLimited)
+{
+    QuotaKeeper quotas;
+    quotas.configure({ customer(0, 0) }, 1, Start);
+    EXPECT_TRUE(quotas.take("harbour", 1e9, Start).admitted);
+    EXPECT_TRUE(quotas.take("unknown", 1e9, Start).admitted);
+}
+
+TEST(QuotaKeeper, ARequestAboveTheBurstRunsWhenTheBucketIsFullAndLeavesADebt)
+{
+    QuotaKeeper quotas;
+    quotas.configure({ customer(100, 200) }, 1, Start);
+    EXPECT_TRUE(quotas.take("harbour", 500, Start).admitted);
+    EXPECT_FALSE(quotas.take("harbour", 1, Start + 2900ms).admitted);
+    EXPECT_TRUE(quotas.take("harbour", 1, Start + 3100ms).admitted);
+}
+
+/// Several instances that hear from each other every 200 ms.
+class Instances
+{
+public:
+    Instances(int count, const Customer &limits)
+    {
+        for (int i = 0; i < count; ++i) {
+            m_keepers.push_back(std::make_unique<QuotaKeeper>());
+            m_keepers.back()->configure({ limits }, 1, Start);
+        }
+    }
+
+    void exchange(SteadyTime now)
+    {
+        for (std::size_t i = 0; i < m_keepers.size(); ++i) {
+            for (std::size_t j = 0; j < m_keepers.size(); ++j) {
+                if (i != j)
+                    m_keepers[i]->peerUse(std::to_string(j), j + 1, m_keepers[j]->ownUse(), now);
+            }
+        }
+    }
+
+    QuotaKeeper &at(std::size_t index) { return *m_keepers[index]; }
+    [[nodiscard]] std::size_t size() const { return m_keepers.size(); }
+
+private:
+    std::vector<std::unique_ptr<QuotaKeeper>> m_keepers;
+};
+
+// A customer gets several times its quota: it floods all instances at once, and each of them
+// admits from the whole quota until it hears what the others took.
+TEST(QuotaKeeper, AFloodOverAllInstancesStaysNearTheQuota)
+{
+    constexpr double Rate = 1000;
+    constexpr double Burst = 1000;
+    Instances instances(9, customer(Rate, Burst));
+    double taken = 0;
+    SteadyTime now = Start;
+    instances.exchange(now);
+    for (int step = 0; step < 800; ++step, now += 10ms) {
+        for (std::size_t i = 0; i < instances.size(); ++i) {
+            // Four times the rate in all, in requests of 10 units.
+            if ((step + static_cast<int>(i)) % 2 == 0
+                && instances.at(i).take("harbour", 10, now).admitted)
+                taken += 10;
+        }
+        if (step % 20 == 19)
+            instances.exchange(now);
+    }
+    constexpr double Seconds = 8;
+    EXPECT_LE(taken, (Rate * Seconds + Burst) * 1.1);
+    EXPECT_GE(taken, Rate * Seconds * 0.85);
+}
+
+// A customer within its quota is refused: its connections all hash to one instance, which admits
+// only a fixed part of the quota.
+TEST(QuotaKeeper, OneInstanceMayUseTheWholeQuota)
+{
+    Instances instances(9, customer(1000, 1000));
+    SteadyTime now = Start;
+    for (int step = 0; step < 400; ++step, now += 10ms) {
+        EXPECT_TRUE(instances.at(0).take("harbour", 9.5, now).admitted) << step;
+        if (step % 20 == 19)
+            instances.exchange(now);
+    }
+}
+
+// A customer gets several times its quota while a network partition separates the instances: each
+// side gives out the whole rate.
+TEST(QuotaKeeper, PeersThatAreSilentKeepTheirShareForAWhile)
+{
+    Instances instances(4, customer(1000, 1000));
+    SteadyTime now = Start;
+    instances.exchange(now);
+    instances.exchange(now + 200ms);
+    ASSERT_TRUE(instances.at(0).take("harbour", 1000, now + 200ms).admitted);
+    // Cut off from all: a quarter of the rate is its own share.
+    now += 5s;
+    QuotaKeeper &alone = instances.at(0);
+    double taken = 0;
+    for (int i = 0; i < 200; ++i) {
+        if (alone.take("harbour", 10, now).admitted)
+            taken += 10;
+    }
+    EXPECT_LE(taken, 1300);
+}
+
+TEST(QuotaKeeper, ALoweredQuotaCountsAtOnce)
+{
+    QuotaKeeper quotas;
+    quotas.configure({ customer(1000, 5000) }, 1, Start);
+    quotas.configure({ customer(10, 50) }, 1, Start + 1s);
+    EXPECT_TRUE(quotas.take("harbour", 50, Start + 1s).admitted);
+    EXPECT_FALSE(quotas.take("harbour", 10, Start + 1s).admitted);
+}
+
+} // namespace
+} // namespace snipestall::serving
--- a/src/snipestall/wire/http_client.cpp
+++ b/src/snipestall/wire/http_client.cpp
@@ -1,6 +1,7 @@
 #include "snipestall/wire/http_client.hpp"
 
 #include "snipestall/wire/http_stream.hpp"
+#include "snipestall/wire/socket_options.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -46,16 +47,6 @@
                     + "; whether it ran must be read back");
 }
 
-/// A kept connection that the server has closed reads as ended; using it would lose the request.
-bool stillOpen(Connection &connection)
-{
-    auto &socket = connection.stream.socket();
-    beast::error_code ec;
-    socket.non_blocking(true, ec);
-    char byte = 0;
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-    return ec == asio::error::would_block;
-}
 
 } // namespace
 
@@ -78,7 +69,7 @@
     while (!kept.empty()) {
         ConnectionPtr connection = std::move(kept.back());
         kept.pop_back();
-        if (stillOpen(*connection))
+        if (isIdleAndOpen(connection->stream.socket()))
             return connection;
     }
     return nullptr;
@@ -214,7 +205,8 @@
             co_return fail(ErrorKind::Unavailable,
                            "can't connect to " + endpoint.toString() + ": " + ec.message()
                                + "; check that it runs");
-        connection->stream.socket().set_option(tcp::no_delay(true), bad);
+        detectLostPeer(connection->stream.socket());
+        resetOnClose(connection->stream.socket());
     }
     if (options.beforeSend && !options.beforeSend())
         co_return fail(ErrorKind::Unavailable, "given up before a byte was sent; nothing ran");
--- a/src/snipestall/gateway/socket_options.cpp
+++ b/src/snipestall/wire/socket_options.cpp
@@ -1,4 +1,4 @@
-#include "snipestall/gateway/socket_options.hpp"
+#include "snipestall/wire/socket_options.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
@@ -6,7 +6,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
-namespace snipestall::gateway {
+namespace snipestall::wire {
 
 namespace {
 
@@ -35,6 +35,12 @@
     socket.set_option(TcpOption<TCP_USER_TIMEOUT>(UserTimeoutMs), ignored);
 }
 
+void resetOnClose(tcp::socket &socket)
+{
+    boost::system::error_code ignored; // A socket without the option still works.
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+}
+
 bool isIdleAndOpen(tcp::socket &socket)
 {
     boost::system::error_code error;
@@ -44,4 +50,4 @@
     return error == boost::asio::error::would_block;
 }
 
-} // namespace snipestall::gateway
+} // namespace snipestall::wire
