Fleet by measured demand, quota tolerance as burst, usage counts told to peers

Ruled out: instances' CPU (0.04 of 0.25 cores); ledger servers too few. Change: demand is measured in fully used servers (prompt tokens over the rate seen); on-demand servers fill up to it only; half of the quota's tolerance is burst; peers remember each other's usage counts.

--- a/include/snipestall/gateway/gateway_settings.hpp
+++ b/include/snipestall/gateway/gateway_settings.hpp
@@ -25,6 +25,10 @@
     double retryRatio = 0.2;
     std::chrono::milliseconds retryWindow { 10000 };
     double retrySlack = 0;
+    /// How far a quota may be exceeded in any window: a part of it, and a number of units.
+    std::chrono::milliseconds quotaWindow { 0 };
+    double quotaOverrun = 0;
+    double quotaTolerance = 0;
     std::chrono::milliseconds lease { 3000 };
     std::chrono::milliseconds usageWindow { 5000 };
     std::chrono::milliseconds usageDelay { 10000 };
@@ -46,6 +50,8 @@
     std::uint16_t metricsPort = 0;
     wire::Endpoint store;
     wire::Endpoint duties;
+    /// How often backend servers renew their entries.
+    std::chrono::milliseconds serverHeartbeat { 1200 };
     std::size_t fileDescriptors = 1024;
     Bounds bounds;
 
--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -7,12 +7,14 @@
 #include "snipestall/gateway/gateway_settings.hpp"
 #include "snipestall/gateway/true_time.hpp"
 #include "snipestall/serving/catalogue.hpp"
+#include "snipestall/serving/demand_meter.hpp"
 #include "snipestall/serving/latency_pressure.hpp"
 #include "snipestall/serving/peer_loads.hpp"
 #include "snipestall/serving/placement.hpp"
 #include "snipestall/serving/quota_keeper.hpp"
 #include "snipestall/serving/retry_allowance.hpp"
 #include "snipestall/serving/server_table.hpp"
+#include "snipestall/serving/usage_ledger.hpp"
 #include "snipestall/serving/usage_windows.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -34,6 +36,12 @@
     /// New at each start of the process.
     std::uint64_t incarnation;
 
+    /// Name of this process: new at each start.
+    [[nodiscard]] std::string processName() const
+    {
+        return settings.instance + "/" + std::to_string(incarnation);
+    }
+
     /// Null until the first configuration is known.
     std::shared_ptr<const serving::Catalogue> catalogue;
     serving::ServerTable servers;
@@ -43,6 +51,8 @@
     serving::RetryAllowance retries;
     serving::UsageWindows usage;
     serving::LatencyPressure latency;
+    serving::DemandMeter demand;
+    serving::UsageLedger usageLedger;
     TrueTime trueTime;
     BackendPool backends;
     GatewayCounters counters;
--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -70,6 +70,7 @@
     void callPeers();
     void call(const std::string &name, Peer &peer);
     [[nodiscard]] exchange::v1::LoadReport ownReport() const;
+    void takeUsage(const exchange::v1::LoadReport &report);
     void take(const exchange::v1::LoadReport &report);
     void markSilent();
     [[nodiscard]] std::string ownAddress() const;
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -68,6 +68,7 @@
     wire::Task<void> answer(CallerLink::Answer answer, const char *reason);
     void firstByteCame();
     void noteLatency();
+    void notePromptRead();
     void callerLeft();
     /// Ends the caller's connection, so that a broken answer doesn't look complete.
     void breakOff(const char *reason);
@@ -90,6 +91,9 @@
     std::optional<std::uint64_t> m_lastEvent;
     /// A failure that a server answered, to be passed on if no repeat does better.
     std::optional<CallerLink::Answer> m_failure;
+    SteadyTime m_sentAt;
+    double m_uncached = 0;
+    double m_tokensAhead = 0;
     int m_runs = 0;
     int m_sends = 0;
     /// Set while an attempt runs.
--- a/include/snipestall/serving/fleet_planner.hpp
+++ b/include/snipestall/serving/fleet_planner.hpp
@@ -27,14 +27,23 @@
     bool operator==(const FleetOrder &) const = default;
 };
 
+/// What is known of a service's demand.
+struct FleetDemand
+{
+    /// Servers that would be needed if they were fully used; 0 while that is not known.
+    double servers = 0;
+    /// Whether any request has come yet.
+    bool any = false;
+};
+
 /// Decides how many servers of one service run where, and of which kind.
 ///
 /// Load: demand that follows the time of day, jumps, and data centres whose reclaimable servers are
 /// all taken back on seconds of notice while none are to be had. Harm: on-demand servers cost
-/// several times as much for the same work; without any, the loss of a data centre's reclaimable
-/// ones leaves the rest overloaded until others start. So reclaimable servers carry the demand with
-/// enough of a surplus that the others carry it without one data centre; on-demand ones run where
-/// too few reclaimable ones are there, and only while that is so.
+/// several times as much for the same work; without any, the loss of reclaimable ones leaves the
+/// rest overloaded until others start. So reclaimable servers carry the demand with enough of a
+/// surplus that the others carry it without one data centre; on-demand ones run only while fewer
+/// servers are there than the measured demand needs, in the cheapest data centres.
 class FleetPlanner
 {
 public:
@@ -46,16 +55,21 @@
     void pressure(double partOfTarget, SteadyTime now);
     /// Orders to be sent now; the caller reports back what came of each.
     [[nodiscard]] std::vector<FleetOrder> plan(const std::map<std::string, FleetCount> &counts,
-                                               SteadyTime now);
+                                               FleetDemand demand, SteadyTime now);
     void accepted(const FleetOrder &order, SteadyTime now);
     /// The order was not taken; none of this kind may be had there at the moment.
     void refused(const FleetOrder &order, SteadyTime now);
     [[nodiscard]] double scale() const { return m_scale; }
 
 private:
-    /// Reclaimable servers as a multiple of the usual number: one data centre of four lost leaves
-    /// the usual number at work.
-    static constexpr double Surplus = 1.34;
+    /// Use at which queues stay short: a server that is busy a third of the time rarely has a long
+    /// prompt before another.
+    static constexpr double ComfortableUse = 0.35;
+    /// Use above which prompts queue up behind each other; on-demand servers keep the fleet below.
+    static constexpr double CrowdedUse = 0.6;
+    /// The least that is kept, as a part of the number that the operators started with: demand may
+    /// come back faster than servers start.
+    static constexpr double LeastOfUsual = 1;
     /// Above this pressure the fleet grows: a queue that takes half of the target leaves no room
     /// for the next jump.
     static constexpr double GrowAbove = 0.55;
@@ -64,7 +78,6 @@
     static constexpr double ShrinkBelow = 0.25;
     static constexpr double ShrinkBy = 0.9;
     static constexpr std::chrono::seconds ShrinkAfter { 15 };
-    /// Never less than what the operators started with, as reclaimable servers are cheap.
     static constexpr double LeastScale = 1;
     static constexpr double MostScale = 4;
     /// Pause after a refusal, and between repeats of an order that has not come true.
@@ -84,8 +97,12 @@
         Kind onDemand;
     };
 
-    [[nodiscard]] int reclaimableWanted(const Place &place) const;
-    [[nodiscard]] int onDemandWanted(const Place &place, const FleetCount &count) const;
+    /// Reclaimable servers wanted in each data centre.
+    [[nodiscard]] int reclaimableWanted(FleetDemand demand) const;
+    [[nodiscard]] std::map<std::string, int>
+    onDemandWanted(const std::map<std::string, FleetCount> &counts, FleetDemand demand) const;
+    [[nodiscard]] int usualTotal() const;
+    [[nodiscard]] std::vector<std::string> cheapestFirst() const;
     [[nodiscard]] bool due(const Kind &kind, int wanted, int present, SteadyTime now) const;
     static Kind &kindOf(Place &place, bool reclaimable)
     {
--- a/include/snipestall/serving/quota_keeper.hpp
+++ b/include/snipestall/serving/quota_keeper.hpp
@@ -20,6 +20,17 @@
     std::chrono::milliseconds retryAfter { 0 };
 };
 
+/// How far the instances together may exceed a quota in any window, so that the time they need to
+/// hear from each other does not cost a customer what is within its quota.
+struct QuotaTolerance
+{
+    std::chrono::milliseconds window { 0 };
+    /// Part of what the window allows.
+    double overrun = 0;
+    /// Units besides.
+    double units = 0;
+};
+
 /// Units taken from each customer's quota since a process started; it only grows.
 using QuotaUse = std::unordered_map<std::string, double>;
 
@@ -34,6 +45,10 @@
 class QuotaKeeper
 {
 public:
+    explicit QuotaKeeper(QuotaTolerance tolerance = {})
+        : m_tolerance(tolerance)
+    { }
+
     /// Keeps fill levels; a new customer starts with `initialFill` of its burst, 0 to 1.
     void configure(const std::vector<Customer> &customers, double initialFill, SteadyTime now);
 
@@ -52,6 +67,10 @@
     /// A peer silent for longer than several heartbeats may be behind a partition.
     static constexpr std::chrono::milliseconds PeerHeardWithin { 1500 };
 
+    /// Part of the tolerance by which a burst may be larger; the rest is kept for what several
+    /// instances admit at the same moment.
+    static constexpr double UsedTolerance = 0.5;
+
     struct Bucket
     {
         double rate = 0;
@@ -73,6 +92,9 @@
     [[nodiscard]] double refillShare(SteadyTime now) const;
     void forgetStoppedPeers(SteadyTime now);
 
+    [[nodiscard]] double burstOf(const Customer &customer) const;
+
+    QuotaTolerance m_tolerance;
     std::map<std::string, Bucket> m_buckets;
     std::map<std::string, PeerUse> m_peers;
     QuotaUse m_ownUse;
--- a/include/snipestall/serving/usage_windows.hpp
+++ b/include/snipestall/serving/usage_windows.hpp
@@ -27,6 +27,7 @@
     void began(const std::string &customer, WallTime time);
     /// Empty if nothing began.
     [[nodiscard]] UsageCounts counts(std::int64_t window) const;
+    [[nodiscard]] const std::map<std::int64_t, UsageCounts> &all() const { return m_windows; }
     /// Drops windows before this one.
     void dropBefore(std::int64_t window);
 
--- a/src/snipestall/gateway/duty_runner.cpp
+++ b/src/snipestall/gateway/duty_runner.cpp
@@ -42,8 +42,8 @@
 constexpr milliseconds DutyTimeout { 900 };
 /// After the end of a window every instance has stored its counts; a fifth of the default window.
 constexpr milliseconds CountsDelay { 1000 };
-/// Several heartbeats of the servers.
-constexpr milliseconds ListSettles { 4000 };
+/// Windows whose counts are kept in memory and told to peers; a report is due two windows late.
+constexpr std::int64_t WindowsKept = 3;
 /// A new holder repeats what its predecessor may have left unsent.
 constexpr std::int64_t WindowsRepeated = 3;
 
@@ -115,8 +115,7 @@
     : m_state(state)
     , m_store(store)
     , m_duties(state.io, state.settings.duties)
-    , m_lease(state.settings.instance + "/" + std::to_string(state.incarnation),
-              state.settings.bounds.lease)
+    , m_lease(state.processName(), state.settings.bounds.lease)
 { }
 
 void DutyRunner::start()
@@ -249,7 +248,8 @@
             co_return;
         ++m_storedUpTo;
     }
-    m_state.usage.dropBefore(current - 1);
+    m_state.usage.dropBefore(current - WindowsKept);
+    m_state.usageLedger.dropBefore(current - WindowsKept);
 }
 
 Task<bool> DutyRunner::storeCountsOf(std::int64_t window)
@@ -259,8 +259,7 @@
         co_return true;
     // A key for each process: what an earlier one of this instance counted stays.
     const platform::RowName name { CountsTable, std::to_string(window),
-                                   m_state.settings.instance + "/"
-                                       + std::to_string(m_state.incarnation) };
+                                   m_state.processName() };
     std::vector<platform::RowWrite> writes { { name, encodeCounts(counts) } };
     const auto done = co_await m_store.write({}, std::move(writes), StoreTimeout);
     co_return done.has_value();
@@ -329,12 +328,10 @@
     const auto rows = co_await m_store.read(CountsTable, std::to_string(window), StoreTimeout);
     if (!rows)
         co_return std::nullopt;
-    UsageCounts sum;
-    for (const platform::StoredRow &row : rows->rows) {
-        for (const auto &[customer, count] : decodeNumbers<std::uint64_t>(row.value))
-            sum[customer] += count;
-    }
-    co_return sum;
+    for (const platform::StoredRow &row : rows->rows)
+        m_state.usageLedger.said(window, row.name.key, decodeNumbers<std::uint64_t>(row.value));
+    m_state.usageLedger.said(window, m_state.processName(), m_state.usage.counts(window));
+    co_return m_state.usageLedger.total(window);
 }
 
 Task<void> DutyRunner::removeCounts(std::int64_t window)
@@ -355,6 +352,7 @@
 Task<void> DutyRunner::fleetLoop()
 {
     while (true) {
+        m_state.demand.sample(m_state.clock.steadyNow());
         if (holdsLease() && m_state.catalogue && m_state.listKnown)
             co_await orderServers();
         co_await wire::sleepFor(FleetTick);
@@ -382,7 +380,7 @@
 Task<bool> DutyRunner::learnUsualFleet(const std::string &service)
 {
     // Servers that start with the system list themselves one after the other.
-    if (m_state.clock.steadyNow() - m_state.listKnownSince < ListSettles)
+    if (m_state.clock.steadyNow() - m_state.listKnownSince < 2 * m_state.settings.serverHeartbeat)
         co_return false;
     std::map<std::string, int> usual;
     for (const auto &[dataCentre, count] : countServers(service))
@@ -424,8 +422,10 @@
         serving::FleetPlanner &planner = m_planners.at(name);
         const SteadyTime now = m_state.clock.steadyNow();
         planner.pressure(m_state.latency.highest(name, now), now);
+        const serving::FleetDemand demand { m_state.demand.needed(name),
+                                            m_state.counters.attempts > 0 };
         for (const serving::FleetOrder &order :
-             planner.plan(countServers(name), now)) {
+             planner.plan(countServers(name), demand, now)) {
             if (!holdsLease())
                 co_return;
             platform::ServerOrder wanted { name, order.dataCentre, order.count,
@@ -441,6 +441,7 @@
                        { "count", std::to_string(order.count) },
                        { "reclaimable", order.reclaimable ? "yes" : "no" },
                        { "scale", std::to_string(planner.scale()) },
+                       { "needed", std::to_string(demand.servers) },
                        { "fence", std::to_string(m_lease.fence()) },
                        { "error", done ? std::string() : done.error().message } });
         }
--- a/src/snipestall/gateway/gateway_settings.cpp
+++ b/src/snipestall/gateway/gateway_settings.cpp
@@ -89,6 +89,9 @@
     bounds.retryRatio = reader.optional(node, "retry_ratio", bounds.retryRatio);
     bounds.retryWindow = reader.seconds(node, "retry_window_s", bounds.retryWindow);
     bounds.retrySlack = reader.optional(node, "retry_slack", bounds.retrySlack);
+    bounds.quotaWindow = reader.seconds(node, "quota_window_s", bounds.quotaWindow);
+    bounds.quotaOverrun = reader.optional(node, "quota_overrun", bounds.quotaOverrun);
+    bounds.quotaTolerance = reader.optional(node, "quota_tolerance", bounds.quotaTolerance);
     bounds.lease = reader.millis(node, "lease_ms", bounds.lease);
     bounds.usageWindow = reader.seconds(node, "usage_window_s", bounds.usageWindow);
     bounds.usageDelay = reader.seconds(node, "usage_delay_s", bounds.usageDelay);
@@ -128,6 +131,8 @@
     settings.metricsPort = reader.required<std::uint16_t>(*root, "metrics_port");
     settings.store = reader.endpoint(*root, "store");
     settings.duties = reader.endpoint(*root, "duties");
+    settings.serverHeartbeat =
+        reader.millis(*root, "server_heartbeat_ms", settings.serverHeartbeat);
     const YAML::Node limits = (*root)["limits"];
     settings.fileDescriptors =
         reader.optional(limits, "file_descriptors", settings.fileDescriptors);
--- a/src/snipestall/gateway/gateway_state.cpp
+++ b/src/snipestall/gateway/gateway_state.cpp
@@ -11,6 +11,8 @@
     , random(seed)
     , incarnation(seed)
     , placement(servers, peerLoads, seed)
+    , quotas({ settings.bounds.quotaWindow, settings.bounds.quotaOverrun,
+               settings.bounds.quotaTolerance })
     , retries({ settings.bounds.retryWindow, settings.bounds.retryRatio,
                 settings.bounds.retrySlack })
     , usage(settings.bounds.usageWindow)
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -193,9 +193,30 @@
         use->set_customer(customer);
         use->set_units(units);
     }
+    for (const auto &[service, seconds] : m_state.demand.ownWork()) {
+        v1::ServiceWork *work = report.add_services();
+        work->set_service(service);
+        work->set_seconds(seconds);
+    }
+    for (const auto &[window, counts] : m_state.usage.all()) {
+        v1::UsageCount *usage = report.add_usage();
+        usage->set_window(window);
+        for (const auto &[customer, count] : counts)
+            (*usage->mutable_customers())[customer] = count;
+    }
     return report;
 }
 
+void LoadExchange::takeUsage(const v1::LoadReport &report)
+{
+    const std::string process =
+        report.instance() + "/" + std::to_string(report.incarnation());
+    for (const v1::UsageCount &usage : report.usage()) {
+        const serving::UsageCounts counts(usage.customers().begin(), usage.customers().end());
+        m_state.usageLedger.said(usage.window(), process, counts);
+    }
+}
+
 void LoadExchange::take(const v1::LoadReport &report)
 {
     if (report.instance().empty() || report.instance() == m_state.settings.instance)
@@ -222,6 +243,11 @@
         use[each.customer()] = each.units();
     m_state.quotas.peerUse(report.instance(), report.incarnation(), use, now);
     m_state.retries.setInstances(instances());
+    serving::ServiceWork services;
+    for (const v1::ServiceWork &each : report.services())
+        services[each.service()] = each.seconds();
+    m_state.demand.peerWork(report.instance(), report.incarnation(), services);
+    takeUsage(report);
     if (report.holds_lease())
         m_hooks.holderHeard();
 }
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -290,6 +290,11 @@
     const double held = m_demand.prompt ? m_demand.prompt->promptTokens : 0;
     LoadClaim load(server, placed.uncachedTokens, held);
     m_load = &load;
+    m_sentAt = m_state.clock.steadyNow();
+    m_uncached = placed.uncachedTokens;
+    m_tokensAhead = placed.tokensAhead;
+    if (m_uncached > 0)
+        m_state.demand.promptSent(m_demand.service->name, m_uncached);
     m_state.placement.sent(m_demand, server->info.id, m_state.clock.steadyNow());
     m_call = std::make_shared<BackendCall>(m_state.io, m_state.backends, m_state.clock,
                                            server->info.id, server->info.address);
@@ -312,6 +317,9 @@
     }
     m_load = nullptr;
     m_call.reset();
+    if (!m_demand.prompt)
+        m_state.demand.callEnded(m_demand.service->name, m_state.clock.steadyNow() - m_sentAt,
+                                 server->info.slots);
     logEvent(events::GatewayAttemptEnded,
              { { "attempt", m_header.attemptId },
                { "server", server->info.id },
@@ -343,6 +351,8 @@
     if (m_load != nullptr) {
         m_load->promptRead();
         noteLatency();
+        notePromptRead();
+        m_load = nullptr;
     }
     if (m_counted || m_customer == nullptr || !m_state.trueTime.known())
         return;
@@ -350,6 +360,15 @@
     m_state.usage.began(m_customer->name, m_state.trueTime.at(m_state.clock.steadyNow()));
 }
 
+void RequestRelay::notePromptRead()
+{
+    // Only what found no prompt before it measures how fast the engine reads.
+    if (m_uncached <= 0 || m_tokensAhead > 0)
+        return;
+    m_state.demand.sawPromptRead(m_demand.service->name, m_uncached,
+                                 m_state.clock.steadyNow() - m_sentAt);
+}
+
 void RequestRelay::noteLatency()
 {
     if (m_begun || m_route->targetLatency.count() <= 0)
--- /dev/null
+++ b/src/snipestall/serving/demand_meter.cpp
@@ -0,0 +1,100 @@
+#include "snipestall/serving/demand_meter.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace snipestall::serving {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Adds what grew since `counted` to `total`.
+void addGrowth(const ServiceWork &work, ServiceWork &counted, ServiceWork &total)
+{
+    for (const auto &[service, seconds] : work) {
+        total[service] += std::max(0.0, seconds - counted[service]);
+        counted[service] = seconds;
+    }
+}
+
+} // namespace
+
+void DemandMeter::sawPromptRead(const std::string &service, double tokens, Seconds took)
+{
+    if (tokens < ShortestPrompt || took.count() <= 0)
+        return;
+    auto &rates = m_rates[service];
+    rates.push_back(tokens / took.count());
+    if (rates.size() > MostRates)
+        rates.pop_front();
+}
+
+double DemandMeter::readRate(const std::string &service) const
+{
+    const auto found = m_rates.find(service);
+    if (found == m_rates.end() || found->second.size() < FewestRates)
+        return 0;
+    std::vector<double> rates(found->second.begin(), found->second.end());
+    // Slower ones shared their engine with others; the median is what a busy engine does.
+    const auto middle = rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
+    std::nth_element(rates.begin(), middle, rates.end());
+    return *middle;
+}
+
+void DemandMeter::promptSent(const std::string &service, double tokens)
+{
+    const double rate = readRate(service);
+    if (rate > 0)
+        m_ownWork[service] += tokens / rate;
+}
+
+void DemandMeter::callEnded(const std::string &service, Seconds took, int slots)
+{
+    m_ownWork[service] += took.count() / std::max(slots, 1);
+}
+
+void DemandMeter::peerWork(const std::string &peer, std::uint64_t incarnation,
+                           const ServiceWork &work)
+{
+    Peer &known = m_peers[peer];
+    if (known.incarnation != incarnation) {
+        // What it did before it was first heard of is not new work.
+        known = { incarnation, work };
+        return;
+    }
+    addGrowth(work, known.work, m_total);
+}
+
+void DemandMeter::sample(SteadyTime now)
+{
+    addGrowth(m_ownWork, m_ownCounted, m_total);
+    m_totals.push_back({ now, m_total });
+    while (m_totals.size() > 1 && now - m_totals[1].time >= Span)
+        m_totals.pop_front();
+    const Total &before = m_totals.front();
+    const double seconds = Seconds(now - before.time).count();
+    if (seconds < Seconds(Span).count() / 2)
+        return;
+    for (const auto &[service, work] : m_total) {
+        const auto earlier = before.work.find(service);
+        const double since = earlier == before.work.end() ? 0 : earlier->second;
+        auto &needs = m_needs[service];
+        needs.push_back({ now, (work - since) / seconds });
+        while (now - needs.front().time > Remembered)
+            needs.pop_front();
+    }
+}
+
+double DemandMeter::needed(const std::string &service) const
+{
+    const auto found = m_needs.find(service);
+    if (found == m_needs.end())
+        return 0;
+    double highest = 0;
+    for (const Need &need : found->second)
+        highest = std::max(highest, need.servers);
+    return highest;
+}
+
+} // namespace snipestall::serving
--- a/src/snipestall/serving/fleet_planner.cpp
+++ b/src/snipestall/serving/fleet_planner.cpp
@@ -33,16 +33,67 @@
     }
 }
 
-int FleetPlanner::reclaimableWanted(const Place &place) const
+int FleetPlanner::usualTotal() const
 {
-    const int wanted = static_cast<int>(std::ceil(place.usual * Surplus * m_scale));
-    return std::clamp(wanted, m_policy.least, m_policy.most);
+    int total = 0;
+    for (const auto &[dataCentre, place] : m_places)
+        total += place.usual;
+    return total;
 }
 
-int FleetPlanner::onDemandWanted(const Place &place, const FleetCount &count) const
+int FleetPlanner::reclaimableWanted(FleetDemand demand) const
 {
-    const int missing = place.usual - count.reclaimable;
-    return std::clamp(missing, 0, std::max(m_policy.most - count.reclaimable, 0));
+    const auto dataCentres = static_cast<double>(std::max<std::size_t>(m_places.size(), 1));
+    const double least = usualTotal() * LeastOfUsual;
+    const double total = std::max(demand.servers / ComfortableUse, least) * m_scale;
+    // The others carry the demand without one data centre; alone, it can only have a server more.
+    const double others = std::max(dataCentres - 1, 1.0);
+    const int each = static_cast<int>(std::ceil(total / others));
+    return std::clamp(each, m_policy.least, m_policy.most);
+}
+
+std::vector<std::string> FleetPlanner::cheapestFirst() const
+{
+    std::vector<std::string> order;
+    for (const auto &[dataCentre, place] : m_places)
+        order.push_back(dataCentre);
+    const auto priceOf = [this](const std::string &dataCentre) {
+        const auto found = m_policy.dataCentrePrices.find(dataCentre);
+        return found == m_policy.dataCentrePrices.end() ? 1.0 : found->second;
+    };
+    std::stable_sort(order.begin(), order.end(),
+                     [&priceOf](const std::string &a, const std::string &b) {
+                         return priceOf(a) < priceOf(b);
+                     });
+    return order;
+}
+
+std::map<std::string, int>
+FleetPlanner::onDemandWanted(const std::map<std::string, FleetCount> &counts,
+                             FleetDemand demand) const
+{
+    std::map<std::string, int> wanted;
+    int reclaimable = 0;
+    for (const auto &[dataCentre, count] : counts)
+        reclaimable += count.reclaimable;
+    // Before the demand has been measured, what the operators started with is the best guess;
+    // before the first request nothing needs to run while cheaper servers start.
+    int needed = demand.any ? usualTotal() : 0;
+    if (demand.servers > 0)
+        needed = static_cast<int>(std::ceil(demand.servers / CrowdedUse * m_scale));
+    int missing = std::max(needed - reclaimable, 0);
+    const std::vector<std::string> order = cheapestFirst();
+    for (std::size_t i = 0; i < order.size(); ++i) {
+        const auto found = counts.find(order[i]);
+        const int present = found == counts.end() ? 0 : found->second.reclaimable;
+        const int room = std::max(m_policy.most - present, 0);
+        // Evenly, the cheaper ones first where it doesn't divide: a data centre may be cut off.
+        const int left = static_cast<int>(order.size() - i);
+        const int share = std::min((missing + left - 1) / left, room);
+        wanted[order[i]] = share;
+        missing -= share;
+    }
+    return wanted;
 }
 
 bool FleetPlanner::due(const Kind &kind, int wanted, int present, SteadyTime now) const
@@ -50,25 +101,29 @@
     const auto waited = now - kind.askedAt;
     if (kind.refused)
         return waited >= RepeatPause;
-    if (wanted != kind.ordered)
+    if (wanted > kind.ordered || kind.ordered < 0)
         return true;
+    // Fewer are ordered once the lower figure has lasted: each change costs a start.
+    if (wanted < kind.ordered)
+        return waited >= m_policy.bootTime + RepeatPause;
     // A reclaim ends the order that it strikes, and an order may get lost.
     return present < wanted && waited >= m_policy.bootTime + RepeatPause;
 }
 
 std::vector<FleetOrder> FleetPlanner::plan(const std::map<std::string, FleetCount> &counts,
-                                           SteadyTime now)
+                                           FleetDemand demand, SteadyTime now)
 {
     std::vector<FleetOrder> orders;
+    const int reclaimable = reclaimableWanted(demand);
+    const std::map<std::string, int> onDemand = onDemandWanted(counts, demand);
     for (auto &[dataCentre, place] : m_places) {
         const auto found = counts.find(dataCentre);
         const FleetCount count = found == counts.end() ? FleetCount {} : found->second;
-        const int reclaimable = reclaimableWanted(place);
         if (due(place.reclaimable, reclaimable, count.reclaimable, now))
             orders.push_back({ dataCentre, reclaimable, true });
-        const int onDemand = onDemandWanted(place, count);
-        if (due(place.onDemand, onDemand, count.onDemand, now))
-            orders.push_back({ dataCentre, onDemand, false });
+        const int wanted = onDemand.at(dataCentre);
+        if (due(place.onDemand, wanted, count.onDemand, now))
+            orders.push_back({ dataCentre, wanted, false });
     }
     return orders;
 }
--- a/src/snipestall/serving/quota_keeper.cpp
+++ b/src/snipestall/serving/quota_keeper.cpp
@@ -16,6 +16,15 @@
 
 } // namespace
 
+double QuotaKeeper::burstOf(const Customer &customer) const
+{
+    const double window = Seconds(m_tolerance.window).count();
+    const double allowed = customer.ratePerSecond * window + customer.burst;
+    // The fixed part of the tolerance is in tokens where the quota is.
+    const double units = customer.countsTokens ? m_tolerance.units : 0;
+    return customer.burst + UsedTolerance * (allowed * m_tolerance.overrun + units);
+}
+
 void QuotaKeeper::configure(const std::vector<Customer> &customers, double initialFill,
                             SteadyTime now)
 {
@@ -23,12 +32,13 @@
     for (const Customer &customer : customers) {
         if (customer.ratePerSecond <= 0)
             continue;
-        Bucket bucket { customer.ratePerSecond, customer.burst, customer.burst * initialFill, now };
+        const double burst = burstOf(customer);
+        Bucket bucket { customer.ratePerSecond, burst, burst * initialFill, now };
         const auto known = m_buckets.find(customer.name);
         if (known != m_buckets.end()) {
             refill(known->second, now);
             // A lowered quota counts from now on: what is left of the old burst is cut.
-            bucket.level = std::min(known->second.level, customer.burst);
+            bucket.level = std::min(known->second.level, burst);
         }
         buckets.emplace(customer.name, bucket);
     }
