--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -59,7 +59,8 @@
 
     /// The list of backend servers has been read at least once.
     bool listKnown = false;
-    SteadyTime listKnownSince;
+    /// When a backend server was last listed for the first time.
+    SteadyTime listGrewAt;
     std::int64_t listVersion = 0;
     /// A graceful shutdown has begun.
     bool draining = false;
--- a/include/snipestall/serving/demand_meter.hpp
+++ b/include/snipestall/serving/demand_meter.hpp
@@ -41,9 +41,9 @@
 
 private:
     static constexpr std::size_t MostRates = 96;
-    static constexpr std::size_t FewestRates = 5;
+    static constexpr std::size_t FewestRates = 8;
     /// Shorter prompts measure the engine's fixed delays more than its reading.
-    static constexpr double ShortestPrompt = 1500;
+    static constexpr double ShortestPrompt = 3000;
     /// Long enough that one long prompt does not look like a rise.
     static constexpr std::chrono::seconds Span { 3 };
     /// A peak counts for this long: demand that has just fallen may rise again.
--- a/include/snipestall/serving/fleet_planner.hpp
+++ b/include/snipestall/serving/fleet_planner.hpp
@@ -69,7 +69,7 @@
     static constexpr double CrowdedUse = 0.6;
     /// The least that is kept, as a part of the number that the operators started with: demand may
     /// come back faster than servers start.
-    static constexpr double LeastOfUsual = 1;
+    static constexpr double LeastOfUsual = 1.5;
     /// Above this pressure the fleet grows: a queue that takes half of the target leaves no room
     /// for the next jump.
     static constexpr double GrowAbove = 0.55;
--- a/src/snipestall/gateway/duty_runner.cpp
+++ b/src/snipestall/gateway/duty_runner.cpp
@@ -380,7 +380,7 @@
 Task<bool> DutyRunner::learnUsualFleet(const std::string &service)
 {
     // Servers that start with the system list themselves one after the other.
-    if (m_state.clock.steadyNow() - m_state.listKnownSince < 2 * m_state.settings.serverHeartbeat)
+    if (m_state.clock.steadyNow() - m_state.listGrewAt < m_state.settings.serverHeartbeat)
         co_return false;
     std::map<std::string, int> usual;
     for (const auto &[dataCentre, count] : countServers(service))
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -167,8 +167,6 @@
     for (const std::string &id : missing)
         serverGone(id);
     m_state.listVersion = std::max(m_state.listVersion, rows.storeVersion);
-    if (!m_state.listKnown)
-        m_state.listKnownSince = m_state.clock.steadyNow();
     m_state.listKnown = true;
     m_changed();
 }
@@ -187,6 +185,8 @@
                                            { "error", server.error().message } });
         return;
     }
+    if (m_state.servers.find(server->id) == nullptr)
+        m_state.listGrewAt = m_state.clock.steadyNow();
     m_state.servers.put(*server, m_state.clock.steadyNow());
     logEvent(events::ServerListed, { { "server", server->id },
                                      { "service", server->service },
--- a/src/snipestall/serving/demand_meter.cpp
+++ b/src/snipestall/serving/demand_meter.cpp
@@ -36,10 +36,12 @@
     if (found == m_rates.end() || found->second.size() < FewestRates)
         return 0;
     std::vector<double> rates(found->second.begin(), found->second.end());
-    // Slower ones shared their engine with others; the median is what a busy engine does.
-    const auto middle = rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
-    std::nth_element(rates.begin(), middle, rates.end());
-    return *middle;
+    // Slower ones shared their engine with others or were too short for its fixed delays.
+    constexpr double Quantile = 0.9;
+    const auto at = rates.begin()
+        + static_cast<std::ptrdiff_t>(Quantile * static_cast<double>(rates.size() - 1));
+    std::nth_element(rates.begin(), at, rates.end());
+    return *at;
 }
 
 void DemandMeter::promptSent(const std::string &service, double tokens)
