--- a/apps/snipestall_gateway/main.cpp
+++ b/apps/snipestall_gateway/main.cpp
@@ -16,7 +16,7 @@
 
 DEFINE_string(settings, "",
               "settings file (YAML); if not given, the file that the environment names");
-DEFINE_string(settings_variable, "SNIPESTALL_BOOT",
+DEFINE_string(settings_variable, "",
               "environment variable that holds the path of the settings file");
 DEFINE_bool(check, false, "check the settings file, say what is wrong with it, and exit");
 
--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipestall/base/random.hpp"
+#include "snipestall/gateway/attempt_watch.hpp"
 #include "snipestall/gateway/backend_pool.hpp"
 #include "snipestall/gateway/boot_clock.hpp"
 #include "snipestall/gateway/gateway_counters.hpp"
@@ -62,6 +63,8 @@
     /// When a backend server was last listed for the first time.
     SteadyTime listGrewAt;
     std::int64_t listVersion = 0;
+    /// Attempts that wait for the first byte of their answer and may be repeated elsewhere.
+    AttemptWatch attempts;
     /// A graceful shutdown has begun.
     bool draining = false;
     /// So late in the shutdown that a request might not be finished: it is refused as not run.
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "platform/caller_header.hpp"
+#include "snipestall/gateway/attempt_watch.hpp"
 #include "snipestall/gateway/backend_call.hpp"
 #include "snipestall/gateway/caller_link.hpp"
 #include "snipestall/serving/placement.hpp"
@@ -69,6 +70,8 @@
     void firstByteCame();
     void noteLatency();
     void notePromptRead();
+    void watchForStall(const serving::ServerStatePtr &server);
+    void stopStallWatch();
     void callerLeft();
     /// Ends the caller's connection, so that a broken answer doesn't look complete.
     void breakOff(const char *reason);
@@ -92,8 +95,9 @@
     /// A failure that a server answered, to be passed on if no repeat does better.
     std::optional<CallerLink::Answer> m_failure;
     SteadyTime m_sentAt;
-    double m_uncached = 0;
+    double m_unread = 0;
     double m_tokensAhead = 0;
+    std::optional<AttemptWatch::Ticket> m_stallTicket;
     int m_runs = 0;
     int m_sends = 0;
     /// Set while an attempt runs.
--- a/include/snipestall/serving/placement.hpp
+++ b/include/snipestall/serving/placement.hpp
@@ -31,7 +31,7 @@
 {
     ServerStatePtr server;
     /// Prompt tokens that the engine has to read, as far as is known.
-    double uncachedTokens = 0;
+    double unreadTokens = 0;
     /// Prompt tokens waiting ahead of it there.
     double tokensAhead = 0;
 };
@@ -48,7 +48,9 @@
 class Placement
 {
 public:
-    Placement(const ServerTable &servers, const PeerLoads &peers, std::uint64_t seed);
+    /// `dataCentre`: where this instance is.
+    Placement(const ServerTable &servers, const PeerLoads &peers, std::string dataCentre,
+              std::uint64_t seed);
 
     /// Nothing if no server of the service takes work.
     [[nodiscard]] std::optional<Placed> choose(const Demand &demand, SteadyTime now);
@@ -69,6 +71,7 @@
 
     const ServerTable &m_servers;
     const PeerLoads &m_peers;
+    std::string m_dataCentre;
     PromptCacheMap m_cached;
     Random m_random;
 };
--- a/include/snipestall/serving/route.hpp
+++ b/include/snipestall/serving/route.hpp
@@ -37,7 +37,7 @@
     int priority = 0;
     std::vector<RouteTarget> targets;
     /// Backend servers that one attempt of a caller may be sent to.
-    int maxAttempts = 1;
+    int attemptLimit = 1;
     /// Needs no key.
     bool anonymous = false;
     bool resumable = false;
--- a/include/snipestall/serving/server_table.hpp
+++ b/include/snipestall/serving/server_table.hpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/base/clock.hpp"
 #include "snipestall/serving/backend_server.hpp"
+#include "snipestall/serving/data_centre_health.hpp"
 #include "snipestall/serving/server_health.hpp"
 #include "snipestall/serving/server_load.hpp"
 
@@ -22,6 +23,8 @@
     /// Work of this instance alone.
     ServerLoad own;
     ServerHealth health;
+    /// When it last sent this instance a byte.
+    SteadyTime heardAt;
     /// Set while the server is reclaimed: when it stops, on this instance's clock.
     std::optional<SteadyTime> leavesAt;
     /// The entry is gone from the list; work that runs there goes on, nothing new is sent.
@@ -47,6 +50,13 @@
     /// Removes the lapsed entries whose time has come. Returns their ids.
     std::vector<std::string> expireLapsed(SteadyTime now);
 
+    /// A server can't be reached, broke off or did not answer in time.
+    void lost(ServerState &server, SteadyTime now);
+    /// A server gave a whole answer.
+    void answered(ServerState &server);
+    /// False while a server, or its whole data centre, is to be avoided.
+    [[nodiscard]] bool usable(const ServerState &server, SteadyTime now) const;
+
     [[nodiscard]] ServerStatePtr find(const std::string &id) const;
     /// Entries of a service in the order of their ids.
     [[nodiscard]] std::vector<ServerStatePtr> ofService(const std::string &service) const;
@@ -59,6 +69,7 @@
     std::map<std::string, ServerStatePtr> m_servers;
     std::unordered_set<std::string> m_departed;
     std::unordered_map<std::string, SteadyTime> m_lapsed;
+    std::map<std::string, DataCentreHealth> m_dataCentres;
 };
 
 } // namespace snipestall::serving
--- a/include/snipestall/serving/service.hpp
+++ b/include/snipestall/serving/service.hpp
@@ -12,16 +12,13 @@
 {
     int slots = 1;
     /// Tokens that fit into an engine's KV cache.
-    double kvCapacity = 0;
+    double cacheTokens = 0;
 };
 
 /// A group of interchangeable backend servers.
 struct Service
 {
     std::string name;
-    std::string healthPath;
-    /// Connections that one backend server takes from all callers together.
-    int maxConnections = 0;
     /// Set for model engines only.
     std::optional<EngineProfile> engine;
     /// Set where servers can be ordered.
--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -9,15 +9,20 @@
     "settings": {"base"},
     "policy": {"base", "settings"},
     "wire": {"base"},
+    # Decisions of the gateway; of wire it may see the plain types below only.
+    "serving": {"base", "wire"},
+    "gateway": {"base", "serving", "wire"},
     "platform": {"base", "wire"},
     "peer": {"base", "settings", "wire", "platform"},
     "entry": {"base", "settings", "policy", "wire", "platform", "peer"},
     "admin": {"base", "settings", "policy", "wire", "platform", "peer", "entry"},
 }
-# The policy layer decides; it may not even see I/O, clocks or random devices.
-POLICY_FORBIDDEN = re.compile(
+# The layers that decide may not even see I/O, clocks or random devices.
+DECIDING = {"policy", "serving"}
+PLAIN_WIRE_TYPES = {"endpoint"}
+FORBIDDEN = re.compile(
     r"boost/(asio|beast)|grpcpp|sys/socket|system_clock::now|steady_clock::now|random_device")
-INCLUDE = re.compile(r'#include [<"]snipestall/([a-z]+)/')
+INCLUDE = re.compile(r'#include [<"]snipestall/([a-z]+)/([a-z0-9_]+)')
 
 faults = []
 for root in ("include/snipestall", "src/snipestall"):
@@ -27,7 +32,10 @@
             found = INCLUDE.search(line)
             if found and found[1] != module and found[1] not in ALLOWED[module]:
                 faults.append(f"{path}:{number}: {module} may not include {found[1]}")
-            if module == "policy" and POLICY_FORBIDDEN.search(line):
-                faults.append(f"{path}:{number}: policy may not use {line.strip()}")
+            if module in DECIDING and FORBIDDEN.search(line):
+                faults.append(f"{path}:{number}: {module} may not use {line.strip()}")
+            if module == "serving" and found and found[1] == "wire":
+                if found[2] not in PLAIN_WIRE_TYPES:
+                    faults.append(f"{path}:{number}: serving may not use wire/{found[2]}")
 print("\n".join(faults) or "layers: ok")
 sys.exit(1 if faults else 0)
--- /dev/null
+++ b/src/snipestall/gateway/attempt_watch.cpp
@@ -0,0 +1,19 @@
+#include "snipestall/gateway/attempt_watch.hpp"
+
+#include "snipestall/gateway/backend_call.hpp"
+#include "snipestall/serving/stall_rule.hpp"
+
+namespace snipestall::gateway {
+
+void AttemptWatch::check(SteadyTime now)
+{
+    for (const Entry &entry : m_entries) {
+        const serving::WaitingAttempt attempt { entry.sentAt, entry.server->heardAt,
+                                                entry.predicted };
+        // The attempt ends as lost, which removes its entry later on.
+        if (serving::isStalled(attempt, now))
+            entry.call->abort();
+    }
+}
+
+} // namespace snipestall::gateway
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds HousekeepingEvery { 250 };
 /// Time left for the last writes to the store and the end of the process.
 constexpr milliseconds EndMargin { 500 };
+/// Finer than any target latency by far.
+constexpr milliseconds AttemptCheckEvery { 50 };
 constexpr milliseconds DrainTick { 50 };
 /// New connections may come until the readiness has been asked for a few times, once a second.
 /// What comes later is refused: it might not be finished in time.
@@ -57,6 +59,7 @@
     }
 
     Task<void> housekeeping();
+    Task<void> watchAttempts();
     Task<void> drain();
 
     GatewayState state;
@@ -107,6 +110,15 @@
     m_parts->duties.start();
     m_parts->callers->start();
     asio::co_spawn(m_parts->state.io, m_parts->housekeeping(), asio::detached);
+    asio::co_spawn(m_parts->state.io, m_parts->watchAttempts(), asio::detached);
+}
+
+Task<void> Gateway::Parts::watchAttempts()
+{
+    while (true) {
+        state.attempts.check(state.clock.steadyNow());
+        co_await wire::sleepFor(AttemptCheckEvery);
+    }
 }
 
 Task<void> Gateway::Parts::housekeeping()
--- a/src/snipestall/gateway/gateway_state.cpp
+++ b/src/snipestall/gateway/gateway_state.cpp
@@ -10,7 +10,7 @@
     , settings(std::move(given))
     , random(seed)
     , incarnation(seed)
-    , placement(servers, peerLoads, seed)
+    , placement(servers, peerLoads, settings.dataCentre, seed)
     , quotas({ settings.bounds.quotaWindow, settings.bounds.quotaOverrun,
                settings.bounds.quotaTolerance })
     , retries({ settings.bounds.retryWindow, settings.bounds.retryRatio,
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -205,9 +205,9 @@
 {
     if (last == AttemptEnd::Final || last == AttemptEnd::TimedOut || m_callerGone || timeIsUp())
         return false;
-    if (m_sends >= m_route->maxAttempts + MostRejections)
+    if (m_sends >= m_route->attemptLimit + MostRejections)
         return false;
-    if (m_maybeRan && (!m_route->mayRepeat() || m_runs >= m_route->maxAttempts))
+    if (m_maybeRan && (!m_route->mayRepeat() || m_runs >= m_route->attemptLimit))
         return false;
     return m_state.retries.repeat(m_demand.service->name, m_state.clock.steadyNow());
 }
@@ -288,33 +288,38 @@
     ++m_sends;
     ++m_state.counters.attempts;
     const double held = m_demand.prompt ? m_demand.prompt->promptTokens : 0;
-    LoadClaim load(server, placed.uncachedTokens, held);
+    LoadClaim load(server, placed.unreadTokens, held);
     m_load = &load;
     m_sentAt = m_state.clock.steadyNow();
-    m_uncached = placed.uncachedTokens;
+    m_unread = placed.unreadTokens;
     m_tokensAhead = placed.tokensAhead;
-    if (m_uncached > 0)
-        m_state.demand.promptSent(m_demand.service->name, m_uncached);
+    if (m_unread > 0)
+        m_state.demand.promptSent(m_demand.service->name, m_unread);
     m_state.placement.sent(m_demand, server->info.id, m_state.clock.steadyNow());
     m_call = std::make_shared<BackendCall>(m_state.io, m_state.backends, m_state.clock,
                                            server->info.id, server->info.address);
     const auto call = m_call;
     BackendCall::Request request = serverRequest(*server);
+    watchForStall(server);
     const CallStart start =
         co_await call->start(std::move(request), m_header.attemptId, ConnectTimeout, m_until);
+    if (start == CallStart::Answered && !m_route->isStream())
+        stopStallWatch();
     AttemptEnd end = AttemptEnd::Failed;
     if (start == CallStart::Answered) {
+        server->heardAt = m_state.clock.steadyNow();
         end = co_await takeAnswer(*server);
     } else if (start == CallStart::Unreachable) {
-        server->health.lost(m_state.clock.steadyNow());
+        m_state.servers.lost(*server, m_state.clock.steadyNow());
         end = AttemptEnd::NotRun;
     } else {
         m_maybeRan = true;
         ++m_runs;
         if (!m_callerGone && start == CallStart::Lost)
-            server->health.lost(m_state.clock.steadyNow());
+            m_state.servers.lost(*server, m_state.clock.steadyNow());
         end = start == CallStart::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Failed;
     }
+    stopStallWatch();
     m_load = nullptr;
     m_call.reset();
     if (!m_demand.prompt)
@@ -348,6 +353,7 @@
 
 void RequestRelay::firstByteCame()
 {
+    stopStallWatch();
     if (m_load != nullptr) {
         m_load->promptRead();
         noteLatency();
@@ -360,12 +366,29 @@
     m_state.usage.began(m_customer->name, m_state.trueTime.at(m_state.clock.steadyNow()));
 }
 
+void RequestRelay::watchForStall(const serving::ServerStatePtr &server)
+{
+    if (!m_route->mayRepeat() || m_runs + 1 >= m_route->attemptLimit || m_begun)
+        return;
+    const double rate = m_state.demand.readRate(m_demand.service->name);
+    std::chrono::duration<double> predicted { 0 };
+    if (rate > 0)
+        predicted = std::chrono::duration<double>((m_tokensAhead + m_unread) / rate);
+    m_stallTicket = m_state.attempts.add({ m_call, server, m_sentAt, predicted });
+}
+
+void RequestRelay::stopStallWatch()
+{
+    if (m_stallTicket)
+        m_state.attempts.remove(*std::exchange(m_stallTicket, std::nullopt));
+}
+
 void RequestRelay::notePromptRead()
 {
     // Only what found no prompt before it measures how fast the engine reads.
-    if (m_uncached <= 0 || m_tokensAhead > 0)
+    if (m_unread <= 0 || m_tokensAhead > 0)
         return;
-    m_state.demand.sawPromptRead(m_demand.service->name, m_uncached,
+    m_state.demand.sawPromptRead(m_demand.service->name, m_unread,
                                  m_state.clock.steadyNow() - m_sentAt);
 }
 
@@ -404,7 +427,7 @@
         if (piece.kind == BodyRead::Kind::End)
             break;
         if (!m_callerGone)
-            server.health.lost(m_state.clock.steadyNow());
+            m_state.servers.lost(server, m_state.clock.steadyNow());
         co_return piece.kind == BodyRead::Kind::TimedOut ? AttemptEnd::TimedOut
                                                          : AttemptEnd::Failed;
     }
@@ -422,7 +445,7 @@
         m_failure = std::move(whole);
         co_return AttemptEnd::Failed;
     }
-    server.health.answered();
+    m_state.servers.answered(server);
     ++m_state.counters.answered;
     co_await answer(std::move(whole), "answered");
     co_return AttemptEnd::Final;
@@ -468,6 +491,7 @@
     while (true) {
         const BodyRead piece = co_await m_call->readBody(m_until);
         if (piece.kind == BodyRead::Kind::Bytes) {
+            server.heardAt = m_state.clock.steadyNow();
             if (co_await passEvents(splitter.feed(piece.bytes)))
                 continue;
             m_call->abort();
@@ -478,11 +502,11 @@
         if (piece.kind == BodyRead::Kind::End && splitter.rest().empty())
             break;
         if (!m_callerGone)
-            server.health.lost(m_state.clock.steadyNow());
+            m_state.servers.lost(server, m_state.clock.steadyNow());
         co_return piece.kind == BodyRead::Kind::TimedOut ? AttemptEnd::TimedOut
                                                          : AttemptEnd::Failed;
     }
-    server.health.answered();
+    m_state.servers.answered(server);
     if (!m_begun && !co_await beginAnswer())
         co_return AttemptEnd::Final;
     m_finished = true;
--- a/src/snipestall/peer/settings_rows.cpp
+++ b/src/snipestall/peer/settings_rows.cpp
@@ -96,7 +96,7 @@
         SettingsHead head;
         head.version = object.at("version").to_number<std::uint64_t>();
         head.hash = std::string(object.at("hash").as_string());
-        head.rowVersion = row->version;
+        head.storedVersion = row->version;
         return head;
     });
 }
--- a/src/snipestall/peer/settings_rows.hpp
+++ b/src/snipestall/peer/settings_rows.hpp
@@ -15,7 +15,7 @@
 {
     std::uint64_t version = 0;
     std::string hash;
-    std::uint64_t rowVersion = 0;
+    std::uint64_t storedVersion = 0;
 };
 
 // Names of the settings' rows.
--- a/src/snipestall/peer/settings_store.cpp
+++ b/src/snipestall/peer/settings_store.cpp
@@ -86,7 +86,7 @@
 {
     const std::uint64_t version = proposal.document.version;
     Transaction transaction;
-    transaction.conditions = { { headKey(), head.rowVersion },
+    transaction.conditions = { { headKey(), head.storedVersion },
                                { versionKey(version), 0 },
                                { changeKey(audit.changeId), 0 } };
     transaction.writes = { { headKey(), encodeHead(proposal.document, audit.changeId) },
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace snipestall::serving {
 
@@ -18,6 +19,9 @@
 /// Beyond its slots a server only queues: each request more waits for one to end, which takes
 /// about as long as reading this many tokens.
 constexpr double TokensPerQueued = 4000;
+/// A call stays in its own data centre unless another one's servers are this much emptier, as a
+/// part of their slots: the way there takes longer and may be cut.
+constexpr double CostElsewhere = 0.35;
 /// A part of the KV cache is kept free for the output of what runs.
 constexpr double UsablePartOfCache = 0.85;
 
@@ -50,7 +54,7 @@
     const int slots = std::max(server.info.slots, 1);
     if (load.inFlight >= static_cast<std::uint32_t>(slots))
         cost += (load.inFlight - slots + 1) * TokensPerQueued;
-    const double room = engine.kvCapacity * UsablePartOfCache - load.heldTokens;
+    const double room = engine.cacheTokens * UsablePartOfCache - load.heldTokens;
     if (needed > room)
         cost += needed - room;
     return cost;
@@ -58,9 +62,11 @@
 
 } // namespace
 
-Placement::Placement(const ServerTable &servers, const PeerLoads &peers, std::uint64_t seed)
+Placement::Placement(const ServerTable &servers, const PeerLoads &peers, std::string dataCentre,
+                     std::uint64_t seed)
     : m_servers(servers)
     , m_peers(peers)
+    , m_dataCentre(std::move(dataCentre))
     , m_random(seed)
 { }
 
@@ -72,7 +78,7 @@
         if (server->info.service != demand.service->name || !server->takesWork()
             || demand.tried.contains(id))
             continue;
-        (server->health.usable(now) ? healthy : avoided).push_back(server);
+        (m_servers.usable(*server, now) ? healthy : avoided).push_back(server);
     }
     // A server under suspicion beats no server at all.
     return healthy.empty() ? avoided : healthy;
@@ -135,8 +141,9 @@
         // A failure costs the caller a second attempt, so a server that fails a part of its
         // requests counts as that much fuller. The random part keeps instances that see the same
         // figures from choosing the same server at the same moment.
-        const double cost =
-            load.inFlight / slots + server->health.failureRate() + m_random.uniform() / slots;
+        const bool elsewhere = server->info.dataCentre != m_dataCentre;
+        const double cost = load.inFlight / slots + server->health.failureRate()
+            + m_random.uniform() / slots + (elsewhere ? CostElsewhere : 0);
         if (cost >= bestCost)
             continue;
         bestCost = cost;
--- a/src/snipestall/serving/server_table.cpp
+++ b/src/snipestall/serving/server_table.cpp
@@ -49,6 +49,26 @@
     return gone;
 }
 
+void ServerTable::lost(ServerState &server, SteadyTime now)
+{
+    server.health.lost(now);
+    m_dataCentres[server.info.dataCentre].lost(server.info.id, now);
+}
+
+void ServerTable::answered(ServerState &server)
+{
+    server.health.answered();
+    m_dataCentres[server.info.dataCentre].answered();
+}
+
+bool ServerTable::usable(const ServerState &server, SteadyTime now) const
+{
+    if (!server.health.usable(now))
+        return false;
+    const auto found = m_dataCentres.find(server.info.dataCentre);
+    return found == m_dataCentres.end() || found->second.usable(now);
+}
+
 ServerStatePtr ServerTable::find(const std::string &id) const
 {
     const auto found = m_servers.find(id);
