Reports go over hubs beyond twelve instances

Ruled out: calling each peer less often (what peers have is then seconds old). Change: serving/overlay chooses hubs, gateway/report_book sums what they pass on.

--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -2,17 +2,16 @@
 
 #include "snipestall/base/clock.hpp"
 #include "snipestall/base/result.hpp"
+#include "snipestall/gateway/report_book.hpp"
+#include "snipestall/serving/overlay.hpp"
 #include "snipestall/wire/task.hpp"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
-namespace snipestall::exchange::v1 {
-class LoadReport;
-}
-
 namespace snipestall::platform {
 class StoreClient;
 }
@@ -24,10 +23,10 @@
 struct GatewayState;
 
 /// Tells the other instances several times a second what this one has at each backend server and
-/// has taken from each quota, and takes in what they say.
+/// has taken from each quota, and takes in what they say; serving::Overlay says who talks to whom.
 ///
-/// Each pair of instances needs one call per interval: it carries both sides' reports, and whoever
-/// comes first makes it. Instances find each other by a table in the store, which is read rarely:
+/// Each pair needs one call per interval: it carries both sides' reports, and whoever comes first
+/// makes it. Instances find each other by a table in the store, which is read rarely:
 /// a new instance calls all others itself.
 class LoadExchange
 {
@@ -54,9 +53,12 @@
     struct Peer
     {
         std::string address;
-        std::uint64_t incarnation = 0;
+        std::string dataCentre;
         SteadyTime heard;
         SteadyTime calledAt;
+        /// When a call to it last failed.
+        std::optional<SteadyTime> failedAt;
+        /// Was heard directly, and has not been for a while.
         bool silent = true;
         bool calling = false;
         std::shared_ptr<ExchangeChannel> channel;
@@ -68,7 +70,10 @@
     wire::Task<bool> registerSelf();
     wire::Task<bool> readInstances();
     void callPeers();
+    void callIfDue(const std::string &name);
     void call(const std::string &name, Peer &peer);
+    void updateOverlay();
+    void setAddress(Peer &peer, const std::string &address, const std::string &dataCentre);
     [[nodiscard]] exchange::v1::LoadReport ownReport() const;
     void takeUsage(const exchange::v1::LoadReport &report);
     void take(const exchange::v1::LoadReport &report);
@@ -80,7 +85,8 @@
     Hooks m_hooks;
     std::unique_ptr<ExchangeServer> m_server;
     std::map<std::string, Peer> m_peers;
-    std::int64_t m_ownRow = 0;
+    serving::Overlay m_overlay;
+    ReportBook m_book;
 };
 
 } // namespace snipestall::gateway
--- /dev/null
+++ b/include/snipestall/gateway/report_book.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "snipestall/base/clock.hpp"
+
+#include "exchange.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace snipestall::gateway {
+
+/// What other instances have reported, and what each of them is to be told.
+///
+/// A hub is told about the sender and the members that report to it; a member about everybody else.
+/// Totals that only grow stay so when they are summed: each source's growth is kept apart, from
+/// when it was first heard.
+class ReportBook
+{
+public:
+    void take(const exchange::v1::LoadReport &report, SteadyTime now);
+    /// `own`: this instance alone. `asMember`: this instance reports to the receiver as its hub.
+    [[nodiscard]] exchange::v1::LoadReport reportFor(const std::string &receiver,
+                                                     const exchange::v1::LoadReport &own,
+                                                     bool asMember, SteadyTime now) const;
+    /// Instances that speak through the sources heard lately, this one included.
+    [[nodiscard]] std::size_t instances(SteadyTime now) const;
+    /// Whether another instance has lately reported to this one as to its hub.
+    [[nodiscard]] bool hasMembers(SteadyTime now) const;
+
+private:
+    /// A source silent for longer has stopped, or is cut off: what it had at servers has ended.
+    static constexpr std::chrono::milliseconds LoadsKeptFor { 2500 };
+    static constexpr std::chrono::milliseconds CountedFor { 12000 };
+    static constexpr std::chrono::milliseconds LeaseHeardWithin { 800 };
+
+    using Totals = std::map<std::string, double>;
+    struct Source
+    {
+        SteadyTime heard;
+        std::uint64_t incarnation = 0;
+        bool member = false;
+        exchange::v1::LoadReport report;
+        Totals useSeen;
+        Totals useGrown;
+        Totals workSeen;
+        Totals workGrown;
+    };
+
+    static void grow(const Totals &totals, Totals &seen, Totals &grown, bool first);
+    static void addSource(const Source &source, SteadyTime now, exchange::v1::LoadReport &sum,
+                          std::map<std::string, exchange::v1::ServerWork> &servers, Totals &use,
+                          Totals &work);
+
+    std::map<std::string, Source> m_sources;
+};
+
+} // namespace snipestall::gateway
--- /dev/null
+++ b/include/snipestall/serving/overlay.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace snipestall::serving {
+
+/// Who exchanges reports with whom.
+///
+/// Load: every instance needs the sum of what all others have at each server. Harm: with each pair
+/// talking, messages grow with the square of the instances. Up to `MostHubs` instances all talk to
+/// each other; beyond, each data centre has a few hubs, the others talk to one of them only, and
+/// hubs pass on sums. Everybody computes the hubs from the names it knows; whoever is called as a
+/// hub acts as one, so views that differ for a moment cost a detour and nothing else.
+class Overlay
+{
+public:
+    /// Calls of an instance stay near this number per interval, whatever the number of instances.
+    static constexpr std::size_t MostHubs = 12;
+
+    Overlay(std::string self, std::string dataCentre);
+
+    /// `peers`: data centre of each other instance that can be reached.
+    void update(const std::map<std::string, std::string> &peers);
+    [[nodiscard]] bool isHub() const { return m_isHub; }
+    /// The instances that this one is to call.
+    [[nodiscard]] const std::vector<std::string> &targets() const { return m_targets; }
+    /// As a hub that others have taken this instance for.
+    [[nodiscard]] const std::vector<std::string> &hubs() const { return m_hubs; }
+
+private:
+    std::string m_self;
+    std::string m_dataCentre;
+    bool m_isHub = true;
+    std::vector<std::string> m_targets;
+    /// All hubs but this instance.
+    std::vector<std::string> m_hubs;
+};
+
+} // namespace snipestall::serving
--- a/include/snipestall/serving/quota_keeper.hpp
+++ b/include/snipestall/serving/quota_keeper.hpp
@@ -31,6 +31,15 @@
     double units = 0;
 };
 
+/// A peer as it reports use.
+struct QuotaPeer
+{
+    /// Totals of another incarnation are another series.
+    std::uint64_t incarnation = 0;
+    /// Instances that it speaks for.
+    std::uint32_t instances = 1;
+};
+
 /// Units taken from each customer's quota since a process started; it only grows.
 using QuotaUse = std::unordered_map<std::string, double>;
 
@@ -57,9 +66,8 @@
     void giveBack(const std::string &customer, double units);
     [[nodiscard]] const QuotaUse &ownUse() const { return m_ownUse; }
 
-    /// A peer's totals since its process, `incarnation`, started.
-    void peerUse(const std::string &peer, std::uint64_t incarnation, const QuotaUse &use,
-                 SteadyTime now);
+    /// A peer's totals, for itself or for all instances it speaks for.
+    void peerUse(const std::string &peer, QuotaPeer who, const QuotaUse &use, SteadyTime now);
 
 private:
     /// A peer silent for longer is taken as stopped: its share goes to the others.
@@ -80,7 +88,7 @@
     };
     struct PeerUse
     {
-        std::uint64_t incarnation = 0;
+        QuotaPeer who;
         SteadyTime heard;
         QuotaUse totals;
         /// Units a second, smoothed.
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -26,18 +26,17 @@
 constexpr auto InstancesTable = "instances";
 /// About the time in which a server reads a long prompt: fresher figures change no choice.
 constexpr milliseconds Interval { 200 };
-/// With many peers each is called less often, so that an instance's calls stay below this rate.
-constexpr double MostCallsPerSecond = 60;
 constexpr milliseconds CallTimeout { 600 };
-/// Peers that are silent for longer are logged and called rarely.
+/// Peers that are silent for longer are logged.
 constexpr milliseconds SilentAfter { 1500 };
-constexpr milliseconds SilentInterval { 1000 };
+/// A peer that did not answer is left out of the overlay for this long.
+constexpr milliseconds FailedFor { 1000 };
 /// The table is read rarely; a new instance calls all others itself.
 constexpr milliseconds ReadEvery { 15000 };
 constexpr milliseconds StoreTimeout { 1500 };
 constexpr milliseconds RetryPause { 300 };
-/// A peer silent for this long is forgotten unless the table still lists it.
-constexpr milliseconds ForgetAfter { 12000 };
+/// Between data centre and address in a row of the table.
+constexpr char RowSeparator = ' ';
 
 } // namespace
 
@@ -45,6 +44,7 @@
     : m_state(state)
     , m_store(store)
     , m_hooks(std::move(hooks))
+    , m_overlay(state.settings.instance, state.settings.dataCentre)
 { }
 
 LoadExchange::~LoadExchange() = default;
@@ -56,7 +56,8 @@
     auto server = ExchangeServer::create(
         state.io, exchange->ownAddress(), [raw = exchange.get()](const v1::LoadReport &report) {
             raw->take(report);
-            return raw->ownReport();
+            return raw->m_book.reportFor(report.instance(), raw->ownReport(), false,
+                                         raw->m_state.clock.steadyNow());
         });
     if (!server)
         return tl::unexpected<Error>(server.error());
@@ -77,35 +78,41 @@
 
 std::size_t LoadExchange::instances() const
 {
-    const SteadyTime now = m_state.clock.steadyNow();
-    const auto recent =
-        std::count_if(m_peers.begin(), m_peers.end(), [now](const auto &entry) {
-            return now - entry.second.heard < ForgetAfter;
-        });
-    return static_cast<std::size_t>(recent) + 1;
+    return m_book.instances(m_state.clock.steadyNow());
 }
 
 Task<bool> LoadExchange::registerSelf()
 {
     const platform::RowName name { InstancesTable, std::string(), m_state.settings.instance };
-    std::vector<platform::RowWrite> writes { { name, ownAddress() } };
+    std::vector<platform::RowWrite> writes {
+        { name, m_state.settings.dataCentre + RowSeparator + ownAddress() }
+    };
     const auto written = co_await m_store.write({}, std::move(writes), StoreTimeout);
     co_return written.has_value();
 }
 
+void LoadExchange::setAddress(Peer &peer, const std::string &address,
+                              const std::string &dataCentre)
+{
+    peer.dataCentre = dataCentre;
+    if (peer.address == address)
+        return;
+    peer.address = address;
+    peer.failedAt.reset();
+    peer.channel = std::make_shared<ExchangeChannel>(m_state.io, address);
+}
+
 Task<bool> LoadExchange::readInstances()
 {
     const auto rows = co_await m_store.read(InstancesTable, std::string(), StoreTimeout);
     if (!rows)
         co_return false;
     for (const platform::StoredRow &row : rows->rows) {
-        if (row.name.key == m_state.settings.instance)
-            continue;
-        Peer &peer = m_peers[row.name.key];
-        if (peer.address == row.value)
+        const std::size_t separator = row.value.find(RowSeparator);
+        if (row.name.key == m_state.settings.instance || separator == std::string::npos)
             continue;
-        peer.address = row.value;
-        peer.channel = std::make_shared<ExchangeChannel>(m_state.io, row.value);
+        setAddress(m_peers[row.name.key], row.value.substr(separator + 1),
+                   row.value.substr(0, separator));
     }
     co_return true;
 }
@@ -141,33 +148,53 @@
     }
 }
 
-void LoadExchange::callPeers()
+void LoadExchange::updateOverlay()
 {
     const SteadyTime now = m_state.clock.steadyNow();
-    const auto spread = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(
-        static_cast<double>(m_peers.size()) / MostCallsPerSecond));
-    const milliseconds interval = std::max(Interval, spread);
-    for (auto &[name, peer] : m_peers) {
-        if (peer.calling)
-            continue;
-        const milliseconds pause = peer.silent ? SilentInterval : interval;
-        // Half an interval early: whoever of the two comes first saves the other its call.
-        if (now - std::max(peer.heard, peer.calledAt) >= pause - Interval / 4)
-            call(name, peer);
+    std::map<std::string, std::string> reachable;
+    for (const auto &[name, peer] : m_peers) {
+        if (!peer.failedAt || now - *peer.failedAt >= FailedFor)
+            reachable[name] = peer.dataCentre;
     }
+    m_overlay.update(reachable);
+}
+
+void LoadExchange::callPeers()
+{
+    updateOverlay();
+    for (const std::string &name : m_overlay.targets())
+        callIfDue(name);
+    // Others have taken this instance for a hub: it needs what the hubs know.
+    if (m_overlay.isHub() || !m_book.hasMembers(m_state.clock.steadyNow()))
+        return;
+    for (const std::string &name : m_overlay.hubs())
+        callIfDue(name);
+}
+
+void LoadExchange::callIfDue(const std::string &name)
+{
+    Peer &peer = m_peers.at(name);
+    // A quarter early: whoever of the two comes first saves the other its call.
+    const SteadyTime last = std::max(peer.heard, peer.calledAt);
+    if (!peer.calling && m_state.clock.steadyNow() - last >= Interval - Interval / 4)
+        call(name, peer);
 }
 
 void LoadExchange::call(const std::string &name, Peer &peer)
 {
+    const SteadyTime now = m_state.clock.steadyNow();
     peer.calling = true;
-    peer.calledAt = m_state.clock.steadyNow();
-    peer.channel->send(ownReport(), CallTimeout, [this, name](const v1::LoadReport *report) {
-        const auto found = m_peers.find(name);
-        if (found != m_peers.end())
-            found->second.calling = false;
-        if (report != nullptr)
-            take(*report);
-    });
+    peer.calledAt = now;
+    const bool asMember = !m_overlay.isHub() && !m_book.hasMembers(now);
+    peer.channel->send(m_book.reportFor(name, ownReport(), asMember, now), CallTimeout,
+                       [this, name](const v1::LoadReport *report) {
+                           Peer &called = m_peers[name];
+                           called.calling = false;
+                           if (report != nullptr)
+                               take(*report);
+                           else
+                               called.failedAt = m_state.clock.steadyNow();
+                       });
 }
 
 v1::LoadReport LoadExchange::ownReport() const
@@ -176,8 +203,9 @@
     report.set_instance(m_state.settings.instance);
     report.set_incarnation(m_state.incarnation);
     report.set_address(ownAddress());
-    report.set_config_version(m_state.catalogue ? m_state.catalogue->version() : 0);
-    report.set_list_version(m_state.listVersion);
+    report.set_data_centre(m_state.settings.dataCentre);
+    report.set_instances(1);
+    report.set_process(m_state.processName());
     report.set_holds_lease(m_hooks.holdsLease());
     for (const auto &[id, server] : m_state.servers.all()) {
         if (server->own.inFlight == 0)
@@ -209,11 +237,9 @@
 
 void LoadExchange::takeUsage(const v1::LoadReport &report)
 {
-    const std::string process =
-        report.instance() + "/" + std::to_string(report.incarnation());
     for (const v1::UsageCount &usage : report.usage()) {
         const serving::UsageCounts counts(usage.customers().begin(), usage.customers().end());
-        m_state.usageLedger.said(usage.window(), process, counts);
+        m_state.usageLedger.said(usage.window(), report.process(), counts);
     }
 }
 
@@ -223,16 +249,14 @@
         return;
     const SteadyTime now = m_state.clock.steadyNow();
     Peer &peer = m_peers[report.instance()];
-    if (peer.address != report.address()) {
-        peer.address = report.address();
-        peer.channel = std::make_shared<ExchangeChannel>(m_state.io, peer.address);
-    }
+    setAddress(peer, report.address(), report.data_centre());
+    peer.failedAt.reset();
     if (peer.silent)
         logEvent(events::GatewayPeerHeard, { { "peer", report.instance() },
                                              { "address", peer.address } });
     peer.silent = false;
     peer.heard = now;
-    peer.incarnation = report.incarnation();
+    m_book.take(report, now);
     serving::PeerLoads::Loads loads;
     for (const v1::ServerWork &work : report.servers())
         loads[work.server()] = { work.in_flight(), static_cast<double>(work.pending_tokens()),
@@ -241,7 +265,8 @@
     serving::QuotaUse use;
     for (const v1::CustomerUse &each : report.customers())
         use[each.customer()] = each.units();
-    m_state.quotas.peerUse(report.instance(), report.incarnation(), use, now);
+    m_state.quotas.peerUse(report.instance(), { report.incarnation(), report.instances() }, use,
+                           now);
     m_state.retries.setInstances(instances());
     serving::ServiceWork services;
     for (const v1::ServiceWork &each : report.services())
--- /dev/null
+++ b/src/snipestall/serving/overlay_test.cpp
@@ -0,0 +1,83 @@
+#include "snipestall/serving/overlay.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace snipestall::serving {
+namespace {
+
+std::map<std::string, std::string> instances(int dataCentres, int each)
+{
+    std::map<std::string, std::string> all;
+    for (int d = 0; d < dataCentres; ++d) {
+        for (int i = 0; i < each; ++i) {
+            const std::string name =
+                "dc" + std::to_string(d) + "-" + std::to_string(100 + i);
+            all[name] = "dc" + std::to_string(d);
+        }
+    }
+    return all;
+}
+
+std::map<std::string, Overlay> overlays(const std::map<std::string, std::string> &all)
+{
+    std::map<std::string, Overlay> made;
+    for (const auto &[name, dataCentre] : all) {
+        std::map<std::string, std::string> peers = all;
+        peers.erase(name);
+        made.emplace(name, Overlay(name, dataCentre)).first->second.update(peers);
+    }
+    return made;
+}
+
+TEST(Overlay, AFewInstancesAllTalkToEachOther)
+{
+    for (const auto &[name, overlay] : overlays(instances(3, 3))) {
+        EXPECT_TRUE(overlay.isHub()) << name;
+        EXPECT_EQ(overlay.targets().size(), 8U) << name;
+    }
+}
+
+// Control traffic eats an instance's processor as the deployment grows: every pair of instances
+// exchanges reports.
+TEST(Overlay, CallsOfAnInstanceDoNotGrowWithTheInstances)
+{
+    for (const int each : { 8, 32, 100 }) {
+        const auto all = overlays(instances(10, each));
+        std::map<std::string, int> called;
+        for (const auto &[name, overlay] : all) {
+            EXPECT_LE(overlay.targets().size(), Overlay::MostHubs) << name;
+            for (const std::string &target : overlay.targets())
+                ++called[target];
+        }
+    }
+}
+
+TEST(Overlay, MembersOfADataCentreShareItsHubs)
+{
+    const auto all = overlays(instances(4, 19));
+    std::map<std::string, int> members;
+    for (const auto &[name, overlay] : all) {
+        if (overlay.isHub())
+            continue;
+        ASSERT_EQ(overlay.targets().size(), 1U);
+        EXPECT_EQ(overlay.targets().front().substr(0, 3), name.substr(0, 3));
+        EXPECT_TRUE(all.at(overlay.targets().front()).isHub());
+        ++members[overlay.targets().front()];
+    }
+    EXPECT_EQ(members.size(), 12U);
+    for (const auto &[hub, count] : members)
+        EXPECT_LE(count, 12) << hub;
+}
+
+TEST(Overlay, AnotherInstanceBecomesHubWhenOneIsGone)
+{
+    auto all = instances(4, 19);
+    all.erase("dc0-100");
+    const auto after = overlays(all);
+    EXPECT_TRUE(after.at("dc0-103").isHub());
+}
+
+} // namespace
+} // namespace snipestall::serving
--- a/src/snipestall/serving/quota_keeper.cpp
+++ b/src/snipestall/serving/quota_keeper.cpp
@@ -53,9 +53,9 @@
         const auto silent = now - peer.heard;
         if (silent > PeerKeptFor)
             continue;
-        ++known;
+        known += peer.who.instances;
         if (silent <= PeerHeardWithin)
-            ++heard;
+            heard += peer.who.instances;
     }
     return static_cast<double>(heard) / static_cast<double>(known);
 }
@@ -115,17 +115,17 @@
                   [now](const auto &entry) { return now - entry.second.heard > PeerKeptFor; });
 }
 
-void QuotaKeeper::peerUse(const std::string &peer, std::uint64_t incarnation, const QuotaUse &use,
+void QuotaKeeper::peerUse(const std::string &peer, QuotaPeer who, const QuotaUse &use,
                           SteadyTime now)
 {
     forgetStoppedPeers(now);
     PeerUse &known = m_peers[peer];
-    const bool first = known.incarnation != incarnation;
+    const bool first = known.who.incarnation != who.incarnation;
     if (first) {
         known = {};
-        known.incarnation = incarnation;
         known.heard = now;
     }
+    known.who = who;
     const double passed = Seconds(now - known.heard).count();
     for (const auto &[customer, total] : use) {
         // What a peer took before it was first heard of was drained there, not here; it counts in
