Few instances read the store; the others get its changes from them

Ruled out: longer waits alone (a silent connection would then hide a change for as long). Change: one instance a data centre reads; reports carry each copy's version, its age and the rows that the receiver lacks (gateway/table_copy); an instance reads by itself when nobody can say that its copy is complete.

--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -20,6 +20,8 @@
 
 class ExchangeServer;
 class ExchangeChannel;
+class StoreFollower;
+class TableCopy;
 struct GatewayState;
 
 /// Tells the other instances several times a second what this one has at each backend server and
@@ -39,8 +41,8 @@
         std::function<void()> holderHeard;
     };
 
-    static Result<std::unique_ptr<LoadExchange>> create(GatewayState &state,
-                                                        platform::StoreClient &store, Hooks hooks);
+    static Result<std::unique_ptr<LoadExchange>>
+    create(GatewayState &state, platform::StoreClient &store, StoreFollower &follower, Hooks hooks);
     ~LoadExchange();
 
     void start();
@@ -56,6 +58,8 @@
         std::string dataCentre;
         SteadyTime heard;
         SteadyTime calledAt;
+        /// How far its copies of the tables go.
+        std::map<std::string, std::int64_t> versions;
         /// When a call to it last failed.
         std::optional<SteadyTime> failedAt;
         /// Was heard directly, and has not been for a while.
@@ -64,7 +68,8 @@
         std::shared_ptr<ExchangeChannel> channel;
     };
 
-    LoadExchange(GatewayState &state, platform::StoreClient &store, Hooks hooks);
+    LoadExchange(GatewayState &state, platform::StoreClient &store, StoreFollower &follower,
+                 Hooks hooks);
     wire::Task<void> registerLoop();
     wire::Task<void> exchangeLoop();
     wire::Task<bool> registerSelf();
@@ -75,6 +80,12 @@
     void updateOverlay();
     void setAddress(Peer &peer, const std::string &address, const std::string &dataCentre);
     [[nodiscard]] exchange::v1::LoadReport ownReport() const;
+    /// The report for one receiver, with the changes that its copies lack.
+    [[nodiscard]] exchange::v1::LoadReport reportFor(const std::string &receiver,
+                                                     bool asMember) const;
+    void addTable(const TableCopy &copy, const Peer *receiver,
+                  exchange::v1::LoadReport &report) const;
+    void takeTables(const exchange::v1::LoadReport &report, Peer &peer);
     void takeUsage(const exchange::v1::LoadReport &report);
     void take(const exchange::v1::LoadReport &report);
     void markSilent();
@@ -82,6 +93,7 @@
 
     GatewayState &m_state;
     platform::StoreClient &m_store;
+    StoreFollower &m_follower;
     Hooks m_hooks;
     std::unique_ptr<ExchangeServer> m_server;
     std::map<std::string, Peer> m_peers;
--- a/include/snipestall/gateway/store_follower.hpp
+++ b/include/snipestall/gateway/store_follower.hpp
@@ -2,6 +2,7 @@
 
 #include "platform/store_client.hpp"
 #include "snipestall/base/clock.hpp"
+#include "snipestall/gateway/table_copy.hpp"
 #include "snipestall/wire/task.hpp"
 
 #include <chrono>
@@ -26,6 +27,15 @@
 
     /// Follows until the loop ends. `changed` is called after each new configuration.
     void start(std::function<void()> changed);
+    /// Whether this instance reads the store for others; it also does when nobody else can say
+    /// that its copy is complete.
+    void setReader(bool reader) { m_reader = reader; }
+    /// The copies of the tables that are followed.
+    [[nodiscard]] const TableCopy &config() const { return m_config.copy; }
+    [[nodiscard]] const TableCopy &list() const { return m_list.copy; }
+    /// What a peer said of its copy of a table, and the changes it passed on.
+    void peerCopy(const TableChanges &changes, const std::string &table,
+                  std::chrono::milliseconds age);
     /// Servers whose entries lapsed and were not listed again are taken as gone.
     void expireLapsed();
 
@@ -33,14 +43,11 @@
     /// One table and what its rows mean.
     struct Feed
     {
-        std::string table;
+        TableCopy copy;
         void (StoreFollower::*snapshot)(const platform::StoredRows &rows);
         void (StoreFollower::*change)(const platform::StoredRow &row);
-        /// Store version up to which the table is known.
-        std::int64_t version = 0;
         bool read = false;
         bool away = false;
-        SteadyTime answeredAt {};
     };
 
     wire::Task<void> follow(Feed &feed);
@@ -52,12 +59,14 @@
     void listSnapshot(const platform::StoredRows &rows);
     void listChange(const platform::StoredRow &row);
     void serverGone(const std::string &id);
+    [[nodiscard]] bool mustPoll(const Feed &feed) const;
     [[nodiscard]] std::chrono::milliseconds pollWait() const;
 
     GatewayState &m_state;
     platform::StoreClient &m_store;
     Feed m_config;
     Feed m_list;
+    bool m_reader = true;
     /// Entries that disappear before this moment may be back.
     SteadyTime m_lapseUntil;
     std::function<void()> m_changed;
--- a/include/snipestall/serving/overlay.hpp
+++ b/include/snipestall/serving/overlay.hpp
@@ -25,6 +25,8 @@
     /// `peers`: data centre of each other instance that can be reached.
     void update(const std::map<std::string, std::string> &peers);
     [[nodiscard]] bool isHub() const { return m_isHub; }
+    /// One instance of each data centre reads the store for the others.
+    [[nodiscard]] bool isReader() const { return m_isReader; }
     /// The instances that this one is to call.
     [[nodiscard]] const std::vector<std::string> &targets() const { return m_targets; }
     /// As a hub that others have taken this instance for.
@@ -34,6 +36,7 @@
     std::string m_self;
     std::string m_dataCentre;
     bool m_isHub = true;
+    bool m_isReader = true;
     std::vector<std::string> m_targets;
     /// All hubs but this instance.
     std::vector<std::string> m_hubs;
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -83,7 +83,7 @@
     Parts *raw = parts.get();
     LoadExchange::Hooks hooks { [raw] { return raw->duties.holdsLease(); },
                                 [raw] { raw->duties.holderHeard(); } };
-    auto exchange = LoadExchange::create(raw->state, raw->store, std::move(hooks));
+    auto exchange = LoadExchange::create(raw->state, raw->store, raw->follower, std::move(hooks));
     if (!exchange)
         return tl::unexpected<Error>(exchange.error());
     raw->exchange = std::move(*exchange);
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -5,6 +5,7 @@
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/exchange_transport.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
+#include "snipestall/gateway/store_follower.hpp"
 #include "snipestall/wire/signal.hpp"
 
 #include "exchange.pb.h"
@@ -32,7 +33,10 @@
 /// A peer that did not answer is left out of the overlay for this long.
 constexpr milliseconds FailedFor { 1000 };
 /// The table is read rarely; a new instance calls all others itself.
-constexpr milliseconds ReadEvery { 15000 };
+constexpr milliseconds ReadEvery { 60000 };
+/// Until then instances that start together are still registering themselves.
+constexpr milliseconds ReadSoonFor { 3000 };
+constexpr milliseconds ReadSoonEvery { 700 };
 constexpr milliseconds StoreTimeout { 1500 };
 constexpr milliseconds RetryPause { 300 };
 /// Between data centre and address in a row of the table.
@@ -40,9 +44,11 @@
 
 } // namespace
 
-LoadExchange::LoadExchange(GatewayState &state, platform::StoreClient &store, Hooks hooks)
+LoadExchange::LoadExchange(GatewayState &state, platform::StoreClient &store,
+                           StoreFollower &follower, Hooks hooks)
     : m_state(state)
     , m_store(store)
+    , m_follower(follower)
     , m_hooks(std::move(hooks))
     , m_overlay(state.settings.instance, state.settings.dataCentre)
 { }
@@ -50,14 +56,15 @@
 LoadExchange::~LoadExchange() = default;
 
 Result<std::unique_ptr<LoadExchange>>
-LoadExchange::create(GatewayState &state, platform::StoreClient &store, Hooks hooks)
+LoadExchange::create(GatewayState &state, platform::StoreClient &store, StoreFollower &follower,
+                     Hooks hooks)
 {
-    std::unique_ptr<LoadExchange> exchange(new LoadExchange(state, store, std::move(hooks)));
+    std::unique_ptr<LoadExchange> exchange(
+        new LoadExchange(state, store, follower, std::move(hooks)));
     auto server = ExchangeServer::create(
         state.io, exchange->ownAddress(), [raw = exchange.get()](const v1::LoadReport &report) {
             raw->take(report);
-            return raw->m_book.reportFor(report.instance(), raw->ownReport(), false,
-                                         raw->m_state.clock.steadyNow());
+            return raw->reportFor(report.instance(), false);
         });
     if (!server)
         return tl::unexpected<Error>(server.error());
@@ -121,11 +128,14 @@
 {
     while (!co_await registerSelf())
         co_await wire::sleepFor(RetryPause);
+    const SteadyTime begun = m_state.clock.steadyNow();
     while (true) {
         const bool read = co_await readInstances();
+        const bool soon = m_state.clock.steadyNow() - begun < ReadSoonFor;
         const auto jitter = static_cast<std::int64_t>(
             m_state.random.below(static_cast<std::uint64_t>(ReadEvery.count() / 4)));
-        co_await wire::sleepFor(read ? ReadEvery + milliseconds(jitter) : RetryPause);
+        const milliseconds pause = soon ? ReadSoonEvery : ReadEvery + milliseconds(jitter);
+        co_await wire::sleepFor(read ? pause : RetryPause);
     }
 }
 
@@ -157,6 +167,7 @@
             reachable[name] = peer.dataCentre;
     }
     m_overlay.update(reachable);
+    m_follower.setReader(m_overlay.isReader());
 }
 
 void LoadExchange::callPeers()
@@ -186,7 +197,7 @@
     peer.calling = true;
     peer.calledAt = now;
     const bool asMember = !m_overlay.isHub() && !m_book.hasMembers(now);
-    peer.channel->send(m_book.reportFor(name, ownReport(), asMember, now), CallTimeout,
+    peer.channel->send(reportFor(name, asMember), CallTimeout,
                        [this, name](const v1::LoadReport *report) {
                            Peer &called = m_peers[name];
                            called.calling = false;
@@ -235,6 +246,58 @@
     return report;
 }
 
+v1::LoadReport LoadExchange::reportFor(const std::string &receiver, bool asMember) const
+{
+    v1::LoadReport report =
+        m_book.reportFor(receiver, ownReport(), asMember, m_state.clock.steadyNow());
+    const auto found = m_peers.find(receiver);
+    const Peer *peer = found == m_peers.end() ? nullptr : &found->second;
+    addTable(m_follower.config(), peer, report);
+    addTable(m_follower.list(), peer, report);
+    return report;
+}
+
+void LoadExchange::addTable(const TableCopy &copy, const Peer *receiver,
+                            v1::LoadReport &report) const
+{
+    v1::TableState *state = report.add_tables();
+    state->set_table(copy.table());
+    state->set_version(copy.version());
+    constexpr milliseconds Oldest { 3600000 };
+    state->set_age_ms(static_cast<std::uint32_t>(
+        std::min(copy.age(m_state.clock.steadyNow()), Oldest).count()));
+    if (receiver == nullptr || !receiver->versions.contains(copy.table()))
+        return;
+    const auto changes = copy.since(receiver->versions.at(copy.table()));
+    if (!changes)
+        return;
+    state->set_rows_from(changes->from);
+    for (const platform::StoredRow &row : changes->rows) {
+        v1::TableRow *entry = state->add_rows();
+        entry->set_key(row.name.key);
+        entry->set_value(row.value);
+        entry->set_version(row.version);
+        entry->set_removed(row.removed);
+    }
+}
+
+void LoadExchange::takeTables(const v1::LoadReport &report, Peer &peer)
+{
+    for (const v1::TableState &state : report.tables()) {
+        peer.versions[state.table()] = state.version();
+        // Without rows the sender's copy can only confirm one that goes as far.
+        TableChanges changes { state.rows_from() == 0 ? state.version() : state.rows_from(),
+                               state.version(),
+                               {} };
+        for (const v1::TableRow &row : state.rows())
+            changes.rows.push_back({ { state.table(), std::string(), row.key() },
+                                     row.value(),
+                                     row.version(),
+                                     row.removed() });
+        m_follower.peerCopy(changes, state.table(), milliseconds(state.age_ms()));
+    }
+}
+
 void LoadExchange::takeUsage(const v1::LoadReport &report)
 {
     for (const v1::UsageCount &usage : report.usage()) {
@@ -273,6 +336,7 @@
         services[each.service()] = each.seconds();
     m_state.demand.peerWork(report.instance(), report.incarnation(), services);
     takeUsage(report);
+    takeTables(report, peer);
     if (report.holds_lease())
         m_hooks.holderHeard();
 }
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -26,6 +26,9 @@
 /// What the answer of a long poll may take beyond the wait that was asked for.
 constexpr milliseconds AnswerSlack { 700 };
 constexpr milliseconds ReadTimeout { 1500 };
+/// How often an instance that does not read looks whether it has to.
+constexpr milliseconds FollowTick { 50 };
+constexpr milliseconds ReportDelay { 700 };
 /// Pause after a failed call, doubled by chance so that instances don't call in step.
 constexpr milliseconds RetryPause { 150 };
 /// Servers that live have listed themselves again this long after the store's return.
@@ -36,9 +39,9 @@
 StoreFollower::StoreFollower(GatewayState &state, platform::StoreClient &store)
     : m_state(state)
     , m_store(store)
-    , m_config { platform::OperatorTable, &StoreFollower::configSnapshot,
+    , m_config { TableCopy(platform::OperatorTable), &StoreFollower::configSnapshot,
                  &StoreFollower::configChange }
-    , m_list { platform::ServerTableName, &StoreFollower::listSnapshot,
+    , m_list { TableCopy(platform::ServerTableName), &StoreFollower::listSnapshot,
                &StoreFollower::listChange }
 { }
 
@@ -51,15 +54,38 @@
 
 milliseconds StoreFollower::pollWait() const
 {
-    // A connection that has gone silent for good is noticed only when the wait is over; half of
+    // A connection that has gone silent for good is noticed only when the wait is over; a third of
     // the time that an instance may take to come into touch again leaves room for a new one.
-    return m_state.settings.bounds.contact / 2;
+    return m_state.settings.bounds.contact / 3;
+}
+
+bool StoreFollower::mustPoll(const Feed &feed) const
+{
+    // Besides the readers' wait, a report needs some intervals to come round.
+    return m_reader || !feed.read
+        || feed.copy.age(m_state.clock.steadyNow()) > pollWait() + ReportDelay;
+}
+
+void StoreFollower::peerCopy(const TableChanges &changes, const std::string &table,
+                             milliseconds age)
+{
+    Feed *feed = table == m_config.copy.table() ? &m_config : &m_list;
+    if (feed->copy.table() != table || !feed->read)
+        return;
+    if (feed->copy.advanceFromPeer(changes)) {
+        for (const platform::StoredRow &row : changes.rows)
+            (this->*feed->change)(row);
+    }
+    feed->copy.confirm(changes.to, age, m_state.clock.steadyNow());
 }
 
 Task<void> StoreFollower::follow(Feed &feed)
 {
-    feed.answeredAt = m_state.clock.steadyNow();
     while (true) {
+        if (!mustPoll(feed)) {
+            co_await wire::sleepFor(FollowTick);
+            continue;
+        }
         const bool ok = co_await step(feed);
         if (ok)
             continue;
@@ -72,20 +98,20 @@
 Task<bool> StoreFollower::step(Feed &feed)
 {
     if (!feed.read) {
-        const auto rows = co_await m_store.read(feed.table, std::string(), ReadTimeout);
+        const auto rows = co_await m_store.read(feed.copy.table(), std::string(), ReadTimeout);
         if (!rows) {
             failed(feed, rows.error());
             co_return false;
         }
         answered(feed, rows->storeTime);
         (this->*feed.snapshot)(*rows);
-        feed.version = rows->storeVersion;
+        feed.copy.reset(rows->storeVersion, m_state.clock.steadyNow());
         feed.read = true;
         co_return true;
     }
     const milliseconds wait = pollWait();
     const auto rows =
-        co_await m_store.changes(feed.table, feed.version, wait, wait + AnswerSlack);
+        co_await m_store.changes(feed.copy.table(), feed.copy.version(), wait, wait + AnswerSlack);
     if (!rows && rows.error().kind == ErrorKind::NotFound) {
         feed.read = false;
         co_return true;
@@ -95,9 +121,12 @@
         co_return false;
     }
     answered(feed, rows->storeTime);
-    for (const platform::StoredRow &row : rows->rows)
-        (this->*feed.change)(row);
-    feed.version = std::max(feed.version, rows->storeVersion);
+    // A peer may have passed on some of them meanwhile.
+    for (const platform::StoredRow &row : rows->rows) {
+        if (row.version > feed.copy.version())
+            (this->*feed.change)(row);
+    }
+    feed.copy.advance(rows->rows, rows->storeVersion, m_state.clock.steadyNow());
     co_return true;
 }
 
@@ -105,12 +134,11 @@
 {
     const SteadyTime now = m_state.clock.steadyNow();
     m_state.trueTime.storeAnswered(storeTime, now);
-    feed.answeredAt = now;
     if (!feed.away)
         return;
     feed.away = false;
     m_lapseUntil = now + RelistTime;
-    logEvent(events::StoreRegained, { { "table", feed.table } });
+    logEvent(events::StoreRegained, { { "table", feed.copy.table() } });
 }
 
 void StoreFollower::failed(Feed &feed, const Error &error)
@@ -118,9 +146,9 @@
     if (feed.away)
         return;
     feed.away = true;
-    logEvent(events::StoreLost, { { "table", feed.table },
+    logEvent(events::StoreLost, { { "table", feed.copy.table() },
                                   { "error", error.message },
-                                  { "version", std::to_string(feed.version) } });
+                                  { "version", std::to_string(feed.copy.version()) } });
 }
 
 void StoreFollower::configSnapshot(const platform::StoredRows &rows)
@@ -166,14 +194,12 @@
     }
     for (const std::string &id : missing)
         serverGone(id);
-    m_state.listVersion = std::max(m_state.listVersion, rows.storeVersion);
     m_state.listKnown = true;
     m_changed();
 }
 
 void StoreFollower::listChange(const platform::StoredRow &row)
 {
-    m_state.listVersion = std::max(m_state.listVersion, row.version);
     if (row.removed) {
         serverGone(row.name.key);
         return;
--- /dev/null
+++ b/src/snipestall/gateway/table_copy_test.cpp
@@ -0,0 +1,77 @@
+#include "snipestall/gateway/table_copy.hpp"
+
+#include <gtest/gtest.h>
+
+namespace snipestall::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+const SteadyTime Start { 100s };
+
+platform::StoredRow row(const std::string &key, std::int64_t version)
+{
+    return { { "servers", "", key }, "v", version, false };
+}
+
+class TableCopyTest : public testing::Test
+{
+protected:
+    TableCopyTest()
+    {
+        m_reader.reset(10, Start);
+        m_other.reset(10, Start);
+    }
+
+    TableCopy m_reader { "servers" };
+    TableCopy m_other { "servers" };
+};
+
+TEST_F(TableCopyTest, PassesOnWhatAnotherCopyLacks)
+{
+    m_reader.advance({ row("a", 12), row("b", 15) }, 17, Start + 1s);
+    const auto changes = m_reader.since(m_other.version());
+    ASSERT_TRUE(changes);
+    EXPECT_EQ(changes->rows.size(), 2U);
+    EXPECT_TRUE(m_other.advanceFromPeer(*changes));
+    EXPECT_EQ(m_other.version(), 17);
+    EXPECT_FALSE(m_other.advanceFromPeer(*changes));
+    EXPECT_FALSE(m_reader.since(17));
+}
+
+// A server that left gets new work for good: the instance missed the change of its entry, because
+// later changes were taken from a peer that no longer had the earlier one.
+TEST_F(TableCopyTest, RefusesChangesThatLeaveAGap)
+{
+    EXPECT_FALSE(m_other.advanceFromPeer({ 11, 20, { row("a", 15) } }));
+    EXPECT_EQ(m_other.version(), 10);
+}
+
+TEST_F(TableCopyTest, DoesNotPassOnWhatItNoLongerHas)
+{
+    for (std::int64_t version = 11; version < 1000; ++version)
+        m_reader.advance({ row("a", version) }, version, Start);
+    EXPECT_FALSE(m_reader.since(10));
+    EXPECT_TRUE(m_reader.since(900));
+    EXPECT_FALSE(m_reader.since(5));
+}
+
+TEST_F(TableCopyTest, IsAsFreshAsTheFreshestCopyThatGoesAsFar)
+{
+    EXPECT_EQ(m_other.age(Start + 2s), 2s);
+    m_other.confirm(10, 300ms, Start + 2s);
+    EXPECT_EQ(m_other.age(Start + 2s), 300ms);
+    m_other.confirm(9, 0ms, Start + 3s);
+    m_other.confirm(11, 0ms, Start + 3s);
+    EXPECT_EQ(m_other.age(Start + 3s), 1300ms);
+}
+
+TEST_F(TableCopyTest, ACopyThatWasNeverReadTakesNothingFromPeers)
+{
+    TableCopy empty("servers");
+    EXPECT_FALSE(empty.advanceFromPeer({ 0, 20, { row("a", 15) } }));
+    EXPECT_EQ(empty.age(Start), std::chrono::milliseconds::max());
+}
+
+} // namespace
+} // namespace snipestall::gateway
--- a/src/snipestall/serving/overlay.cpp
+++ b/src/snipestall/serving/overlay.cpp
@@ -25,6 +25,8 @@
     std::vector<std::string> ownHubs;
     for (auto &[dataCentre, names] : byDataCentre) {
         std::sort(names.begin(), names.end());
+        if (dataCentre == m_dataCentre)
+            m_isReader = names.front() == m_self;
         const std::size_t count = small ? names.size() : std::min(names.size(), hubsEach);
         for (std::size_t i = 0; i < count; ++i) {
             if (names[i] == m_self)
--- a/src/snipestall/serving/overlay_test.cpp
+++ b/src/snipestall/serving/overlay_test.cpp
@@ -71,6 +71,17 @@
         EXPECT_LE(count, 12) << hub;
 }
 
+TEST(Overlay, OneInstanceOfEachDataCentreReadsTheStore)
+{
+    auto all = instances(4, 19);
+    int readers = 0;
+    for (const auto &[name, overlay] : overlays(all))
+        readers += overlay.isReader() ? 1 : 0;
+    EXPECT_EQ(readers, 4);
+    all.erase("dc0-100");
+    EXPECT_TRUE(overlays(all).at("dc0-101").isReader());
+}
+
 TEST(Overlay, AnotherInstanceBecomesHubWhenOneIsGone)
 {
     auto all = instances(4, 19);
