Log lines are written by a thread of their own; a crashing request is blocked; settings name every fault

Ruled out: a non-blocking descriptor alone (half lines). Change: base/line_writer (bounded, counted drops), serving/crash_watch with reports in the exchange, Reader::section. Tests failed before: GatewaySettings.NamesEveryFaultAtOnce ended with signal 6.

--- a/include/snipestall/base/log.hpp
+++ b/include/snipestall/base/log.hpp
@@ -20,7 +20,8 @@
     Json,
 };
 
-/// Sets up the process's log: standard error, one event a line.
+/// Sets up the process's log: standard output, one event a line, written by a thread of its own.
+/// Lines that a reader does not take in time are dropped and counted.
 void initLog(LogFormat format, Severity least);
 
 /// Writes one numbered event.
--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -8,6 +8,7 @@
 #include "snipestall/gateway/gateway_settings.hpp"
 #include "snipestall/gateway/true_time.hpp"
 #include "snipestall/serving/catalogue.hpp"
+#include "snipestall/serving/crash_watch.hpp"
 #include "snipestall/serving/demand_meter.hpp"
 #include "snipestall/serving/latency_pressure.hpp"
 #include "snipestall/serving/peer_loads.hpp"
@@ -54,6 +55,7 @@
     serving::LatencyPressure latency;
     serving::DemandMeter demand;
     serving::UsageLedger usageLedger;
+    serving::CrashWatch crashes;
     TrueTime trueTime;
     BackendPool backends;
     GatewayCounters counters;
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -98,6 +98,7 @@
     double m_unread = 0;
     double m_tokensAhead = 0;
     std::optional<AttemptWatch::Ticket> m_stallTicket;
+    std::uint64_t m_fingerprint = 0;
     int m_runs = 0;
     int m_sends = 0;
     /// Set while an attempt runs.
--- /dev/null
+++ b/include/snipestall/serving/crash_watch.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "snipestall/base/clock.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace snipestall::serving {
+
+/// A request, by its fingerprint, was in flight at a server that ended.
+struct CrashReport
+{
+    std::uint64_t fingerprint = 0;
+    std::string server;
+};
+
+/// Keeps a request that ends each server that runs it from ending many.
+///
+/// Load: one request, sent again and again by its caller to any instance, ends every server that
+/// begins it. Harm: each time, everything else on that server is lost. A request whose connection
+/// broke counts against a server only once that server refuses connections: a lost answer alone
+/// says nothing about the request. What was in flight at three servers when they ended is refused;
+/// innocent requests beside it are rarely at three. Reports go round among the instances.
+class CrashWatch
+{
+public:
+    /// The connection broke before any answer.
+    void broke(std::uint64_t fingerprint, const std::string &server, SteadyTime now);
+    /// The server refuses connections: what broke there just before is reported.
+    void refused(const std::string &server, SteadyTime now);
+    void reported(const CrashReport &report, SteadyTime now);
+    [[nodiscard]] bool blocked(std::uint64_t fingerprint, SteadyTime now) const;
+    /// What other instances are to be told.
+    [[nodiscard]] std::vector<CrashReport> recent(SteadyTime now) const;
+
+private:
+    static constexpr std::size_t MostServers = 3;
+    /// A server that ended refuses connections well within this time.
+    static constexpr std::chrono::milliseconds SuspectFor { 1500 };
+    /// A caller that repeats such a request does so within its deadline, and again.
+    static constexpr std::chrono::seconds BlockedFor { 120 };
+    /// Reports are told to peers for several exchanges.
+    static constexpr std::chrono::seconds ToldFor { 3 };
+    static constexpr std::size_t MostFingerprints = 4096;
+
+    struct Suspect
+    {
+        std::uint64_t fingerprint = 0;
+        SteadyTime time;
+    };
+    struct Ended
+    {
+        std::set<std::string> servers;
+        SteadyTime last;
+    };
+    struct Told
+    {
+        CrashReport report;
+        SteadyTime time;
+    };
+
+    std::map<std::string, std::vector<Suspect>> m_suspects;
+    std::map<std::uint64_t, Ended> m_ended;
+    std::vector<Told> m_told;
+};
+
+} // namespace snipestall::serving
--- a/src/snipestall/base/event_page.cpp
+++ b/src/snipestall/base/event_page.cpp
@@ -29,6 +29,7 @@
     Block { 300, "Platform" },  Block { 400, "Membership and peers" },
     Block { 500, "Requests" },  Block { 600, "Backend servers" },
     Block { 700, "Operators" }, Block { 800, "Stand-ins and tools" },
+    Block { 900, "Gateway" },
 };
 
 constexpr int BlockSize = 100;
--- a/src/snipestall/base/log.cpp
+++ b/src/snipestall/base/log.cpp
@@ -1,5 +1,7 @@
 #include "snipestall/base/log.hpp"
 
+#include "line_writer.hpp"
+
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <easylogging++.h>
@@ -9,6 +11,7 @@
 #include <ctime>
 #include <iomanip>
 #include <sstream>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -22,6 +25,27 @@
     Severity least = Severity::Info;
 };
 
+/// Lives as long as the process; its end writes what is queued.
+LineWriter &writer()
+{
+    static LineWriter instance(STDOUT_FILENO);
+    return instance;
+}
+
+/// Hands each line to the writer thread, so that no write blocks whoever logs.
+class QueueDispatch final : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData *data) override
+    {
+        std::string line = data->logMessage()->logger()->logBuilder()->build(
+            data->logMessage(), data->dispatchAction() == el::base::DispatchAction::NormalLog);
+        while (!line.empty() && line.back() == '\n')
+            line.pop_back();
+        writer().write(std::move(line));
+    }
+};
+
 LogState &state()
 {
     static LogState instance;
@@ -79,11 +103,15 @@
     el::Configurations configuration;
     configuration.setToDefault();
     configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
     configuration.setGlobally(el::ConfigurationType::Format,
                               format == LogFormat::Json ? "%msg"
                                                         : "%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
     el::Loggers::reconfigureAllLoggers(configuration);
+    writer();
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+        "DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<QueueDispatch>("QueueDispatch");
 }
 
 void logEvent(const EventInfo &event, std::initializer_list<LogField> fields)
--- a/src/snipestall/gateway/gateway_settings.cpp
+++ b/src/snipestall/gateway/gateway_settings.cpp
@@ -15,7 +15,7 @@
     template<typename Value>
     Value required(const YAML::Node &parent, const std::string &name)
     {
-        const YAML::Node node = parent.IsMap() ? parent[name] : YAML::Node();
+        const YAML::Node node = parent[name];
         if (!node.IsDefined() || node.IsNull()) {
             fault(name + " is missing");
             return {};
@@ -26,7 +26,7 @@
     template<typename Value>
     Value optional(const YAML::Node &parent, const std::string &name, Value otherwise)
     {
-        const YAML::Node node = parent.IsMap() ? parent[name] : YAML::Node();
+        const YAML::Node node = parent[name];
         if (!node.IsDefined() || node.IsNull())
             return otherwise;
         return read<Value>(node, name, otherwise);
@@ -55,6 +55,13 @@
         return milliseconds(static_cast<std::int64_t>(value * MillisPerSecond));
     }
 
+    /// A map inside another; an empty one if it is absent, whose fields then count as missing.
+    static YAML::Node section(const YAML::Node &parent, const std::string &name)
+    {
+        const YAML::Node node = parent[name];
+        return node.IsDefined() && node.IsMap() ? node : YAML::Node(YAML::NodeType::Map);
+    }
+
     [[nodiscard]] const std::string &faults() const { return m_faults; }
 
 private:
@@ -133,10 +140,10 @@
     settings.duties = reader.endpoint(*root, "duties");
     settings.serverHeartbeat =
         reader.millis(*root, "server_heartbeat_ms", settings.serverHeartbeat);
-    const YAML::Node limits = (*root)["limits"];
+    const YAML::Node limits = Reader::section(*root, "limits");
     settings.fileDescriptors =
         reader.optional(limits, "file_descriptors", settings.fileDescriptors);
-    settings.bounds = readBounds(reader, (*root)["bounds"]);
+    settings.bounds = readBounds(reader, Reader::section(*root, "bounds"));
     if (!reader.faults().empty())
         return fail(ErrorKind::InvalidArgument,
                     "faulty settings: " + reader.faults() + "; see docs/gateway.md");
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -243,6 +243,12 @@
         for (const auto &[customer, count] : counts)
             (*usage->mutable_customers())[customer] = count;
     }
+    for (const serving::CrashReport &crash :
+         m_state.crashes.recent(m_state.clock.steadyNow())) {
+        v1::Crash *entry = report.add_crashes();
+        entry->set_fingerprint(crash.fingerprint);
+        entry->set_server(crash.server);
+    }
     return report;
 }
 
@@ -337,6 +343,8 @@
     m_state.demand.peerWork(report.instance(), report.incarnation(), services);
     takeUsage(report);
     takeTables(report, peer);
+    for (const v1::Crash &crash : report.crashes())
+        m_state.crashes.reported({ crash.fingerprint(), crash.server() }, now);
     if (report.holds_lease())
         m_hooks.holderHeard();
 }
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -4,6 +4,7 @@
 #include "platform/server_header.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
+#include "snipestall/base/rendezvous.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
 
 #include <boost/beast/http/field.hpp>
@@ -38,6 +39,8 @@
 constexpr milliseconds RetryAfterNoConfig { 500 };
 /// Another instance takes the caller's new connection at once.
 constexpr milliseconds RetryAfterShutdown { 50 };
+/// Longer than any caller waits: the request is not to come back.
+constexpr std::chrono::seconds RetryAfterCrashes { 60 };
 constexpr unsigned FirstFailure = 500;
 constexpr unsigned FirstNoSuccess = 300;
 constexpr int LowestPriority = 9;
@@ -73,6 +76,16 @@
     return route.targets.back().service;
 }
 
+/// What a request is known by when its caller repeats it under another attempt id.
+std::uint64_t fingerprintOf(const CallerLink::Request &request, const serving::Customer *customer)
+{
+    std::string text(request.method_string());
+    text.append(" ").append(request.target()).append("\n");
+    if (customer != nullptr)
+        text += customer->name;
+    return stableHash(text.append("\n").append(request.body()));
+}
+
 std::string secondsText(milliseconds time)
 {
     std::array<char, 32> text {};
@@ -179,6 +192,9 @@
         co_return co_await refuse(refusal(503, RetryAfterNoServer), "unknown-service");
     m_demand.prompt = m_header.prompt;
     m_lastEvent = m_header.resumeAfter;
+    m_fingerprint = fingerprintOf(request, m_customer);
+    if (m_state.crashes.blocked(m_fingerprint, m_received))
+        co_return co_await refuse(refusal(503, RetryAfterCrashes), "ends-servers");
     if (m_customer == nullptr)
         co_return true;
     const auto verdict = m_state.quotas.take(m_customer->name, quotaUnits(), m_received);
@@ -311,12 +327,15 @@
         end = co_await takeAnswer(*server);
     } else if (start == CallStart::Unreachable) {
         m_state.servers.lost(*server, m_state.clock.steadyNow());
+        m_state.crashes.refused(server->info.id, m_state.clock.steadyNow());
         end = AttemptEnd::NotRun;
     } else {
         m_maybeRan = true;
         ++m_runs;
-        if (!m_callerGone && start == CallStart::Lost)
+        if (!m_callerGone && start == CallStart::Lost) {
             m_state.servers.lost(*server, m_state.clock.steadyNow());
+            m_state.crashes.broke(m_fingerprint, server->info.id, m_state.clock.steadyNow());
+        }
         end = start == CallStart::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Failed;
     }
     stopStallWatch();
--- /dev/null
+++ b/src/snipestall/serving/crash_watch.cpp
@@ -0,0 +1,60 @@
+#include "snipestall/serving/crash_watch.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipestall::serving {
+
+void CrashWatch::broke(std::uint64_t fingerprint, const std::string &server, SteadyTime now)
+{
+    auto &suspects = m_suspects[server];
+    std::erase_if(suspects, [now](const Suspect &each) { return now - each.time > SuspectFor; });
+    suspects.push_back({ fingerprint, now });
+}
+
+void CrashWatch::refused(const std::string &server, SteadyTime now)
+{
+    const auto found = m_suspects.find(server);
+    if (found == m_suspects.end())
+        return;
+    const auto suspects = std::exchange(found->second, {});
+    m_suspects.erase(found);
+    for (const Suspect &suspect : suspects) {
+        if (now - suspect.time <= SuspectFor)
+            reported({ suspect.fingerprint, server }, now);
+    }
+}
+
+void CrashWatch::reported(const CrashReport &report, SteadyTime now)
+{
+    std::erase_if(m_ended,
+                  [now](const auto &entry) { return now - entry.second.last > BlockedFor; });
+    std::erase_if(m_told, [now](const Told &each) { return now - each.time > ToldFor; });
+    if (m_ended.size() >= MostFingerprints && !m_ended.contains(report.fingerprint))
+        return;
+    Ended &ended = m_ended[report.fingerprint];
+    // Told once already: passing it on again would keep it going round for ever.
+    if (!ended.servers.insert(report.server).second)
+        return;
+    ended.last = now;
+    m_told.push_back({ report, now });
+}
+
+bool CrashWatch::blocked(std::uint64_t fingerprint, SteadyTime now) const
+{
+    const auto found = m_ended.find(fingerprint);
+    return found != m_ended.end() && found->second.servers.size() >= MostServers
+        && now - found->second.last <= BlockedFor;
+}
+
+std::vector<CrashReport> CrashWatch::recent(SteadyTime now) const
+{
+    std::vector<CrashReport> reports;
+    for (const Told &told : m_told) {
+        if (now - told.time <= ToldFor)
+            reports.push_back(told.report);
+    }
+    return reports;
+}
+
+} // namespace snipestall::serving
