--- a/apps/snipestall_gateway/main.cpp
+++ b/apps/snipestall_gateway/main.cpp
@@ -61,8 +61,8 @@
         return ExitFailed;
     }
     (*gateway)->start();
-    logEvent(events::ProcessStarted, { { "instance", settings.instance },
-                                       { "callers", settings.callers.toString() } });
+    logEvent(events::ProcessStarted,
+             { { "instance", settings.instance }, { "callers", settings.callers.toString() } });
     boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
     std::function<void()> waitForSignal = [&] {
         signals.async_wait([&](const boost::system::error_code &error, int signal) {
--- a/include/snipestall/gateway/exchange_transport.hpp
+++ b/include/snipestall/gateway/exchange_transport.hpp
@@ -21,9 +21,8 @@
 public:
     using Handler = std::function<exchange::v1::LoadReport(const exchange::v1::LoadReport &)>;
 
-    static Result<std::unique_ptr<ExchangeServer>> create(boost::asio::io_context &io,
-                                                          const std::string &address,
-                                                          Handler handler);
+    static Result<std::unique_ptr<ExchangeServer>>
+    create(boost::asio::io_context &io, const std::string &address, Handler handler);
     ~ExchangeServer();
 
 private:
--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -5,6 +5,7 @@
 #include "snipestall/gateway/backend_pool.hpp"
 #include "snipestall/gateway/boot_clock.hpp"
 #include "snipestall/gateway/gateway_counters.hpp"
+#include "snipestall/gateway/gateway_metrics.hpp"
 #include "snipestall/gateway/gateway_settings.hpp"
 #include "snipestall/gateway/true_time.hpp"
 #include "snipestall/serving/catalogue.hpp"
@@ -59,6 +60,7 @@
     TrueTime trueTime;
     BackendPool backends;
     GatewayCounters counters;
+    GatewayMetrics metrics;
 
     /// The list of backend servers has been read at least once.
     bool listKnown = false;
--- a/include/snipestall/serving/fleet_planner.hpp
+++ b/include/snipestall/serving/fleet_planner.hpp
@@ -48,7 +48,7 @@
 {
 public:
     /// `usual`: servers that the operators started with, by data centre.
-    FleetPlanner(ScalingPolicy policy, std::map<std::string, int> usual);
+    FleetPlanner(ScalingPolicy policy, const std::map<std::string, int> &usual);
 
     /// What part of the target latency the slower tenth of requests waits for its first byte: how
     /// near the fleet is to being too small. To be told a few times a second.
--- a/include/snipestall/serving/placement.hpp
+++ b/include/snipestall/serving/placement.hpp
@@ -64,8 +64,7 @@
     [[nodiscard]] Placed chooseForPrompt(const Demand &demand,
                                          const std::vector<ServerStatePtr> &servers,
                                          SteadyTime now) const;
-    [[nodiscard]] Placed chooseForCall(const std::vector<ServerStatePtr> &servers,
-                                       SteadyTime now);
+    [[nodiscard]] Placed chooseForCall(const std::vector<ServerStatePtr> &servers, SteadyTime now);
     [[nodiscard]] double uncached(const Prompt &prompt, const ServerState &server,
                                   const std::string &preferred, SteadyTime now) const;
 
--- a/src/snipestall/base/line_writer.cpp
+++ b/src/snipestall/base/line_writer.cpp
@@ -92,8 +92,8 @@
         }
         // At most what a ready pipe is sure to take, so that the write does not block either.
         constexpr std::size_t PipeBytes = 4096;
-        const ssize_t got = ::write(m_descriptor, text.data() + done,
-                                    std::min(text.size() - done, PipeBytes));
+        const ssize_t got =
+            ::write(m_descriptor, text.data() + done, std::min(text.size() - done, PipeBytes));
         if (got < 0 && errno != EINTR && errno != EAGAIN)
             return false;
         if (got > 0)
--- a/src/snipestall/gateway/backend_call.cpp
+++ b/src/snipestall/gateway/backend_call.cpp
@@ -113,8 +113,8 @@
     while (true) {
         beginAnswer();
         expireAt(until);
-        auto [error, bytes] = co_await http::async_read_header(m_link->stream, m_link->buffer,
-                                                               *m_parser, UseTuple);
+        auto [error, bytes] =
+            co_await http::async_read_header(m_link->stream, m_link->buffer, *m_parser, UseTuple);
         if (error)
             co_return error;
         m_lastHeard = m_clock.steadyNow();
@@ -175,8 +175,8 @@
         m_parser->get().body().size = bytes.size();
         m_parser->get().body().more = true;
         expireAt(until);
-        auto [error, transferred] = co_await http::async_read_some(
-            m_link->stream, m_link->buffer, *m_parser, UseTuple);
+        auto [error, transferred] =
+            co_await http::async_read_some(m_link->stream, m_link->buffer, *m_parser, UseTuple);
         m_lastHeard = m_clock.steadyNow();
         if (error && error != http::error::need_buffer) {
             abort();
--- a/src/snipestall/gateway/caller_link.cpp
+++ b/src/snipestall/gateway/caller_link.cpp
@@ -43,8 +43,8 @@
     if (error == beast::error::timeout)
         return RequestRead::HeaderTimeout;
     const auto &parserErrors = http::make_error_code(http::error::end_of_stream).category();
-    const bool ended = error == http::error::end_of_stream
-        || error == http::error::partial_message || error.category() != parserErrors;
+    const bool ended = error == http::error::end_of_stream || error == http::error::partial_message
+        || error.category() != parserErrors;
     return ended ? RequestRead::Closed : RequestRead::Malformed;
 }
 
@@ -121,12 +121,12 @@
 void CallerLink::armWatch()
 {
     m_watchArmed = true;
-    m_stream.socket().async_wait(
-        tcp::socket::wait_read, [self = shared_from_this()](const beast::error_code &error) {
-            self->m_watchArmed = false;
-            if (!error)
-                self->onReadable();
-        });
+    m_stream.socket().async_wait(tcp::socket::wait_read,
+                                 [self = shared_from_this()](const beast::error_code &error) {
+                                     self->m_watchArmed = false;
+                                     if (!error)
+                                         self->onReadable();
+                                 });
 }
 
 void CallerLink::onReadable()
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -80,8 +80,9 @@
     if (!error)
         acceptor.listen(asio::socket_base::max_listen_connections, error);
     if (error)
-        return fail(ErrorKind::Unavailable, "can't listen on " + address.toString() + ": "
-                                                + error.message() + "; free the address");
+        return fail(ErrorKind::Unavailable,
+                    "can't listen on " + address.toString() + ": " + error.message()
+                        + "; free the address");
     return std::unique_ptr<CallerListener>(new CallerListener(state, std::move(acceptor)));
 }
 
--- a/src/snipestall/gateway/duty_runner.cpp
+++ b/src/snipestall/gateway/duty_runner.cpp
@@ -103,9 +103,10 @@
 
 const platform::StoredRow *findRow(const platform::StoredRows &rows, const std::string &key)
 {
-    const auto found = std::find_if(
-        rows.rows.begin(), rows.rows.end(),
-        [&key](const platform::StoredRow &row) { return row.name.key == key && !row.removed; });
+    const auto found =
+        std::find_if(rows.rows.begin(), rows.rows.end(), [&key](const platform::StoredRow &row) {
+            return row.name.key == key && !row.removed;
+        });
     return found == rows.rows.end() ? nullptr : &*found;
 }
 
@@ -181,8 +182,7 @@
 Task<void> DutyRunner::writeLease(serving::LeaseWrite write)
 {
     const SteadyTime sentAt = m_state.clock.steadyNow();
-    std::vector<platform::RowCondition> conditions { { dutyRow(LeaseKey),
-                                                       write.expectedVersion } };
+    std::vector<platform::RowCondition> conditions { { dutyRow(LeaseKey), write.expectedVersion } };
     std::vector<platform::RowWrite> writes { { dutyRow(LeaseKey), encodeLease(write.row) } };
     const auto done =
         co_await m_store.write(std::move(conditions), std::move(writes), StoreTimeout);
@@ -258,8 +258,7 @@
     if (counts.empty())
         co_return true;
     // A key for each process: what an earlier one of this instance counted stays.
-    const platform::RowName name { CountsTable, std::to_string(window),
-                                   m_state.processName() };
+    const platform::RowName name { CountsTable, std::to_string(window), m_state.processName() };
     std::vector<platform::RowWrite> writes { { name, encodeCounts(counts) } };
     const auto done = co_await m_store.write({}, std::move(writes), StoreTimeout);
     co_return done.has_value();
@@ -290,14 +289,16 @@
         co_return false;
     const auto done = co_await m_duties.reportUsage(holder(), window, *counts, DutyTimeout);
     if (!done) {
-        logEvent(events::UsageReportFailed, { { "window", std::to_string(window) },
-                                              { "fence", std::to_string(m_lease.fence()) },
-                                              { "error", done.error().message } });
+        logEvent(events::UsageReportFailed,
+                 { { "window", std::to_string(window) },
+                   { "fence", std::to_string(m_lease.fence()) },
+                   { "error", done.error().message } });
         co_return false;
     }
-    logEvent(events::UsageReported, { { "window", std::to_string(window) },
-                                      { "fence", std::to_string(m_lease.fence()) },
-                                      { "counts", encodeCounts(*counts) } });
+    logEvent(events::UsageReported,
+             { { "window", std::to_string(window) },
+               { "fence", std::to_string(m_lease.fence()) },
+               { "counts", encodeCounts(*counts) } });
     co_return true;
 }
 
@@ -344,7 +345,8 @@
         removals.push_back({ row.name, std::nullopt });
     const auto done = co_await m_store.write({}, std::move(removals), StoreTimeout);
     if (!done)
-        logEvent(events::StoreLost, { { "table", CountsTable }, { "error", done.error().message } });
+        logEvent(events::StoreLost,
+                 { { "table", CountsTable }, { "error", done.error().message } });
 }
 
 // --- Fleet -----------------------------------------------------------------------------------
@@ -424,12 +426,10 @@
         planner.pressure(m_state.latency.highest(name, now), now);
         const serving::FleetDemand demand { m_state.demand.needed(name),
                                             m_state.counters.attempts > 0 };
-        for (const serving::FleetOrder &order :
-             planner.plan(countServers(name), demand, now)) {
+        for (const serving::FleetOrder &order : planner.plan(countServers(name), demand, now)) {
             if (!holdsLease())
                 co_return;
-            platform::ServerOrder wanted { name, order.dataCentre, order.count,
-                                           order.reclaimable };
+            platform::ServerOrder wanted { name, order.dataCentre, order.count, order.reclaimable };
             const auto done = co_await m_duties.order(holder(), std::move(wanted), DutyTimeout);
             if (done)
                 planner.accepted(order, m_state.clock.steadyNow());
--- a/src/snipestall/gateway/exchange_transport.cpp
+++ b/src/snipestall/gateway/exchange_transport.cpp
@@ -135,9 +135,8 @@
     m_state->stub->async()->Exchange(
         &call->context, &call->request, &call->reply,
         [state = m_state, call, done = std::move(done)](const grpc::Status &status) {
-            asio::post(state->io, [call, done, ok = status.ok()] {
-                done(ok ? &call->reply : nullptr);
-            });
+            asio::post(state->io,
+                       [call, done, ok = status.ok()] { done(ok ? &call->reply : nullptr); });
         });
 }
 
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -69,6 +69,7 @@
     std::unique_ptr<LoadExchange> exchange;
     std::unique_ptr<CallerListener> callers;
     std::unique_ptr<wire::HttpServer> readiness;
+    std::unique_ptr<wire::HttpServer> metrics;
 };
 
 Gateway::Gateway(std::unique_ptr<Parts> parts)
@@ -91,15 +92,27 @@
     if (!callers)
         return tl::unexpected<Error>(callers.error());
     raw->callers = std::move(*callers);
-    auto readiness = wire::HttpServer::create(
-        io, raw->state.settings.readiness, [raw](wire::HttpExchange &exchange) -> Task<void> {
-            wire::HttpResponse response;
-            response.status = raw->ready() ? 200 : 503;
-            co_await exchange.respond(std::move(response));
-        });
+    auto readiness = wire::HttpServer::create(io, raw->state.settings.readiness,
+                                              [raw](wire::HttpExchange &exchange) -> Task<void> {
+                                                  wire::HttpResponse response;
+                                                  response.status = raw->ready() ? 200 : 503;
+                                                  co_await exchange.respond(std::move(response));
+                                              });
     if (!readiness)
         return tl::unexpected<Error>(readiness.error());
     raw->readiness = std::move(*readiness);
+    const wire::Endpoint metricsAddress { raw->state.settings.address,
+                                          raw->state.settings.metricsPort };
+    auto metrics = wire::HttpServer::create(
+        io, metricsAddress, [raw](wire::HttpExchange &exchange) -> Task<void> {
+            wire::HttpResponse response;
+            response.fields.set("Content-Type", "text/plain; version=0.0.4");
+            response.body = raw->state.metrics.page(raw->state);
+            co_await exchange.respond(std::move(response));
+        });
+    if (!metrics)
+        return tl::unexpected<Error>(metrics.error());
+    raw->metrics = std::move(*metrics);
     return std::unique_ptr<Gateway>(new Gateway(std::move(parts)));
 }
 
@@ -162,8 +175,7 @@
     }
     // What was counted since, for requests that began meanwhile.
     co_await duties.leave();
-    logEvent(events::ProcessStopped,
-             { { "requests", std::to_string(state.requestsInFlight) } });
+    logEvent(events::ProcessStopped, { { "requests", std::to_string(state.requestsInFlight) } });
     state.io.stop();
 }
 
--- /dev/null
+++ b/src/snipestall/gateway/gateway_metrics.cpp
@@ -0,0 +1,119 @@
+#include "snipestall/gateway/gateway_metrics.hpp"
+
+#include "snipestall/gateway/gateway_state.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <sstream>
+
+namespace snipestall::gateway {
+
+namespace {
+
+/// Seconds, dense around targets from 0.1 s to 1.5 s.
+const prometheus::Histogram::BucketBoundaries LatencyBounds {
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.2, 1.5, 2.0, 4.0, 10.0
+};
+
+struct Level
+{
+    const char *name;
+    const char *help;
+    double (*value)(const GatewayState &state);
+};
+
+double serversInUse(const GatewayState &state)
+{
+    double count = 0;
+    for (const auto &[id, server] : state.servers.all())
+        count += server->takesWork() ? 1 : 0;
+    return count;
+}
+
+constexpr std::array<Level, 11> Levels { {
+    { "snipestall_gateway_requests", "Requests read since the start.",
+      [](const GatewayState &s) { return double(s.counters.requests); } },
+    { "snipestall_gateway_answered", "Requests answered by a backend server since the start.",
+      [](const GatewayState &s) { return double(s.counters.answered); } },
+    { "snipestall_gateway_refused", "Requests refused as not run since the start.",
+      [](const GatewayState &s) { return double(s.counters.refused); } },
+    { "snipestall_gateway_failed", "Requests that ended in a failure since the start.",
+      [](const GatewayState &s) { return double(s.counters.failed); } },
+    { "snipestall_gateway_callers_gone", "Callers that left before their answer.",
+      [](const GatewayState &s) { return double(s.counters.callersGone); } },
+    { "snipestall_gateway_attempts", "Sends to backend servers since the start.",
+      [](const GatewayState &s) { return double(s.counters.attempts); } },
+    { "snipestall_gateway_in_flight", "Requests that have no final answer yet.",
+      [](const GatewayState &s) { return double(s.requestsInFlight); } },
+    { "snipestall_gateway_servers", "Backend servers that take work, as known here.",
+      serversInUse },
+    { "snipestall_gateway_config_version", "Version of the configuration in force; 0 for none.",
+      [](const GatewayState &s) { return s.catalogue ? double(s.catalogue->version()) : 0; } },
+    { "snipestall_gateway_draining", "1 while a graceful shutdown runs.",
+      [](const GatewayState &s) { return s.draining ? 1.0 : 0.0; } },
+    { "snipestall_gateway_time_known", "1 once the common time of day is known.",
+      [](const GatewayState &s) { return s.trueTime.known() ? 1.0 : 0.0; } },
+} };
+
+double secondsOf(std::chrono::nanoseconds time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+struct GatewayMetrics::Families
+{
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Histogram> *firstByte = nullptr;
+    prometheus::Family<prometheus::Histogram> *duration = nullptr;
+};
+
+GatewayMetrics::GatewayMetrics()
+    : m_families(std::make_unique<Families>())
+{
+    m_families->firstByte = &prometheus::BuildHistogram()
+                                 .Name("snipestall_gateway_first_byte_seconds")
+                                 .Help("From a request's arrival to the first byte of its answer.")
+                                 .Register(m_families->registry);
+    m_families->duration = &prometheus::BuildHistogram()
+                                .Name("snipestall_gateway_request_seconds")
+                                .Help("From a request's arrival to its end, by status.")
+                                .Register(m_families->registry);
+}
+
+GatewayMetrics::~GatewayMetrics() = default;
+
+void GatewayMetrics::firstByte(const std::string &service, std::chrono::nanoseconds waited)
+{
+    m_families->firstByte->Add({ { "service", service } }, LatencyBounds)
+        .Observe(secondsOf(waited));
+}
+
+void GatewayMetrics::ended(unsigned status, std::chrono::nanoseconds took)
+{
+    m_families->duration->Add({ { "status", std::to_string(status) } }, LatencyBounds)
+        .Observe(secondsOf(took));
+}
+
+std::string GatewayMetrics::page(const GatewayState &state)
+{
+    for (const Level &level : Levels) {
+        prometheus::BuildGauge()
+            .Name(level.name)
+            .Help(level.help)
+            .Register(m_families->registry)
+            .Add({})
+            .Set(level.value(state));
+    }
+    std::ostringstream text;
+    prometheus::TextSerializer().Serialize(text, m_families->registry.Collect());
+    return text.str();
+}
+
+} // namespace snipestall::gateway
--- a/src/snipestall/gateway/gateway_state.cpp
+++ b/src/snipestall/gateway/gateway_state.cpp
@@ -4,8 +4,7 @@
 
 namespace snipestall::gateway {
 
-GatewayState::GatewayState(boost::asio::io_context &loop, GatewaySettings given,
-                           std::uint64_t seed)
+GatewayState::GatewayState(boost::asio::io_context &loop, GatewaySettings given, std::uint64_t seed)
     : io(loop)
     , settings(std::move(given))
     , random(seed)
@@ -13,8 +12,8 @@
     , placement(servers, peerLoads, settings.dataCentre, seed)
     , quotas({ settings.bounds.quotaWindow, settings.bounds.quotaOverrun,
                settings.bounds.quotaTolerance })
-    , retries({ settings.bounds.retryWindow, settings.bounds.retryRatio,
-                settings.bounds.retrySlack })
+    , retries(
+          { settings.bounds.retryWindow, settings.bounds.retryRatio, settings.bounds.retrySlack })
     , usage(settings.bounds.usageWindow)
 { }
 
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -55,17 +55,17 @@
 
 LoadExchange::~LoadExchange() = default;
 
-Result<std::unique_ptr<LoadExchange>>
-LoadExchange::create(GatewayState &state, platform::StoreClient &store, StoreFollower &follower,
-                     Hooks hooks)
+Result<std::unique_ptr<LoadExchange>> LoadExchange::create(GatewayState &state,
+                                                           platform::StoreClient &store,
+                                                           StoreFollower &follower, Hooks hooks)
 {
     std::unique_ptr<LoadExchange> exchange(
         new LoadExchange(state, store, follower, std::move(hooks)));
-    auto server = ExchangeServer::create(
-        state.io, exchange->ownAddress(), [raw = exchange.get()](const v1::LoadReport &report) {
-            raw->take(report);
-            return raw->reportFor(report.instance(), false);
-        });
+    auto server = ExchangeServer::create(state.io, exchange->ownAddress(),
+                                         [raw = exchange.get()](const v1::LoadReport &report) {
+                                             raw->take(report);
+                                             return raw->reportFor(report.instance(), false);
+                                         });
     if (!server)
         return tl::unexpected<Error>(server.error());
     exchange->m_server = std::move(*server);
@@ -98,8 +98,7 @@
     co_return written.has_value();
 }
 
-void LoadExchange::setAddress(Peer &peer, const std::string &address,
-                              const std::string &dataCentre)
+void LoadExchange::setAddress(Peer &peer, const std::string &address, const std::string &dataCentre)
 {
     peer.dataCentre = dataCentre;
     if (peer.address == address)
@@ -243,8 +242,7 @@
         for (const auto &[customer, count] : counts)
             (*usage->mutable_customers())[customer] = count;
     }
-    for (const serving::CrashReport &crash :
-         m_state.crashes.recent(m_state.clock.steadyNow())) {
+    for (const serving::CrashReport &crash : m_state.crashes.recent(m_state.clock.steadyNow())) {
         v1::Crash *entry = report.add_crashes();
         entry->set_fingerprint(crash.fingerprint);
         entry->set_server(crash.server);
@@ -270,8 +268,8 @@
     state->set_table(copy.table());
     state->set_version(copy.version());
     constexpr milliseconds Oldest { 3600000 };
-    state->set_age_ms(static_cast<std::uint32_t>(
-        std::min(copy.age(m_state.clock.steadyNow()), Oldest).count()));
+    state->set_age_ms(
+        static_cast<std::uint32_t>(std::min(copy.age(m_state.clock.steadyNow()), Oldest).count()));
     if (receiver == nullptr || !receiver->versions.contains(copy.table()))
         return;
     const auto changes = copy.since(receiver->versions.at(copy.table()));
@@ -321,8 +319,8 @@
     setAddress(peer, report.address(), report.data_centre());
     peer.failedAt.reset();
     if (peer.silent)
-        logEvent(events::GatewayPeerHeard, { { "peer", report.instance() },
-                                             { "address", peer.address } });
+        logEvent(events::GatewayPeerHeard,
+                 { { "peer", report.instance() }, { "address", peer.address } });
     peer.silent = false;
     peer.heard = now;
     m_book.take(report, now);
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -89,8 +89,7 @@
 std::string secondsText(milliseconds time)
 {
     std::array<char, 32> text {};
-    std::snprintf(text.data(), text.size(), "%.3f",
-                  std::chrono::duration<double>(time).count());
+    std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(time).count());
     return text.data();
 }
 
@@ -142,8 +141,9 @@
 
 void RequestRelay::logEnd(unsigned status, const char *reason) const
 {
-    const auto took = std::chrono::duration_cast<milliseconds>(m_state.clock.steadyNow()
-                                                               - m_received);
+    const auto passed = m_state.clock.steadyNow() - m_received;
+    const auto took = std::chrono::duration_cast<milliseconds>(passed);
+    m_state.metrics.ended(status, passed);
     logEvent(events::GatewayRequestEnded,
              { { "attempt", m_header.attemptId },
                { "status", std::to_string(status) },
@@ -285,9 +285,8 @@
     const auto left = m_callerUntil - m_state.clock.steadyNow();
     call.deadline = std::max(std::chrono::duration_cast<milliseconds>(left), milliseconds(1));
     if (m_demand.prompt) {
-        const int priority = m_customer != nullptr && m_customer->priority
-            ? *m_customer->priority
-            : m_route->priority;
+        const int priority = m_customer != nullptr && m_customer->priority ? *m_customer->priority
+                                                                           : m_route->priority;
         call.priority = std::clamp(priority, 0, LowestPriority);
     }
     call.resumeAfter = m_lastEvent;
@@ -419,6 +418,7 @@
     const std::chrono::duration<double> waited = now - m_received;
     const std::chrono::duration<double> target = m_route->targetLatency;
     m_state.latency.firstByte(m_demand.service->name, waited / target, now);
+    m_state.metrics.firstByte(m_demand.service->name, now - m_received);
 }
 
 Task<RequestRelay::AttemptEnd> RequestRelay::relayWhole(serving::ServerState &server)
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -146,9 +146,10 @@
     if (feed.away)
         return;
     feed.away = true;
-    logEvent(events::StoreLost, { { "table", feed.copy.table() },
-                                  { "error", error.message },
-                                  { "version", std::to_string(feed.copy.version()) } });
+    logEvent(events::StoreLost,
+             { { "table", feed.copy.table() },
+               { "error", error.message },
+               { "version", std::to_string(feed.copy.version()) } });
 }
 
 void StoreFollower::configSnapshot(const platform::StoredRows &rows)
@@ -163,9 +164,10 @@
         return;
     const auto catalogue = platform::decodeConfig(row.value);
     if (!catalogue) {
-        logEvent(events::StoreRowFaulty, { { "row", row.name.key },
-                                           { "version", std::to_string(row.version) },
-                                           { "error", catalogue.error().message } });
+        logEvent(events::StoreRowFaulty,
+                 { { "row", row.name.key },
+                   { "version", std::to_string(row.version) },
+                   { "error", catalogue.error().message } });
         return;
     }
     const bool first = m_state.catalogue == nullptr;
@@ -175,8 +177,9 @@
     // A process that starts while others serve can't know what is left of a burst.
     const double fill = first && !m_state.settings.firstStart ? 0 : 1;
     m_state.quotas.configure((*catalogue)->customers(), fill, m_state.clock.steadyNow());
-    logEvent(events::SettingsApplied, { { "version", std::to_string((*catalogue)->version()) },
-                                        { "row", std::to_string(row.version) } });
+    logEvent(events::SettingsApplied,
+             { { "version", std::to_string((*catalogue)->version()) },
+               { "row", std::to_string(row.version) } });
     m_changed();
 }
 
@@ -206,20 +209,22 @@
     }
     const auto server = platform::decodeServer(row.name.key, row.value);
     if (!server) {
-        logEvent(events::StoreRowFaulty, { { "row", row.name.key },
-                                           { "version", std::to_string(row.version) },
-                                           { "error", server.error().message } });
+        logEvent(events::StoreRowFaulty,
+                 { { "row", row.name.key },
+                   { "version", std::to_string(row.version) },
+                   { "error", server.error().message } });
         return;
     }
     if (m_state.servers.find(server->id) == nullptr)
         m_state.listGrewAt = m_state.clock.steadyNow();
     m_state.servers.put(*server, m_state.clock.steadyNow());
-    logEvent(events::ServerListed, { { "server", server->id },
-                                     { "service", server->service },
-                                     { "data_centre", server->dataCentre },
-                                     { "leaving", server->leaving ? "yes" : "no" },
-                                     { "reclaimable", server->reclaimable ? "yes" : "no" },
-                                     { "version", std::to_string(row.version) } });
+    logEvent(events::ServerListed,
+             { { "server", server->id },
+               { "service", server->service },
+               { "data_centre", server->dataCentre },
+               { "leaving", server->leaving ? "yes" : "no" },
+               { "reclaimable", server->reclaimable ? "yes" : "no" },
+               { "version", std::to_string(row.version) } });
 }
 
 void StoreFollower::serverGone(const std::string &id)
--- a/src/snipestall/serving/catalogue.cpp
+++ b/src/snipestall/serving/catalogue.cpp
@@ -4,9 +4,8 @@
 
 namespace snipestall::serving {
 
-Catalogue::Catalogue(std::int64_t version, std::vector<Route> routes,
-                     std::vector<Service> services, std::vector<Customer> customers,
-                     TrafficLimits limits)
+Catalogue::Catalogue(std::int64_t version, std::vector<Route> routes, std::vector<Service> services,
+                     std::vector<Customer> customers, TrafficLimits limits)
     : m_version(version)
     , m_routes(std::move(routes))
     , m_customers(std::move(customers))
--- a/src/snipestall/serving/fleet_planner.cpp
+++ b/src/snipestall/serving/fleet_planner.cpp
@@ -6,7 +6,7 @@
 
 namespace snipestall::serving {
 
-FleetPlanner::FleetPlanner(ScalingPolicy policy, std::map<std::string, int> usual)
+FleetPlanner::FleetPlanner(ScalingPolicy policy, const std::map<std::string, int> &usual)
     : m_policy(std::move(policy))
 {
     for (const auto &[dataCentre, count] : usual)
@@ -61,10 +61,9 @@
         const auto found = m_policy.dataCentrePrices.find(dataCentre);
         return found == m_policy.dataCentrePrices.end() ? 1.0 : found->second;
     };
-    std::stable_sort(order.begin(), order.end(),
-                     [&priceOf](const std::string &a, const std::string &b) {
-                         return priceOf(a) < priceOf(b);
-                     });
+    std::stable_sort(
+        order.begin(), order.end(),
+        [&priceOf](const std::string &a, const std::string &b) { return priceOf(a) < priceOf(b); });
     return order;
 }
 
--- a/src/snipestall/serving/overlay_test.cpp
+++ b/src/snipestall/serving/overlay_test.cpp
@@ -12,8 +12,7 @@
     std::map<std::string, std::string> all;
     for (int d = 0; d < dataCentres; ++d) {
         for (int i = 0; i < each; ++i) {
-            const std::string name =
-                "dc" + std::to_string(d) + "-" + std::to_string(100 + i);
+            const std::string name = "dc" + std::to_string(d) + "-" + std::to_string(100 + i);
             all[name] = "dc" + std::to_string(d);
         }
     }
--- a/src/snipestall/serving/quota_keeper.cpp
+++ b/src/snipestall/serving/quota_keeper.cpp
@@ -63,8 +63,7 @@
 void QuotaKeeper::refill(Bucket &bucket, SteadyTime now) const
 {
     const double seconds = std::max(0.0, Seconds(now - bucket.filledAt).count());
-    bucket.level =
-        std::min(bucket.burst, bucket.level + seconds * bucket.rate * refillShare(now));
+    bucket.level = std::min(bucket.burst, bucket.level + seconds * bucket.rate * refillShare(now));
     bucket.filledAt = now;
 }
 
@@ -92,8 +91,8 @@
     // A request larger than the whole burst runs once the bucket is full and leaves a debt.
     if (free < std::min(units, bucket.burst)) {
         const double missing = std::min(units, bucket.burst) - free;
-        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
-            Seconds(missing / bucket.rate));
+        const auto wait =
+            std::chrono::duration_cast<std::chrono::milliseconds>(Seconds(missing / bucket.rate));
         return { false, std::max(wait, ShortestPause) };
     }
     bucket.level -= units;
--- a/src/snipestall/serving/quota_keeper_test.cpp
+++ b/src/snipestall/serving/quota_keeper_test.cpp
@@ -66,7 +66,8 @@
         for (std::size_t i = 0; i < m_keepers.size(); ++i) {
             for (std::size_t j = 0; j < m_keepers.size(); ++j) {
                 if (i != j)
-                    m_keepers[i]->peerUse(std::to_string(j), { j + 1, 1 }, m_keepers[j]->ownUse(), now);
+                    m_keepers[i]->peerUse(std::to_string(j), { j + 1, 1 }, m_keepers[j]->ownUse(),
+                                          now);
             }
         }
     }
--- a/src/snipestall/serving/retry_allowance.cpp
+++ b/src/snipestall/serving/retry_allowance.cpp
@@ -6,8 +6,8 @@
 
 std::int64_t RetryAllowance::sliceNumber(SteadyTime now) const
 {
-    const auto length = std::max<std::chrono::milliseconds>(m_limits.window / Slices,
-                                                            std::chrono::milliseconds(1));
+    const auto length =
+        std::max<std::chrono::milliseconds>(m_limits.window / Slices, std::chrono::milliseconds(1));
     return now.time_since_epoch() / length;
 }
 
--- a/src/snipestall/wire/http_client.cpp
+++ b/src/snipestall/wire/http_client.cpp
@@ -47,7 +47,6 @@
                     + "; whether it ran must be read back");
 }
 
-
 } // namespace
 
 struct HttpClient::State
