Readers pass on a whole read; instances that start together share the quota's rate

Change: TableCopy::readWhole keeps what a whole read brought; QuotaKeeper fills at this instance's part of the registered ones until peers are heard. Both tests failed before.

--- a/include/snipestall/gateway/store_follower.hpp
+++ b/include/snipestall/gateway/store_follower.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace snipestall::gateway {
 
@@ -44,7 +45,9 @@
     struct Feed
     {
         TableCopy copy;
-        void (StoreFollower::*snapshot)(const platform::StoredRows &rows);
+        /// Returns, as removed, the rows that were known and are not among these.
+        std::vector<platform::StoredRow> (StoreFollower::*snapshot)(
+            const platform::StoredRows &rows);
         void (StoreFollower::*change)(const platform::StoredRow &row);
         bool read = false;
         bool away = false;
@@ -54,9 +57,9 @@
     wire::Task<bool> step(Feed &feed);
     void answered(Feed &feed, std::chrono::milliseconds storeTime);
     void failed(Feed &feed, const Error &error);
-    void configSnapshot(const platform::StoredRows &rows);
+    std::vector<platform::StoredRow> configSnapshot(const platform::StoredRows &rows);
     void configChange(const platform::StoredRow &row);
-    void listSnapshot(const platform::StoredRows &rows);
+    std::vector<platform::StoredRow> listSnapshot(const platform::StoredRows &rows);
     void listChange(const platform::StoredRow &row);
     void serverGone(const std::string &id);
     [[nodiscard]] bool mustPoll(const Feed &feed) const;
--- a/include/snipestall/gateway/table_copy.hpp
+++ b/include/snipestall/gateway/table_copy.hpp
@@ -32,8 +32,11 @@
 
     [[nodiscard]] const std::string &table() const { return m_table; }
     [[nodiscard]] std::int64_t version() const { return m_version; }
-    /// The whole table has been read.
-    void reset(std::int64_t version, SteadyTime now);
+    /// The whole table has been read: `rows` are its rows, and, as removed, those that this copy
+    /// had and the table no longer has. What changed since can still be passed on: when the store
+    /// drops its history, every instance would otherwise have to read the whole table itself.
+    void readWhole(const std::vector<platform::StoredRow> &rows, std::int64_t version,
+                   SteadyTime now);
     /// Changes up to `version`, read from the store.
     void advance(const std::vector<platform::StoredRow> &rows, std::int64_t version,
                  SteadyTime now);
--- a/include/snipestall/serving/quota_keeper.hpp
+++ b/include/snipestall/serving/quota_keeper.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -61,6 +62,12 @@
     /// Keeps fill levels; a new customer starts with `initialFill` of its burst, 0 to 1.
     void configure(const std::vector<Customer> &customers, double initialFill, SteadyTime now);
 
+    /// This process started while others may be serving. Until it has heard them, its buckets fill
+    /// at its part of the rate only, and not at all before `registeredInstances` is told.
+    void startedAmongOthers(SteadyTime now);
+    /// Instances that are registered, this one included.
+    void registeredInstances(std::size_t count) { m_registered = count; }
+
     QuotaVerdict take(const std::string &customer, double units, SteadyTime now);
     /// Units taken for a request that did not run.
     void giveBack(const std::string &customer, double units);
@@ -75,6 +82,8 @@
     /// A peer silent for longer than several heartbeats may be behind a partition.
     static constexpr std::chrono::milliseconds PeerHeardWithin { 1500 };
 
+    /// After a restart peers are heard within this time, or are gone.
+    static constexpr std::chrono::seconds JoiningFor { 5 };
     /// Part of the tolerance by which a burst may be larger; the rest is kept for what several
     /// instances admit at the same moment.
     static constexpr double UsedTolerance = 0.5;
@@ -103,6 +112,8 @@
     [[nodiscard]] double burstOf(const Customer &customer) const;
 
     QuotaTolerance m_tolerance;
+    std::optional<SteadyTime> m_joinedAt;
+    std::size_t m_registered = 0;
     std::map<std::string, Bucket> m_buckets;
     std::map<std::string, PeerUse> m_peers;
     QuotaUse m_ownUse;
--- a/src/snipestall/gateway/gateway_state.cpp
+++ b/src/snipestall/gateway/gateway_state.cpp
@@ -15,6 +15,9 @@
     , retries(
           { settings.bounds.retryWindow, settings.bounds.retryRatio, settings.bounds.retrySlack })
     , usage(settings.bounds.usageWindow)
-{ }
+{
+    if (!settings.firstStart)
+        quotas.startedAmongOthers(clock.steadyNow());
+}
 
 } // namespace snipestall::gateway
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -113,6 +113,7 @@
     const auto rows = co_await m_store.read(InstancesTable, std::string(), StoreTimeout);
     if (!rows)
         co_return false;
+    m_state.quotas.registeredInstances(std::max<std::size_t>(rows->rows.size(), 1));
     for (const platform::StoredRow &row : rows->rows) {
         const std::size_t separator = row.value.find(RowSeparator);
         if (row.name.key == m_state.settings.instance || separator == std::string::npos)
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -104,8 +104,10 @@
             co_return false;
         }
         answered(feed, rows->storeTime);
-        (this->*feed.snapshot)(*rows);
-        feed.copy.reset(rows->storeVersion, m_state.clock.steadyNow());
+        std::vector<platform::StoredRow> known = rows->rows;
+        for (platform::StoredRow &removed : (this->*feed.snapshot)(*rows))
+            known.push_back(std::move(removed));
+        feed.copy.readWhole(known, rows->storeVersion, m_state.clock.steadyNow());
         feed.read = true;
         co_return true;
     }
@@ -152,10 +154,12 @@
                { "version", std::to_string(feed.copy.version()) } });
 }
 
-void StoreFollower::configSnapshot(const platform::StoredRows &rows)
+std::vector<platform::StoredRow> StoreFollower::configSnapshot(const platform::StoredRows &rows)
 {
     for (const platform::StoredRow &row : rows.rows)
         configChange(row);
+    // The operator's row is never removed.
+    return {};
 }
 
 void StoreFollower::configChange(const platform::StoredRow &row)
@@ -183,22 +187,26 @@
     m_changed();
 }
 
-void StoreFollower::listSnapshot(const platform::StoredRows &rows)
+std::vector<platform::StoredRow> StoreFollower::listSnapshot(const platform::StoredRows &rows)
 {
     std::set<std::string> listed;
     for (const platform::StoredRow &row : rows.rows) {
         listed.insert(row.name.key);
         listChange(row);
     }
-    std::vector<std::string> missing;
+    std::vector<platform::StoredRow> missing;
     for (const auto &[id, server] : m_state.servers.all()) {
         if (!listed.contains(id))
-            missing.push_back(id);
+            missing.push_back({ { platform::ServerTableName, std::string(), id },
+                                std::string(),
+                                rows.storeVersion,
+                                true });
     }
-    for (const std::string &id : missing)
-        serverGone(id);
+    for (const platform::StoredRow &row : missing)
+        serverGone(row.name.key);
     m_state.listKnown = true;
     m_changed();
+    return missing;
 }
 
 void StoreFollower::listChange(const platform::StoredRow &row)
--- a/src/snipestall/gateway/table_copy.cpp
+++ b/src/snipestall/gateway/table_copy.cpp
@@ -11,12 +11,21 @@
     : m_table(std::move(table))
 { }
 
-void TableCopy::reset(std::int64_t version, SteadyTime now)
+void TableCopy::readWhole(const std::vector<platform::StoredRow> &rows, std::int64_t version,
+                          SteadyTime now)
 {
-    m_version = version;
-    m_keptAfter = version;
-    m_changes.clear();
-    m_confirmedAt = now;
+    if (m_version == 0) {
+        m_version = version;
+        m_keptAfter = version;
+        m_confirmedAt = now;
+        return;
+    }
+    std::vector<platform::StoredRow> ordered = rows;
+    std::sort(ordered.begin(), ordered.end(),
+              [](const platform::StoredRow &a, const platform::StoredRow &b) {
+                  return a.version < b.version;
+              });
+    advance(ordered, version, now);
 }
 
 void TableCopy::keep(const std::vector<platform::StoredRow> &rows)
--- a/src/snipestall/gateway/table_copy_test.cpp
+++ b/src/snipestall/gateway/table_copy_test.cpp
@@ -19,8 +19,8 @@
 protected:
     TableCopyTest()
     {
-        m_reader.reset(10, Start);
-        m_other.reset(10, Start);
+        m_reader.readWhole({}, 10, Start);
+        m_other.readWhole({}, 10, Start);
     }
 
     TableCopy m_reader { "servers" };
@@ -66,6 +66,21 @@
     EXPECT_EQ(m_other.age(Start + 3s), 1300ms);
 }
 
+// A new configuration takes seconds to reach most instances: the store dropped its history, the
+// readers read the whole table, and could no longer say what the others lack.
+TEST_F(TableCopyTest, PassesOnWhatAWholeReadBrought)
+{
+    platform::StoredRow gone = row("old", 30);
+    gone.removed = true;
+    m_reader.readWhole({ row("kept", 5), row("new", 25), gone }, 30, Start + 1s);
+    const auto changes = m_reader.since(10);
+    ASSERT_TRUE(changes);
+    ASSERT_EQ(changes->rows.size(), 2U);
+    EXPECT_EQ(changes->rows[0].name.key, "new");
+    EXPECT_TRUE(changes->rows[1].removed);
+    EXPECT_TRUE(m_other.advanceFromPeer(*changes));
+}
+
 TEST_F(TableCopyTest, ACopyThatWasNeverReadTakesNothingFromPeers)
 {
     TableCopy empty("servers");
--- a/src/snipestall/serving/quota_keeper.cpp
+++ b/src/snipestall/serving/quota_keeper.cpp
@@ -16,6 +16,11 @@
 
 } // namespace
 
+void QuotaKeeper::startedAmongOthers(SteadyTime now)
+{
+    m_joinedAt = now;
+}
+
 double QuotaKeeper::burstOf(const Customer &customer) const
 {
     const double window = Seconds(m_tolerance.window).count();
@@ -57,6 +62,11 @@
         if (silent <= PeerHeardWithin)
             heard += peer.who.instances;
     }
+    if (m_joinedAt && now - *m_joinedAt < JoiningFor) {
+        if (m_registered == 0)
+            return 0;
+        known = std::max(known, m_registered);
+    }
     return static_cast<double>(heard) / static_cast<double>(known);
 }
 
--- a/src/snipestall/serving/quota_keeper_test.cpp
+++ b/src/snipestall/serving/quota_keeper_test.cpp
@@ -137,6 +137,25 @@
     EXPECT_LE(taken, 1300);
 }
 
+// A customer gets far more than its quota right after all instances were killed at once: each of
+// them starts without knowing of the others and fills its bucket at the whole rate.
+TEST(QuotaKeeper, InstancesThatStartTogetherDoNotEachGiveOutTheWholeRate)
+{
+    constexpr int Count = 84;
+    double taken = 0;
+    for (int i = 0; i < Count; ++i) {
+        QuotaKeeper quotas;
+        quotas.startedAmongOthers(Start);
+        quotas.configure({ customer(1000, 1000) }, 0, Start);
+        EXPECT_FALSE(quotas.take("harbour", 1, Start + 500ms).admitted);
+        quotas.registeredInstances(Count);
+        while (quotas.take("harbour", 1, Start + 1500ms).admitted)
+            taken += 1;
+    }
+    EXPECT_LE(taken, 1500);
+    EXPECT_GE(taken, 500);
+}
+
 TEST(QuotaKeeper, ALoweredQuotaCountsAtOnce)
 {
     QuotaKeeper quotas;
