The grace for lapsed entries ends inside the drain bound; lapsed servers may come back

Change: the grace is the shorter of 2 s and the drain bound less 0.6 s; a lapsed server that lists itself later serves again (test failed before).

--- a/include/snipestall/serving/server_table.hpp
+++ b/include/snipestall/serving/server_table.hpp
@@ -47,7 +47,8 @@
     /// The entry left the list while the list's keeper was away: it is taken as gone at `until`
     /// unless it is listed again before.
     void lapse(const std::string &id, SteadyTime until);
-    /// Removes the lapsed entries whose time has come. Returns their ids.
+    /// Removes the lapsed entries whose time has come. Returns their ids. Unlike one that left, a
+    /// server whose entry lapsed serves again once it lists itself.
     std::vector<std::string> expireLapsed(SteadyTime now);
 
     /// A server can't be reached, broke off or did not answer in time.
@@ -63,6 +64,8 @@
     [[nodiscard]] const std::map<std::string, ServerStatePtr> &all() const { return m_servers; }
 
 private:
+    void drop(const std::string &id);
+
     /// Ids that have left are remembered up to this many; at the planned size several days.
     static constexpr std::size_t MostDeparted = 20000;
 
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -33,6 +33,9 @@
 constexpr milliseconds RetryPause { 150 };
 /// Servers that live have listed themselves again this long after the store's return.
 constexpr milliseconds RelistTime { 2000 };
+/// What is kept of the time in which a server that left must get nothing new any more, for the
+/// housekeeping's pace and what is on its way.
+constexpr milliseconds DrainMargin { 600 };
 
 } // namespace
 
@@ -139,7 +142,9 @@
     if (!feed.away)
         return;
     feed.away = false;
-    m_lapseUntil = now + RelistTime;
+    // An entry that disappears in this time may have lapsed, or its server may be leaving just
+    // now: nothing may be sent to it for longer than to any other that leaves.
+    m_lapseUntil = now + std::min(RelistTime, m_state.settings.bounds.drain - DrainMargin);
     logEvent(events::StoreRegained, { { "table", feed.copy.table() } });
 }
 
--- a/src/snipestall/serving/server_table.cpp
+++ b/src/snipestall/serving/server_table.cpp
@@ -23,6 +23,11 @@
     if (m_departed.size() >= MostDeparted)
         m_departed.clear();
     m_departed.insert(id);
+    drop(id);
+}
+
+void ServerTable::drop(const std::string &id)
+{
     m_lapsed.erase(id);
     const auto found = m_servers.find(id);
     if (found == m_servers.end())
@@ -45,7 +50,7 @@
             gone.push_back(id);
     }
     for (const std::string &id : gone)
-        remove(id);
+        drop(id);
     return gone;
 }
 
--- a/src/snipestall/serving/server_table_test.cpp
+++ b/src/snipestall/serving/server_table_test.cpp
@@ -54,6 +54,20 @@
     EXPECT_EQ(table.find("dead"), nullptr);
 }
 
+// After an outage of the store a third of the servers stays idle for good: they listed themselves
+// again a moment after their lapsed entries were taken as gone, and were taken for servers that
+// left.
+TEST(ServerTable, ALapsedServerThatListsItselfLateServesAgain)
+{
+    ServerTable table;
+    table.put(server("i-1"), Start);
+    table.lapse("i-1", Start + 1s);
+    ASSERT_EQ(table.expireLapsed(Start + 1s).size(), 1U);
+    table.put(server("i-1"), Start + 2s);
+    ASSERT_NE(table.find("i-1"), nullptr);
+    EXPECT_TRUE(table.find("i-1")->takesWork());
+}
+
 TEST(ServerTable, WorkThatRunsKeepsItsServerAfterTheEntryIsGone)
 {
     ServerTable table;
