--- /dev/null
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -0,0 +1,140 @@
+// The part of RequestRelay that passes a backend server's answer on to the caller.
+
+#include "snipestall/gateway/request_relay.hpp"
+
+#include "platform/server_header.hpp"
+#include "snipestall/gateway/gateway_state.hpp"
+
+#include <boost/beast/http/field.hpp>
+
+#include <utility>
+
+namespace snipestall::gateway {
+
+namespace http = boost::beast::http;
+using wire::Task;
+
+namespace {
+
+/// Bodies of plain answers are held back up to this size, so that one that breaks off can still
+/// be repeated or replaced by a true failure. Bytes.
+constexpr std::size_t MostHeldBytes = 512 * 1024;
+constexpr unsigned FirstFailure = 500;
+
+} // namespace
+
+Task<RequestRelay::AttemptEnd> RequestRelay::relayWhole(serving::ServerState &server)
+{
+    firstByteCame();
+    const unsigned status = m_call->head().result_int();
+    CallerLink::Answer whole;
+    whole.result(status);
+    whole.version(m_caller->request().version());
+    whole.reason(m_call->head().reason());
+    platform::copyAnswerHeader(m_call->head(), whole);
+    while (true) {
+        BodyRead piece = co_await m_call->readBody(m_until);
+        if (piece.kind == BodyRead::Kind::Bytes) {
+            whole.body() += piece.bytes;
+            if (whole.body().size() <= MostHeldBytes)
+                continue;
+            if (!m_begun && !co_await beginAnswer())
+                co_return AttemptEnd::Final;
+            std::string held = std::exchange(whole.body(), {});
+            if (!co_await m_caller->writePiece(std::move(held)))
+                co_return AttemptEnd::Final;
+            continue;
+        }
+        if (piece.kind == BodyRead::Kind::End)
+            break;
+        if (!m_callerGone)
+            m_state.servers.lost(server, m_state.clock.steadyNow());
+        co_return piece.kind == BodyRead::Kind::TimedOut ? AttemptEnd::TimedOut
+                                                         : AttemptEnd::Failed;
+    }
+    if (m_begun) {
+        m_finished = true;
+        m_keepAlive = co_await m_caller->writePiece(std::move(whole.body()))
+            && co_await m_caller->endStream() && m_keepAlive;
+        ++m_state.counters.answered;
+        logEnd(status, "answered");
+        co_return AttemptEnd::Final;
+    }
+    whole.prepare_payload();
+    if (status >= FirstFailure) {
+        server.health.failed();
+        m_failure = std::move(whole);
+        co_return AttemptEnd::Failed;
+    }
+    m_state.servers.answered(server);
+    ++m_state.counters.answered;
+    co_await answer(std::move(whole), "answered");
+    co_return AttemptEnd::Final;
+}
+
+Task<bool> RequestRelay::beginAnswer()
+{
+    http::response_header<> head;
+    head.version(11);
+    head.result(m_call->head().result_int());
+    head.reason(m_call->head().reason());
+    platform::copyAnswerHeader(m_call->head(), head);
+    if (m_state.draining) {
+        m_keepAlive = false;
+        head.set(http::field::connection, "close");
+    }
+    m_begun = true;
+    co_return co_await m_caller->beginStream(std::move(head));
+}
+
+Task<bool> RequestRelay::passEvents(std::vector<wire::RawEvent> events)
+{
+    std::string piece;
+    for (wire::RawEvent &event : events) {
+        // A resumed run may repeat the event at which it was resumed.
+        if (event.id && m_lastEvent && *event.id <= *m_lastEvent)
+            continue;
+        if (event.id)
+            m_lastEvent = event.id;
+        piece += event.text;
+    }
+    if (piece.empty())
+        co_return true;
+    firstByteCame();
+    if (!m_begun && !co_await beginAnswer())
+        co_return false;
+    co_return co_await m_caller->writePiece(std::move(piece));
+}
+
+Task<RequestRelay::AttemptEnd> RequestRelay::relayStream(serving::ServerState &server)
+{
+    wire::EventSplitter splitter;
+    while (true) {
+        const BodyRead piece = co_await m_call->readBody(m_until);
+        if (piece.kind == BodyRead::Kind::Bytes) {
+            server.heardAt = m_state.clock.steadyNow();
+            if (co_await passEvents(splitter.feed(piece.bytes)))
+                continue;
+            m_call->abort();
+            m_keepAlive = false;
+            m_finished = true;
+            co_return AttemptEnd::Final;
+        }
+        if (piece.kind == BodyRead::Kind::End && splitter.rest().empty())
+            break;
+        if (!m_callerGone)
+            m_state.servers.lost(server, m_state.clock.steadyNow());
+        co_return piece.kind == BodyRead::Kind::TimedOut ? AttemptEnd::TimedOut
+                                                         : AttemptEnd::Failed;
+    }
+    m_state.servers.answered(server);
+    if (!m_begun && !co_await beginAnswer())
+        co_return AttemptEnd::Final;
+    m_finished = true;
+    m_keepAlive = co_await m_caller->endStream() && m_keepAlive;
+    ++m_state.counters.answered;
+    logEnd(200, "answered");
+    co_return AttemptEnd::Final;
+}
+
+} // namespace snipestall::gateway
