Lapsed servers are kept whoever breaks the silence

Ruled out: orders (10 servers of each kind were ordered), suspicion of servers. Change: serving/lapse_window opens by the age of the copy, not by own failed calls; its tests fail on the former rule.

--- a/include/snipestall/gateway/store_follower.hpp
+++ b/include/snipestall/gateway/store_follower.hpp
@@ -3,6 +3,7 @@
 #include "platform/store_client.hpp"
 #include "snipestall/base/clock.hpp"
 #include "snipestall/gateway/table_copy.hpp"
+#include "snipestall/serving/lapse_window.hpp"
 #include "snipestall/wire/task.hpp"
 
 #include <chrono>
@@ -70,8 +71,7 @@
     Feed m_config;
     Feed m_list;
     bool m_reader = true;
-    /// Entries that disappear before this moment may be back.
-    SteadyTime m_lapseUntil;
+    serving::LapseWindow m_lapse;
     std::function<void()> m_changed;
 };
 
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -31,11 +31,6 @@
 constexpr milliseconds ReportDelay { 700 };
 /// Pause after a failed call, doubled by chance so that instances don't call in step.
 constexpr milliseconds RetryPause { 150 };
-/// Servers that live have listed themselves again this long after the store's return.
-constexpr milliseconds RelistTime { 2000 };
-/// What is kept of the time in which a server that left must get nothing new any more, for the
-/// housekeeping's pace and what is on its way.
-constexpr milliseconds DrainMargin { 600 };
 
 } // namespace
 
@@ -46,6 +41,7 @@
                  &StoreFollower::configChange }
     , m_list { TableCopy(platform::ServerTableName), &StoreFollower::listSnapshot,
                &StoreFollower::listChange }
+    , m_lapse(state.settings.serverHeartbeat, state.settings.bounds.drain)
 { }
 
 void StoreFollower::start(std::function<void()> changed)
@@ -75,6 +71,8 @@
     Feed *feed = table == m_config.copy.table() ? &m_config : &m_list;
     if (feed->copy.table() != table || !feed->read)
         return;
+    if (feed == &m_list && changes.to > feed->copy.version())
+        m_lapse.heard(feed->copy.age(m_state.clock.steadyNow()), m_state.clock.steadyNow());
     if (feed->copy.advanceFromPeer(changes)) {
         for (const platform::StoredRow &row : changes.rows)
             (this->*feed->change)(row);
@@ -139,12 +137,11 @@
 {
     const SteadyTime now = m_state.clock.steadyNow();
     m_state.trueTime.storeAnswered(storeTime, now);
+    if (&feed == &m_list)
+        m_lapse.heard(feed.copy.age(now), now);
     if (!feed.away)
         return;
     feed.away = false;
-    // An entry that disappears in this time may have lapsed, or its server may be leaving just
-    // now: nothing may be sent to it for longer than to any other that leaves.
-    m_lapseUntil = now + std::min(RelistTime, m_state.settings.bounds.drain - DrainMargin);
     logEvent(events::StoreRegained, { { "table", feed.copy.table() } });
 }
 
@@ -243,8 +240,8 @@
 void StoreFollower::serverGone(const std::string &id)
 {
     const SteadyTime now = m_state.clock.steadyNow();
-    if (now < m_lapseUntil) {
-        m_state.servers.lapse(id, m_lapseUntil);
+    if (m_lapse.open(now)) {
+        m_state.servers.lapse(id, m_lapse.until());
         return;
     }
     m_state.servers.remove(id);
--- /dev/null
+++ b/src/snipestall/serving/lapse_window.cpp
@@ -0,0 +1,18 @@
+#include "snipestall/serving/lapse_window.hpp"
+
+#include <algorithm>
+
+namespace snipestall::serving {
+
+LapseWindow::LapseWindow(std::chrono::milliseconds heartbeat, std::chrono::milliseconds drain)
+    : m_silence(heartbeat * HeartbeatsOfSilence)
+    , m_length(std::min(RelistTime, drain - DrainMargin))
+{ }
+
+void LapseWindow::heard(std::chrono::milliseconds age, SteadyTime now)
+{
+    if (age > m_silence)
+        m_until = now + m_length;
+}
+
+} // namespace snipestall::serving
--- /dev/null
+++ b/src/snipestall/serving/lapse_window_test.cpp
@@ -0,0 +1,48 @@
+#include "snipestall/serving/lapse_window.hpp"
+
+#include <gtest/gtest.h>
+
+namespace snipestall::serving {
+namespace {
+
+using namespace std::chrono_literals;
+
+const SteadyTime Start { 100s };
+
+// After an outage of the store most requests are refused for good: an instance that gets the list
+// from its peers had seen no failed call of its own, took all lapsed servers for gone, and ids that
+// are gone never come back.
+TEST(LapseWindow, OpensAfterASilenceWhoeverBreaksIt)
+{
+    LapseWindow window(1200ms, 2000ms);
+    EXPECT_FALSE(window.open(Start));
+    window.heard(4500ms, Start);
+    EXPECT_TRUE(window.open(Start + 1300ms));
+    EXPECT_FALSE(window.open(Start + 1400ms));
+}
+
+TEST(LapseWindow, StaysClosedWhileTheListIsFresh)
+{
+    LapseWindow window(1200ms, 2000ms);
+    for (int i = 0; i < 100; ++i)
+        window.heard(1900ms, Start + i * 100ms);
+    EXPECT_FALSE(window.open(Start + 10s));
+}
+
+TEST(LapseWindow, IsNotProlongedByFreshWord)
+{
+    LapseWindow window(1200ms, 2000ms);
+    window.heard(4500ms, Start);
+    window.heard(200ms, Start + 1s);
+    EXPECT_FALSE(window.open(Start + 1400ms));
+}
+
+TEST(LapseWindow, IsNoLongerThanServersNeed)
+{
+    LapseWindow window(1200ms, 9000ms);
+    window.heard(4500ms, Start);
+    EXPECT_EQ(window.until(), Start + 2s);
+}
+
+} // namespace
+} // namespace snipestall::serving
