One place ends a caller's answer, by what was begun

A second run of a large body was appended to the first one's half by the same flag. Ruled out: mending the flag in relayWhole alone; a second run with another status, another content type or a plain text took the same way. Change: CallerAnswer holds the typed state of the answer (not begun, streaming events, spilling a body, ended) and is the only place that completes one. What can't follow what was begun is read and dropped; a spilled body is not continued by another run. A stream's route that answers with something else than events passes it on whole.

--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -3,6 +3,7 @@
 #include "platform/caller_header.hpp"
 #include "snipestall/gateway/attempt_watch.hpp"
 #include "snipestall/gateway/backend_call.hpp"
+#include "snipestall/gateway/caller_answer.hpp"
 #include "snipestall/gateway/caller_link.hpp"
 #include "snipestall/gateway/stream_move.hpp"
 #include "snipestall/gateway/stream_watch.hpp"
@@ -62,7 +63,10 @@
     wire::Task<AttemptEnd> relayWhole(serving::ServerState &server);
     wire::Task<AttemptEnd> relayStream(serving::ServerState &server);
     wire::Task<bool> passEvents(std::vector<wire::RawEvent> events);
-    wire::Task<bool> beginAnswer();
+    /// Reads an answer that can't follow what the caller has.
+    wire::Task<AttemptEnd> dropAnswer(serving::ServerState &server);
+    /// Head of the server's answer, as the caller gets it.
+    [[nodiscard]] boost::beast::http::response_header<> answerHead();
     wire::Task<void> finishUnserved(AttemptEnd last);
 
     [[nodiscard]] BackendCall::Request serverRequest(const serving::ServerState &server) const;
@@ -91,6 +95,7 @@
 
     GatewayState &m_state;
     std::shared_ptr<CallerLink> m_caller;
+    CallerAnswer m_answer;
     std::shared_ptr<const serving::Catalogue> m_catalogue;
     platform::CallerHeader m_header;
     const serving::Route *m_route = nullptr;
@@ -123,10 +128,8 @@
     LoadClaim *m_load = nullptr;
     bool m_maybeRan = false;
     bool m_counted = false;
-    bool m_begun = false;
     bool m_callerGone = false;
     bool m_keepAlive = true;
-    bool m_finished = false;
 };
 
 } // namespace snipestall::gateway
--- /dev/null
+++ b/src/snipestall/gateway/caller_answer.cpp
@@ -0,0 +1,93 @@
+#include "snipestall/gateway/caller_answer.hpp"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/field.hpp>
+
+#include <utility>
+
+namespace snipestall::gateway {
+
+namespace http = boost::beast::http;
+using wire::Task;
+
+namespace {
+
+/// The content type without its parameters.
+std::string mediaTypeOf(const http::fields &fields)
+{
+    const auto field = fields[http::field::content_type];
+    std::string type(field.data(), field.size());
+    type = type.substr(0, type.find(';'));
+    while (!type.empty() && type.back() == ' ')
+        type.pop_back();
+    return type;
+}
+
+} // namespace
+
+bool CallerAnswer::canGoOnWith(const http::response_header<> &head) const
+{
+    if (m_state == State::NotBegun)
+        return true;
+    return m_state == State::StreamingEvents && head.result_int() == m_status
+        && boost::beast::iequals(mediaTypeOf(head), m_mediaType);
+}
+
+Task<bool> CallerAnswer::writeWhole(CallerLink::Answer answer)
+{
+    if (m_state != State::NotBegun) {
+        breakOff();
+        co_return false;
+    }
+    m_state = State::Ended;
+    co_return co_await m_caller.write(std::move(answer));
+}
+
+Task<bool> CallerAnswer::beginEvents(http::response_header<> head)
+{
+    return begin(State::StreamingEvents, std::move(head));
+}
+
+Task<bool> CallerAnswer::beginBody(http::response_header<> head)
+{
+    return begin(State::SpillingBody, std::move(head));
+}
+
+Task<bool> CallerAnswer::begin(State kind, http::response_header<> head)
+{
+    if (m_state != State::NotBegun) {
+        breakOff();
+        co_return false;
+    }
+    m_state = kind;
+    m_status = head.result_int();
+    m_mediaType = mediaTypeOf(head);
+    co_return co_await m_caller.beginStream(std::move(head));
+}
+
+Task<bool> CallerAnswer::writePiece(std::string piece)
+{
+    if (!begun()) {
+        breakOff();
+        co_return false;
+    }
+    co_return co_await m_caller.writePiece(std::move(piece));
+}
+
+Task<bool> CallerAnswer::complete(State kind)
+{
+    if (m_state != kind) {
+        breakOff();
+        co_return false;
+    }
+    m_state = State::Ended;
+    co_return co_await m_caller.endStream();
+}
+
+void CallerAnswer::breakOff()
+{
+    m_state = State::Ended;
+    m_caller.close();
+}
+
+} // namespace snipestall::gateway
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -47,6 +47,7 @@
 RequestRelay::RequestRelay(GatewayState &state, std::shared_ptr<CallerLink> caller)
     : m_state(state)
     , m_caller(std::move(caller))
+    , m_answer(*m_caller)
     , m_received(state.clock.steadyNow())
 {
     ++m_state.requestsInFlight;
@@ -78,12 +79,11 @@
 
 Task<void> RequestRelay::answer(CallerLink::Answer answer, const char *reason)
 {
-    m_finished = true;
     const unsigned status = answer.result_int();
     if (m_state.draining)
         m_keepAlive = false;
     answer.keep_alive(m_keepAlive);
-    m_keepAlive = co_await m_caller->write(std::move(answer)) && m_keepAlive;
+    m_keepAlive = co_await m_answer.writeWhole(std::move(answer)) && m_keepAlive;
     logEnd(status, reason);
 }
 
@@ -124,6 +124,9 @@
 {
     if (last == AttemptEnd::Final || last == AttemptEnd::TimedOut || m_callerGone || timeIsUp())
         return false;
+    // The rest of a body that is passed on as it comes is nowhere but in its own run.
+    if (m_answer.state() == CallerAnswer::State::SpillingBody)
+        return false;
     if (m_sends >= m_route->attemptLimit + MostRejections)
         return false;
     if (m_maybeRan && (!m_route->mayRepeat() || m_runs >= m_route->attemptLimit))
@@ -143,7 +146,7 @@
         while (last == AttemptEnd::Moved)
             last = co_await attempt(takeMove());
     } while (mayTryAgain(last));
-    if (last == AttemptEnd::Final || m_finished)
+    if (last == AttemptEnd::Final || m_answer.ended())
         co_return;
     co_await finishUnserved(last);
 }
@@ -157,7 +160,7 @@
     }
     if (!m_maybeRan && m_customer != nullptr)
         m_state.quotas.giveBack(m_customer->name, quotaUnits());
-    if (m_begun) {
+    if (m_answer.begun()) {
         breakOff("stream-broken");
         co_return;
     }
@@ -218,8 +221,8 @@
     if (m_unread > 0)
         m_state.demand.promptSent(m_demand.service->name, m_unread);
     m_state.placement.sent(m_demand, server->info.id, m_state.clock.steadyNow());
-    m_call = std::make_shared<BackendCall>(m_state.io, m_state.backends, m_state.clock,
-                                           server->info.id, server->info.address);
+    m_call = std::make_shared<BackendCall>(m_state.io, m_state.backends, m_state.clock, server->key,
+                                           server->info.address);
     const auto call = m_call;
     BackendCall::Request request = serverRequest(*server);
     watchForStall(server);
@@ -281,7 +284,9 @@
     }
     m_maybeRan = true;
     ++m_runs;
-    if (status < FirstNoSuccess && m_route->isStream())
+    if (!m_answer.canGoOnWith(m_call->head()))
+        co_return co_await dropAnswer(server);
+    if (status < FirstNoSuccess && m_route->isStream() && said.mayBeEvents)
         co_return co_await relayStream(server);
     co_return co_await relayWhole(server);
 }
@@ -305,7 +310,7 @@
 
 void RequestRelay::watchForStall(const serving::ServerStatePtr &server)
 {
-    if (!m_route->mayRepeat() || m_runs + 1 >= m_route->attemptLimit || m_begun)
+    if (!m_route->mayRepeat() || m_runs + 1 >= m_route->attemptLimit || m_answer.begun())
         return;
     const double rate = m_state.demand.readRate(m_demand.service->name);
     std::chrono::duration<double> predicted { 0 };
@@ -331,7 +336,7 @@
 
 void RequestRelay::noteLatency()
 {
-    if (m_begun || m_route->targetLatency.count() <= 0)
+    if (m_answer.begun() || m_route->targetLatency.count() <= 0)
         return;
     const SteadyTime now = m_state.clock.steadyNow();
     const std::chrono::duration<double> waited = now - m_received;
@@ -351,8 +356,7 @@
 {
     ++m_state.counters.failed;
     m_keepAlive = false;
-    m_finished = true;
-    m_caller->close();
+    m_answer.breakOff();
     logEnd(0, reason);
 }
 
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -24,6 +24,22 @@
 
 } // namespace
 
+Task<RequestRelay::AttemptEnd> RequestRelay::dropAnswer(serving::ServerState &server)
+{
+    if (m_call->head().result_int() >= FirstFailure)
+        server.health.failed();
+    std::size_t dropped = 0;
+    BodyRead piece;
+    do {
+        piece = co_await m_call->readBody(m_until);
+        dropped += piece.bytes.size();
+    } while (piece.kind == BodyRead::Kind::Bytes && dropped <= MostHeldBytes);
+    // The connection is of use again only if all of the answer has been read.
+    if (piece.kind != BodyRead::Kind::End)
+        m_call->abort();
+    co_return piece.kind == BodyRead::Kind::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Failed;
+}
+
 Task<RequestRelay::AttemptEnd> RequestRelay::relayWhole(serving::ServerState &server)
 {
     firstByteCame();
@@ -39,10 +55,10 @@
             whole.body() += piece.bytes;
             if (whole.body().size() <= MostHeldBytes)
                 continue;
-            if (!m_begun && !co_await beginAnswer())
+            if (!m_answer.begun() && !co_await m_answer.beginBody(answerHead()))
                 co_return AttemptEnd::Final;
             std::string held = std::exchange(whole.body(), {});
-            if (!co_await m_caller->writePiece(std::move(held)))
+            if (!co_await m_answer.writePiece(std::move(held)))
                 co_return AttemptEnd::Final;
             continue;
         }
@@ -53,27 +69,28 @@
         co_return piece.kind == BodyRead::Kind::TimedOut ? AttemptEnd::TimedOut
                                                          : AttemptEnd::Failed;
     }
-    if (m_begun) {
-        m_finished = true;
-        m_keepAlive = co_await m_caller->writePiece(std::move(whole.body()))
-            && co_await m_caller->endStream() && m_keepAlive;
+    if (status >= FirstFailure)
+        server.health.failed();
+    else
+        m_state.servers.answered(server);
+    if (m_answer.begun()) {
+        m_keepAlive = co_await m_answer.writePiece(std::move(whole.body()))
+            && co_await m_answer.completeBody() && m_keepAlive;
         ++m_state.counters.answered;
         logEnd(status, "answered");
         co_return AttemptEnd::Final;
     }
     whole.prepare_payload();
     if (status >= FirstFailure) {
-        server.health.failed();
         m_failure = std::move(whole);
         co_return AttemptEnd::Failed;
     }
-    m_state.servers.answered(server);
     ++m_state.counters.answered;
     co_await answer(std::move(whole), "answered");
     co_return AttemptEnd::Final;
 }
 
-Task<bool> RequestRelay::beginAnswer()
+http::response_header<> RequestRelay::answerHead()
 {
     http::response_header<> head;
     head.version(11);
@@ -84,8 +101,7 @@
         m_keepAlive = false;
         head.set(http::field::connection, "close");
     }
-    m_begun = true;
-    co_return co_await m_caller->beginStream(std::move(head));
+    return head;
 }
 
 Task<bool> RequestRelay::passEvents(std::vector<wire::RawEvent> events)
@@ -102,9 +118,9 @@
     if (piece.empty())
         co_return true;
     firstByteCame();
-    if (!m_begun && !co_await beginAnswer())
+    if (!m_answer.begun() && !co_await m_answer.beginEvents(answerHead()))
         co_return false;
-    co_return co_await m_caller->writePiece(std::move(piece));
+    co_return co_await m_answer.writePiece(std::move(piece));
 }
 
 Task<RequestRelay::AttemptEnd> RequestRelay::relayStream(serving::ServerState &server)
@@ -120,7 +136,7 @@
                 continue;
             m_call->abort();
             m_keepAlive = false;
-            m_finished = true;
+            m_answer.breakOff();
             co_return AttemptEnd::Final;
         }
         if (co_await wasMoved())
@@ -135,10 +151,9 @@
     m_state.servers.answered(server);
     if (const auto pause = pace.median())
         server.speed.sawPause(*pause);
-    if (!m_begun && !co_await beginAnswer())
+    if (!m_answer.begun() && !co_await m_answer.beginEvents(answerHead()))
         co_return AttemptEnd::Final;
-    m_finished = true;
-    m_keepAlive = co_await m_caller->endStream() && m_keepAlive;
+    m_keepAlive = co_await m_answer.completeEvents() && m_keepAlive;
     ++m_state.counters.answered;
     logEnd(200, "answered");
     co_return AttemptEnd::Final;
