Backend servers are known by incarnation; entries from other writers name none

Cause: an id that had left the list was never taken back, so a server that starts again under its id, or that was cut off from the store until its entry lapsed, stayed idle for good; one that restarted without a removal kept counts, cached parts, health and speed of its predecessor. Ruled out: ordering by the entry's call count (the feed shows it only when something else changes); taking every relisted entry at once (a late write of a server that left would get requests). Change: an incarnation is id and birth, and its key names it in loads, caches, pools, crash reports and retries, here and at peers. Older entries are ignored; one that returns unchanged serves once it has stayed listed for longer than an entry that nobody renews. Changes that a copy holds already are not applied again when a peer passes them on. One expectation of ServerTable compares the expired server instead of its id, as strictly.

--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -60,6 +60,7 @@
 extern const EventInfo StoreRowFaulty;
 extern const EventInfo ServerListed;
 extern const EventInfo ServerDelisted;
+extern const EventInfo ServerReadmitted;
 extern const EventInfo DutyLeaseTaken;
 extern const EventInfo DutyLeaseLost;
 extern const EventInfo UsageReported;
--- a/include/snipestall/gateway/store_follower.hpp
+++ b/include/snipestall/gateway/store_follower.hpp
@@ -2,6 +2,7 @@
 
 #include "platform/store_client.hpp"
 #include "snipestall/base/clock.hpp"
+#include "snipestall/base/result.hpp"
 #include "snipestall/gateway/table_copy.hpp"
 #include "snipestall/serving/lapse_window.hpp"
 #include "snipestall/wire/task.hpp"
@@ -10,8 +11,14 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
+namespace snipestall::serving {
+struct BackendServer;
+struct ServerState;
+} // namespace snipestall::serving
+
 namespace snipestall::gateway {
 
 struct GatewayState;
@@ -38,8 +45,9 @@
     /// What a peer said of its copy of a table, and the changes it passed on.
     void peerCopy(const TableChanges &changes, const std::string &table,
                   std::chrono::milliseconds age);
-    /// Servers whose entries lapsed and were not listed again are taken as gone.
-    void expireLapsed();
+    /// Takes as gone the servers whose entries lapsed and were not listed again, and takes back
+    /// those that have proved that they live. To be called several times a second.
+    void settleServers();
 
 private:
     /// One table and what its rows mean.
@@ -62,7 +70,12 @@
     void configChange(const platform::StoredRow &row);
     std::vector<platform::StoredRow> listSnapshot(const platform::StoredRows &rows);
     void listChange(const platform::StoredRow &row);
+    [[nodiscard]] Result<serving::BackendServer> readEntry(const platform::StoredRow &row) const;
+    /// Logs a row that can't be read; once for each key, since it may be written again and again.
+    void logFault(const platform::StoredRow &row, const Error &error);
     void serverGone(const std::string &id);
+    /// Drops what is kept elsewhere of an incarnation that has ended.
+    void forget(const serving::ServerState &server, const char *reason);
     [[nodiscard]] bool mustPoll(const Feed &feed) const;
     [[nodiscard]] std::chrono::milliseconds pollWait() const;
 
@@ -72,6 +85,7 @@
     Feed m_list;
     bool m_reader = true;
     serving::LapseWindow m_lapse;
+    std::unordered_set<std::string> m_faultyLogged;
     std::function<void()> m_changed;
 };
 
--- a/include/snipestall/serving/backend_server.hpp
+++ b/include/snipestall/serving/backend_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipestall/base/clock.hpp"
 #include "snipestall/wire/endpoint.hpp"
 
 #include <chrono>
@@ -11,8 +12,11 @@
 /// One incarnation of a backend server as it describes itself.
 struct BackendServer
 {
-    /// New at each start; an id that has left never comes back.
+    /// May be that of an earlier incarnation, which had another `born`.
     std::string id;
+    /// When this incarnation started; of two with one id the later one is the newer. The clock's
+    /// zero if the server does not say.
+    WallTime born;
     std::string service;
     wire::Endpoint address;
     std::string dataCentre;
--- a/include/snipestall/serving/lapse_window.hpp
+++ b/include/snipestall/serving/lapse_window.hpp
@@ -24,6 +24,8 @@
     void heard(std::chrono::milliseconds age, SteadyTime now);
     [[nodiscard]] bool open(SteadyTime now) const { return now < m_until; }
     [[nodiscard]] SteadyTime until() const { return m_until; }
+    /// How long an entry that may merely have lapsed is kept.
+    [[nodiscard]] std::chrono::milliseconds length() const { return m_length; }
 
 private:
     /// Servers that live have listed themselves again this long after the store's return.
--- a/include/snipestall/serving/placement.hpp
+++ b/include/snipestall/serving/placement.hpp
@@ -24,7 +24,7 @@
     std::optional<Prompt> prompt;
     /// Whether another server may go on with it when this one is lost.
     bool mayRepeat = true;
-    /// Servers that this request has been sent to already.
+    /// Servers that this request has been sent to already, by key.
     std::unordered_set<std::string> tried;
 };
 
@@ -58,7 +58,8 @@
 
     /// Nothing if no server of the service takes work.
     [[nodiscard]] std::optional<Placed> choose(const Demand &demand, SteadyTime now);
-    /// The request was sent: its shared parts are cached there from now on.
+    /// The request was sent: its shared parts are cached there from now on. Servers are named by
+    /// their keys.
     void sent(const Demand &demand, const std::string &server, SteadyTime now);
     void serverGone(const std::string &server);
 
--- a/include/snipestall/serving/server_table.hpp
+++ b/include/snipestall/serving/server_table.hpp
@@ -12,15 +12,18 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace snipestall::serving {
 
-/// A backend server with what this instance knows of it.
+/// One incarnation of a backend server with what this instance knows of it. All of it, and all that
+/// is kept elsewhere under `key`, ends with the incarnation: one that starts again under the same
+/// id holds no prompts, runs nothing, and has failed nobody.
 struct ServerState
 {
     BackendServer info;
+    /// Names the incarnation; the same at every instance.
+    std::string key;
     /// Work of this instance alone.
     ServerLoad own;
     ServerHealth health;
@@ -38,26 +41,54 @@
 
 using ServerStatePtr = std::shared_ptr<ServerState>;
 
-/// The backend servers this instance knows of. One incarnation that has left never comes back: a
-/// list that lags could otherwise send work to a server that is shutting down.
+/// What an entry of the list changed.
+struct Listing
+{
+    enum class Kind {
+        Added,
+        Changed,
+        /// It is older than what is known.
+        Ignored,
+        /// Its incarnation had left the list; it serves again once it has proved that it lives.
+        Returning,
+    };
+    Kind kind = Kind::Ignored;
+    /// An incarnation that the entry shows to have ended; null if none.
+    ServerStatePtr ended;
+};
+
+/// The backend servers this instance knows of.
+///
+/// Failure: copies of an entry arrive late, from a peer or from a write that was under way, and
+/// work goes to a server that has left or to one that has meanwhile started again under the same
+/// id. It shows as requests that reach a server after it has said that it leaves, or as a server
+/// that is judged by what an earlier incarnation did. So entries are ordered by incarnation,
+/// leaving is final for one, and one that has left the list serves again only if it stays listed
+/// for longer than an entry stays that nobody renews: a server that was cut off from the list's
+/// keeper does, a late copy does not.
 class ServerTable
 {
 public:
-    /// `drain`: for how long a server serves on after it has said that it leaves.
-    explicit ServerTable(std::chrono::milliseconds drain = std::chrono::milliseconds(2000))
+    /// `drain`: for how long a server serves on after it has said that it leaves; `heartbeat`: how
+    /// often a server renews its entry.
+    explicit ServerTable(std::chrono::milliseconds drain = std::chrono::milliseconds(2000),
+                         std::chrono::milliseconds heartbeat = std::chrono::milliseconds(1200))
         : m_drain(drain)
+        , m_proofTime(heartbeat * HeartbeatsUntilLapse + ListDelay)
     { }
 
-    /// Adds or changes an entry; ignored for an id that has left.
-    void put(const BackendServer &server, SteadyTime now);
-    /// The entry left the list for good.
-    void remove(const std::string &id);
+    Listing put(const BackendServer &server, SteadyTime now);
+    /// The entry left the list. Returns the incarnation that it named; null if none was known.
+    ServerStatePtr remove(const std::string &id);
     /// The entry left the list while the list's keeper was away: it is taken as gone at `until`
     /// unless it is listed again before.
     void lapse(const std::string &id, SteadyTime until);
-    /// Removes the lapsed entries whose time has come. Returns their ids. Unlike one that left, a
+    /// Removes the lapsed entries whose time has come, and returns them. Unlike one that left, a
     /// server whose entry lapsed serves again once it lists itself.
-    std::vector<std::string> expireLapsed(SteadyTime now);
+    std::vector<ServerStatePtr> expireLapsed(SteadyTime now);
+    /// Lets servers serve that came back under an incarnation that had left and stayed listed long
+    /// enough. Returns them.
+    std::vector<ServerStatePtr> readmit(SteadyTime now);
 
     /// A server can't be reached, broke off or did not answer in time.
     void lost(ServerState &server, SteadyTime now);
@@ -77,14 +108,29 @@
     [[nodiscard]] const std::map<std::string, ServerStatePtr> &all() const { return m_servers; }
 
 private:
-    void drop(const std::string &id);
+    struct Returning
+    {
+        BackendServer info;
+        SteadyTime provedAt;
+    };
+
+    ServerStatePtr drop(const std::string &id);
+    Listing awaitProof(const BackendServer &server, SteadyTime now);
+    void update(ServerState &state, const BackendServer &server, SteadyTime now) const;
 
     /// Ids that have left are remembered up to this many; at the planned size several days.
     static constexpr std::size_t MostDeparted = 20000;
+    /// An entry that nobody renews is removed after this many heartbeats.
+    static constexpr int HeartbeatsUntilLapse = 3;
+    /// From the removal of an entry until every instance has heard of it: some reports' way.
+    static constexpr std::chrono::milliseconds ListDelay { 800 };
 
     std::chrono::milliseconds m_drain;
+    std::chrono::milliseconds m_proofTime;
     std::map<std::string, ServerStatePtr> m_servers;
-    std::unordered_set<std::string> m_departed;
+    /// When the last incarnation that left was born, by id.
+    std::unordered_map<std::string, WallTime> m_departed;
+    std::unordered_map<std::string, Returning> m_returning;
     std::unordered_map<std::string, SteadyTime> m_lapsed;
     std::map<std::string, DataCentreHealth> m_dataCentres;
 };
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -175,6 +175,10 @@
 const EventInfo ServerDelisted { 921, Severity::Info, "server-delisted",
                                  "A backend server is gone from the list and gets nothing new.",
                                  "None." };
+const EventInfo ServerReadmitted {
+    922, Severity::Info, "server-readmitted",
+    "A backend server whose entry had gone is listed again, has stayed so, and gets work.", "None."
+};
 const EventInfo DutyLeaseTaken { 930, Severity::Info, "duty-lease-taken",
                                  "This instance acts on behalf of all from now on.", "None." };
 const EventInfo DutyLeaseLost { 931, Severity::Info, "duty-lease-lost",
@@ -249,6 +253,7 @@
     &StoreRowFaulty,
     &ServerListed,
     &ServerDelisted,
+    &ServerReadmitted,
     &DutyLeaseTaken,
     &DutyLeaseLost,
     &UsageReported,
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -139,7 +139,7 @@
 {
     bool wasReady = false;
     while (true) {
-        follower.expireLapsed();
+        follower.settleServers();
         state.servers.compareSpeeds();
         state.backends.prune(state.clock.steadyNow());
         if (ready() != wasReady) {
--- a/src/snipestall/gateway/gateway_state.cpp
+++ b/src/snipestall/gateway/gateway_state.cpp
@@ -9,7 +9,7 @@
     , settings(std::move(given))
     , random(seed)
     , incarnation(seed)
-    , servers(settings.bounds.drain)
+    , servers(settings.bounds.drain, settings.serverHeartbeat)
     , placement(servers, peerLoads, settings.dataCentre, seed)
     , quotas({ settings.bounds.quotaWindow, settings.bounds.quotaOverrun,
                settings.bounds.quotaTolerance },
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -223,7 +223,7 @@
         if (server->own.inFlight == 0)
             continue;
         v1::ServerWork *work = report.add_servers();
-        work->set_server(id);
+        work->set_server(server->key);
         work->set_in_flight(server->own.inFlight);
         work->set_pending_tokens(static_cast<std::uint32_t>(server->own.pendingTokens));
         work->set_held_tokens(static_cast<std::uint64_t>(server->own.heldTokens));
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -208,7 +208,7 @@
 Task<RequestRelay::AttemptEnd> RequestRelay::attempt(serving::Placed placed)
 {
     const serving::ServerStatePtr server = placed.server;
-    m_demand.tried.insert(server->info.id);
+    m_demand.tried.insert(server->key);
     ++m_sends;
     ++m_state.counters.attempts;
     const double held = m_demand.prompt ? m_demand.prompt->promptTokens : 0;
@@ -220,7 +220,7 @@
     m_tokensAhead = placed.tokensAhead;
     if (m_unread > 0)
         m_state.demand.promptSent(m_demand.service->name, m_unread);
-    m_state.placement.sent(m_demand, server->info.id, m_state.clock.steadyNow());
+    m_state.placement.sent(m_demand, server->key, m_state.clock.steadyNow());
     m_call = std::make_shared<BackendCall>(m_state.io, m_state.backends, m_state.clock, server->key,
                                            server->info.address);
     const auto call = m_call;
@@ -237,14 +237,14 @@
         end = co_await takeAnswer(*server);
     } else if (start == CallStart::Unreachable) {
         m_state.servers.lost(*server, m_state.clock.steadyNow());
-        m_state.crashes.refused(server->info.id, m_state.clock.steadyNow());
+        m_state.crashes.refused(server->key, m_state.clock.steadyNow());
         end = AttemptEnd::NotRun;
     } else {
         m_maybeRan = true;
         ++m_runs;
         if (!m_callerGone && start == CallStart::Lost) {
             m_state.servers.lost(*server, m_state.clock.steadyNow());
-            m_state.crashes.broke(m_fingerprint, server->info.id, m_state.clock.steadyNow());
+            m_state.crashes.broke(m_fingerprint, server->key, m_state.clock.steadyNow());
         }
         end = start == CallStart::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Failed;
     }
@@ -259,7 +259,7 @@
     const auto firstByte = m_firstByteAt ? *m_firstByteAt - m_sentAt : SteadyTime::duration::zero();
     logEvent(events::GatewayAttemptEnded,
              { { "attempt", m_header.attemptId },
-               { "server", server->info.id },
+               { "server", server->key },
                { "unread_tokens", wholeText(placed.unreadTokens) },
                { "tokens_ahead", wholeText(placed.tokensAhead) },
                { "in_flight", std::to_string(placed.inFlight) },
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <array>
 #include <set>
 #include <utility>
 #include <vector>
@@ -31,6 +32,18 @@
 constexpr milliseconds ReportDelay { 700 };
 /// Pause after a failed call, doubled by chance so that instances don't call in step.
 constexpr milliseconds RetryPause { 150 };
+/// Clocks here and at the servers may be minutes apart, and step.
+constexpr std::chrono::hours LargestClockError { 1 };
+/// Faulty rows are logged once each; after this many different ones again.
+constexpr std::size_t MostFaultyLogged = 200;
+
+/// By serving::Listing::Kind.
+constexpr std::array<const char *, 4> ListingNames { "added", "changed", "ignored", "returning" };
+
+std::int64_t bornMillis(const serving::BackendServer &server)
+{
+    return std::chrono::duration_cast<milliseconds>(server.born.time_since_epoch()).count();
+}
 
 } // namespace
 
@@ -73,9 +86,13 @@
         return;
     if (feed == &m_list && changes.to > feed->copy.version())
         m_lapse.heard(feed->copy.age(m_state.clock.steadyNow()), m_state.clock.steadyNow());
+    const std::int64_t known = feed->copy.version();
     if (feed->copy.advanceFromPeer(changes)) {
-        for (const platform::StoredRow &row : changes.rows)
-            (this->*feed->change)(row);
+        for (const platform::StoredRow &row : changes.rows) {
+            // What this copy holds already would undo what came after it.
+            if (row.version > known)
+                (this->*feed->change)(row);
+        }
     }
     feed->copy.confirm(changes.to, age, m_state.clock.steadyNow());
 }
@@ -170,10 +187,7 @@
         return;
     const auto catalogue = platform::decodeConfig(row.value);
     if (!catalogue) {
-        logEvent(events::StoreRowFaulty,
-                 { { "row", row.name.key },
-                   { "version", std::to_string(row.version) },
-                   { "error", catalogue.error().message } });
+        logFault(row, catalogue.error());
         return;
     }
     if (m_state.catalogue && (*catalogue)->version() <= m_state.catalogue->version())
@@ -214,19 +228,24 @@
         serverGone(row.name.key);
         return;
     }
-    const auto server = platform::decodeServer(row.name.key, row.value);
+    const SteadyTime now = m_state.clock.steadyNow();
+    const auto server = readEntry(row);
     if (!server) {
-        logEvent(events::StoreRowFaulty,
-                 { { "row", row.name.key },
-                   { "version", std::to_string(row.version) },
-                   { "error", server.error().message } });
+        logFault(row, server.error());
+        // What stood there is overwritten. A server that lives writes its entry again with its next
+        // heartbeat; one that has left meanwhile does not, and nobody would remove this row.
+        m_state.servers.lapse(row.name.key, now + m_lapse.length());
         return;
     }
-    if (m_state.servers.find(server->id) == nullptr)
-        m_state.listGrewAt = m_state.clock.steadyNow();
-    m_state.servers.put(*server, m_state.clock.steadyNow());
+    const serving::Listing listing = m_state.servers.put(*server, now);
+    if (listing.kind == serving::Listing::Kind::Added)
+        m_state.listGrewAt = now;
+    if (listing.ended)
+        forget(*listing.ended, "restarted");
     logEvent(events::ServerListed,
              { { "server", server->id },
+               { "born_ms", std::to_string(bornMillis(*server)) },
+               { "effect", ListingNames.at(static_cast<std::size_t>(listing.kind)) },
                { "service", server->service },
                { "data_centre", server->dataCentre },
                { "leaving", server->leaving ? "yes" : "no" },
@@ -236,6 +255,28 @@
                { "version", std::to_string(row.version) } });
 }
 
+Result<serving::BackendServer> StoreFollower::readEntry(const platform::StoredRow &row) const
+{
+    auto server = platform::decodeServer(row.name.key, row.value);
+    // Taken for the newest incarnation, such an entry would keep the true ones out for good.
+    if (server && server->born > m_state.clock.wallNow() + LargestClockError)
+        return fail(ErrorKind::InvalidArgument,
+                    "server " + row.name.key + " was born in the future");
+    return server;
+}
+
+void StoreFollower::logFault(const platform::StoredRow &row, const Error &error)
+{
+    if (m_faultyLogged.size() >= MostFaultyLogged)
+        m_faultyLogged.clear();
+    if (!m_faultyLogged.insert(row.name.key).second)
+        return;
+    logEvent(events::StoreRowFaulty,
+             { { "row", row.name.key },
+               { "version", std::to_string(row.version) },
+               { "error", error.message } });
+}
+
 void StoreFollower::serverGone(const std::string &id)
 {
     const SteadyTime now = m_state.clock.steadyNow();
@@ -243,19 +284,24 @@
         m_state.servers.lapse(id, m_lapse.until());
         return;
     }
-    m_state.servers.remove(id);
-    m_state.placement.serverGone(id);
-    m_state.backends.drop(id);
-    logEvent(events::ServerDelisted, { { "server", id } });
+    if (const auto gone = m_state.servers.remove(id))
+        forget(*gone, "left");
 }
 
-void StoreFollower::expireLapsed()
+void StoreFollower::forget(const serving::ServerState &server, const char *reason)
 {
-    for (const std::string &id : m_state.servers.expireLapsed(m_state.clock.steadyNow())) {
-        m_state.placement.serverGone(id);
-        m_state.backends.drop(id);
-        logEvent(events::ServerDelisted, { { "server", id }, { "lapsed", "yes" } });
-    }
+    m_state.placement.serverGone(server.key);
+    m_state.backends.drop(server.key);
+    logEvent(events::ServerDelisted, { { "server", server.key }, { "reason", reason } });
+}
+
+void StoreFollower::settleServers()
+{
+    const SteadyTime now = m_state.clock.steadyNow();
+    for (const auto &gone : m_state.servers.expireLapsed(now))
+        forget(*gone, "lapsed");
+    for (const auto &back : m_state.servers.readmit(now))
+        logEvent(events::ServerReadmitted, { { "server", back->key } });
 }
 
 } // namespace snipestall::gateway
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -83,7 +83,7 @@
     std::vector<ServerStatePtr> avoided;
     for (const auto &[id, server] : m_servers.all()) {
         if (server->info.service != demand.service->name || !server->takesWork()
-            || demand.tried.contains(id))
+            || demand.tried.contains(server->key))
             continue;
         (m_servers.usable(*server, now) ? healthy : avoided).push_back(server);
     }
@@ -108,7 +108,7 @@
     for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
         const PromptPart &part = prompt.parts[i];
         // A part counts only if all parts before it are cached too.
-        if (server.info.id != preferred && !m_cached.holds(part.id, server.info.id, now))
+        if (server.info.id != preferred && !m_cached.holds(part.id, server.key, now))
             break;
         cachedTokens += part.tokens;
     }
@@ -123,7 +123,7 @@
     Placed best;
     double bestCost = std::numeric_limits<double>::infinity();
     for (const ServerStatePtr &server : servers) {
-        ServerLoad load = m_peers.at(server->info.id, now);
+        ServerLoad load = m_peers.at(server->key, now);
         load += server->own;
         const double toRead = uncached(prompt, *server, preferred, now);
         const bool elsewhere = server->info.dataCentre != m_dataCentre;
@@ -145,7 +145,7 @@
     Placed best;
     double bestCost = std::numeric_limits<double>::infinity();
     for (const ServerStatePtr &server : servers) {
-        ServerLoad load = m_peers.at(server->info.id, now);
+        ServerLoad load = m_peers.at(server->key, now);
         load += server->own;
         const double slots = std::max(server->info.slots, 1);
         // A failure costs the caller a second attempt, so a server that fails a part of its
--- a/src/snipestall/serving/placement_test.cpp
+++ b/src/snipestall/serving/placement_test.cpp
@@ -108,7 +108,7 @@
 TEST_F(PlacementTest, PromptsThatPeersHaveWaitingCountLikeOwnOnes)
 {
     const auto first = m_placement.choose(generation(42, 6000), Start);
-    m_peers.report("peer", { { first->server->info.id, { 1, 50000, 50000 } } }, Start);
+    m_peers.report("peer", { { first->server->key, { 1, 50000, 50000 } } }, Start);
     const auto second = m_placement.choose(generation(42, 6000), Start);
     EXPECT_NE(second->server->info.id, first->server->info.id);
     const auto later = m_placement.choose(generation(42, 6000), Start + 10s);
@@ -217,9 +217,9 @@
     BackendServer leaving = m_servers.find("ledger-0")->info;
     leaving.leaving = true;
     m_servers.put(leaving, Start);
-    demand.tried = { "ledger-1", "ledger-2" };
+    demand.tried = { m_servers.find("ledger-1")->key, m_servers.find("ledger-2")->key };
     EXPECT_EQ(m_placement.choose(demand, Start)->server->info.id, "ledger-3");
-    demand.tried.insert("ledger-3");
+    demand.tried.insert(m_servers.find("ledger-3")->key);
     EXPECT_FALSE(m_placement.choose(demand, Start).has_value());
 }
 
--- a/src/snipestall/serving/server_table.cpp
+++ b/src/snipestall/serving/server_table.cpp
@@ -2,61 +2,132 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace snipestall::serving {
 
-void ServerTable::put(const BackendServer &server, SteadyTime now)
+namespace {
+
+std::string keyOf(const BackendServer &server)
+{
+    using std::chrono::milliseconds;
+    const auto born = std::chrono::duration_cast<milliseconds>(server.born.time_since_epoch());
+    return server.id + "@" + std::to_string(born.count());
+}
+
+} // namespace
+
+Listing ServerTable::put(const BackendServer &server, SteadyTime now)
 {
-    if (m_departed.contains(server.id))
-        return;
+    const auto left = m_departed.find(server.id);
+    if (left != m_departed.end()) {
+        if (server.born < left->second)
+            return { Listing::Kind::Ignored, nullptr };
+        if (server.born == left->second)
+            return awaitProof(server, now);
+        m_departed.erase(left);
+        m_returning.erase(server.id);
+    }
+    const ServerStatePtr known = find(server.id);
+    if (known && server.born < known->info.born)
+        return { Listing::Kind::Ignored, nullptr };
     m_lapsed.erase(server.id);
-    ServerStatePtr &state = m_servers[server.id];
-    if (!state)
-        state = std::make_shared<ServerState>();
+    if (known && server.born == known->info.born) {
+        update(*known, server, now);
+        return { Listing::Kind::Changed, nullptr };
+    }
+    ServerStatePtr ended = drop(server.id);
+    const auto state = std::make_shared<ServerState>();
+    state->key = keyOf(server);
+    update(*state, server, now);
+    m_servers[server.id] = state;
+    return { Listing::Kind::Added, std::move(ended) };
+}
+
+void ServerTable::update(ServerState &state, const BackendServer &server, SteadyTime now) const
+{
     // Leaving is final for one incarnation, whatever an older copy of the entry says.
-    const bool leaving = state->info.leaving || server.leaving;
-    state->info = server;
-    state->info.leaving = leaving;
+    const bool leaving = state.info.leaving || server.leaving;
+    state.info = server;
+    state.info.leaving = leaving;
     // A server that leaves as planned lets its requests end; one that is taken back can't.
     if (server.leavesIn)
-        state->leavesAt = now + *server.leavesIn;
-    else if (leaving && server.reclaimable && !state->leavesAt)
-        state->leavesAt = now + m_drain;
+        state.leavesAt = now + *server.leavesIn;
+    else if (leaving && server.reclaimable && !state.leavesAt)
+        state.leavesAt = now + m_drain;
+}
+
+Listing ServerTable::awaitProof(const BackendServer &server, SteadyTime now)
+{
+    if (server.leaving) {
+        m_returning.erase(server.id);
+        return { Listing::Kind::Ignored, nullptr };
+    }
+    const auto [found, added] = m_returning.try_emplace(server.id);
+    if (added)
+        found->second.provedAt = now + m_proofTime;
+    found->second.info = server;
+    return { Listing::Kind::Returning, nullptr };
+}
+
+std::vector<ServerStatePtr> ServerTable::readmit(SteadyTime now)
+{
+    std::vector<BackendServer> proved;
+    for (const auto &[id, returning] : m_returning) {
+        if (now >= returning.provedAt)
+            proved.push_back(returning.info);
+    }
+    std::vector<ServerStatePtr> back;
+    for (const BackendServer &server : proved) {
+        m_departed.erase(server.id);
+        m_returning.erase(server.id);
+        put(server, now);
+        back.push_back(find(server.id));
+    }
+    return back;
 }
 
-void ServerTable::remove(const std::string &id)
+ServerStatePtr ServerTable::remove(const std::string &id)
 {
+    m_returning.erase(id);
+    const ServerStatePtr known = drop(id);
     if (m_departed.size() >= MostDeparted)
         m_departed.clear();
-    m_departed.insert(id);
-    drop(id);
+    WallTime &born = m_departed[id];
+    if (known)
+        born = std::max(born, known->info.born);
+    return known;
 }
 
-void ServerTable::drop(const std::string &id)
+ServerStatePtr ServerTable::drop(const std::string &id)
 {
     m_lapsed.erase(id);
     const auto found = m_servers.find(id);
     if (found == m_servers.end())
-        return;
-    found->second->departed = true;
+        return nullptr;
+    ServerStatePtr state = found->second;
+    state->departed = true;
     m_servers.erase(found);
+    return state;
 }
 
 void ServerTable::lapse(const std::string &id, SteadyTime until)
 {
+    m_returning.erase(id);
     if (m_servers.contains(id))
         m_lapsed.try_emplace(id, until);
 }
 
-std::vector<std::string> ServerTable::expireLapsed(SteadyTime now)
+std::vector<ServerStatePtr> ServerTable::expireLapsed(SteadyTime now)
 {
-    std::vector<std::string> gone;
+    std::vector<std::string> due;
     for (const auto &[id, until] : m_lapsed) {
         if (now >= until)
-            gone.push_back(id);
+            due.push_back(id);
     }
-    for (const std::string &id : gone)
-        drop(id);
+    std::vector<ServerStatePtr> gone;
+    for (const std::string &id : due)
+        gone.push_back(drop(id));
     return gone;
 }
 
@@ -81,7 +152,7 @@
 void ServerTable::lost(ServerState &server, SteadyTime now)
 {
     server.health.lost(now);
-    m_dataCentres[server.info.dataCentre].lost(server.info.id, now);
+    m_dataCentres[server.info.dataCentre].lost(server.key, now);
 }
 
 void ServerTable::answered(ServerState &server)
--- a/src/snipestall/serving/server_table_test.cpp
+++ b/src/snipestall/serving/server_table_test.cpp
@@ -65,7 +65,10 @@
     EXPECT_TRUE(table.expireLapsed(Start + 1900ms).empty());
     EXPECT_TRUE(table.find("dead")->takesWork());
     table.put(server("back"), Start + 1900ms);
-    EXPECT_EQ(table.expireLapsed(Start + 2s), std::vector<std::string> { "dead" });
+    const std::vector<ServerStatePtr> gone = table.expireLapsed(Start + 2s);
+    ASSERT_EQ(gone.size(), 1U);
+    EXPECT_EQ(gone.front()->info.id, "dead");
+    EXPECT_TRUE(gone.front()->departed);
     EXPECT_NE(table.find("back"), nullptr);
     EXPECT_EQ(table.find("dead"), nullptr);
 }
@@ -84,6 +87,90 @@
     EXPECT_TRUE(table.find("i-1")->takesWork());
 }
 
+BackendServer bornAt(std::chrono::seconds born, bool leaving = false)
+{
+    BackendServer made = server("i-1", leaving);
+    made.born = WallTime(born);
+    return made;
+}
+
+// A broker's requests find no portal server: one crashed, came back under its id, and was taken for
+// the one that had left the list.
+TEST(ServerTable, AServerThatStartsAgainUnderItsIdServesAtOnce)
+{
+    ServerTable table;
+    table.put(bornAt(10s), Start);
+    table.remove("i-1");
+    EXPECT_EQ(table.put(bornAt(20s), Start + 1s).kind, Listing::Kind::Added);
+    ASSERT_NE(table.find("i-1"), nullptr);
+    EXPECT_TRUE(table.find("i-1")->takesWork());
+}
+
+// A restarted server is avoided for what its predecessor did, and prompts are sent to it for a
+// cache that it lost: its entry changed without ever having left the list.
+TEST(ServerTable, WhatIsKnownBelongsToOneIncarnation)
+{
+    ServerTable table;
+    table.put(bornAt(10s, true), Start);
+    const ServerStatePtr before = table.find("i-1");
+    before->own.inFlight = 3;
+    for (int i = 0; i < 3; ++i)
+        table.lost(*before, Start);
+    const Listing listing = table.put(bornAt(20s), Start + 1s);
+    EXPECT_EQ(listing.ended, before);
+    EXPECT_TRUE(before->departed);
+    const ServerStatePtr after = table.find("i-1");
+    EXPECT_NE(after->key, before->key);
+    EXPECT_EQ(after->own.inFlight, 0U);
+    EXPECT_TRUE(after->health.usable(Start));
+    EXPECT_TRUE(after->takesWork());
+}
+
+// Requests go to a server that has ended: a late copy of its entry comes after that of the server
+// that runs under the id now, or after that one has left, too.
+TEST(ServerTable, AnOlderIncarnationNeverComesBack)
+{
+    ServerTable table;
+    table.put(bornAt(10s), Start);
+    table.put(bornAt(20s, true), Start + 1s);
+    EXPECT_EQ(table.put(bornAt(10s), Start + 2s).kind, Listing::Kind::Ignored);
+    EXPECT_FALSE(table.find("i-1")->takesWork());
+    table.remove("i-1");
+    EXPECT_EQ(table.put(bornAt(10s), Start + 3s).kind, Listing::Kind::Ignored);
+    EXPECT_TRUE(table.readmit(Start + 60s).empty());
+    EXPECT_EQ(table.find("i-1"), nullptr);
+}
+
+// A data centre's servers stay idle for good after a network partition: they could not renew their
+// entries, the entries were removed, and the servers list themselves again under the same
+// incarnation when the partition ends.
+TEST(ServerTable, AServerThatWasCutOffServesAgainOnceItsEntryHasBeenRenewed)
+{
+    ServerTable table(2000ms, 1200ms);
+    table.put(bornAt(10s), Start);
+    table.remove("i-1");
+    EXPECT_EQ(table.put(bornAt(10s), Start + 5s).kind, Listing::Kind::Returning);
+    EXPECT_TRUE(table.readmit(Start + 9s).empty());
+    EXPECT_EQ(table.find("i-1"), nullptr);
+    ASSERT_EQ(table.readmit(Start + 10s).size(), 1U);
+    EXPECT_TRUE(table.find("i-1")->takesWork());
+}
+
+// A request reaches a server that left without a word: an entry that it had written before it left
+// came late, and nobody renews it.
+TEST(ServerTable, AnEntryThatNobodyRenewsProvesNothing)
+{
+    ServerTable table(2000ms, 1200ms);
+    table.put(bornAt(10s), Start);
+    table.remove("i-1");
+    table.put(bornAt(10s), Start + 1s);
+    table.remove("i-1");
+    EXPECT_TRUE(table.readmit(Start + 60s).empty());
+    EXPECT_EQ(table.put(bornAt(10s, true), Start + 61s).kind, Listing::Kind::Ignored);
+    EXPECT_TRUE(table.readmit(Start + 120s).empty());
+    EXPECT_EQ(table.find("i-1"), nullptr);
+}
+
 TEST(ServerTable, WorkThatRunsKeepsItsServerAfterTheEntryIsGone)
 {
     ServerTable table;
