A server is known to have ended only by a refusal or an answer

Cause: two known reds with one sign, three servers ended by one prompt where two are allowed. Ruled out: the first guess, reports of peers that come late; in the trace one instance after the other ran the request, and the missing count was its own. Change: hasEnded() repeats a probe that breaks off. Tests: ServerProbeTest, which a single probe fails.

--- a/scripts/run_ctest.py
+++ b/scripts/run_ctest.py
@@ -8,7 +8,7 @@
 import subprocess
 import sys
 
-MAX_KNOWN_RED = 4
+MAX_KNOWN_RED = 3
 
 build = sys.argv[1]
 red_file = pathlib.Path("KNOWN-RED.txt")
--- a/src/snipestall/entry/attempt_on_server.cpp
+++ b/src/snipestall/entry/attempt_on_server.cpp
@@ -13,6 +13,7 @@
 
 #include "attempt.hpp"
 #include "outcome_unknown.hpp"
+#include "server_probe.hpp"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -31,7 +32,6 @@
 /// An engine that is silent for this long in mid-stream is taken for lost; the slowest token of a
 /// healthy one takes well under a second.
 constexpr milliseconds TokenSilence { 5000 };
-constexpr milliseconds ProbeTimeout { 300 };
 constexpr milliseconds ExportTimeout { 3000 };
 constexpr milliseconds DefaultRetryAfter { 1000 };
 constexpr int StatusUnavailable = 503;
@@ -300,14 +300,7 @@
     m_links.backends->suspect(attempt.server.handle);
     if (!sent)
         co_return ended(attempt, policy::AttemptResult::NotSent);
-    wire::HttpRequest probe;
-    probe.target = "/load";
-    wire::HttpCallOptions options;
-    options.connectTimeout = ProbeTimeout;
-    options.idleTimeout = ProbeTimeout;
-    options.freshConnection = true;
-    const auto answer = co_await m_links.http->fetch(attempt.server.endpoint, probe, options);
-    const bool died = !answer && answer.error().kind == ErrorKind::Unavailable;
+    const bool died = co_await hasEnded(*m_links.http, attempt.server.endpoint);
     if (attempt.cancelled || attempt.request->finished())
         co_return;
     // A server that was announced to leave was taken away; no request is to blame for that.
