Servers are ordered for what may be lost next, not for what is left

Change: from the first refusal of reclaimable servers on, on-demand ones are counted for what is left if one more data centre goes: those left fully used, those that start half. Orders say by which estimate they were given. On-demand servers go round the data centres that have room; some that were wanted had been dropped where the last data centre was full. Pressure does not grow a fleet that cannot be had. Tests: ReclaimWaveTest (three) and the planner's own, with the demand just now beside the highest.

--- a/include/snipestall/serving/demand_meter.hpp
+++ b/include/snipestall/serving/demand_meter.hpp
@@ -36,6 +36,8 @@
     void sample(SteadyTime now);
     /// Fully used servers that the last seconds' requests needed, at the highest; 0 if not known.
     [[nodiscard]] double needed(const std::string &service) const;
+    /// The same at the last sample; 0 if not known.
+    [[nodiscard]] double neededNow(const std::string &service) const;
     /// Prompt tokens a second that an engine reads when it does nothing else; 0 until enough
     /// prompts were seen.
     [[nodiscard]] double readRate(const std::string &service) const;
--- a/include/snipestall/serving/fleet_planner.hpp
+++ b/include/snipestall/serving/fleet_planner.hpp
@@ -27,11 +27,27 @@
     bool operator==(const FleetOrder &) const = default;
 };
 
+/// By which estimate the on-demand servers of a plan are counted.
+enum class FleetEstimate {
+    /// What the operators started with: the demand is not known yet.
+    Usual,
+    /// What the demand needs beside the reclaimable servers that are there.
+    Demand,
+    /// What it needs beside those that are left if more are taken back before others can start.
+    Insurance,
+};
+
+/// The name of an estimate in the log.
+const char *toString(FleetEstimate estimate);
+
 /// What is known of a service's demand.
 struct FleetDemand
 {
-    /// Servers that would be needed if they were fully used; 0 while that is not known.
+    /// Servers that would be needed if they were fully used, at the highest of the last seconds; 0
+    /// while that is not known.
     double servers = 0;
+    /// The same just now.
+    double serversNow = 0;
     /// Whether any request has come yet.
     bool any = false;
 };
@@ -44,6 +60,14 @@
 /// rest overloaded until others start. So reclaimable servers carry the demand with enough of a
 /// surplus that the others carry it without one data centre; on-demand ones run only while fewer
 /// servers are there than the measured demand needs, in the cheapest data centres.
+///
+/// Once reclaimable servers are refused somewhere, one data centre after the other may lose its
+/// own, and what is ordered only then serves a start time later: with all four taken back within
+/// ten seconds, no server was left for two of them, and those that came found a backlog that kept
+/// itself up for 15 s more. So from the first refusal on, on-demand servers are ordered for what is
+/// left if one more data centre goes next: those that are left have their shared prompts cached and
+/// can carry the demand for a while, fully used; those that start have not, and count with
+/// `ColdUse` only. It ends with the shortage.
 class FleetPlanner
 {
 public:
@@ -60,6 +84,8 @@
     /// The order was not taken; none of this kind may be had there at the moment.
     void refused(const FleetOrder &order, SteadyTime now);
     [[nodiscard]] double scale() const { return m_scale; }
+    /// By which the on-demand servers of the last plan were counted.
+    [[nodiscard]] FleetEstimate estimate() const { return m_estimate; }
 
 private:
     /// Use at which queues stay short: a server that is busy a third of the time rarely has a long
@@ -69,6 +95,9 @@
     /// They cost five times as much and more: in a long shortage of reclaimable ones, 0.6 paid for
     /// twice the servers and served no more callers in time.
     static constexpr double CrowdedUse = 0.8;
+    /// Part of a server that starts in a shortage which can be counted on: it has read no prompts
+    /// yet, which nearly doubles the work until the shared parts are cached again.
+    static constexpr double ColdUse = 0.5;
     /// The least that is kept, as a part of the number that the operators started with: demand may
     /// come back faster than servers start.
     static constexpr double LeastOfUsual = 1.5;
@@ -102,7 +131,16 @@
     /// Reclaimable servers wanted in each data centre.
     [[nodiscard]] int reclaimableWanted(FleetDemand demand) const;
     [[nodiscard]] std::map<std::string, int>
-    onDemandWanted(const std::map<std::string, FleetCount> &counts, FleetDemand demand) const;
+    onDemandWanted(const std::map<std::string, FleetCount> &counts, FleetDemand demand);
+    /// On-demand servers wanted in all data centres together.
+    [[nodiscard]] int onDemandMissing(const std::map<std::string, FleetCount> &counts,
+                                      FleetDemand demand);
+    /// Reclaimable ones are refused in some data centre.
+    [[nodiscard]] bool shortage() const;
+    /// On-demand servers that carry the demand together with those that are left once the data
+    /// centre with the most reclaimable ones has lost them.
+    [[nodiscard]] static int insured(const std::map<std::string, FleetCount> &counts,
+                                     double servers);
     [[nodiscard]] int usualTotal() const;
     [[nodiscard]] std::vector<std::string> cheapestFirst() const;
     [[nodiscard]] bool due(const Kind &kind, int wanted, int present, SteadyTime now) const;
@@ -116,6 +154,7 @@
     double m_scale = 1;
     SteadyTime m_scaledAt;
     SteadyTime m_calmSince;
+    FleetEstimate m_estimate = FleetEstimate::Usual;
 };
 
 } // namespace snipestall::serving
--- a/src/snipestall/gateway/duty_runner_fleet.cpp
+++ b/src/snipestall/gateway/duty_runner_fleet.cpp
@@ -102,6 +102,7 @@
         const SteadyTime now = m_state.clock.steadyNow();
         planner.pressure(m_state.latency.highest(name, now), now);
         const serving::FleetDemand demand { m_state.demand.needed(name),
+                                            m_state.demand.neededNow(name),
                                             m_state.counters.attempts > 0 };
         for (const serving::FleetOrder &order : planner.plan(countServers(name), demand, now)) {
             if (!holdsLease())
@@ -118,7 +119,9 @@
                        { "count", std::to_string(order.count) },
                        { "reclaimable", order.reclaimable ? "yes" : "no" },
                        { "scale", std::to_string(planner.scale()) },
+                       { "estimate", toString(planner.estimate()) },
                        { "needed", std::to_string(demand.servers) },
+                       { "needed_now", std::to_string(demand.serversNow) },
                        { "fence", std::to_string(m_lease.fence()) },
                        { "error", done ? std::string() : done.error().message } });
         }
--- a/src/snipestall/serving/demand_meter.cpp
+++ b/src/snipestall/serving/demand_meter.cpp
@@ -106,4 +106,10 @@
     return highest;
 }
 
+double DemandMeter::neededNow(const std::string &service) const
+{
+    const auto found = m_needs.find(service);
+    return found == m_needs.end() || found->second.empty() ? 0 : found->second.back().servers;
+}
+
 } // namespace snipestall::serving
--- a/src/snipestall/serving/fleet_planner.cpp
+++ b/src/snipestall/serving/fleet_planner.cpp
@@ -1,11 +1,18 @@
 #include "snipestall/serving/fleet_planner.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
 namespace snipestall::serving {
 
+const char *toString(FleetEstimate estimate)
+{
+    static constexpr std::array<const char *, 3> Names { "usual", "demand", "insurance" };
+    return Names.at(static_cast<std::size_t>(estimate));
+}
+
 FleetPlanner::FleetPlanner(ScalingPolicy policy, const std::map<std::string, int> &usual)
     : m_policy(std::move(policy))
 {
@@ -21,7 +28,8 @@
     const auto settled = m_policy.bootTime + RepeatPause;
     if (now - m_scaledAt < settled)
         return;
-    if (partOfTarget > GrowAbove) {
+    // Reclaimable servers are what grows, and none are to be had: the effect could not be judged.
+    if (partOfTarget > GrowAbove && !shortage()) {
         m_scale = std::min(m_scale * GrowBy, MostScale);
         m_scaledAt = now;
         return;
@@ -67,30 +75,66 @@
     return order;
 }
 
-std::map<std::string, int>
-FleetPlanner::onDemandWanted(const std::map<std::string, FleetCount> &counts,
-                             FleetDemand demand) const
+bool FleetPlanner::shortage() const
+{
+    return std::any_of(m_places.begin(), m_places.end(),
+                       [](const auto &entry) { return entry.second.reclaimable.refused; });
+}
+
+int FleetPlanner::insured(const std::map<std::string, FleetCount> &counts, double servers)
+{
+    int left = 0;
+    int largest = 0;
+    for (const auto &[dataCentre, count] : counts) {
+        left += count.reclaimable;
+        largest = std::max(largest, count.reclaimable);
+    }
+    left -= largest;
+    return static_cast<int>(std::ceil(std::max(servers - left, 0.0) / ColdUse));
+}
+
+int FleetPlanner::onDemandMissing(const std::map<std::string, FleetCount> &counts,
+                                  FleetDemand demand)
 {
-    std::map<std::string, int> wanted;
     int reclaimable = 0;
     for (const auto &[dataCentre, count] : counts)
         reclaimable += count.reclaimable;
     // Before the demand has been measured, what the operators started with is the best guess;
     // before the first request nothing needs to run while cheaper servers start.
     int needed = demand.any ? usualTotal() : 0;
-    if (demand.servers > 0)
+    m_estimate = FleetEstimate::Usual;
+    if (demand.servers > 0) {
+        m_estimate = FleetEstimate::Demand;
         needed = static_cast<int>(std::ceil(demand.servers / CrowdedUse));
-    int missing = std::max(needed - reclaimable, 0);
+    }
+    const int missing = std::max(needed - reclaimable, 0);
+    const int insurance = shortage() ? insured(counts, demand.serversNow) : 0;
+    if (insurance <= missing)
+        return missing;
+    m_estimate = FleetEstimate::Insurance;
+    return insurance;
+}
+
+std::map<std::string, int>
+FleetPlanner::onDemandWanted(const std::map<std::string, FleetCount> &counts, FleetDemand demand)
+{
+    std::map<std::string, int> wanted;
+    int missing = onDemandMissing(counts, demand);
     const std::vector<std::string> order = cheapestFirst();
-    for (std::size_t i = 0; i < order.size(); ++i) {
-        const auto found = counts.find(order[i]);
-        const int present = found == counts.end() ? 0 : found->second.reclaimable;
-        const int room = std::max(m_policy.most - present, 0);
-        // Evenly, the cheaper ones first where it doesn't divide: a data centre may be cut off.
-        const int left = static_cast<int>(order.size() - i);
-        const int share = std::min((missing + left - 1) / left, room);
-        wanted[order[i]] = share;
-        missing -= share;
+    for (const std::string &dataCentre : order)
+        wanted[dataCentre] = 0;
+    // Evenly, since a data centre may be cut off, the cheaper ones first where it doesn't divide.
+    for (bool placed = true; placed && missing > 0;) {
+        placed = false;
+        for (const std::string &dataCentre : order) {
+            const auto found = counts.find(dataCentre);
+            const int present = found == counts.end() ? 0 : found->second.reclaimable;
+            if (missing == 0 || wanted[dataCentre] + present >= m_policy.most)
+                continue;
+            ++wanted[dataCentre];
+            --missing;
+            placed = true;
+        }
     }
     return wanted;
 }
--- a/src/snipestall/serving/fleet_planner_test.cpp
+++ b/src/snipestall/serving/fleet_planner_test.cpp
@@ -42,7 +42,7 @@
         return sum;
     }
 
-    const FleetDemand m_unknown { 0, true };
+    const FleetDemand m_unknown { 0, 0, true };
     std::map<std::string, FleetCount> m_counts { { "a", { 4, 0 } },
                                                  { "b", { 4, 0 } },
                                                  { "c", { 4, 0 } } };
@@ -66,7 +66,7 @@
 
 TEST_F(FleetPlannerTest, BeforeTheFirstRequestNoOnDemandServerIsNeeded)
 {
-    settle({ 0, false }, Start);
+    settle({ 0, 0, false }, Start);
     EXPECT_EQ(total(&FleetCount::onDemand), 0);
     EXPECT_EQ(total(&FleetCount::reclaimable), 27); // half as many again, for two of three
 }
@@ -75,7 +75,7 @@
 // a while, and nothing takes their place.
 TEST_F(FleetPlannerTest, OnDemandServersFillUpToWhatTheDemandNeeds)
 {
-    const FleetDemand demand { 6, true };
+    const FleetDemand demand { 6, 6, true };
     settle(demand, Start);
     for (auto &[dataCentre, count] : m_counts)
         count = { 0, dataCentre == "a" ? 0 : 3 };
@@ -85,7 +85,7 @@
 
 TEST_F(FleetPlannerTest, LowDemandNeedsNoOnDemandServersInAReclaim)
 {
-    const FleetDemand demand { 2, true };
+    const FleetDemand demand { 2, 2, true };
     settle(demand, Start);
     m_counts["a"] = { 0, 0 };
     settle(demand, Start + 20s);
@@ -98,7 +98,7 @@
     priced.dataCentrePrices = { { "a", 1.2 }, { "b", 0.8 }, { "c", 1.0 } };
     FleetPlanner planner(priced, { { "a", 4 }, { "b", 4 }, { "c", 4 } });
     std::map<std::string, FleetCount> counts { { "a", {} }, { "b", {} }, { "c", {} } };
-    for (const FleetOrder &order : planner.plan(counts, { 3.2, true }, Start)) {
+    for (const FleetOrder &order : planner.plan(counts, { 3.2, 3.2, true }, Start)) {
         if (order.reclaimable)
             continue;
         EXPECT_EQ(order.count, order.dataCentre == "b" ? 2 : 1) << order.dataCentre;
@@ -134,7 +134,7 @@
 // are ordered for it, start when it is over and are paid for until the pressure is forgotten.
 TEST_F(FleetPlannerTest, PressureAloneOrdersNoOnDemandServers)
 {
-    const FleetDemand demand { 6, true };
+    const FleetDemand demand { 6, 6, true };
     SteadyTime now = Start;
     for (int i = 0; i < 60; ++i, now += 300ms)
         m_planner.pressure(0.9, now);
@@ -145,6 +145,88 @@
     EXPECT_EQ(total(&FleetCount::onDemand), 0); // 6 / 0.8 are there
 }
 
+/// Four data centres lose their reclaimable servers one after the other, with none to be had
+/// meanwhile.
+class ReclaimWaveTest : public testing::Test
+{
+protected:
+    /// Plans once, with orders of reclaimable servers refused where they have been taken back.
+    void plan(SteadyTime now)
+    {
+        for (const FleetOrder &order : m_planner.plan(m_counts, m_demand, now)) {
+            if (order.reclaimable && m_counts[order.dataCentre].reclaimable == 0) {
+                m_planner.refused(order, now);
+                continue;
+            }
+            m_planner.accepted(order, now);
+            (order.reclaimable ? m_counts[order.dataCentre].reclaimable
+                               : m_onDemand[order.dataCentre]) = order.count;
+        }
+    }
+
+    void takeBack(const std::string &dataCentre, SteadyTime now)
+    {
+        m_counts[dataCentre].reclaimable = 0;
+        plan(now);
+        plan(now + 300ms);
+    }
+
+    [[nodiscard]] int onDemand() const
+    {
+        int sum = 0;
+        for (const auto &[dataCentre, count] : m_onDemand)
+            sum += count;
+        return sum;
+    }
+
+    /// What 6 servers carry that have their prompts cached, fully used, or 12 that have not; 8
+    /// reclaimable ones run in each data centre.
+    const FleetDemand m_demand { 6, 6, true };
+    std::map<std::string, FleetCount> m_counts {
+        { "a", { 0, 8 } }, { "b", { 0, 8 } }, { "c", { 0, 8 } }, { "d", { 0, 8 } }
+    };
+    std::map<std::string, int> m_onDemand;
+    FleetPlanner m_planner { policy(), { { "a", 4 }, { "b", 4 }, { "c", 4 }, { "d", 4 } } };
+};
+
+// For two seconds no server is left, and for fifteen more nearly every caller is served late: all
+// data centres' reclaimable servers were taken back one after the other, and on-demand ones were
+// ordered when the last ones went.
+TEST_F(ReclaimWaveTest, WhatMayBeLostNextIsReplacedBeforeItIsLost)
+{
+    plan(Start);
+    takeBack("a", Start + 20s);
+    EXPECT_EQ(onDemand(), 0); // 16 are left if another one goes
+    takeBack("b", Start + 26s);
+    EXPECT_EQ(onDemand(), 0); // 8 would be left
+    takeBack("c", Start + 32s);
+    EXPECT_EQ(onDemand(), 12); // nothing else may be left
+    EXPECT_EQ(m_planner.estimate(), FleetEstimate::Insurance);
+}
+
+TEST_F(ReclaimWaveTest, TheInsuranceEndsWithTheShortage)
+{
+    plan(Start);
+    takeBack("a", Start + 20s);
+    takeBack("b", Start + 26s);
+    for (auto &[dataCentre, count] : m_counts)
+        count = { m_onDemand[dataCentre], 8 };
+    plan(Start + 40s);
+    plan(Start + 50s);
+    EXPECT_EQ(m_planner.estimate(), FleetEstimate::Demand);
+    EXPECT_EQ(onDemand(), 0);
+}
+
+TEST_F(ReclaimWaveTest, PressureDoesNotGrowAFleetThatCannotBeHad)
+{
+    plan(Start);
+    takeBack("a", Start + 20s);
+    SteadyTime now = Start + 21s;
+    for (int i = 0; i < 60; ++i, now += 300ms)
+        m_planner.pressure(0.9, now);
+    EXPECT_EQ(m_planner.scale(), 1);
+}
+
 TEST_F(FleetPlannerTest, OneSlowMomentDoesNotGrowTheFleetTwice)
 {
     m_planner.pressure(0.9, Start);
@@ -155,11 +237,11 @@
 
 TEST_F(FleetPlannerTest, ADipIsNotFollowedAtOnce)
 {
-    settle({ 7, true }, Start);
+    settle({ 7, 7, true }, Start);
     const int before = total(&FleetCount::reclaimable);
-    settle({ 1, true }, Start + 1s);
+    settle({ 1, 1, true }, Start + 1s);
     EXPECT_EQ(total(&FleetCount::reclaimable), before);
-    settle({ 1, true }, Start + 10s);
+    settle({ 1, 1, true }, Start + 10s);
     EXPECT_LT(total(&FleetCount::reclaimable), before);
 }
 
