--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -21,13 +21,14 @@
     milliseconds longest;
 };
 
-constexpr std::array<KindEntry, 20> Kinds { {
+constexpr std::array<KindEntry, 22> Kinds { {
     { FaultKind::GatewayKilled, "gateway-killed", false, milliseconds(200), milliseconds(1500) },
     { FaultKind::AllGatewaysKilled, "all-gateways-killed", false, milliseconds(200),
       milliseconds(900) },
     { FaultKind::GatewayStopped, "gateway-stopped", true, milliseconds(8500), milliseconds(9000) },
     { FaultKind::GatewayPaused, "gateway-paused", false, milliseconds(100), milliseconds(4000) },
     { FaultKind::BackendKilled, "backend-killed", false, milliseconds(200), milliseconds(2500) },
+    { FaultKind::BackendReborn, "backend-reborn", false, milliseconds(100), milliseconds(5000) },
     { FaultKind::BackendLeaves, "backend-leaves", true, milliseconds(5000), milliseconds(6000) },
     { FaultKind::BackendPaused, "backend-paused", false, milliseconds(100), milliseconds(3000) },
     { FaultKind::BackendLinkSilent, "backend-link-silent", false, milliseconds(200),
@@ -50,6 +51,7 @@
     { FaultKind::StorePaused, "store-paused", false, milliseconds(300), milliseconds(4000) },
     { FaultKind::StoreDropsHistory, "store-drops-history", false, milliseconds(50),
       milliseconds(50) },
+    { FaultKind::StoreJunk, "store-junk", false, milliseconds(50), milliseconds(50) },
     { FaultKind::ConfigurationChanges, "configuration-changes", true, milliseconds(50),
       milliseconds(50) },
 } };
@@ -69,7 +71,8 @@
 bool needsStore(FaultKind kind)
 {
     return kind == FaultKind::StoreBusy || kind == FaultKind::StoreLosesAnswers
-        || kind == FaultKind::StoreDropsHistory || kind == FaultKind::ConfigurationChanges;
+        || kind == FaultKind::StoreDropsHistory || kind == FaultKind::StoreJunk
+        || kind == FaultKind::ConfigurationChanges;
 }
 
 bool overlapsPause(const Fault &fault, const std::vector<Fault> &others)
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -15,6 +15,8 @@
     GatewayStopped,
     GatewayPaused,
     BackendKilled,
+    /// Killed, and started again under the id that it had.
+    BackendReborn,
     /// SIGTERM: it says that it leaves, and goes some seconds later.
     BackendLeaves,
     BackendPaused,
@@ -30,6 +32,8 @@
     StoreLosesAnswers,
     StorePaused,
     StoreDropsHistory,
+    /// Another program writes into the table of the backend servers, over some entries, too.
+    StoreJunk,
     ConfigurationChanges,
 };
 
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -150,7 +150,8 @@
 void World::startBackend(std::size_t index)
 {
     Member &member = m_backends[index];
-    ++member.starts;
+    if (!std::exchange(member.keepsId, false))
+        ++member.starts;
     member.ending = false;
     const std::string id = "b" + std::to_string(index) + "-" + std::to_string(member.starts);
     const std::string service = *(ServiceNames.begin() + index / m_size.backends);
@@ -201,6 +202,7 @@
         { Kind::GatewayStopped, &World::stopGateway, &World::nothing },
         { Kind::GatewayPaused, &World::pauseGateway, &World::resumeGateway },
         { Kind::BackendKilled, &World::killBackend, &World::restoreBackend },
+        { Kind::BackendReborn, &World::killBackendThatKeepsItsId, &World::restoreBackend },
         { Kind::BackendLeaves, &World::backendLeaves, &World::nothing },
         { Kind::BackendPaused, &World::pauseBackend, &World::resumeBackend },
         { Kind::BackendLinkSilent, &World::silenceBackendLink, &World::healBackendLink },
@@ -215,6 +217,7 @@
         { Kind::StoreLosesAnswers, &World::makeStoreLose, &World::healStore },
         { Kind::StorePaused, &World::pauseStore, &World::resumeStore },
         { Kind::StoreDropsHistory, &World::dropHistory, &World::nothing },
+        { Kind::StoreJunk, &World::writeJunk, &World::nothing },
         { Kind::ConfigurationChanges, &World::changeConfiguration, &World::nothing },
     };
     return entries;
@@ -323,6 +326,12 @@
     backend(fault).process->kill();
 }
 
+void World::killBackendThatKeepsItsId(const Fault &fault)
+{
+    backend(fault).keepsId = true;
+    killBackend(fault);
+}
+
 void World::restoreBackend(const Fault &fault)
 {
     backend(fault).down = false;
@@ -424,6 +433,11 @@
     storeFaults(R"({"drop_history":true})");
 }
 
+void World::writeJunk(const Fault &fault)
+{
+    storeFaults(R"({"junk":)" + std::to_string(fault.target) + "}");
+}
+
 void World::changeConfiguration(const Fault &)
 {
     ++m_extraRoutes;
--- a/tests/soak/world.hpp
+++ b/tests/soak/world.hpp
@@ -67,6 +67,8 @@
         /// Somebody sent it a signal that ends it.
         bool ending = false;
         int starts = 0;
+        /// The next start is under the id of the last one.
+        bool keepsId = false;
         /// Pauses in force: two may overlap, and only the end of the last one resumes.
         int pauses = 0;
         wire::Endpoint address;
@@ -111,6 +113,7 @@
     void pauseGateway(const Fault &fault);
     void resumeGateway(const Fault &fault);
     void killBackend(const Fault &fault);
+    void killBackendThatKeepsItsId(const Fault &fault);
     void restoreBackend(const Fault &fault);
     void backendLeaves(const Fault &fault);
     void pauseBackend(const Fault &fault);
@@ -131,6 +134,7 @@
     void pauseStore(const Fault &fault);
     void resumeStore(const Fault &fault);
     void dropHistory(const Fault &fault);
+    void writeJunk(const Fault &fault);
     void changeConfiguration(const Fault &fault);
     void nothing(const Fault &fault);
 
