--- a/src/snipestall/serving/server_table.cpp
+++ b/src/snipestall/serving/server_table.cpp
@@ -78,6 +78,7 @@
             proved.push_back(returning.info);
     }
     std::vector<ServerStatePtr> back;
+    back.reserve(proved.size());
     for (const BackendServer &server : proved) {
         m_departed.erase(server.id);
         m_returning.erase(server.id);
@@ -126,6 +127,7 @@
             due.push_back(id);
     }
     std::vector<ServerStatePtr> gone;
+    gone.reserve(due.size());
     for (const std::string &id : due)
         gone.push_back(drop(id));
     return gone;
