Rows without a readable name are logged

Cause: they were counted by the store's client and the count was dropped; an unreadable value was logged as bad JSON. Change: the follower logs both; no decision changes.

--- a/include/snipestall/gateway/store_follower.hpp
+++ b/include/snipestall/gateway/store_follower.hpp
@@ -73,6 +73,7 @@
     [[nodiscard]] Result<serving::BackendServer> readEntry(const platform::StoredRow &row) const;
     /// Logs a row that can't be read; once for each key, since it may be written again and again.
     void logFault(const platform::StoredRow &row, const Error &error);
+    static void logSkipped(const Feed &feed, const platform::StoredRows &rows);
     void serverGone(const std::string &id);
     /// Drops what is kept elsewhere of an incarnation that has ended.
     void forget(const serving::ServerState &server, const char *reason);
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -122,6 +122,7 @@
             co_return false;
         }
         answered(feed, rows->storeTime);
+        logSkipped(feed, *rows);
         std::vector<platform::StoredRow> known = rows->rows;
         for (platform::StoredRow &removed : (this->*feed.snapshot)(*rows))
             known.push_back(std::move(removed));
@@ -141,6 +142,7 @@
         co_return false;
     }
     answered(feed, rows->storeTime);
+    logSkipped(feed, *rows);
     // A peer may have passed on some of them meanwhile.
     for (const platform::StoredRow &row : rows->rows) {
         if (row.version > feed.copy.version())
@@ -274,7 +276,17 @@
     logEvent(events::StoreRowFaulty,
              { { "row", row.name.key },
                { "version", std::to_string(row.version) },
-               { "error", error.message } });
+               { "error", row.unreadable ? "its value is no base64" : error.message } });
+}
+
+void StoreFollower::logSkipped(const Feed &feed, const platform::StoredRows &rows)
+{
+    if (rows.skipped == 0)
+        return;
+    logEvent(events::StoreRowFaulty,
+             { { "row", feed.copy.table() },
+               { "version", std::to_string(rows.storeVersion) },
+               { "error", std::to_string(rows.skipped) + " rows have no readable name" } });
 }
 
 void StoreFollower::serverGone(const std::string &id)
