Log lines name a server by its id, its birth beside it

Ruled out: changing the test; an operator looks for the id that the list has. Change: the id stands in 'server' again, the birth in 'born_ms'. Tests: operations_test, which hung before and passes.

--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -259,7 +259,7 @@
     const auto firstByte = m_firstByteAt ? *m_firstByteAt - m_sentAt : SteadyTime::duration::zero();
     logEvent(events::GatewayAttemptEnded,
              { { "attempt", m_header.attemptId },
-               { "server", server->key },
+               { "server", server->info.id },
                { "unread_tokens", wholeText(placed.unreadTokens) },
                { "tokens_ahead", wholeText(placed.tokensAhead) },
                { "in_flight", std::to_string(placed.inFlight) },
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -304,7 +304,10 @@
 {
     m_state.placement.serverGone(server.key);
     m_state.backends.drop(server.key);
-    logEvent(events::ServerDelisted, { { "server", server.key }, { "reason", reason } });
+    logEvent(events::ServerDelisted,
+             { { "server", server.info.id },
+               { "born_ms", std::to_string(bornMillis(server.info)) },
+               { "reason", reason } });
 }
 
 void StoreFollower::settleServers()
@@ -313,7 +316,9 @@
     for (const auto &gone : m_state.servers.expireLapsed(now))
         forget(*gone, "lapsed");
     for (const auto &back : m_state.servers.readmit(now))
-        logEvent(events::ServerReadmitted, { { "server", back->key } });
+        logEvent(
+            events::ServerReadmitted,
+            { { "server", back->info.id }, { "born_ms", std::to_string(bornMillis(back->info)) } });
 }
 
 } // namespace snipestall::gateway
