--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -47,18 +47,27 @@
         settings.address = "127.0.0.1";
         settings.bounds.retrySlack = 60;
         settings.startWait = startWait;
+        settings.store = m_store.endpoint();
+        settings.duties = m_store.endpoint();
+        // Another process may take a port between its choice and its use.
+        constexpr int MostTries = 20;
+        for (int i = 0; i < MostTries && !m_gateway; ++i)
+            create(settings);
+        m_gateway->start();
+    }
+
+    void create(GatewaySettings settings)
+    {
         settings.callers = { "127.0.0.1", freePort() };
         settings.readiness = { "127.0.0.1", freePort() };
         settings.peerPort = freePort();
         settings.metricsPort = freePort();
-        settings.store = m_store.endpoint();
-        settings.duties = m_store.endpoint();
         m_callers = settings.callers;
         m_readiness = settings.readiness;
         m_metrics = { "127.0.0.1", settings.metricsPort };
         auto gateway = Gateway::create(m_io, std::move(settings));
-        m_gateway = std::move(gateway.value());
-        m_gateway->start();
+        if (gateway)
+            m_gateway = std::move(*gateway);
     }
 
     void publish()
