A request's arrival at an instance is logged

Change: event 500, which no code wrote, at each arrival from a caller, a peer or a lost home, before admission; its text in the catalogue says what follows it. Figures: one debug line a request and instance. Conclusion: 500 without 501 or 507 after it is a request that waits here.

--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -70,8 +70,12 @@
     "This instance gives no more orders: its lease ended or could not be renewed.",
     "None; another instance takes the lease when the platform answers."
 };
-const EventInfo RequestAccepted { 500, Severity::Debug, "request-accepted",
-                                  "A request is accepted and recorded with the buddy.", "None." };
+const EventInfo RequestAccepted {
+    500, Severity::Debug, "request-accepted",
+    "A request came from a caller, a peer or a lost home, and its admission is decided here. "
+    "Without a line 501 or 507 after it, it waits in this instance's queue.",
+    "None."
+};
 const EventInfo RequestRefused {
     501, Severity::Info, "request-refused", "A request was refused; no byte of it left.",
     "Look at the reason; raise the limit or the capacity if it repeats."
--- a/src/snipestall/entry/dispatcher.cpp
+++ b/src/snipestall/entry/dispatcher.cpp
@@ -183,6 +183,12 @@
     // A caller whose request took a server down sends it again, perhaps at another instance. Its
     // fingerprint brings along which servers died with it, so that it is not given a third.
     const RequestSpec &spec = request->spec();
+    const std::string from = request->forwarded ? "peer" : accepted ? "home" : "caller";
+    logEvent(events::RequestAccepted,
+             { { "request", spec.id },
+               { "service", spec.service },
+               { "from", from },
+               { "offset", std::to_string(request->nextOffset()) } });
     const std::uint64_t fingerprint =
         CrashLedger::fingerprint(spec.customer, spec.service, spec.body);
     const auto known = m_links.crashes->servers(fingerprint);
