What waits in a pool without a server is offered wherever there is room

Ruled out: hand-over, an answer lost on its way, the load tool; no such lines. Change: while a pool has no usable server, each peer's summary looks at all that waits in it; what has no offers left, or is a peer's, moves only where a slot is told to be free.

--- a/src/snipestall/policy/forwarding.cpp
+++ b/src/snipestall/policy/forwarding.cpp
@@ -3,6 +3,7 @@
 #include "snipestall/policy/lifecycle.hpp"
 #include "snipestall/policy/prefix_placing.hpp"
 #include "snipestall/policy/state.hpp"
+#include "snipestall/policy/stranded.hpp"
 #include "snipestall/policy/wait_estimate.hpp"
 
 #include <chrono>
@@ -62,6 +63,30 @@
     return true;
 }
 
+/// Where a request that waits here without a server may go. One that was declined often goes only
+/// where a slot is free, or its offers become load on peers that are full already; so does one that
+/// a peer forwarded, since its home needs somewhere to send it.
+std::optional<PeerHandle> roomFor(const State &state, const Request &request)
+{
+    const Pool &pool = *request.pool;
+    const auto peer = state.peers.best(state.now, pool.service, FairQueue::laneOf(request));
+    if (!peer || (!mayForward(request) && peer->wait > Duration::zero()))
+        return std::nullopt;
+    return peer->peer;
+}
+
+void offer(State &state, Request &request, PeerHandle peer)
+{
+    if (request.phase == Phase::Suspect) {
+        withdraw(state, request);
+        enqueue(state, request);
+    }
+    if (request.forwarded)
+        refuse(state, request, RefusalReason::NoCapacity, RetryElsewhere);
+    else
+        send(state, request, peer);
+}
+
 void forwardLane(State &state, Pool &pool, Lane lane)
 {
     for (int i = 0; i < ForwardsPerStep; ++i) {
@@ -79,6 +104,21 @@
     forwardLane(state, pool, Lane::Patient);
 }
 
+// Load: all servers of an instance are reclaimed in one wave, and the peers are as full as it was.
+// Failure: each of its requests is declined by as many peers as it may be offered to, or was
+// forwarded here and may not be forwarded on. It shows as callers without a word until their
+// deadline while slots elsewhere come free, and as a concurrency limit used up by what waits. The
+// room that a peer tells of is spent on them in order of their latest start, and once, so that they
+// don't crowd out what arrives there.
+void offerStranded(State &state, Pool &pool)
+{
+    for (const RequestHandle handle : waitingFor(state, pool)) {
+        Request &request = *state.findRequest(handle);
+        if (const auto peer = roomFor(state, request))
+            offer(state, request, *peer);
+    }
+}
+
 bool forwardToCache(State &state, Request &request)
 {
     if (!mayForward(request) || request.prefix.empty() || isCachedHere(request))
--- a/src/snipestall/policy/placing.cpp
+++ b/src/snipestall/policy/placing.cpp
@@ -82,7 +82,10 @@
         pool.now = state.now;
         placeSuspects(state, pool);
         while (placeOne(state, pool)) { }
-        forwardQueued(state, pool);
+        if (pool.index.totals().slots > 0)
+            forwardQueued(state, pool);
+        else
+            offerStranded(state, pool);
     }
     state.touched.clear();
 }
--- a/src/snipestall/policy/stranded.cpp
+++ b/src/snipestall/policy/stranded.cpp
@@ -4,28 +4,26 @@
 #include "snipestall/policy/state.hpp"
 
 #include <algorithm>
-#include <chrono>
-#include <vector>
+#include <utility>
 
 namespace snipestall::policy {
-namespace {
-
-constexpr Duration RetryElsewhere = std::chrono::milliseconds(200);
 
 std::vector<RequestHandle> waitingFor(const State &state, const Pool &pool)
 {
-    std::vector<RequestHandle> waiting;
+    std::vector<std::pair<Time, RequestHandle>> waiting;
     for (const auto &[handle, request] : state.requests) {
         const bool waits = request.phase == Phase::Queued || request.phase == Phase::Suspect;
         if (waits && request.pool == &pool)
-            waiting.push_back(handle);
+            waiting.emplace_back(request.startBy, handle);
     }
     std::ranges::sort(waiting);
-    return waiting;
+    std::vector<RequestHandle> handles;
+    handles.reserve(waiting.size());
+    for (const auto &[startBy, handle] : waiting)
+        handles.push_back(handle);
+    return handles;
 }
 
-} // namespace
-
 bool hasServer(const Pool &pool)
 {
     return std::ranges::any_of(pool.servers, [](const auto &entry) { return !entry.second->gone; });
--- a/src/snipestall/policy/stranded.hpp
+++ b/src/snipestall/policy/stranded.hpp
@@ -1,11 +1,23 @@
 #pragma once
 
+#include "snipestall/policy/handles.hpp"
+#include "snipestall/policy/time.hpp"
+
+#include <chrono>
+#include <vector>
+
 namespace snipestall::policy {
 
 struct Pool;
 struct Request;
 struct State;
 
+/// After which a request that goes back to its home may be sent elsewhere.
+constexpr Duration RetryElsewhere = std::chrono::milliseconds(200);
+
+/// What waits for a backend server of the pool, latest start first. Scans all requests.
+std::vector<RequestHandle> waitingFor(const State &state, const Pool &pool);
+
 /// Whether any backend server of the pool can still be given work here.
 bool hasServer(const Pool &pool);
 
