A peer that has sent nothing of a forwarded request declines it

Callers saw: a stream that lost its server in a reclaim went on nowhere, though peers had room a moment later. Cause, by 508 with result 3 three times within 165 ms beside 503 no-capacity of the peer: the peer took its home's sent bytes for its own and answered failed; its home waited out a backoff and offered the stream to the same peer again, until its offers were used up. Ruled out: the peer had begun an attempt; it has no 507 of the request. Change: a forwarded request's refusal says what this instance sent; refusals are made in a file of their own (entry/refusal), out of the dispatcher. What callers are told is unchanged: it still counts every attempt.

--- a/include/snipestall/entry/request.hpp
+++ b/include/snipestall/entry/request.hpp
@@ -78,6 +78,8 @@
 
     /// A byte of some attempt may have left; never taken back.
     void markSent();
+    /// Of an attempt that this instance made, not the home that it runs for.
+    [[nodiscard]] bool sentHere() const { return m_sentHere; }
     [[nodiscard]] bool maybeSent() const { return m_maybeSent || uncertain > 0; }
     /// Forwards under way of which it is not known whether the owner has sent a byte.
     int uncertain = 0;
@@ -120,6 +122,7 @@
     std::optional<FinalAnswer> m_final;
     std::uint64_t m_released = 0;
     bool m_maybeSent = false;
+    bool m_sentHere = false;
     std::set<std::string> m_crashedServers;
     std::map<std::uint64_t, std::function<void()>> m_cancels;
     wire::Signal m_changed;
--- a/src/snipestall/entry/dispatcher.cpp
+++ b/src/snipestall/entry/dispatcher.cpp
@@ -10,6 +10,7 @@
 #include "snipestall/peer/record_keeper.hpp"
 
 #include "attempt.hpp"
+#include "refusal.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -21,8 +22,6 @@
 
 namespace {
 
-/// For refusals to which the policy names no time, such as that of an expired request.
-constexpr std::chrono::milliseconds LeastRetryAfter { 1000 };
 constexpr int StatusUnavailable = 503;
 constexpr std::size_t PrefixBlock = 64;
 /// As the policy's own count: one death may be the server's fault, two are the request's.
@@ -59,66 +58,6 @@
     return event;
 }
 
-std::string_view explain(policy::RefusalReason reason)
-{
-    using policy::RefusalReason;
-    switch (reason) {
-    case RefusalReason::UnknownService:
-        return "this data centre has no such service for you";
-    case RefusalReason::RateLimit:
-        return "more requests a second than your limit";
-    case RefusalReason::TokenLimit:
-        return "more tokens a second than your limit";
-    case RefusalReason::ConcurrencyLimit:
-        return "more requests at once than your limit";
-    case RefusalReason::Late:
-        return "it could not be answered before its deadline";
-    case RefusalReason::QueueFull:
-        return "too much waits already";
-    case RefusalReason::NoCapacity:
-        return "no backend server can take it now";
-    case RefusalReason::Leaving:
-        return "this instance is leaving";
-    case RefusalReason::RetriesExhausted:
-        return "its attempts failed";
-    case RefusalReason::Quarantined:
-        return "it took down two backend servers; change it before you send it again";
-    case RefusalReason::Expired:
-        return "its deadline passed";
-    }
-    return "no backend server can take it now";
-}
-
-/// What a refusal means to the caller, by what is known of its attempts.
-FinalAnswer refusal(const Request &request, const policy::Refuse &command)
-{
-    FinalAnswer answer;
-    answer.retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(command.retryAfter);
-    answer.code = std::string(policy::toString(command.reason));
-    answer.reason = std::string(explain(command.reason));
-    const bool quarantined = command.reason == policy::RefusalReason::Quarantined;
-    if (quarantined)
-        answer.retryAfter = {};
-    if (!request.maybeSent()) {
-        answer.outcome = Outcome::NotRun;
-        const bool comeBack = !quarantined && answer.retryAfter.count() == 0;
-        if (comeBack && command.reason != policy::RefusalReason::UnknownService)
-            answer.retryAfter = LeastRetryAfter;
-        const bool limit = command.reason == policy::RefusalReason::RateLimit
-            || command.reason == policy::RefusalReason::TokenLimit
-            || command.reason == policy::RefusalReason::ConcurrencyLimit;
-        const bool unknown = command.reason == policy::RefusalReason::UnknownService;
-        answer.status = unknown ? 404 : limit ? 429 : quarantined ? 422 : 503;
-        return answer;
-    }
-    const bool mayRepeat = request.spec().idempotent;
-    answer.outcome = mayRepeat ? Outcome::Failed : Outcome::Unknown;
-    answer.status = quarantined ? 422 : 504;
-    if (!mayRepeat)
-        answer.retryAfter = {};
-    return answer;
-}
-
 void logRefusal(const Request &request, const FinalAnswer &answer)
 {
     const EventInfo *event = &events::RequestRefused;
--- a/src/snipestall/entry/request.cpp
+++ b/src/snipestall/entry/request.cpp
@@ -162,6 +162,7 @@
 void Request::markSent()
 {
     m_maybeSent = true;
+    m_sentHere = true;
     m_changed.notifyAll();
 }
 
