A request is held against its ends before each send, not only when it comes

Callers saw: every server of a service ended by four copies of one call that may be repeated (8 of 8 on loopback). Cause, by two 901 with start 2 in each request: what a request had ended was looked up at admission only; its own second run, and that of each copy beside it, went out with three ends on record. Ruled out: the look at the server, which had found each of them ended (905 before the second 901). Change: a repeat waits for the first look at the server that broke off, 50 ms at most, and is not sent if the request has ended three servers; its answer is 502 with the reason ends-servers, since it ran.

--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -76,6 +76,8 @@
     [[nodiscard]] bool mayTryAgain(AttemptEnd last);
     /// The server's answer broke off: it may have ended of this request.
     void noteBreak(const serving::ServerStatePtr &server);
+    /// Waits, for a short time at most, until it is known whether the last server has ended.
+    wire::Task<void> awaitFate();
     [[nodiscard]] bool timeIsUp() const;
     [[nodiscard]] double quotaUnits() const;
     [[nodiscard]] CallerLink::Answer ownAnswer(unsigned status) const;
@@ -127,6 +129,8 @@
     /// Where the memory of the run lies that the next attempt goes on with.
     std::string m_memoryFrom;
     std::uint64_t m_fingerprint = 0;
+    /// Key of the server that broke off last.
+    std::string m_brokeAt;
     int m_runs = 0;
     int m_sends = 0;
     /// Set while an attempt runs.
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -35,6 +35,10 @@
 /// A server of the same region accepts a connection within some round trips; the kernel sends a
 /// lost opening packet again after a second.
 constexpr milliseconds ConnectTimeout { 400 };
+/// A server that ended refuses a connection within some round trips; one behind a partition does
+/// not, and a caller waits for the repeat.
+constexpr milliseconds FateWait { 50 };
+constexpr milliseconds FateTick { 2 };
 constexpr unsigned FirstNoSuccess = 300;
 constexpr int LowestPriority = 9;
 
@@ -132,6 +136,8 @@
         return false;
     if (m_sends >= m_route->attemptLimit + MostRejections)
         return false;
+    if (m_state.crashes.blocked(m_fingerprint, m_state.clock.steadyNow()))
+        return false;
     if (m_maybeRan && (!m_route->mayRepeat() || m_runs >= m_route->attemptLimit))
         return false;
     return m_state.retries.repeat(m_demand.service->name, m_state.clock.steadyNow());
@@ -148,6 +154,7 @@
         last = co_await attempt(*placed);
         while (last == AttemptEnd::Moved)
             last = co_await attempt(takeMove());
+        co_await awaitFate();
     } while (mayTryAgain(last));
     if (last == AttemptEnd::Final || m_answer.ended())
         co_return;
@@ -163,10 +170,18 @@
     // A server that had notice was taken away; no request is to blame for that.
     if (server->info.leaving)
         return;
+    m_brokeAt = server->key;
     if (m_state.crashes.broke(m_fingerprint, server->key, now))
         boost::asio::co_spawn(m_state.io, lookForEnd(m_state, server), boost::asio::detached);
 }
 
+Task<void> RequestRelay::awaitFate()
+{
+    const SteadyTime until = m_state.clock.steadyNow() + FateWait;
+    while (m_state.crashes.inDoubt(m_brokeAt) && m_state.clock.steadyNow() < until)
+        co_await wire::sleepFor(FateTick);
+}
+
 Task<void> RequestRelay::finishUnserved(AttemptEnd last)
 {
     if (m_callerGone) {
@@ -192,7 +207,9 @@
     }
     ++m_state.counters.failed;
     const bool late = last == AttemptEnd::TimedOut;
-    co_await answer(ownAnswer(late ? 504 : 502), late ? "timeout" : "answer-lost");
+    const bool blocked = m_state.crashes.blocked(m_fingerprint, m_state.clock.steadyNow());
+    const char *reason = late ? "timeout" : blocked ? "ends-servers" : "answer-lost";
+    co_await answer(ownAnswer(late ? 504 : 502), reason);
 }
 
 BackendCall::Request RequestRelay::serverRequest(const serving::ServerState &server) const
--- a/tests/gateway/crashing_request_test.cpp
+++ b/tests/gateway/crashing_request_test.cpp
@@ -60,5 +60,18 @@
     });
 }
 
+// The same with a call that may be repeated: each copy is run by two servers. It is looked at when
+// it comes, and again before its second run.
+TEST_F(CrashingRequestTest, ItsOwnRepeatsCountBeforeTheNextOneIsSent)
+{
+    behave(Behaviour::End);
+    run([this]() -> Task<void> {
+        co_await untilServing(m_metrics, Servers);
+        for (int i = 0; i < 4; ++i)
+            co_await fetch(m_callers, "/safe/x", "POST");
+        EXPECT_LE(ended(), MostEnded);
+    });
+}
+
 } // namespace
 } // namespace snipestall::gateway
