A server that ends in mid-answer counts against the request that it ran

Callers saw: streams of many callers break off again and again, each time with the server of one and the same prompt (6 of 8 servers on loopback).

--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -43,9 +43,13 @@
 RequestRelay::AttemptEnd RequestRelay::brokenOff(const BodyRead &piece,
                                                  const serving::ServerStatePtr &server)
 {
+    if (piece.kind != BodyRead::Kind::TimedOut) {
+        noteBreak(server);
+        return AttemptEnd::Failed;
+    }
     if (!m_callerGone)
         m_state.servers.lost(*server, m_state.clock.steadyNow());
-    return piece.kind == BodyRead::Kind::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Failed;
+    return AttemptEnd::TimedOut;
 }
 
 void RequestRelay::wholeAnswerCame(serving::ServerState &server)
--- a/tests/gateway/crashing_request_test.cpp
+++ b/tests/gateway/crashing_request_test.cpp
@@ -73,5 +73,17 @@
     });
 }
 
+// A prompt that ends its server after some tokens: the caller has begun to read its answer.
+TEST_F(CrashingRequestTest, AServerThatEndsInMidStreamCounts)
+{
+    behave(Behaviour::EndAfterEvents);
+    run([this]() -> Task<void> {
+        co_await untilServing(m_metrics, Servers);
+        for (int i = 0; i < 6; ++i)
+            co_await fetch(m_callers, "/solo/x", "POST");
+        EXPECT_LE(ended(), MostEnded);
+    });
+}
+
 } // namespace
 } // namespace snipestall::gateway
