A request that a server has answered is blamed for no server's end

Callers would see: a call that many of them send with the same empty body refused to all of them for two minutes, after a rack with three of its servers lost its power. Found in reading, when ends began to be counted in full; the test shows it on the code before. Cause: a request is known by its customer, path and body; an innocent one that is sent often is in flight everywhere. Conclusion: mended.

--- a/include/snipestall/serving/crash_watch.hpp
+++ b/include/snipestall/serving/crash_watch.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipestall/base/clock.hpp"
+#include "snipestall/base/recent_hashes.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -24,7 +25,8 @@
 /// begins it. Harm: each time, everything else on that server is lost. A request whose connection
 /// broke counts against a server only once that server refuses connections: a lost answer alone
 /// says nothing about the request, nor does a server that a partition hides. What was in flight at
-/// three servers when they ended is refused; innocent requests beside it are rarely at three. Reports go round among the instances.
+/// three servers when they ended is refused; innocent requests beside it are rarely at three, and
+/// one that a server has answered is innocent. Reports go round among the instances.
 class CrashWatch
 {
 public:
@@ -38,6 +40,10 @@
     /// The server refuses connections: what broke there just before is reported.
     void refused(const std::string &server, SteadyTime now);
     void reported(const CrashReport &report, SteadyTime now);
+    /// A server answered the request: it is not the cause of any end.
+    void answered(std::uint64_t fingerprint, SteadyTime now);
+    /// Whether a server has answered it within the last minutes.
+    [[nodiscard]] bool isInnocent(std::uint64_t fingerprint) const;
     [[nodiscard]] bool blocked(std::uint64_t fingerprint, SteadyTime now) const;
     /// What other instances are to be told.
     [[nodiscard]] std::vector<CrashReport> recent(SteadyTime now) const;
@@ -70,6 +76,7 @@
 
     std::map<std::string, std::vector<Suspect>> m_suspects;
     std::set<std::string> m_inDoubt;
+    RecentHashes m_answered;
     std::map<std::uint64_t, Ended> m_ended;
     std::vector<Told> m_told;
 };
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -55,6 +55,7 @@
 void RequestRelay::wholeAnswerCame(serving::ServerState &server)
 {
     m_state.servers.answered(server);
+    m_state.crashes.answered(m_fingerprint, m_state.clock.steadyNow());
 }
 
 Task<RequestRelay::AttemptEnd> RequestRelay::relayWhole(const serving::ServerStatePtr &server)
--- a/src/snipestall/serving/crash_watch.cpp
+++ b/src/snipestall/serving/crash_watch.cpp
@@ -52,8 +52,23 @@
     m_told.push_back({ report, now });
 }
 
+// Failure: a rack loses its power, and a call that many callers send with the same empty body was
+// in flight at three of its servers. It shows as that call refused to all callers for minutes.
+void CrashWatch::answered(std::uint64_t fingerprint, SteadyTime now)
+{
+    m_answered.add(fingerprint, now);
+    m_ended.erase(fingerprint);
+}
+
+bool CrashWatch::isInnocent(std::uint64_t fingerprint) const
+{
+    return m_answered.contains(fingerprint);
+}
+
 bool CrashWatch::blocked(std::uint64_t fingerprint, SteadyTime now) const
 {
+    if (isInnocent(fingerprint))
+        return false;
     const auto found = m_ended.find(fingerprint);
     return found != m_ended.end() && found->second.servers.size() >= MostServers
         && now - found->second.last <= BlockedFor;
--- a/src/snipestall/serving/crash_watch_test.cpp
+++ b/src/snipestall/serving/crash_watch_test.cpp
@@ -45,6 +45,25 @@
     EXPECT_FALSE(watch.blocked(Crashing, Start + 5s));
 }
 
+// Many callers send one call with the same empty body; it is in flight at each server of a rack
+// that loses its power. Blamed for that, it would be refused to all of them for minutes.
+TEST(CrashWatch, WhatAServerAnsweredIsBlamedForNoEnd)
+{
+    CrashWatch watch;
+    watch.answered(Crashing, Start);
+    for (const char *server : { "a", "b", "c" })
+        end(watch, server, Start + 1s);
+    EXPECT_FALSE(watch.blocked(Crashing, Start + 2s));
+    // The same when its answer comes after the ends, as of a server that did not end.
+    for (const char *server : { "a", "b", "c" }) {
+        watch.broke(Crashing + 1, server, Start + 1s);
+        watch.refused(server, Start + 1s);
+    }
+    EXPECT_TRUE(watch.blocked(Crashing + 1, Start + 2s));
+    watch.answered(Crashing + 1, Start + 2s);
+    EXPECT_FALSE(watch.blocked(Crashing + 1, Start + 2s));
+}
+
 // All streams of a server break at once. One look whether it has ended is enough for all of them.
 TEST(CrashWatch, AServerThatBrokeOffIsLookedAtOnce)
 {
