Copies of a call that nobody has answered meet at one server

Callers saw: as many servers ended as there are instances, when one call was sent at all of them at the same moment (8 of 8 servers by 5 copies on loopback): there is nothing to report before the first end. Counting every refused connection as an end of the request: an innocent one is refused by three servers of a rack. Change: for a call that no server is known to have answered, the chance is drawn from its fingerprint, so that copies meet and other calls spread as before; one that has ended a server and is turned away by the next hears its peers' reports first (0.4 s). Prompts meet by their shared parts already.

--- a/include/snipestall/gateway/backend_call.hpp
+++ b/include/snipestall/gateway/backend_call.hpp
@@ -68,6 +68,8 @@
     /// A byte of the request may have reached the server.
     /// Nobody listens at the server's address.
     [[nodiscard]] bool refused() const { return m_refused; }
+    /// The same, or the server took no connection: one that is ending resets those that wait.
+    [[nodiscard]] bool turnedAway() const { return m_turnedAway; }
     [[nodiscard]] bool maybeSent() const { return m_maybeSent; }
     /// When the last byte of the answer arrived, or the request was sent.
     [[nodiscard]] SteadyTime lastHeard() const { return m_lastHeard; }
@@ -95,6 +97,7 @@
     SteadyTime m_lastHeard;
     bool m_maybeSent = false;
     bool m_refused = false;
+    bool m_turnedAway = false;
     bool m_written = false;
     bool m_aborted = false;
 };
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -76,7 +76,8 @@
     [[nodiscard]] bool mayTryAgain(AttemptEnd last);
     /// The server's answer broke off: it may have ended of this request.
     void noteBreak(const serving::ServerStatePtr &server);
-    /// Waits, for a short time at most, until it is known whether the last server has ended.
+    /// Waits, for a short time at most, until it is known here whether the last server has ended,
+    /// and what copies of the request have ended elsewhere.
     wire::Task<void> awaitFate();
     [[nodiscard]] bool timeIsUp() const;
     [[nodiscard]] double quotaUnits() const;
@@ -131,6 +132,8 @@
     std::uint64_t m_fingerprint = 0;
     /// Key of the server that broke off last.
     std::string m_brokeAt;
+    /// The last server took no connection.
+    bool m_turnedAway = false;
     int m_runs = 0;
     int m_sends = 0;
     /// Set while an attempt runs.
--- a/include/snipestall/serving/crash_watch.hpp
+++ b/include/snipestall/serving/crash_watch.hpp
@@ -44,6 +44,8 @@
     void answered(std::uint64_t fingerprint, SteadyTime now);
     /// Whether a server has answered it within the last minutes.
     [[nodiscard]] bool isInnocent(std::uint64_t fingerprint) const;
+    /// Whether a server has ended while it was in flight there.
+    [[nodiscard]] bool hasEndedServer(std::uint64_t fingerprint) const;
     [[nodiscard]] bool blocked(std::uint64_t fingerprint, SteadyTime now) const;
     /// What other instances are to be told.
     [[nodiscard]] std::vector<CrashReport> recent(SteadyTime now) const;
--- a/include/snipestall/serving/placement.hpp
+++ b/include/snipestall/serving/placement.hpp
@@ -6,6 +6,7 @@
 #include "snipestall/serving/prompt_cache_map.hpp"
 #include "snipestall/serving/server_table.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <unordered_set>
@@ -24,6 +25,8 @@
     std::optional<Prompt> prompt;
     /// Whether another server may go on with it when this one is lost.
     bool mayRepeat = true;
+    /// Fingerprint of a request that no server is known to have answered; nothing for others.
+    std::optional<std::uint64_t> untried;
     /// Servers that this request has been sent to already, by key.
     std::unordered_set<std::string> tried;
 };
@@ -69,7 +72,10 @@
     [[nodiscard]] Placed chooseForPrompt(const Demand &demand,
                                          const std::vector<ServerStatePtr> &servers,
                                          SteadyTime now) const;
-    [[nodiscard]] Placed chooseForCall(const std::vector<ServerStatePtr> &servers, SteadyTime now);
+    [[nodiscard]] Placed chooseForCall(const Demand &demand,
+                                       const std::vector<ServerStatePtr> &servers, SteadyTime now);
+    /// From 0 to 1.
+    [[nodiscard]] double tieBreak(const Demand &demand, const ServerState &server);
     [[nodiscard]] double uncached(const Prompt &prompt, const ServerState &server,
                                   const std::string &preferred, SteadyTime now) const;
 
--- a/src/snipestall/gateway/backend_call.cpp
+++ b/src/snipestall/gateway/backend_call.cpp
@@ -87,6 +87,7 @@
     m_link->stream.expires_after(timeout);
     auto [error] = co_await m_link->stream.async_connect(remote, UseTuple);
     m_refused = error == asio::error::connection_refused;
+    m_turnedAway = m_refused || error == asio::error::connection_reset;
     if (error || m_aborted)
         co_return false;
     wire::detectLostPeer(m_link->stream.socket());
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -39,6 +39,8 @@
 /// not, and a caller waits for the repeat.
 constexpr milliseconds FateWait { 50 };
 constexpr milliseconds FateTick { 2 };
+/// In which what another instance saw is told here: two of the exchange's intervals.
+constexpr milliseconds ReportWait { 400 };
 constexpr unsigned FirstNoSuccess = 300;
 constexpr int LowestPriority = 9;
 
@@ -180,6 +182,11 @@
     const SteadyTime until = m_state.clock.steadyNow() + FateWait;
     while (m_state.crashes.inDoubt(m_brokeAt) && m_state.clock.steadyNow() < until)
         co_await wire::sleepFor(FateTick);
+    // Failure: copies of a request that ends its server meet at the same one, at several instances;
+    // one of them runs there, the others find nobody listening and go on to one server more each.
+    // So one that has broken a server already and is refused by the next hears its peers first.
+    if (m_turnedAway && m_state.crashes.hasEndedServer(m_fingerprint))
+        co_await wire::sleepFor(ReportWait);
 }
 
 Task<void> RequestRelay::finishUnserved(AttemptEnd last)
@@ -243,6 +250,7 @@
     const serving::ServerStatePtr server = placed.server;
     m_demand.tried.insert(server->key);
     ++m_sends;
+    m_turnedAway = false;
     ++m_state.counters.attempts;
     const double held = m_demand.prompt ? m_demand.prompt->promptTokens : 0;
     LoadClaim load(server, placed.unreadTokens, held);
@@ -270,6 +278,7 @@
         end = co_await takeAnswer(server);
     } else if (start == CallStart::Unreachable) {
         m_state.servers.lost(*server, m_state.clock.steadyNow());
+        m_turnedAway = call->turnedAway();
         if (call->refused())
             m_state.crashes.refused(server->key, m_state.clock.steadyNow());
         end = AttemptEnd::NotRun;
--- a/src/snipestall/serving/crash_watch.cpp
+++ b/src/snipestall/serving/crash_watch.cpp
@@ -65,6 +65,11 @@
     return m_answered.contains(fingerprint);
 }
 
+bool CrashWatch::hasEndedServer(std::uint64_t fingerprint) const
+{
+    return m_ended.contains(fingerprint);
+}
+
 bool CrashWatch::blocked(std::uint64_t fingerprint, SteadyTime now) const
 {
     if (isInnocent(fingerprint))
--- a/src/snipestall/serving/crash_watch_test.cpp
+++ b/src/snipestall/serving/crash_watch_test.cpp
@@ -76,6 +76,8 @@
     EXPECT_TRUE(watch.broke(3, "a", Start + 1s));
     watch.refused("a", Start + 1s);
     EXPECT_FALSE(watch.inDoubt("a"));
+    for (const std::uint64_t fingerprint : { 1, 2, 3 })
+        EXPECT_TRUE(watch.hasEndedServer(fingerprint));
 }
 
 TEST(CrashWatch, InstancesAddUpWhatTheySaw)
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -98,7 +98,7 @@
         return std::nullopt;
     if (demand.prompt && demand.service->engine)
         return chooseForPrompt(demand, servers, now);
-    return chooseForCall(servers, now);
+    return chooseForCall(demand, servers, now);
 }
 
 double Placement::uncached(const Prompt &prompt, const ServerState &server,
@@ -140,7 +140,22 @@
     return best;
 }
 
-Placed Placement::chooseForCall(const std::vector<ServerStatePtr> &servers, SteadyTime now)
+// Load: instances that see the same figures choose at the same moment. Harm: all choose the same
+// server; so it is left to chance. Failure: copies of a request that ends its server, sent at many
+// instances at once, end as many servers before the first of them is known to have ended. Chance is
+// drawn from a request that nobody has answered yet, so that its copies meet at one server while
+// other requests still spread; once answered, it may be sent by thousands.
+double Placement::tieBreak(const Demand &demand, const ServerState &server)
+{
+    if (!demand.untried)
+        return m_random.uniform();
+    const std::uint64_t drawn = stableHash(std::to_string(*demand.untried) + server.key);
+    return static_cast<double>(drawn)
+        / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
+Placed Placement::chooseForCall(const Demand &demand, const std::vector<ServerStatePtr> &servers,
+                                SteadyTime now)
 {
     Placed best;
     double bestCost = std::numeric_limits<double>::infinity();
@@ -149,11 +164,10 @@
         load += server->own;
         const double slots = std::max(server->info.slots, 1);
         // A failure costs the caller a second attempt, so a server that fails a part of its
-        // requests counts as that much fuller. The random part keeps instances that see the same
-        // figures from choosing the same server at the same moment.
+        // requests counts as that much fuller.
         const bool elsewhere = server->info.dataCentre != m_dataCentre;
         const double cost = load.inFlight / slots + server->health.failureRate()
-            + m_random.uniform() / slots + (elsewhere ? CostElsewhere : 0);
+            + tieBreak(demand, *server) / slots + (elsewhere ? CostElsewhere : 0);
         if (cost >= bestCost)
             continue;
         bestCost = cost;
--- a/src/snipestall/serving/placement_test.cpp
+++ b/src/snipestall/serving/placement_test.cpp
@@ -168,6 +168,22 @@
     EXPECT_EQ(m_placement.choose(call(), Start)->server->info.id, "ledger-3");
 }
 
+// Copies of a call that ends its server, sent at several instances at once, would end a server
+// each. Calls that differ go on spreading by chance.
+TEST_F(PlacementTest, CopiesOfAnUntriedCallMeetAtOneServer)
+{
+    Placement other(m_servers, m_peers, "east", Seed + 1);
+    std::set<std::string> used;
+    for (std::uint64_t fingerprint = 1; fingerprint <= 40; ++fingerprint) {
+        Demand demand = call();
+        demand.untried = fingerprint;
+        const std::string server = m_placement.choose(demand, Start)->server->key;
+        EXPECT_EQ(other.choose(demand, Start)->server->key, server);
+        used.insert(server);
+    }
+    EXPECT_EQ(used.size(), 4U);
+}
+
 // Callers get failures from a server whose health check is good: it answers fastest, so it always
 // has the fewest requests in flight and draws the most.
 TEST_F(PlacementTest, AServerThatFailsItsRequestsDrawsFewerOfThem)
--- a/tests/gateway/crashing_request_test.cpp
+++ b/tests/gateway/crashing_request_test.cpp
@@ -85,5 +85,33 @@
     });
 }
 
+// One caller sends the same call at every instance at the same moment, and each instance gives it
+// to a server of its own choice: as many servers end as there are instances, before any of them can
+// have told the others.
+TEST_F(CrashingRequestTest, CopiesAtSeveralInstancesAtOnceEndThreeServers)
+{
+    constexpr std::size_t Others = 5;
+    std::vector<Instance> others;
+    others.reserve(Others);
+    for (std::size_t i = 0; i < Others; ++i)
+        others.push_back(startInstance(settingsOf("edge-" + std::to_string(i + 2))));
+    behave(Behaviour::End);
+    run([&]() -> Task<void> {
+        co_await untilServing(m_metrics, Servers);
+        for (const Instance &instance : others)
+            co_await untilServing(instance.metrics, Servers);
+        std::size_t answers = 0;
+        const auto sendCopy = [&](wire::Endpoint callers) -> Task<void> {
+            co_await fetch(std::move(callers), "/safe/x", "POST");
+            ++answers;
+        };
+        for (const Instance &instance : others)
+            boost::asio::co_spawn(m_io, sendCopy(instance.callers), boost::asio::detached);
+        while (answers < Others)
+            co_await wire::sleepFor(std::chrono::milliseconds(5));
+        EXPECT_LE(ended(), MostEnded);
+    });
+}
+
 } // namespace
 } // namespace snipestall::gateway
