An owner tells the home of every server that died with a request

Callers could lose a third server's streams to one prompt: its owner lost two, named one of them in its answer, and the home, where the peers' reports were still under way, held one death against it. Cause: the final event of a forward carried one name, and the home noted it on the request only, not in its ledger. Change: all names, noted in the ledger before the policy is told of the end; refuseQuarantined then holds.

--- a/include/snipestall/entry/dispatcher.hpp
+++ b/include/snipestall/entry/dispatcher.hpp
@@ -3,6 +3,7 @@
 #include "snipestall/base/result.hpp"
 #include "snipestall/entry/command_sink.hpp"
 #include "snipestall/entry/request.hpp"
+#include "snipestall/peer/messages.hpp"
 #include "snipestall/wire/task.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -124,6 +125,8 @@
     void giveBackClaim(Request &request);
     void storeUnknown(const Attempt &attempt);
     void noteCrash(const Attempt &attempt);
+    /// What an owner tells of servers that died with a request.
+    void noteCrashes(const Request &request, const peer::v1::ForwardEvent &event);
     bool takeToken(Attempt &attempt, const std::string &data);
     void answered(Attempt &attempt, int status, std::string contentType, std::string body);
     void declined(Attempt &attempt, std::chrono::milliseconds retryAfter);
--- a/src/snipestall/entry/attempt_on_peer.cpp
+++ b/src/snipestall/entry/attempt_on_peer.cpp
@@ -1,5 +1,6 @@
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
+#include "snipestall/entry/crash_ledger.hpp"
 #include "snipestall/entry/dispatcher.hpp"
 #include "snipestall/entry/policy_loop.hpp"
 #include "snipestall/entry/request_store.hpp"
@@ -88,6 +89,17 @@
     ended(attempt, policy::AttemptResult::Cut);
 }
 
+// Failure: an owner loses two servers to a request and says so, but its report of them comes after
+// its answer; the home, which knows of one death at most, begins the request on a third server.
+void Dispatcher::noteCrashes(const Request &request, const ForwardEvent &event)
+{
+    const RequestSpec &spec = request.spec();
+    const std::uint64_t fingerprint =
+        CrashLedger::fingerprint(spec.customer, spec.service, spec.body);
+    for (const std::string &server : event.crashed_servers())
+        m_links.crashes->note({ fingerprint, server }, std::chrono::steady_clock::now());
+}
+
 wire::Task<void> Dispatcher::readForward(Attempt &attempt, peer::ForwardCall &call)
 {
     const RequestPtr request = attempt.request;
@@ -103,6 +115,7 @@
             co_return;
         }
         FinalAnswer answer = answerOf(event);
+        noteCrashes(*request, event);
         switch (event.kind()) {
         case ForwardEvent::SENDING:
             request->markSent();
--- a/src/snipestall/entry/forward_relay.cpp
+++ b/src/snipestall/entry/forward_relay.cpp
@@ -39,6 +39,8 @@
     event.set_reason(answer.reason);
     event.set_code(answer.code);
     event.set_retry_after_ms(static_cast<std::uint32_t>(answer.retryAfter.count()));
+    for (const std::string &server : request.crashedServers())
+        event.add_crashed_servers(server);
     if (!request.crashedServers().empty()) {
         event.set_server_died(true);
         event.set_server(*request.crashedServers().rbegin());
