The crashing request is sent once all neighbours have arrived

Cause, by the entries' lines of all three: 501 'late' of the neighbour 6 s before the first engine's death, and 500 of the crashing request a millisecond before the neighbour's own: the thread of the neighbour's call started after the crashing request had been sent, which took the last slot. The refusal was true and named a time. Ruled out: a lost stream; the neighbour never began. The first tries' order and the offers of what waits: neither has a line of the request. Change: the test waits until its entries have taken in all neighbours (event 500) before it sends the crashing request; every bound and check stays, and the order that its story tells now holds. Conclusion: an order of the test's own; nothing in the product was changed for it.

--- a/tests/proof/crashing_request_test.cpp
+++ b/tests/proof/crashing_request_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <future>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,21 @@
         });
     }
 
+    /// Calls of callers that the entries have taken in, by their logs.
+    int callsTakenIn()
+    {
+        int calls = 0;
+        for (const EntrySpec &entry : topology().spec().entries) {
+            std::istringstream log(
+                readFile(topology().directory().path() + "/" + entry.name + ".log"));
+            for (std::string line; std::getline(log, line);) {
+                const bool arrival = line.find("request-accepted") != std::string::npos;
+                calls += arrival && line.find("from=\"caller\"") != std::string::npos ? 1 : 0;
+            }
+        }
+        return calls;
+    }
+
     std::int64_t enginesDead()
     {
         const auto &servers = topology().spec().servers;
@@ -71,12 +87,16 @@
             server.arguments = { "--token_ms=20", "--slots=4" };
         start(std::move(spec));
         const auto &entries = topology().spec().entries;
+        const int before = callsTakenIn();
         std::vector<std::future<Answer>> neighbours;
         for (int i = 0; i < neighbourCount; ++i) {
             const auto &entry = entries[static_cast<std::size_t>(i) % entries.size()].name;
             const auto request = completion("neighbour " + std::to_string(i), Tokens, true);
             neighbours.push_back(callLater(topology().callers(entry), request));
         }
+        // On a busy machine the thread of a neighbour's call starts late: overtaken by the crashing
+        // request, which takes the last slot, it is refused before any engine has died.
+        ASSERT_TRUE(waitUntil([&] { return callsTakenIn() == before + neighbourCount; }));
         ASSERT_TRUE(waitUntil([this] { return everyEngineRuns(); }));
         const std::string told = order == Order::AtOnce ? atOnce() : oneAfterTheOther();
         for (int i = 0; i < neighbourCount; ++i) {
