Counts of an old window are removed in calls that the store takes

What operators saw: "the store refused POST /v1/rows-tx: over 100 entries or 1 MB" on fleets of over a hundred instances. Nothing of the usage was lost by it: the rows of a window that had been reported stayed for good, 295 for each five seconds, and the store's room with them.

Cause: the holder of the duty removes all processes' counts of a window in one transaction. Found by reading each write whose size follows the number of instances: the others hold one row or two. Ruled out: usage or a list refused.

--- a/src/snipestall/gateway/duty_runner.cpp
+++ b/src/snipestall/gateway/duty_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "duty_rows.hpp"
 #include "platform/store_client.hpp"
+#include "platform/write_batches.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
@@ -306,10 +307,12 @@
     std::vector<platform::RowWrite> removals;
     for (const platform::StoredRow &row : rows->rows)
         removals.push_back({ row.name, std::nullopt });
-    const auto done = co_await m_store.write({}, std::move(removals), StoreTimeout);
-    if (!done)
-        logEvent(events::StoreLost,
-                 { { "table", CountsTable }, { "error", done.error().message } });
+    for (std::vector<platform::RowWrite> &batch : platform::splitIntoBatches(std::move(removals))) {
+        const auto done = co_await m_store.write({}, std::move(batch), StoreTimeout);
+        if (!done)
+            logEvent(events::StoreLost,
+                     { { "table", CountsTable }, { "error", done.error().message } });
+    }
 }
 
 } // namespace snipestall::gateway
