Calls to the store follow the roles of instances, not their number

Counted by kind on the twin of 18 instances (trial, a print in the client): of 1,569 calls 702 polls of the servers' table (306 before traffic: every instance polls until it knows the others, and every notice ends every poll), 300 polls of the configuration, 203 writes of usage counts, 125 reads of the instances (each five in three seconds), 130 for the lease and the time.

Change: changes in a row are read together (200 ms apart at least, far below the bound of a notice); an instance reads for others, or competes for the lease, only once it knows the others; those that are no hub leave the lease to the hubs unless no holder is heard for two lengths of it; the instances are read twice, not five times; the time of day comes with the exchange at the first start, and by one read after a restart.

Tests failed first: ListingTest.ChangesThatComeInARowAreReadTogether (128 polls where 10 are allowed), DutyLease's two. Left: usage counts are still a write for each instance and window.

--- a/include/snipestall/gateway/duty_runner.hpp
+++ b/include/snipestall/gateway/duty_runner.hpp
@@ -30,6 +30,8 @@
 
     void start();
     [[nodiscard]] bool holdsLease() const;
+    /// Whether this instance is one of the few that compete for the lease.
+    void setCandidate(bool candidate);
     /// A peer says that it holds the lease.
     void holderHeard();
     /// Stores what was counted and gives the lease up.
@@ -66,6 +68,8 @@
     platform::DutyClient m_duties;
     serving::DutyLease m_lease;
     bool m_held = false;
+    bool m_candidate = true;
+    SteadyTime m_startedAt;
     /// Windows whose own counts are stored.
     std::int64_t m_storedUpTo = 0;
     /// Windows reported by this instance while it holds the lease.
--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -35,11 +35,13 @@
 {
 public:
     /// `holdsLease` tells whether this instance acts on behalf of all; `holderHeard` is called
-    /// when a peer says that it does.
+    /// when a peer says that it does; `setCandidate` is told whether this instance is one of the
+    /// few that are to compete for that.
     struct Hooks
     {
         std::function<bool()> holdsLease;
         std::function<void()> holderHeard;
+        std::function<void(bool)> setCandidate;
     };
 
     static Result<std::unique_ptr<LoadExchange>>
@@ -71,6 +73,8 @@
     wire::Task<bool> registerSelf();
     wire::Task<bool> readInstances();
     void callPeers();
+    /// Tells the others of this process what the overlay makes of this instance.
+    void takeRole();
     void call(const std::string &name, Peer &peer);
     void setAddress(const std::string &name, const std::string &address,
                     const std::string &dataCentre);
@@ -99,6 +103,8 @@
     /// The hub that told this instance of the fleet last.
     std::string m_hub;
     ReportBook m_book;
+    /// The table has been read after the instances that start together had registered themselves.
+    bool m_listSettled = false;
 };
 
 } // namespace snipestall::gateway
--- a/include/snipestall/gateway/store_follower.hpp
+++ b/include/snipestall/gateway/store_follower.hpp
@@ -84,7 +84,7 @@
     platform::StoreClient &m_store;
     Feed m_config;
     Feed m_list;
-    bool m_reader = true;
+    bool m_reader = false;
     serving::LapseWindow m_lapse;
     std::unordered_set<std::string> m_faultyLogged;
     std::function<void()> m_changed;
--- a/include/snipestall/gateway/true_time.hpp
+++ b/include/snipestall/gateway/true_time.hpp
@@ -20,6 +20,7 @@
     void storeAnswered(std::chrono::milliseconds storeTime, SteadyTime now);
     /// Time of day at the store's zero.
     void setOffset(std::chrono::milliseconds offset) { m_offset = offset; }
+    [[nodiscard]] std::optional<std::chrono::milliseconds> offset() const { return m_offset; }
     [[nodiscard]] bool known() const { return m_offset && m_lead; }
     [[nodiscard]] bool storeClockKnown() const { return m_lead.has_value(); }
     /// Offset that this instance's time of day gives.
--- a/include/snipestall/serving/duty_lease.hpp
+++ b/include/snipestall/serving/duty_lease.hpp
@@ -39,6 +39,12 @@
     /// `self` must be new for each process, or a restarted one would inherit its old lease.
     DutyLease(std::string self, std::chrono::milliseconds length);
 
+    /// Whether this instance is one of the few that compete for the lease; all do by default. The
+    /// others step in when no holder has been heard for a while.
+    ///
+    /// Load: hundreds of instances start at once, or lose the holder at once. Harm: each reads the
+    /// row and tries to write it, and all but one in vain.
+    void setCandidate(bool candidate, SteadyTime now);
     [[nodiscard]] bool holds(SteadyTime now) const;
     [[nodiscard]] std::int64_t fence() const { return m_row.fence; }
     /// Whether the row should be read or written now, given when the holder was last heard of.
@@ -57,6 +63,8 @@
 
 private:
     [[nodiscard]] bool isOwn() const { return m_row.holder == m_self; }
+    /// Leaves the lease to the candidates.
+    [[nodiscard]] bool standsBy(SteadyTime now) const;
     [[nodiscard]] std::chrono::milliseconds renewEvery() const { return m_length / 3; }
 
     std::string m_self;
@@ -65,6 +73,8 @@
     std::int64_t m_version = 0;
     bool m_known = false;
     bool m_mustRead = true;
+    /// Set while this instance is no candidate.
+    std::optional<SteadyTime> m_standbySince;
     SteadyTime m_validUntil;
     SteadyTime m_renewedAt;
     /// When the present version was first seen.
--- a/src/snipestall/gateway/duty_runner.cpp
+++ b/src/snipestall/gateway/duty_runner.cpp
@@ -36,6 +36,9 @@
 
 constexpr milliseconds LeaseTick { 100 };
 constexpr milliseconds UsageTick { 200 };
+/// When all instances start for the first time, one of few writes the time and the others hear of
+/// it within some intervals.
+constexpr milliseconds TimeFromPeersWithin { 2000 };
 /// After the end of a window every instance has stored its counts; a fifth of the default window.
 constexpr milliseconds CountsDelay { 1000 };
 /// Windows whose counts are kept in memory and told to peers; a report is due two windows late.
@@ -85,6 +88,7 @@
 
 void DutyRunner::start()
 {
+    m_startedAt = m_state.clock.steadyNow();
     boost::asio::co_spawn(m_state.io, leaseLoop(), boost::asio::detached);
     boost::asio::co_spawn(m_state.io, usageLoop(), boost::asio::detached);
     boost::asio::co_spawn(m_state.io, fleetLoop(), boost::asio::detached);
@@ -95,6 +99,12 @@
     return !m_state.draining && m_lease.holds(m_state.clock.steadyNow());
 }
 
+void DutyRunner::setCandidate(bool candidate)
+{
+    m_candidate = candidate;
+    m_lease.setCandidate(candidate, m_state.clock.steadyNow());
+}
+
 void DutyRunner::holderHeard()
 {
     m_lease.holderHeard(m_state.clock.steadyNow());
@@ -161,8 +171,17 @@
 {
     if (m_state.trueTime.known() || !m_state.trueTime.storeClockKnown())
         co_return;
-    const auto offset =
-        m_state.trueTime.localOffset(m_state.clock.wallNow(), m_state.clock.steadyNow());
+    const SteadyTime now = m_state.clock.steadyNow();
+    if (m_state.settings.firstStart) {
+        if (!m_candidate && now - m_startedAt < TimeFromPeersWithin)
+            co_return;
+    } else {
+        // Others agreed on it long ago. Requests that begin before it is known here go uncounted.
+        co_await readLease();
+        if (m_state.trueTime.known())
+            co_return;
+    }
+    const auto offset = m_state.trueTime.localOffset(m_state.clock.wallNow(), now);
     // The first instance to write decides for all; the others read its row.
     std::vector<platform::RowCondition> conditions { { dutyRow(TimeOffsetKey), 0 } };
     std::vector<platform::RowWrite> writes { { dutyRow(TimeOffsetKey),
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -83,7 +83,8 @@
     auto parts = std::make_unique<Parts>(io, std::move(settings));
     Parts *raw = parts.get();
     LoadExchange::Hooks hooks { [raw] { return raw->duties.holdsLease(); },
-                                [raw] { raw->duties.holderHeard(); } };
+                                [raw] { raw->duties.holderHeard(); },
+                                [raw](bool candidate) { raw->duties.setCandidate(candidate); } };
     auto exchange = LoadExchange::create(raw->state, raw->store, raw->follower, std::move(hooks));
     if (!exchange)
         return tl::unexpected<Error>(exchange.error());
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -30,9 +30,10 @@
 constexpr milliseconds SilentAfter { 1500 };
 /// The table is read rarely; a new instance calls all others itself.
 constexpr milliseconds ReadEvery { 60000 };
-/// Until then instances that start together are still registering themselves.
-constexpr milliseconds ReadSoonFor { 3000 };
-constexpr milliseconds ReadSoonEvery { 700 };
+/// Instances that start together have registered themselves by then. One that is missed calls its
+/// hub or the other hubs itself.
+constexpr milliseconds ReadAgainAfter { 700 };
+constexpr milliseconds ReadAgainJitter { 300 };
 constexpr milliseconds StoreTimeout { 1500 };
 constexpr milliseconds RetryPause { 300 };
 /// Between data centre and address in a row of the table.
@@ -126,14 +127,19 @@
 {
     while (!co_await registerSelf())
         co_await wire::sleepFor(RetryPause);
-    const SteadyTime begun = m_state.clock.steadyNow();
+    milliseconds pause = ReadAgainAfter;
+    milliseconds jitter = ReadAgainJitter;
     while (true) {
-        const bool read = co_await readInstances();
-        const bool soon = m_state.clock.steadyNow() - begun < ReadSoonFor;
-        const auto jitter = static_cast<std::int64_t>(
-            m_state.random.below(static_cast<std::uint64_t>(ReadEvery.count() / 4)));
-        const milliseconds pause = soon ? ReadSoonEvery : ReadEvery + milliseconds(jitter);
-        co_await wire::sleepFor(read ? pause : RetryPause);
+        if (!co_await readInstances()) {
+            co_await wire::sleepFor(RetryPause);
+            continue;
+        }
+        const auto extra = static_cast<std::int64_t>(
+            m_state.random.below(static_cast<std::uint64_t>(jitter.count())));
+        co_await wire::sleepFor(pause + milliseconds(extra));
+        m_listSettled = true;
+        pause = ReadEvery;
+        jitter = ReadEvery / 4;
     }
 }
 
@@ -161,7 +167,16 @@
     const SteadyTime now = m_state.clock.steadyNow();
     for (const std::string &name : m_calls.due(now, m_book.hasMembers(now)))
         call(name, m_peers.at(name));
-    m_follower.setReader(m_calls.overlay().isReader());
+    takeRole();
+}
+
+void LoadExchange::takeRole()
+{
+    // Alone, as it seems before the others are known, every instance would read for all, and
+    // compete for the lease.
+    const serving::Overlay &overlay = m_calls.overlay();
+    m_follower.setReader(m_listSettled && overlay.isReader());
+    m_hooks.setCandidate(m_listSettled && overlay.isHub());
 }
 
 void LoadExchange::call(const std::string &name, Peer &peer)
@@ -191,6 +206,8 @@
     report.set_instances(1);
     report.set_heard_instances(1);
     report.set_process(m_state.processName());
+    if (const auto offset = m_state.trueTime.offset())
+        report.set_time_offset_ms(offset->count());
     report.set_holds_lease(m_hooks.holdsLease());
     for (const auto &[id, server] : m_state.servers.all()) {
         if (server->own.inFlight == 0)
@@ -337,6 +354,9 @@
     else
         takeSums(report, now);
     m_state.retries.setInstances(instances());
+    // The first to write it to the store decided for all: every instance has the same.
+    if (report.has_time_offset_ms() && !m_state.trueTime.offset())
+        m_state.trueTime.setOffset(milliseconds(report.time_offset_ms()));
     takeUsage(report);
     takeTables(report, peer);
     for (const v1::Crash &crash : report.crashes())
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -27,6 +27,9 @@
 /// What the answer of a long poll may take beyond the wait that was asked for.
 constexpr milliseconds AnswerSlack { 700 };
 constexpr milliseconds ReadTimeout { 1500 };
+/// Least time from one poll to the next: changes that come in a row are read together. Each would
+/// otherwise end the polls of all readers by itself. Far below what a notice of leaving may take.
+constexpr milliseconds PollSpacing { 200 };
 /// How often an instance that does not read looks whether it has to.
 constexpr milliseconds FollowTick { 50 };
 constexpr milliseconds ReportDelay { 700 };
@@ -104,9 +107,14 @@
             co_await wire::sleepFor(FollowTick);
             continue;
         }
-        const bool ok = co_await step(feed);
-        if (ok)
+        const SteadyTime begun = m_state.clock.steadyNow();
+        if (co_await step(feed)) {
+            const auto spent =
+                std::chrono::duration_cast<milliseconds>(m_state.clock.steadyNow() - begun);
+            if (spent < PollSpacing)
+                co_await wire::sleepFor(PollSpacing - spent);
             continue;
+        }
         const auto extra = static_cast<std::int64_t>(
             m_state.random.below(static_cast<std::uint64_t>(RetryPause.count())));
         co_await wire::sleepFor(RetryPause + milliseconds(extra));
--- a/src/snipestall/serving/duty_lease.cpp
+++ b/src/snipestall/serving/duty_lease.cpp
@@ -1,5 +1,6 @@
 #include "snipestall/serving/duty_lease.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace snipestall::serving {
@@ -9,6 +10,8 @@
 /// The holder stops acting this much before its lease ends: an act that is on its way arrives
 /// before anyone else may act.
 constexpr std::chrono::milliseconds StopEarly { 1000 };
+/// In lengths of the lease: by then a candidate that lives has taken a lease that lapsed.
+constexpr int StandbyLeases = 2;
 
 } // namespace
 
@@ -17,6 +20,22 @@
     , m_length(length)
 { }
 
+void DutyLease::setCandidate(bool candidate, SteadyTime now)
+{
+    if (candidate)
+        m_standbySince.reset();
+    else if (!m_standbySince)
+        m_standbySince = now;
+}
+
+bool DutyLease::standsBy(SteadyTime now) const
+{
+    // What came of a write of its own is only known from a read.
+    if (!m_standbySince || isOwn() || (m_known && m_mustRead))
+        return false;
+    return now - std::max(*m_standbySince, m_holderHeard) < StandbyLeases * m_length;
+}
+
 bool DutyLease::holds(SteadyTime now) const
 {
     return m_known && isOwn() && now < m_validUntil - StopEarly;
@@ -24,6 +43,8 @@
 
 bool DutyLease::wantsRead(SteadyTime now) const
 {
+    if (standsBy(now))
+        return false;
     if (m_mustRead)
         return true;
     if (holds(now))
@@ -34,7 +55,7 @@
 
 std::optional<LeaseWrite> DutyLease::wantsWrite(SteadyTime now) const
 {
-    if (!m_known || m_mustRead)
+    if (!m_known || m_mustRead || standsBy(now))
         return std::nullopt;
     if (isOwn()) {
         if (now - m_renewedAt < renewEvery())
--- a/src/snipestall/serving/duty_lease_test.cpp
+++ b/src/snipestall/serving/duty_lease_test.cpp
@@ -57,6 +57,40 @@
     EXPECT_EQ(row.row().fence, 1);
 }
 
+// The store is called a thousand times in a few seconds when hundreds of instances start, or lose
+// the holder, at the same moment: each reads the lease and tries to write it.
+TEST(DutyLease, InstancesThatStandByLeaveTheLeaseToTheCandidates)
+{
+    Row row;
+    DutyLease candidate("a/1", 3s);
+    DutyLease other("b/1", 3s);
+    int reads = 0;
+    for (SteadyTime now = Start; now < Start + 20s; now += 100ms) {
+        other.setCandidate(false, now);
+        step(candidate, row, now);
+        if (candidate.holds(now))
+            other.holderHeard(now);
+        reads += other.wantsRead(now) ? 1 : 0;
+        step(other, row, now);
+    }
+    EXPECT_EQ(reads, 0);
+    EXPECT_EQ(row.row().holder, "a/1");
+}
+
+// Usage goes unreported and nothing is ordered: all candidates are gone.
+TEST(DutyLease, AnInstanceThatStandsByStepsInWhenNoCandidateDoes)
+{
+    Row row;
+    DutyLease other("b/1", 3s);
+    other.setCandidate(false, Start);
+    for (SteadyTime now = Start; now < Start + 8s; now += 100ms) {
+        other.setCandidate(false, now);
+        step(other, row, now);
+        EXPECT_FALSE(other.holds(now) && now < Start + 6s);
+    }
+    EXPECT_TRUE(other.holds(Start + 8s));
+}
+
 // Two instances order servers in turns: the holder is suspended for longer than its lease, another
 // one takes over, and the first goes on where it was when it wakes.
 TEST(DutyLease, ASuspendedHolderDoesNotActWhenItWakes)
--- a/tests/gateway/listing_test.cpp
+++ b/tests/gateway/listing_test.cpp
@@ -51,6 +51,28 @@
     }
 };
 
+// The store is called tens of times for one wave of reclaimed servers, by each instance that reads:
+// every notice ends the poll that waits, and the next poll is ended by the next notice.
+TEST_F(ListingTest, ChangesThatComeInARowAreReadTogether)
+{
+    publish();
+    run([this]() -> Task<void> {
+        co_await untilServing();
+        // Until it is known to be the only instance, it does not read for others.
+        while (m_store.polls() < 2)
+            co_await wire::sleepFor(5ms);
+        const std::size_t before = m_store.polls();
+        const auto begun = std::chrono::steady_clock::now();
+        for (int i = 0; i < JunkEntries; ++i) {
+            m_store.put({ "servers", "", m_first.id() }, m_first.entry());
+            co_await wire::sleepFor(2ms);
+        }
+        const auto passed = std::chrono::steady_clock::now() - begun;
+        // Two tables, each polled once in 200 ms at most, and the polls that were waiting.
+        EXPECT_LE(m_store.polls() - before, 2 * (passed / 200ms + 2));
+    });
+}
+
 // Every request is refused although servers stand ready: another program wrote into the table of
 // the servers, and one entry that could not be decoded spoiled the page that held the others.
 TEST_F(ListingTest, EntriesFromAnotherWriterSpoilNothing)
