Hubs store the usage counts of their members

Change: a hub stores what its members have told it of a window, thirty processes a row, and tells each member up to which window its counts are stored; a member stores its own only when it has not been told in time (1.5 s after the end) or its hub is silent.

Ruled out: sums by the hubs, which could not be told apart from a member's own row.

--- a/include/snipestall/gateway/duty_runner.hpp
+++ b/include/snipestall/gateway/duty_runner.hpp
@@ -49,6 +49,11 @@
     /// Stores this instance's counts of every window that has ended.
     wire::Task<void> storeCounts();
     wire::Task<bool> storeCountsOf(std::int64_t window);
+    /// As a hub: stores what is known of the windows that have ended, for the members.
+    wire::Task<void> storeMembersCounts();
+    wire::Task<bool> storeMembersCountsOf(std::int64_t window);
+    /// How long ago a window ended, in true time.
+    [[nodiscard]] std::chrono::milliseconds sinceEndOf(std::int64_t window) const;
     /// Reports the windows that are due, oldest first.
     wire::Task<void> reportDue();
     wire::Task<bool> report(std::int64_t window);
@@ -72,6 +77,7 @@
     SteadyTime m_startedAt;
     /// Windows whose own counts are stored.
     std::int64_t m_storedUpTo = 0;
+    std::int64_t m_membersStoredUpTo = 0;
     /// Windows reported by this instance while it holds the lease.
     std::int64_t m_reportedUpTo = 0;
     std::map<std::string, serving::FleetPlanner> m_planners;
--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -14,6 +14,7 @@
 #include "snipestall/serving/crash_watch.hpp"
 #include "snipestall/serving/demand_meter.hpp"
 #include "snipestall/serving/latency_pressure.hpp"
+#include "snipestall/serving/member_usage.hpp"
 #include "snipestall/serving/peer_loads.hpp"
 #include "snipestall/serving/placement.hpp"
 #include "snipestall/serving/quota_keeper.hpp"
@@ -58,6 +59,7 @@
     serving::LatencyPressure latency;
     serving::DemandMeter demand;
     serving::UsageLedger usageLedger;
+    serving::MemberUsage memberUsage;
     serving::CrashWatch crashes;
     TrueTime trueTime;
     BackendPool backends;
--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -58,6 +58,7 @@
     struct Peer
     {
         std::string address;
+        std::string process;
         SteadyTime heard;
         /// How far its copies of the tables go.
         std::map<std::string, std::int64_t> versions;
--- a/include/snipestall/serving/usage_ledger.hpp
+++ b/include/snipestall/serving/usage_ledger.hpp
@@ -19,6 +19,8 @@
 public:
     void said(std::int64_t window, const std::string &process, const UsageCounts &counts);
     [[nodiscard]] bool knows(std::int64_t window, const std::string &process) const;
+    /// What each process said of a window.
+    [[nodiscard]] std::map<std::string, UsageCounts> of(std::int64_t window) const;
     /// Sum over all processes.
     [[nodiscard]] UsageCounts total(std::int64_t window) const;
     void dropBefore(std::int64_t window);
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -229,6 +229,10 @@
         work->set_service(service);
         work->set_seconds(seconds);
     }
+    if (m_state.trueTime.known()) {
+        const WallTime time = m_state.trueTime.at(m_state.clock.steadyNow());
+        report.set_usage_closed_up_to(m_state.usage.windowOf(time) - 1);
+    }
     for (const auto &[window, counts] : m_state.usage.all()) {
         v1::UsageCount *usage = report.add_usage();
         usage->set_window(window);
@@ -249,6 +253,8 @@
         m_book.reportFor(receiver, ownReport(), asMember, m_state.clock.steadyNow());
     const auto found = m_peers.find(receiver);
     const Peer *peer = found == m_peers.end() ? nullptr : &found->second;
+    if (report.for_member() && peer != nullptr)
+        report.set_usage_stored_up_to(m_state.memberUsage.storedUpTo(peer->process));
     addTable(m_follower.config(), peer, report);
     addTable(m_follower.list(), peer, report);
     return report;
@@ -297,6 +303,10 @@
 
 void LoadExchange::takeUsage(const v1::LoadReport &report)
 {
+    if (report.for_member())
+        m_state.memberUsage.hubStored(report.usage_stored_up_to(), m_state.clock.steadyNow());
+    if (report.to_hub())
+        m_state.memberUsage.closed(report.process(), report.usage_closed_up_to());
     for (const v1::UsageCount &usage : report.usage()) {
         const serving::UsageCounts counts(usage.customers().begin(), usage.customers().end());
         m_state.usageLedger.said(usage.window(), report.process(), counts);
@@ -348,6 +358,7 @@
                  { { "peer", report.instance() }, { "address", peer.address } });
     peer.silent = false;
     peer.heard = now;
+    peer.process = report.process();
     m_book.take(report, now);
     if (m_book.isCovered(report, now))
         forgetSums(report.instance());
--- /dev/null
+++ b/src/snipestall/serving/member_usage_test.cpp
@@ -0,0 +1,59 @@
+#include "snipestall/serving/member_usage.hpp"
+
+#include <gtest/gtest.h>
+
+namespace snipestall::serving {
+namespace {
+
+using namespace std::chrono_literals;
+
+const SteadyTime Start { 100s };
+
+// Customers are billed too little: a hub stores what a member told it while the window still ran,
+// and the member, which has counted more since, takes its counts for stored.
+TEST(MemberUsage, OnlyFinalCountsAreSaidToBeStored)
+{
+    MemberUsage usage;
+    usage.closed("done/1", 7);
+    usage.closed("late/1", 6);
+    EXPECT_EQ(usage.finalIn(7), std::vector<std::string> { "done/1" });
+    usage.stored(usage.finalIn(7), 7);
+    EXPECT_EQ(usage.storedUpTo("done/1"), 7);
+    EXPECT_EQ(usage.storedUpTo("late/1"), 0);
+    EXPECT_EQ(usage.storedUpTo("unknown/1"), 0);
+}
+
+// Customers are billed too little: the hub of an instance is killed before it has stored the counts
+// of the window that has just ended.
+TEST(MemberUsage, AMemberWhoseHubDoesNotStoreInTimeStoresItself)
+{
+    MemberUsage usage;
+    EXPECT_FALSE(usage.leftToHub(0ms, Start));
+    usage.hubStored(6, Start);
+    EXPECT_TRUE(usage.storedByHub(6));
+    EXPECT_FALSE(usage.storedByHub(7));
+    EXPECT_TRUE(usage.leftToHub(500ms, Start + 500ms));
+    EXPECT_FALSE(usage.leftToHub(1100ms, Start + 1100ms));
+    usage.hubStored(6, Start + 1400ms);
+    EXPECT_FALSE(usage.leftToHub(1500ms, Start + 1500ms));
+}
+
+TEST(MemberUsage, AnotherHubThatHasStoredLessUndoesNothing)
+{
+    MemberUsage usage;
+    usage.hubStored(6, Start);
+    usage.hubStored(0, Start + 1s);
+    EXPECT_TRUE(usage.storedByHub(6));
+}
+
+TEST(MemberUsage, MembersThatStoppedAreForgotten)
+{
+    MemberUsage usage;
+    usage.closed("gone/1", 3);
+    usage.closed("here/1", 9);
+    usage.dropBefore(6);
+    EXPECT_EQ(usage.finalIn(1), std::vector<std::string> { "here/1" });
+}
+
+} // namespace
+} // namespace snipestall::serving
--- a/src/snipestall/serving/usage_ledger.cpp
+++ b/src/snipestall/serving/usage_ledger.cpp
@@ -19,6 +19,12 @@
     return found != m_windows.end() && found->second.contains(process);
 }
 
+std::map<std::string, UsageCounts> UsageLedger::of(std::int64_t window) const
+{
+    const auto found = m_windows.find(window);
+    return found == m_windows.end() ? std::map<std::string, UsageCounts> {} : found->second;
+}
+
 UsageCounts UsageLedger::total(std::int64_t window) const
 {
     UsageCounts sum;
