Instances added lately count among those that have fallen silent

The number of listed instances bounds how many are known, since members that change their hub are counted twice. The list is read once a minute: in a small fleet instances added since were cut from the count, and when they fell silent the others gave their share away.

Change: what a peer says for itself alone is never counted twice, so as many as speak here bound the count at the least. Test failed first: QuotaKeeper.AnInstanceAddedLatelyKeepsItsShareWhenItFallsSilent.

--- a/src/snipestall/serving/quota_keeper.cpp
+++ b/src/snipestall/serving/quota_keeper.cpp
@@ -80,9 +80,12 @@
         known = std::max<std::size_t>(known, 1 + m_hubBefore.instances);
     }
     // While members change their hub, they are counted where they were and where they are.
+    // Instances that were added since the list was read are no such members: they speak for
+    // themselves here.
     if (m_registered > 0) {
-        heard = std::min(heard, m_registered);
-        known = std::clamp(known, heard, m_registered);
+        const std::size_t most = std::max(m_registered, m_peers.size() + 1);
+        heard = std::min(heard, most);
+        known = std::clamp(known, heard, most);
     }
     if (isJoining(now)) {
         if (m_registered == 0)
--- a/src/snipestall/serving/quota_keeper_test.cpp
+++ b/src/snipestall/serving/quota_keeper_test.cpp
@@ -150,6 +150,25 @@
     EXPECT_TRUE(quotas.take("harbour", 990, Start + 3s).admitted);
 }
 
+// A customer gets more than its quota when instances that have just been added are cut off: they
+// are not in the list that the others have read, and are not counted among the silent ones.
+TEST(QuotaKeeper, AnInstanceAddedLatelyKeepsItsShareWhenItFallsSilent)
+{
+    QuotaKeeper quotas;
+    quotas.configure({ customer(1000, 5000) }, Start);
+    quotas.registeredInstances(2);
+    EXPECT_TRUE(quotas.take("harbour", 5000, Start).admitted);
+    for (const char *name : { "listed", "added-a", "added-b" })
+        quotas.peerUse(name, { 1, 1 }, {}, Start);
+    quotas.peerUse("listed", { 1, 1 }, {}, Start + 2s);
+    double taken = 0;
+    QuotaVerdict verdict;
+    while ((verdict = quotas.take("harbour", 10, Start + 2s)).admitted)
+        taken += 10;
+    // Two of four instances are heard: half of the rate for two seconds.
+    EXPECT_NEAR(taken + verdict.free, 1000, 1);
+}
+
 // A customer gets several times its quota while a data centre is cut off: members see it through
 // their hub only, which still counts the instances that it no longer hears.
 TEST(QuotaKeeper, AMemberKeepsTheShareOfInstancesThatItsHubNoLongerHears)
