--- a/src/snipestall/gateway/fleet_model.hpp
+++ b/src/snipestall/gateway/fleet_model.hpp
@@ -23,8 +23,8 @@
     FleetModel(int dataCentres, int each, const serving::Customer &customer,
                serving::QuotaTolerance tolerance = {});
 
-    /// Units a second that callers ask for, spread evenly over the instances that are up. A
-    /// negative skew sends half of them to the first instance of each data centre.
+    /// Units a second that callers ask for, spread evenly over the instances that are up, in
+    /// requests of this size.
     void setDemand(double unitsPerSecond, double requestUnits);
     /// The processes with these indices stop; they are back, knowing nothing, after `downFor`.
     void kill(const std::vector<std::size_t> &indices, std::chrono::milliseconds downFor);
--- a/src/snipestall/gateway/fleet_model_test.cpp
+++ b/src/snipestall/gateway/fleet_model_test.cpp
@@ -3,8 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cmath>
-#include <numeric>
+#include <functional>
 
 namespace snipestall::gateway {
 
@@ -238,7 +237,21 @@
 
 /// Instances in each of six data centres.
 class QuotaFleet : public testing::TestWithParam<int>
-{ };
+{
+protected:
+    /// Part that is refused in the 20 s after a disturbance of what a customer asks for within its
+    /// quota.
+    static double refusedAfter(const std::function<void(FleetModel &)> &disturb)
+    {
+        FleetModel fleet(6, GetParam(), largeCustomer(), Tolerance);
+        fleet.setDemand(0.8 * Rate, 200);
+        fleet.run(3s);
+        fleet.resetCounts();
+        disturb(fleet);
+        fleet.run(20s);
+        return fleet.refused() / fleet.asked();
+    }
+};
 
 // Customers are refused a third of what they ask for, though it is within their quotas, for some
 // sixteen seconds after one instance in eight was killed. Instances whose hub stopped turn to
@@ -246,13 +259,8 @@
 // that is silent, so the fleet seems to have twice its size and each bucket fills at half its rate.
 TEST_P(QuotaFleet, AKillOfOneInEightRefusesNothingThatIsOwed)
 {
-    FleetModel fleet(6, GetParam(), largeCustomer(), Tolerance);
-    fleet.setDemand(0.8 * Rate, 200);
-    fleet.run(3s);
-    fleet.resetCounts();
-    fleet.kill(everyNth(fleet, 8), 1s);
-    fleet.run(20s);
-    EXPECT_LE(fleet.refused(), MostRefused * fleet.asked());
+    const auto disturb = [](FleetModel &fleet) { fleet.kill(everyNth(fleet, 8), 1s); };
+    EXPECT_LE(refusedAfter(disturb), MostRefused);
 }
 
 // A customer gets more than its quota: it floods all instances while one in eight of them is
@@ -271,13 +279,8 @@
 // turns to a hub that it has not heard before, and back when the first ones have started again.
 TEST_P(QuotaFleet, AKillOfAllHubsRefusesNothingThatIsOwed)
 {
-    FleetModel fleet(6, GetParam(), largeCustomer(), Tolerance);
-    fleet.setDemand(0.8 * Rate, 200);
-    fleet.run(3s);
-    fleet.resetCounts();
-    fleet.kill(fleet.hubs(), 1s);
-    fleet.run(20s);
-    EXPECT_LE(fleet.refused(), MostRefused * fleet.asked());
+    const auto disturb = [](FleetModel &fleet) { fleet.kill(fleet.hubs(), 1s); };
+    EXPECT_LE(refusedAfter(disturb), MostRefused);
 }
 
 // Customers are refused within their quotas while hubs answer no calls: an overloaded hub is left
@@ -285,26 +288,16 @@
 // fleet.
 TEST_P(QuotaFleet, HubsThatDoNotAnswerRefuseNothingThatIsOwed)
 {
-    FleetModel fleet(6, GetParam(), largeCustomer(), Tolerance);
-    fleet.setDemand(0.8 * Rate, 200);
-    fleet.run(3s);
-    fleet.resetCounts();
-    fleet.muteAsHubs(everyNth(fleet, 4), 6s);
-    fleet.run(20s);
-    EXPECT_LE(fleet.refused(), MostRefused * fleet.asked());
+    const auto disturb = [](FleetModel &fleet) { fleet.muteAsHubs(everyNth(fleet, 4), 6s); };
+    EXPECT_LE(refusedAfter(disturb), MostRefused);
 }
 
 // After a kill of all instances customers are refused what is owed until the buckets have filled
 // up. What was given out before the kill is not known any more, so some of it is refused.
 TEST_P(QuotaFleet, AKillOfAllRefusesLittleThatIsOwed)
 {
-    FleetModel fleet(6, GetParam(), largeCustomer(), Tolerance);
-    fleet.setDemand(0.8 * Rate, 200);
-    fleet.run(3s);
-    fleet.resetCounts();
-    fleet.kill(everyNth(fleet, 1), 1s);
-    fleet.run(20s);
-    EXPECT_LE(fleet.refused(), MostRefused * fleet.asked());
+    const auto disturb = [](FleetModel &fleet) { fleet.kill(everyNth(fleet, 1), 1s); };
+    EXPECT_LE(refusedAfter(disturb), MostRefused);
 }
 
 // A customer gets more than its quota: it floods all instances through a kill of all of them, after
