--- a/include/snipestall/serving/quota_keeper.hpp
+++ b/include/snipestall/serving/quota_keeper.hpp
@@ -160,8 +160,9 @@
     void refill(Bucket &bucket, SteadyTime now) const;
     [[nodiscard]] double expectedPeerTakes(const std::string &customer, SteadyTime now) const;
     void noteAsked(const std::string &customer, double units, SteadyTime now);
-    /// Units a second that all instances are asked for.
-    [[nodiscard]] double demand(const std::string &customer, SteadyTime now) const;
+    /// Units a second that all instances are asked for, a request of `units` that has just come
+    /// included.
+    [[nodiscard]] double demand(const std::string &customer, double units, SteadyTime now) const;
     /// Chance, 0 to 1, that a request is admitted now.
     [[nodiscard]] double admissionChance(const std::string &customer, const Bucket &bucket,
                                          double units, double free, SteadyTime now) const;
--- a/src/snipestall/serving/quota_keeper.cpp
+++ b/src/snipestall/serving/quota_keeper.cpp
@@ -125,7 +125,7 @@
     m_ownAsked[customer].add(units, AskedOver, now);
 }
 
-double QuotaKeeper::demand(const std::string &customer, SteadyTime now) const
+double QuotaKeeper::demand(const std::string &customer, double units, SteadyTime now) const
 {
     double own = 0;
     if (const auto found = m_ownAsked.find(customer); found != m_ownAsked.end())
@@ -140,8 +140,10 @@
         return sum;
     // What others are asked for is not known from their first report: as much as here, it seems.
     // Of those that have not been heard nothing counts, neither their share nor their demand.
+    // This request does not count: where one comes every few seconds, each would look like a flood.
     const double heard = static_cast<double>(m_registered) * refillShare(now);
-    return std::max(sum, own * std::max(heard, 1.0));
+    const double before = own - units / Seconds(AskedOver).count();
+    return std::max(sum, before * std::max(heard, 1.0));
 }
 
 double QuotaKeeper::admissionChance(const std::string &customer, const Bucket &bucket, double units,
@@ -157,7 +159,7 @@
     if (units <= bucket.rate * Seconds(TinyRequest).count() && free > -mostDebt)
         return 1;
     const double supply = share * (bucket.rate + free / Seconds(LevelledWithin).count());
-    return std::clamp(supply / std::max(demand(customer, now), 1.0), 0.0, 1.0);
+    return std::clamp(supply / std::max(demand(customer, units, now), 1.0), 0.0, 1.0);
 }
 
 std::chrono::milliseconds QuotaKeeper::pauseAfterRefusal(const Bucket &bucket, double units,
@@ -179,10 +181,9 @@
         return {};
     Bucket &bucket = found->second;
     refill(bucket, now);
+    noteAsked(customer, units, now);
     const double free = bucket.level - expectedPeerTakes(customer, now);
-    // Not counting this request: where one comes every few seconds, each would look like a flood.
     const double chance = admissionChance(customer, bucket, units, free, now);
-    noteAsked(customer, units, now);
     if (m_random.uniform() >= chance)
         return { false, pauseAfterRefusal(bucket, units, free, chance), free, bucket.rate };
     bucket.level -= units;
