--- /dev/null
+++ b/scripts/build_inventory.py
@@ -0,0 +1,247 @@
+#!/usr/bin/env python3
+"""Lists every system file that the build of deploy/system.toml uses, with the package it belongs to.
+
+The build runs in a fresh checkout, without root, a home directory or network access. Each line of the
+output: KIND, PATH and PACKAGE, separated by tabs. Kinds:
+
+  include   a header that a source of this project includes itself
+  header    a header that comes in through another one
+  cmake     a file that cmake reads or requires while it configures
+  library   a library or object that the linker reads or the program loads
+  program   a program that the build runs
+
+PACKAGE is '-' for a file that no package owns.
+"""
+import argparse
+import dataclasses
+import json
+import os
+import pathlib
+import pwd
+import re
+import shlex
+import shutil
+import subprocess
+import sys
+import tempfile
+import tomllib
+
+UNPRIVILEGED_USER = "nobody"
+SYSTEM_PATH = "/usr/sbin:/usr/bin:/sbin:/bin"
+# Nothing listens here, so that a download through a proxy fails at once.
+CLOSED_PROXY = "http://127.0.0.1:9"
+TARGET_DIR = "target"
+READ_COMMANDS = {"configure_file", "execute_process", "file"}
+# Paths that belong to the kernel, not to a package.
+KERNEL_DIRS = ("/dev/", "/proc/", "/sys/")
+
+CMAKE_WRAPPER = """#!/bin/sh
+for argument in "$@"; do
+    [ "$argument" = --build ] && exec /usr/bin/cmake "$@"
+done
+exec /usr/bin/cmake --trace-expand --trace-format=json-v1 --trace-redirect={trace} "$@"
+"""
+
+INCLUDE_LINE = re.compile(r'^\s*#\s*include\s*<([^>]+)>', re.MULTILINE)
+QUOTED_WORD = re.compile(r'^ "?(/[^" ]+)')
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class UsedFile:
+    kind: str
+    path: str
+    package: str = "-"
+
+
+class Build:
+    """One run of the build command in its own checkout."""
+
+    def __init__(self, checkout, work):
+        self.checkout = checkout
+        self.target = checkout / TARGET_DIR
+        self.trace = work / "cmake_trace.json"
+        self.wrappers = work / "wrappers"
+
+    def run(self, command):
+        self.wrappers.mkdir()
+        wrapper = self.wrappers / "cmake"
+        wrapper.write_text(CMAKE_WRAPPER.format(trace=self.trace))
+        wrapper.chmod(0o755)
+        self._execute(["/bin/sh", "-c", command], path=f"{self.wrappers}:{SYSTEM_PATH}", stdout=sys.stderr)
+
+    def output(self, command):
+        done = self._execute(command, path=SYSTEM_PATH, stdout=subprocess.PIPE)
+        return done.stdout
+
+    def _execute(self, command, path, stdout):
+        environment = {"PATH": path, "HOME": "/nonexistent", "LC_ALL": "C"}
+        for name in ("http_proxy", "https_proxy", "ftp_proxy"):
+            environment[name] = CLOSED_PROXY
+        user = {"user": UNPRIVILEGED_USER, "extra_groups": []} if os.geteuid() == 0 else {}
+        return subprocess.run(command, cwd=self.checkout, env=environment, stdout=stdout,
+                              text=True, check=True, **user)
+
+
+def copy_checkout(repository, destination):
+    """Copies the files that git tracks, or would track, as they are in the working tree."""
+    listed = subprocess.run(["git", "ls-files", "-z", "--cached", "--others", "--exclude-standard"],
+                            cwd=repository, capture_output=True, text=True, check=True).stdout
+    for name in filter(None, listed.split("\0")):
+        source = repository / name
+        if not source.is_file():
+            continue
+        copy = destination / name
+        copy.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copy2(source, copy)
+
+
+def give_to_unprivileged_user(directory):
+    if os.geteuid() != 0:
+        return
+    owner = pwd.getpwnam(UNPRIVILEGED_USER).pw_uid
+    for parent, directories, files in os.walk(directory):
+        for name in [".", *directories, *files]:
+            os.lchown(os.path.join(parent, name), owner, -1)
+
+
+def existing_files(words):
+    return {word for word in words if word.startswith("/") and os.path.isfile(word)}
+
+
+def cmake_files(trace):
+    """Files that cmake reads, and those whose absence would stop it, from its own trace."""
+    read = set()
+    run = set()
+    for line in trace.read_text().splitlines():
+        call = json.loads(line)
+        if "cmd" not in call:
+            continue
+        read |= existing_files([call["file"]])
+        words = [word for argument in call["args"] for word in argument.split(";")]
+        command = call["cmd"].lower()
+        if command == "execute_process":
+            run |= existing_files(words)
+        elif command in READ_COMMANDS:
+            read |= existing_files(words)
+        elif command == "if" and "EXISTS" in words:
+            required = [path for word, path in zip(words, words[1:]) if word == "EXISTS"]
+            read |= existing_files(required)
+    return read, run
+
+
+def compiled_headers(build):
+    return {line.strip() for line in build.output(["ninja", "-C", TARGET_DIR, "-t", "deps"]).splitlines()
+            if line.startswith(" ")}
+
+
+def included_names(checkout, headers):
+    """What the compiled sources of this project name in their own include lines."""
+    own = [pathlib.Path(path) for path in headers if path.startswith(f"{checkout}/")]
+    own += checkout.glob("src/**/*.cc")
+    own += [path for folder in ("src", "platform/src", "apps/snipestall_gateway")
+            for path in checkout.glob(f"{folder}/**/*.cpp") if not path.name.endswith("_test.cpp")]
+    names = set()
+    for path in own:
+        names |= set(INCLUDE_LINE.findall(path.read_text(errors="replace")))
+    return names
+
+
+def linked_files(build, link_command):
+    """What the linker reads when the program is linked once more, and what the program loads."""
+    words = shlex.split(link_command.replace(": && ", "").removesuffix(" && :"))
+    output = words.index("-o") + 1
+    program = build.target / words[output]
+    words[output] = str(build.target / "traced_link")
+    trace = subprocess.run([*words, "-Wl,--trace"], cwd=build.target, capture_output=True, text=True,
+                           check=True).stdout.splitlines()
+    loaded = re.findall(r"(/\S+) \(0x", build.output(["ldd", str(program)]))
+    return existing_files([line.split("(")[0].strip() for line in trace] + loaded)
+
+
+def compiler_programs(command):
+    """Programs that the compiler starts: it prints them instead of running them."""
+    verbose = subprocess.run([*shlex.split(command), "-###"], capture_output=True, text=True,
+                             check=True).stderr
+    return existing_files([match[1] for match in map(QUOTED_WORD.match, verbose.splitlines()) if match])
+
+
+def used_files(build):
+    headers = {os.path.normpath(path) for path in compiled_headers(build)}
+    names = included_names(build.checkout, headers)
+    system_headers = {path for path in headers if not path.startswith(f"{build.checkout}/")}
+    included = {path for path in system_headers
+                if any(path.endswith(f"/{name}") for name in names)}
+    read, run = cmake_files(build.trace)
+    commands = build.output(["ninja", "-C", TARGET_DIR, "-t", "commands"]).splitlines()
+    words = existing_files(word for line in commands for word in shlex.split(line))
+    run |= {word for word in words if os.access(word, os.X_OK) and ".so" not in word}
+    run |= {"/bin/sh", shutil.which("ninja", path=SYSTEM_PATH)}
+    compiler = shlex.split(commands[0])[0]
+    empty = ["-x", "c++", "/dev/null"]
+    run |= compiler_programs(shlex.join([compiler, "-c", *empty]))
+    run |= compiler_programs(shlex.join([compiler, *empty]))
+    link_commands = [line for line in commands if " -o bin/" in line]
+    linked = set().union(*(linked_files(build, line) for line in link_commands))
+    linked |= words - run
+    kinds = {"include": included, "header": system_headers - included, "cmake": read,
+             "library": linked, "program": run}
+    prefix = (f"{build.checkout}/", f"{build.wrappers}/", *KERNEL_DIRS)
+    return [UsedFile(kind, path) for kind, paths in kinds.items() for path in paths
+            if not path.startswith(prefix)]
+
+
+def spellings(path):
+    """The path, what it links to, and both as they stand with and without a merged /usr."""
+    found = []
+    for name in dict.fromkeys([path, os.path.realpath(path)]):
+        found.append([name, name.removeprefix("/usr") if name.startswith("/usr/") else f"/usr{name}"])
+    return found
+
+
+def owners(paths):
+    """Maps each path that a package owns to the name of that package."""
+    asked = sorted({name for path in paths for pair in spellings(path) for name in pair})
+    listed = subprocess.run(["dpkg-query", "--search", *asked], capture_output=True, text=True).stdout
+    owner = {}
+    for line in listed.splitlines():
+        package, _, path = line.partition(": ")
+        if not package.startswith("diversion by"):
+            owner[path] = package.split(",")[0].split(":")[0]
+    return owner
+
+
+def with_packages(files):
+    """Both a link and the file that it leads to are used, and may belong to different packages."""
+    owner = owners({file.path for file in files})
+    owned = set()
+    for file in files:
+        packages = {owner[name] for pair in spellings(file.path) for name in pair if name in owner}
+        owned |= {dataclasses.replace(file, package=package) for package in packages or {"-"}}
+    return sorted(owned)
+
+
+def build_and_list(repository):
+    command = tomllib.loads((repository / "deploy/system.toml").read_text())["build"]
+    with tempfile.TemporaryDirectory(prefix="build-inventory-") as name:
+        work = pathlib.Path(name)
+        work.chmod(0o755)
+        build = Build(work / "checkout", work)
+        copy_checkout(repository, build.checkout)
+        give_to_unprivileged_user(work)
+        build.run(command)
+        return with_packages(used_files(build))
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("output", type=pathlib.Path, help="file to write")
+    arguments = parser.parse_args()
+    repository = pathlib.Path(__file__).resolve().parent.parent
+    files = build_and_list(repository)
+    lines = ["\t".join(dataclasses.astuple(file)) for file in files]
+    arguments.output.write_text("\n".join(lines) + "\n")
+
+
+if __name__ == "__main__":
+    main()
