--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -2,11 +2,12 @@
 # Installs what the build and the checks need on a fresh Debian 12 machine; does nothing where all
 # of it is there.
 set -euo pipefail
-packages=(
-    g++ cmake ninja-build ccache mold git python3 clang-format clang-tidy
-    libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev
-    libgrpc++-dev protobuf-compiler-grpc protobuf-compiler prometheus-cpp-dev libyaml-cpp-dev
-    libgflags-dev libeasyloggingpp-dev libexpected-dev libssl-dev openssl curl
+cd "$(dirname "$0")/.."
+# python3 may not be there yet to read the list with.
+mapfile -t packages < <(sed -n 's/^packages = \[\(.*\)\]$/\1/p' deploy/system.toml | tr -d '" ' | tr , '\n')
+[ ${#packages[@]} -gt 0 ] || { echo "deploy/system.toml: no line 'packages = [...]'" >&2; exit 1; }
+packages+=(
+    ccache mold git python3 clang-format clang-tidy protobuf-compiler openssl curl
     libgtest-dev libgmock-dev libbenchmark-dev librapidcheck-dev
 )
 missing=()
