Hubs tell their members what silent instances are taken to use

A flooding customer gets more than its quota while a partition separates instances.

Cause: an instance reckons with what a silent peer goes on using, but for peers that it hears itself. Members hear their hub alone, whose sums stood still for whatever it had not heard: for 1.5 s they took the use and the demand of a cut-off third of the fleet for nothing, and admitted by a demand of 1.1 times the rate where it was 2 to 3.

A hub's report now says beside its totals what sources that have missed two reports are taken to have used since, and what they are asked for. It is no part of the totals, so nothing is drained for it: it goes when the source is heard again, and stays reserved, as for a peer, until it is forgotten. Demand of a peer no longer falls while its report is late.

Ruled out: adding the assumed use to the totals.

--- a/include/snipestall/gateway/report_book.hpp
+++ b/include/snipestall/gateway/report_book.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "snipestall/base/clock.hpp"
+#include "snipestall/serving/decaying_rate.hpp"
+#include "snipestall/serving/quota_keeper.hpp"
 
 #include "exchange.pb.h"
 
@@ -29,6 +31,8 @@
     [[nodiscard]] bool isCovered(const exchange::v1::LoadReport &report, SteadyTime now) const;
     /// Instances that speak through the sources heard lately, this one included.
     [[nodiscard]] std::size_t instances(SteadyTime now) const;
+    /// What a report says of the customers' quotas.
+    [[nodiscard]] static serving::QuotaUse quotaUse(const exchange::v1::LoadReport &report);
     /// Whether another instance has lately reported to this one as to its hub.
     [[nodiscard]] bool hasMembers(SteadyTime now) const;
 
@@ -39,6 +43,10 @@
     /// Several intervals: a source silent for longer may be behind a network partition.
     static constexpr std::chrono::milliseconds HeardWithin { 1500 };
     static constexpr std::chrono::milliseconds LeaseHeardWithin { 800 };
+    /// Two intervals: a source that is silent for longer has missed a report.
+    static constexpr std::chrono::milliseconds ReportsWithin { 400 };
+    /// Over which time the growth of a total is averaged.
+    static constexpr std::chrono::milliseconds GrownOver { 500 };
 
     using Totals = std::map<std::string, double>;
     /// Totals of one source and what they have grown by since it was first heard.
@@ -46,8 +54,11 @@
     {
         Totals seen;
         Totals grown;
+        std::map<std::string, serving::DecayingRate> rates;
 
-        void take(const Totals &totals, bool first);
+        void take(const Totals &totals, bool first, SteadyTime now);
+        /// Growth a second of one total, as it was at `heard`.
+        [[nodiscard]] double rateAt(const std::string &name, SteadyTime heard) const;
     };
     struct Sums
     {
@@ -55,6 +66,8 @@
         Totals use;
         Totals asked;
         Totals work;
+        Totals unheardUse;
+        Totals unheardAsked;
     };
     struct Source
     {
@@ -73,6 +86,9 @@
     [[nodiscard]] const Source *liveHub(SteadyTime now) const;
     static void addSource(const Source &source, SteadyTime now, exchange::v1::LoadReport &report,
                           Sums &sums);
+    /// Counts what a source that misses its reports is taken to use. Without it, members of the hub
+    /// that sums up would give out that part of a quota again until the source counts as silent.
+    [[maybe_unused]] static void addUnheard(const Source &source, SteadyTime now, Sums &sums);
     static void write(const Sums &sums, exchange::v1::LoadReport &report);
 
     std::map<std::string, Source> m_sources;
--- a/include/snipestall/serving/quota_keeper.hpp
+++ b/include/snipestall/serving/quota_keeper.hpp
@@ -49,12 +49,16 @@
     bool speaksForAll = false;
 };
 
-/// Units of one customer's quota since a process started; both only grow.
+/// Units of one customer's quota since a process started. The totals only grow.
 struct QuotaTotals
 {
     double taken = 0;
     /// What was asked for, refused requests included.
     double asked = 0;
+    /// What instances that miss their reports are taken to have used since; not in the totals.
+    double unheardTaken = 0;
+    /// Units a second that those instances are asked for.
+    double unheardAsked = 0;
 };
 
 using QuotaUse = std::unordered_map<std::string, QuotaTotals>;
@@ -109,6 +113,10 @@
     /// A peer silent for longer than several heartbeats may be behind a partition.
     static constexpr std::chrono::milliseconds PeerHeardWithin { 1500 };
 
+    /// A peer that is heard later has missed a report: what it is asked for does not fall
+    /// meanwhile.
+    static constexpr std::chrono::milliseconds ReportInterval { 200 };
+
     /// After a restart peers are heard within this time, or are gone.
     static constexpr std::chrono::seconds JoiningFor { 5 };
     /// Debt, in time of the rate, with which a process that joins others starts: what all instances
@@ -168,6 +176,7 @@
     };
 
     void refill(Bucket &bucket, SteadyTime now) const;
+    [[nodiscard]] static QuotaTotals toldBy(const PeerUse &peer, const std::string &customer);
     [[nodiscard]] double expectedPeerTakes(const std::string &customer, SteadyTime now) const;
     /// Drains what the fleet has used since `hub` was heard, at the rates that it showed.
     void chargeUnheard(PeerUse &hub, SteadyTime now);
--- a/src/snipestall/gateway/fleet_model.hpp
+++ b/src/snipestall/gateway/fleet_model.hpp
@@ -30,6 +30,8 @@
     void kill(const std::vector<std::size_t> &indices, std::chrono::milliseconds downFor);
     /// These don't answer calls for a while, though they serve their callers.
     void muteAsHubs(const std::vector<std::size_t> &indices, std::chrono::milliseconds length);
+    /// A network partition separates these from all others for a while; they reach each other.
+    void cutOff(const std::vector<std::size_t> &indices, std::chrono::milliseconds length);
     void run(std::chrono::milliseconds length);
 
     /// Indices of the instances that are hubs in the eyes of one that is up.
@@ -49,6 +51,7 @@
         bool up = true;
         SteadyTime backAt;
         SteadyTime mutedUntil;
+        SteadyTime cutOffUntil;
         std::uint64_t incarnation = 1;
         double owedUnits = 0;
         serving::PeerCalls calls;
@@ -62,10 +65,20 @@
         { }
     };
 
+    /// A call through a partition, which its caller gives up at a time.
+    struct HangingCall
+    {
+        std::size_t caller;
+        std::string callee;
+        SteadyTime givenUpAt;
+    };
+
     void start(std::size_t index, bool amongOthers);
     void introduce(Instance &instance);
     void exchange(std::size_t index);
     void call(std::size_t caller, std::size_t callee);
+    void giveUpHangingCalls();
+    [[nodiscard]] bool isCutOff(const Instance &instance) const;
     void serve(Instance &instance);
     static void take(Instance &receiver, const exchange::v1::LoadReport &report, SteadyTime now);
     [[nodiscard]] exchange::v1::LoadReport
@@ -78,6 +91,7 @@
     double m_requestUnits = 1;
     std::vector<Instance> m_instances;
     std::map<std::string, std::size_t> m_byName;
+    std::vector<HangingCall> m_hangingCalls;
     double m_asked = 0;
     double m_refused = 0;
     std::vector<double> m_admittedByTick;
--- a/src/snipestall/gateway/fleet_model_test.cpp
+++ b/src/snipestall/gateway/fleet_model_test.cpp
@@ -11,6 +11,12 @@
 namespace v1 = exchange::v1;
 using std::chrono::milliseconds;
 
+namespace {
+
+constexpr milliseconds CallTimeout { 600 };
+
+} // namespace
+
 // --- The model -------------------------------------------------------------------------------
 
 FleetModel::FleetModel(int dataCentres, int each, const serving::Customer &customer,
@@ -72,6 +78,27 @@
         m_instances[index].mutedUntil = m_now + length;
 }
 
+void FleetModel::cutOff(const std::vector<std::size_t> &indices, milliseconds length)
+{
+    for (const std::size_t index : indices)
+        m_instances[index].cutOffUntil = m_now + length;
+}
+
+bool FleetModel::isCutOff(const Instance &instance) const
+{
+    return instance.cutOffUntil > m_now;
+}
+
+void FleetModel::giveUpHangingCalls()
+{
+    std::erase_if(m_hangingCalls, [this](const HangingCall &hanging) {
+        if (hanging.givenUpAt > m_now)
+            return false;
+        m_instances[hanging.caller].calls.failed(hanging.callee, m_now);
+        return true;
+    });
+}
+
 v1::LoadReport FleetModel::reportFor(const Instance &sender, const std::string &receiver,
                                      bool asMember) const
 {
@@ -99,13 +126,10 @@
         receiver.quotas.forgetPeer(report.instance());
         return;
     }
-    serving::QuotaUse use;
-    for (const v1::CustomerUse &each : report.customers())
-        use[each.customer()] = { each.units(), each.asked() };
     receiver.quotas.peerUse(
         report.instance(),
-        { report.series(), report.instances(), report.heard_instances(), report.for_member() }, use,
-        now);
+        { report.series(), report.instances(), report.heard_instances(), report.for_member() },
+        ReportBook::quotaUse(report), now);
 }
 
 void FleetModel::call(std::size_t caller, std::size_t callee)
@@ -116,6 +140,10 @@
         from.calls.failed(to.name, m_now);
         return;
     }
+    if (isCutOff(from) != isCutOff(to)) {
+        m_hangingCalls.push_back({ caller, to.name, m_now + CallTimeout });
+        return;
+    }
     const bool asMember = !from.calls.overlay().isHub() && !from.book.hasMembers(m_now);
     v1::LoadReport report = reportFor(from, to.name, asMember);
     if (asMember)
@@ -156,6 +184,7 @@
     for (milliseconds passed { 0 }; passed < length; passed += Tick) {
         m_now += Tick;
         m_admittedByTick.push_back(0);
+        giveUpHangingCalls();
         const auto phase = static_cast<std::size_t>(m_now.time_since_epoch() / Tick) % Phases;
         for (std::size_t i = 0; i < m_instances.size(); ++i) {
             if (!m_instances[i].up && m_now >= m_instances[i].backAt)
@@ -312,6 +341,20 @@
     EXPECT_LE(fleet.mostAdmittedWithin(8s), allowedIn(8s));
 }
 
+// A customer gets more than its quota: a flood has just begun when a network partition separates a
+// third of the instances, and both sides give out what the other one uses.
+TEST_P(QuotaFleet, AFloodThroughAPartitionStaysWithinTheQuota)
+{
+    FleetModel fleet(6, GetParam(), largeCustomer(), Tolerance);
+    fleet.setDemand(0.7 * Rate, 1000);
+    fleet.run(3s);
+    fleet.setDemand(3 * Rate, 1000);
+    fleet.run(460ms);
+    fleet.cutOff(everyNth(fleet, 3), 10s);
+    fleet.run(12s);
+    EXPECT_LE(fleet.mostAdmittedWithin(8s), allowedIn(8s));
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, QuotaFleet, testing::Values(2, 10, 50));
 
 } // namespace
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -332,13 +332,10 @@
         loads[work.server()] = { work.in_flight(), static_cast<double>(work.pending_tokens()),
                                  static_cast<double>(work.held_tokens()) };
     m_state.peerLoads.report(report.instance(), std::move(loads), now);
-    serving::QuotaUse use;
-    for (const v1::CustomerUse &each : report.customers())
-        use[each.customer()] = { each.units(), each.asked() };
     m_state.quotas.peerUse(
         report.instance(),
-        { report.series(), report.instances(), report.heard_instances(), report.for_member() }, use,
-        now);
+        { report.series(), report.instances(), report.heard_instances(), report.for_member() },
+        ReportBook::quotaUse(report), now);
     serving::ServiceWork services;
     for (const v1::ServiceWork &each : report.services())
         services[each.service()] = each.seconds();
--- a/src/snipestall/gateway/report_book.cpp
+++ b/src/snipestall/gateway/report_book.cpp
@@ -48,15 +48,31 @@
 
 } // namespace
 
-void ReportBook::Series::take(const Totals &totals, bool first)
+serving::QuotaUse ReportBook::quotaUse(const v1::LoadReport &report)
+{
+    serving::QuotaUse use;
+    for (const v1::CustomerUse &each : report.customers())
+        use[each.customer()] = { each.units(), each.asked(), each.unheard_units(),
+                                 each.unheard_asked_per_s() };
+    return use;
+}
+
+void ReportBook::Series::take(const Totals &totals, bool first, SteadyTime now)
 {
     for (const auto &[name, value] : totals) {
-        if (!first)
-            grown[name] += std::max(0.0, value - seen[name]);
+        const double growth = first ? 0 : std::max(0.0, value - seen[name]);
+        grown[name] += growth;
+        rates[name].add(growth, GrownOver, now);
         seen[name] = value;
     }
 }
 
+double ReportBook::Series::rateAt(const std::string &name, SteadyTime heard) const
+{
+    const auto rate = rates.find(name);
+    return rate == rates.end() ? 0 : rate->second.at(GrownOver, heard);
+}
+
 void ReportBook::take(const v1::LoadReport &report, SteadyTime now)
 {
     if (report.for_member())
@@ -73,9 +89,9 @@
     source.series = report.series();
     source.member = report.to_hub();
     source.report = report;
-    source.use.take(useOf(report), first);
-    source.asked.take(askedOf(report), first);
-    source.work.take(workOf(report), first);
+    source.use.take(useOf(report), first, now);
+    source.asked.take(askedOf(report), first, now);
+    source.work.take(workOf(report), first, now);
 }
 
 void ReportBook::forgetOtherHubs(const std::string &hub)
@@ -105,6 +121,7 @@
     addTotals(source.work.grown, sums.work);
     if (now - source.heard > CountedFor)
         return;
+    addUnheard(source, now, sums);
     report.set_instances(report.instances() + source.report.instances());
     if (source.report.holds_lease() && now - source.heard <= LeaseHeardWithin)
         report.set_holds_lease(true);
@@ -116,6 +133,23 @@
         addServer(each, sums.servers[each.server()]);
 }
 
+void ReportBook::addUnheard(const Source &source, SteadyTime now, Sums &sums)
+{
+    const auto silent = std::min<SteadyTime::duration>(now - source.heard, HeardWithin);
+    const bool isLate = silent > ReportsWithin;
+    const std::chrono::duration<double> unheard = isLate ? silent : SteadyTime::duration::zero();
+    for (const v1::CustomerUse &use : source.report.customers()) {
+        const std::string &customer = use.customer();
+        sums.unheardUse[customer] +=
+            use.unheard_units() + source.use.rateAt(customer, source.heard) * unheard.count();
+        if (now - source.heard > HeardWithin)
+            continue;
+        sums.unheardAsked[customer] += use.unheard_asked_per_s();
+        if (isLate)
+            sums.unheardAsked[customer] += source.asked.rateAt(customer, source.heard);
+    }
+}
+
 void ReportBook::write(const Sums &sums, v1::LoadReport &report)
 {
     report.clear_servers();
@@ -129,6 +163,11 @@
         entry->set_units(units);
         const auto asked = sums.asked.find(customer);
         entry->set_asked(asked == sums.asked.end() ? units : asked->second);
+        if (const auto unheard = sums.unheardUse.find(customer); unheard != sums.unheardUse.end())
+            entry->set_unheard_units(unheard->second);
+        if (const auto unheard = sums.unheardAsked.find(customer);
+            unheard != sums.unheardAsked.end())
+            entry->set_unheard_asked_per_s(unheard->second);
     }
     for (const auto &[service, seconds] : sums.work) {
         v1::ServiceWork *entry = report.add_services();
--- a/src/snipestall/gateway/report_book_test.cpp
+++ b/src/snipestall/gateway/report_book_test.cpp
@@ -86,6 +86,25 @@
     EXPECT_EQ(units(book.reportFor("hub-b", report("hub-a", 0, 0), false, later)), 100);
 }
 
+// Guards against a quota that is given out twice: the members of a hub were not told that others,
+// which miss their reports, go on using it.
+TEST(ReportBook, WhatASourceThatMissesItsReportsUsesIsToldBesideTheTotals)
+{
+    ReportBook book;
+    book.take(report("member", 3, 0, true), Start);
+    book.take(report("member", 3, 100, true), Start + 200ms);
+    const auto own = report("hub-a", 0, 0);
+    const auto inTime = book.reportFor("hub-b", own, false, Start + 400ms);
+    EXPECT_EQ(inTime.customers(0).unheard_units(), 0);
+    const auto late = book.reportFor("hub-b", own, false, Start + 1200ms);
+    EXPECT_EQ(units(late), 100);
+    EXPECT_DOUBLE_EQ(late.customers(0).unheard_units(), 200);
+    book.take(report("member", 3, 150, true), Start + 1300ms);
+    const auto again = book.reportFor("hub-b", own, false, Start + 1300ms);
+    EXPECT_EQ(units(again), 150);
+    EXPECT_EQ(again.customers(0).unheard_units(), 0);
+}
+
 TEST(ReportBook, MembersAndHubsAreToldDifferentSeries)
 {
     ReportBook book;
--- a/src/snipestall/serving/quota_keeper.cpp
+++ b/src/snipestall/serving/quota_keeper.cpp
@@ -102,6 +102,12 @@
     bucket.filledAt = now;
 }
 
+QuotaTotals QuotaKeeper::toldBy(const PeerUse &peer, const std::string &customer)
+{
+    const auto found = peer.totals.find(customer);
+    return found == peer.totals.end() ? QuotaTotals() : found->second;
+}
+
 double QuotaKeeper::expectedPeerTakes(const std::string &customer, SteadyTime now) const
 {
     double expected = 0;
@@ -112,6 +118,7 @@
         if (peer.who.speaksForAll && now - peer.heard > PeerHeardWithin)
             continue; // chargeSilentHub() has drained it.
         const auto silent = std::min<SteadyTime::duration>(now - peer.heard, PeerHeardWithin);
+        expected += toldBy(peer, customer).unheardTaken;
         expected +=
             rate->second.taken.at(TakenOver, peer.heard) * std::max(0.0, Seconds(silent).count());
     }
@@ -183,8 +190,10 @@
     double sum = own;
     for (const auto &[name, peer] : m_peers) {
         const auto rate = peer.rates.find(customer);
-        if (rate != peer.rates.end() && now - peer.heard <= PeerHeardWithin)
-            sum += rate->second.asked.at(AskedOver, now);
+        if (rate == peer.rates.end() || now - peer.heard > PeerHeardWithin)
+            continue;
+        const SteadyTime known = std::min<SteadyTime>(now, peer.heard + ReportInterval);
+        sum += rate->second.asked.at(AskedOver, known) + toldBy(peer, customer).unheardAsked;
     }
     if (!m_joinedAt || now - *m_joinedAt >= RatesKnownAfter)
         return sum;
