A copy of a table is as old as the beginning of its read

The copy stands for the first page's version, but counted as confirmed at the end of the last one. An instance that doesn't read the store for others asks for changes itself only once its copy is 2.4 s old, so that after a read of two seconds nothing made it ask for another 2.4 s, unless its hub told it.

The copy now counts from the request for its first page; a copy that is overdue then is followed at once by a call for the changes. Ruled out by reading: that changes during the read are lost (the first page's version is the one that is gone on from).

TableCopyTest.IsAsOldAsTheBeginningOfItsRead; before, the age was counted from the end of the read.

--- a/include/snipestall/gateway/table_copy.hpp
+++ b/include/snipestall/gateway/table_copy.hpp
@@ -32,11 +32,13 @@
 
     [[nodiscard]] const std::string &table() const { return m_table; }
     [[nodiscard]] std::int64_t version() const { return m_version; }
-    /// The whole table has been read: `rows` are its rows, and, as removed, those that this copy
-    /// had and the table no longer has. What changed since can still be passed on: when the store
-    /// drops its history, every instance would otherwise have to read the whole table itself.
-    void readWhole(const std::vector<platform::StoredRow> &rows, std::int64_t version,
-                   SteadyTime now);
+    /// The first page of the whole table is asked for.
+    void beginRead(SteadyTime now) { m_readBegunAt = now; }
+    /// The whole table has been read, as it was when the first page was asked for at the earliest:
+    /// `rows` are its rows, and, as removed, those that this copy had and the table no longer has.
+    /// What changed since can still be passed on: when the store drops its history, every instance
+    /// would otherwise have to read the whole table itself.
+    void readWhole(const std::vector<platform::StoredRow> &rows, std::int64_t version);
     /// Changes up to `version`, read from the store.
     void advance(const std::vector<platform::StoredRow> &rows, std::int64_t version,
                  SteadyTime now);
@@ -60,6 +62,7 @@
     /// Changes after this version are kept.
     std::int64_t m_keptAfter = 0;
     std::deque<platform::StoredRow> m_changes;
+    SteadyTime m_readBegunAt;
     std::optional<SteadyTime> m_confirmedAt;
 };
 
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -124,6 +124,7 @@
 Task<bool> StoreFollower::step(Feed &feed)
 {
     if (!feed.read) {
+        feed.copy.beginRead(m_state.clock.steadyNow());
         const auto rows = co_await m_store.read(feed.copy.table(), std::string(), ReadTimeout);
         if (!rows) {
             failed(feed, rows.error());
@@ -134,7 +135,7 @@
         std::vector<platform::StoredRow> known = rows->rows;
         for (platform::StoredRow &removed : (this->*feed.snapshot)(*rows))
             known.push_back(std::move(removed));
-        feed.copy.readWhole(known, rows->storeVersion, m_state.clock.steadyNow());
+        feed.copy.readWhole(known, rows->storeVersion);
         feed.read = true;
         co_return true;
     }
--- a/src/snipestall/gateway/table_copy.cpp
+++ b/src/snipestall/gateway/table_copy.cpp
@@ -11,13 +11,12 @@
     : m_table(std::move(table))
 { }
 
-void TableCopy::readWhole(const std::vector<platform::StoredRow> &rows, std::int64_t version,
-                          SteadyTime now)
+void TableCopy::readWhole(const std::vector<platform::StoredRow> &rows, std::int64_t version)
 {
     if (m_version == 0) {
         m_version = version;
         m_keptAfter = version;
-        m_confirmedAt = now;
+        m_confirmedAt = m_readBegunAt;
         return;
     }
     std::vector<platform::StoredRow> ordered = rows;
@@ -25,7 +24,7 @@
               [](const platform::StoredRow &a, const platform::StoredRow &b) {
                   return a.version < b.version;
               });
-    advance(ordered, version, now);
+    advance(ordered, version, m_readBegunAt);
 }
 
 void TableCopy::keep(const std::vector<platform::StoredRow> &rows)
@@ -45,7 +44,7 @@
 {
     keep(rows);
     m_version = std::max(m_version, version);
-    m_confirmedAt = now;
+    m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, now) : now;
 }
 
 bool TableCopy::advanceFromPeer(const TableChanges &changes)
--- a/src/snipestall/gateway/table_copy_test.cpp
+++ b/src/snipestall/gateway/table_copy_test.cpp
@@ -19,8 +19,10 @@
 protected:
     TableCopyTest()
     {
-        m_reader.readWhole({}, 10, Start);
-        m_other.readWhole({}, 10, Start);
+        for (TableCopy *copy : { &m_reader, &m_other }) {
+            copy->beginRead(Start);
+            copy->readWhole({}, 10);
+        }
     }
 
     TableCopy m_reader { "servers" };
@@ -56,6 +58,20 @@
     EXPECT_FALSE(m_reader.since(5));
 }
 
+// Guards against work for servers that have left: an instance on a narrow link took the pages of a
+// long read for a view of this moment, and asked for no changes for seconds after it.
+TEST_F(TableCopyTest, IsAsOldAsTheBeginningOfItsRead)
+{
+    TableCopy copy("servers");
+    copy.beginRead(Start);
+    copy.readWhole({}, 10);
+    EXPECT_EQ(copy.age(Start + 3s), 3s);
+    m_reader.beginRead(Start + 1s);
+    m_reader.advance({}, 12, Start + 2s);
+    m_reader.readWhole({}, 20);
+    EXPECT_EQ(m_reader.age(Start + 3s), 1s);
+}
+
 TEST_F(TableCopyTest, IsAsFreshAsTheFreshestCopyThatGoesAsFar)
 {
     EXPECT_EQ(m_other.age(Start + 2s), 2s);
@@ -72,7 +88,8 @@
 {
     platform::StoredRow gone = row("old", 30);
     gone.removed = true;
-    m_reader.readWhole({ row("kept", 5), row("new", 25), gone }, 30, Start + 1s);
+    m_reader.beginRead(Start + 1s);
+    m_reader.readWhole({ row("kept", 5), row("new", 25), gone }, 30);
     const auto changes = m_reader.since(10);
     ASSERT_TRUE(changes);
     ASSERT_EQ(changes->rows.size(), 2U);
