--- a/scripts/build_inventory.py
+++ b/scripts/build_inventory.py
@@ -129,21 +129,31 @@
     return read, run
 
 
-def compiled_headers(build):
+def compiled_files(build):
+    """Sources of this project and all headers that they were compiled with."""
     return {line.strip() for line in build.output(["ninja", "-C", TARGET_DIR, "-t", "deps"]).splitlines()
             if line.startswith(" ")}
 
 
-def included_names(checkout, headers):
-    """What the compiled sources of this project name in their own include lines."""
-    own = [pathlib.Path(path) for path in headers if path.startswith(f"{checkout}/")]
-    own += checkout.glob("src/**/*.cc")
-    own += [path for folder in ("src", "platform/src", "apps/snipestall_gateway")
-            for path in checkout.glob(f"{folder}/**/*.cpp") if not path.name.endswith("_test.cpp")]
+def search_directories(compiler):
+    """Where the compiler looks for `#include <...>`, in its order."""
+    verbose = subprocess.run([compiler, "-x", "c++", "-E", "-v", "/dev/null"], capture_output=True,
+                             text=True, check=True).stderr
+    listed = verbose.partition("search starts here:\n")[2].partition("End of search list.")[0]
+    lines = [line.strip() for line in listed.splitlines() if line.startswith(" ")]
+    return [os.path.normpath(line) for line in lines]
+
+
+def included_headers(own_sources, system_headers, directories):
+    """The system headers that sources of this project name in their own include lines."""
     names = set()
-    for path in own:
-        names |= set(INCLUDE_LINE.findall(path.read_text(errors="replace")))
-    return names
+    for path in own_sources:
+        names |= set(INCLUDE_LINE.findall(pathlib.Path(path).read_text(errors="replace")))
+    found = set()
+    for name in names:
+        candidates = [f"{directory}/{name}" for directory in directories]
+        found |= set([path for path in candidates if path in system_headers][:1])
+    return found
 
 
 def linked_files(build, link_command):
@@ -165,26 +175,34 @@
     return existing_files([match[1] for match in map(QUOTED_WORD.match, verbose.splitlines()) if match])
 
 
+def programs(commands, compiler):
+    """Programs that the build's commands name, what runs the commands, and what the compiler starts."""
+    words = existing_files(word for line in commands for word in shlex.split(line))
+    named = {word for word in words if os.access(word, os.X_OK) and ".so" not in word}
+    empty = ["-x", "c++", "/dev/null"]
+    started = compiler_programs(shlex.join([compiler, "-c", *empty]))
+    started |= compiler_programs(shlex.join([compiler, *empty]))
+    return named | started | {"/bin/sh", shutil.which("ninja", path=SYSTEM_PATH)}
+
+
+def libraries(build, commands):
+    """What the build's commands name beside programs, and what the linker adds to it."""
+    words = existing_files(word for line in commands for word in shlex.split(line))
+    named = {word for word in words if ".so" in word or not os.access(word, os.X_OK)}
+    linked = [linked_files(build, line) for line in commands if " -o bin/" in line]
+    return named.union(*linked)
+
+
 def used_files(build):
-    headers = {os.path.normpath(path) for path in compiled_headers(build)}
-    names = included_names(build.checkout, headers)
-    system_headers = {path for path in headers if not path.startswith(f"{build.checkout}/")}
-    included = {path for path in system_headers
-                if any(path.endswith(f"/{name}") for name in names)}
-    read, run = cmake_files(build.trace)
+    sources = {os.path.normpath(path) for path in compiled_files(build)}
+    own_sources = {path for path in sources if path.startswith(f"{build.checkout}/")}
+    headers = sources - own_sources
     commands = build.output(["ninja", "-C", TARGET_DIR, "-t", "commands"]).splitlines()
-    words = existing_files(word for line in commands for word in shlex.split(line))
-    run |= {word for word in words if os.access(word, os.X_OK) and ".so" not in word}
-    run |= {"/bin/sh", shutil.which("ninja", path=SYSTEM_PATH)}
     compiler = shlex.split(commands[0])[0]
-    empty = ["-x", "c++", "/dev/null"]
-    run |= compiler_programs(shlex.join([compiler, "-c", *empty]))
-    run |= compiler_programs(shlex.join([compiler, *empty]))
-    link_commands = [line for line in commands if " -o bin/" in line]
-    linked = set().union(*(linked_files(build, line) for line in link_commands))
-    linked |= words - run
-    kinds = {"include": included, "header": system_headers - included, "cmake": read,
-             "library": linked, "program": run}
+    included = included_headers(own_sources, headers, search_directories(compiler))
+    read, run = cmake_files(build.trace)
+    kinds = {"include": included, "header": headers - included, "cmake": read,
+             "library": libraries(build, commands), "program": run | programs(commands, compiler)}
     prefix = (f"{build.checkout}/", f"{build.wrappers}/", *KERNEL_DIRS)
     return [UsedFile(kind, path) for kind, paths in kinds.items() for path in paths
             if not path.startswith(prefix)]
