--- a/src/snipestall/gateway/report_book.cpp
+++ b/src/snipestall/gateway/report_book.cpp
@@ -139,6 +139,9 @@
     const bool isLate = silent > ReportsWithin;
     const std::chrono::duration<double> unheard = isLate ? silent : SteadyTime::duration::zero();
     for (const v1::CustomerUse &use : source.report.customers()) {
+        // Nearly always so; a hub adds up all customers of all its sources for each member.
+        if (!isLate && use.unheard_units() <= 0 && use.unheard_asked_per_s() <= 0)
+            continue;
         const std::string &customer = use.customer();
         sums.unheardUse[customer] +=
             use.unheard_units() + source.use.rateAt(customer, source.heard) * unheard.count();
