An attribute left from a trial is removed

[[maybe_unused]] on ReportBook::addUnheard came from switching the two quota changes off one by one; found in the read-through. No change of behaviour.

--- a/include/snipestall/gateway/report_book.hpp
+++ b/include/snipestall/gateway/report_book.hpp
@@ -88,7 +88,7 @@
                           Sums &sums);
     /// Counts what a source that misses its reports is taken to use. Without it, members of the hub
     /// that sums up would give out that part of a quota again until the source counts as silent.
-    [[maybe_unused]] static void addUnheard(const Source &source, SteadyTime now, Sums &sums);
+    static void addUnheard(const Source &source, SteadyTime now, Sums &sums);
     static void write(const Sums &sums, exchange::v1::LoadReport &report);
 
     std::map<std::string, Source> m_sources;
