The loop's delay and cut requests are logged and measured

Nothing told how late a process comes to what has reached its kernel, nor which requests its end cuts off, so the hypotheses on LOST and GONE could not be told apart. 906 loop-late says how late the loop ran, at the worst in the last second, and what it handled; 907 names each request that the end of the process leaves without its final answer; 908 says when a shutdown began to refuse. snipestall_gateway_loop_delay_seconds is the histogram of the delay.

A tick that is due every 50 ms waits in the same queue as all other events; its delay is theirs. No logic changes.

--- a/include/snipestall/gateway/caller_listener.hpp
+++ b/include/snipestall/gateway/caller_listener.hpp
@@ -6,12 +6,13 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <map>
 #include <memory>
-#include <set>
 
 namespace snipestall::gateway {
 
 class CallerLink;
+class RequestRelay;
 struct GatewayState;
 
 /// Accepts callers and serves their requests one after the other.
@@ -24,6 +25,8 @@
     void start();
     /// Closes connections that carry no request.
     void closeIdle();
+    /// Logs the requests whose answer the end of the process cuts off.
+    void logUnanswered() const;
     [[nodiscard]] std::size_t connections() const { return m_links.size(); }
 
 private:
@@ -34,7 +37,8 @@
 
     GatewayState &m_state;
     boost::asio::ip::tcp::acceptor m_acceptor;
-    std::set<std::shared_ptr<CallerLink>> m_links;
+    /// The request that each connection carries, null between two.
+    std::map<std::shared_ptr<CallerLink>, const RequestRelay *> m_links;
 };
 
 } // namespace snipestall::gateway
--- a/include/snipestall/gateway/gateway_metrics.hpp
+++ b/include/snipestall/gateway/gateway_metrics.hpp
@@ -19,6 +19,8 @@
     void firstByte(const std::string &service, std::chrono::nanoseconds waited);
     /// A request has its final answer. `status` 0: the caller left or the answer was broken off.
     void ended(unsigned status, std::chrono::nanoseconds took);
+    /// The loop came to its events this late.
+    void loopLate(std::chrono::nanoseconds delay);
     /// All metrics, with the totals and levels of this moment.
     [[nodiscard]] std::string page(const GatewayState &state);
 
--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -8,12 +8,14 @@
 #include "snipestall/gateway/gateway_counters.hpp"
 #include "snipestall/gateway/gateway_metrics.hpp"
 #include "snipestall/gateway/gateway_settings.hpp"
+#include "snipestall/gateway/loop_work.hpp"
 #include "snipestall/gateway/stream_watch.hpp"
 #include "snipestall/gateway/true_time.hpp"
 #include "snipestall/serving/catalogue.hpp"
 #include "snipestall/serving/crash_watch.hpp"
 #include "snipestall/serving/demand_meter.hpp"
 #include "snipestall/serving/latency_pressure.hpp"
+#include "snipestall/serving/loop_lag.hpp"
 #include "snipestall/serving/member_usage.hpp"
 #include "snipestall/serving/peer_loads.hpp"
 #include "snipestall/serving/placement.hpp"
@@ -66,6 +68,8 @@
     platform::MemoryClient memory;
     GatewayCounters counters;
     GatewayMetrics metrics;
+    serving::LoopLag loopLag;
+    LoopWork loopWork;
 
     /// The list of backend servers has been read at least once.
     bool listKnown = false;
--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -88,6 +88,8 @@
     void takeTables(const exchange::v1::LoadReport &report, Peer &peer);
     void takeUsage(const exchange::v1::LoadReport &report);
     void take(const exchange::v1::LoadReport &report);
+    /// Takes a peer's report and gives the one that answers it.
+    exchange::v1::LoadReport answer(const exchange::v1::LoadReport &report);
     /// What the sender, and those it speaks for, have at servers and have taken.
     void takeSums(const exchange::v1::LoadReport &report, SteadyTime now);
     void forgetSums(const std::string &peer);
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -37,6 +37,8 @@
 
     /// Returns whether the caller's connection can carry another request.
     wire::Task<bool> run();
+    /// For a request that the end of the process leaves without its final answer.
+    void logCut() const;
 
 private:
     /// How one attempt at a backend server ended.
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -179,6 +179,21 @@
     "counted; one that was at three such servers is refused.",
     "If it repeats, look for 900 with ends-servers and tell the customer."
 };
+const EventInfo LoopLate {
+    906, Severity::Warning, "loop-late",
+    "Events waited for this long before the process came to them, at the worst within the last "
+    "second, with what it handled meanwhile.",
+    "If it lasts, give the instance more processor time or fewer callers."
+};
+const EventInfo RequestCut {
+    907, Severity::Warning, "request-cut",
+    "A request's connection was closed without its final answer, because the process ended.",
+    "Look for 906 and 910 before it; if requests often last longer than the grace, raise it."
+};
+const EventInfo ShutdownRefuses {
+    908, Severity::Info, "shutdown-refuses",
+    "From now on a process that shuts down refuses new requests as not run.", "None."
+};
 const EventInfo StoreLost { 910, Severity::Warning, "store-lost",
                             "The platform's store does not answer; what is known stays in force.",
                             "Check the store and the path to it if this lasts." };
@@ -270,6 +285,9 @@
     &QuotaRefused,
     &StreamMoved,
     &ServerEnded,
+    &LoopLate,
+    &RequestCut,
+    &ShutdownRefuses,
     &StoreLost,
     &StoreRegained,
     &StoreRowFaulty,
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -108,7 +108,7 @@
             continue;
         }
         auto link = std::make_shared<CallerLink>(std::move(socket));
-        m_links.insert(link);
+        m_links.emplace(link, nullptr);
         asio::co_spawn(m_state.io, serve(std::move(link)), asio::detached);
     }
 }
@@ -141,18 +141,30 @@
             co_await link.write(std::move(answer));
             co_return;
         }
+        ++m_state.loopWork.requestsRead;
         RequestRelay relay(m_state, shared);
-        if (!co_await relay.run())
+        m_links[shared] = &relay;
+        const bool goesOn = co_await relay.run();
+        m_links[shared] = nullptr;
+        if (!goesOn)
             co_return;
     }
 }
 
 void CallerListener::closeIdle()
 {
-    for (const auto &link : m_links) {
+    for (const auto &[link, relay] : m_links) {
         if (link->idle())
             link->close();
     }
 }
 
+void CallerListener::logUnanswered() const
+{
+    for (const auto &[link, relay] : m_links) {
+        if (relay != nullptr)
+            relay->logCut();
+    }
+}
+
 } // namespace snipestall::gateway
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -1,12 +1,14 @@
 #include "snipestall/gateway/gateway.hpp"
 
 #include "platform/store_client.hpp"
+#include "relay_text.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/caller_listener.hpp"
 #include "snipestall/gateway/duty_runner.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/gateway/load_exchange.hpp"
+#include "snipestall/gateway/loop_watch.hpp"
 #include "snipestall/gateway/store_follower.hpp"
 #include "snipestall/wire/http_exchange.hpp"
 #include "snipestall/wire/http_server.hpp"
@@ -51,6 +53,7 @@
         , store(io, state.settings.store)
         , follower(state, store)
         , duties(state, store)
+        , loopWatch(state)
     { }
 
     [[nodiscard]] bool ready() const
@@ -66,6 +69,7 @@
     platform::StoreClient store;
     StoreFollower follower;
     DutyRunner duties;
+    LoopWatch loopWatch;
     std::unique_ptr<LoadExchange> exchange;
     std::unique_ptr<CallerListener> callers;
     std::unique_ptr<wire::HttpServer> readiness;
@@ -123,6 +127,7 @@
     m_parts->exchange->start();
     m_parts->duties.start();
     m_parts->callers->start();
+    m_parts->loopWatch.start();
     asio::co_spawn(m_parts->state.io, m_parts->housekeeping(), asio::detached);
     asio::co_spawn(m_parts->state.io, m_parts->watchAttempts(), asio::detached);
 }
@@ -169,7 +174,9 @@
     while (state.clock.steadyNow() < end) {
         const SteadyTime now = state.clock.steadyNow();
         if (now - begun >= TakeWorkFor) {
-            state.refusing = true;
+            if (!std::exchange(state.refusing, true))
+                logEvent(events::ShutdownRefuses,
+                         { { "after_ms", std::to_string(inMillis(now - begun)) } });
             callers->closeIdle();
             if (callers->connections() == 0)
                 break;
@@ -179,6 +186,7 @@
     // What was counted since, for requests that began meanwhile.
     co_await duties.leave();
     logEvent(events::ProcessStopped, { { "requests", std::to_string(state.requestsInFlight) } });
+    callers->logUnanswered();
     state.io.stop();
 }
 
--- a/src/snipestall/gateway/gateway_metrics.cpp
+++ b/src/snipestall/gateway/gateway_metrics.cpp
@@ -72,6 +72,7 @@
     prometheus::Registry registry;
     prometheus::Family<prometheus::Histogram> *firstByte = nullptr;
     prometheus::Family<prometheus::Histogram> *duration = nullptr;
+    prometheus::Histogram *loopDelay = nullptr;
 };
 
 GatewayMetrics::GatewayMetrics()
@@ -85,6 +86,11 @@
                                 .Name("snipestall_gateway_request_seconds")
                                 .Help("From a request's arrival to its end, by status.")
                                 .Register(m_families->registry);
+    m_families->loopDelay = &prometheus::BuildHistogram()
+                                 .Name("snipestall_gateway_loop_delay_seconds")
+                                 .Help("How late the process came to its events.")
+                                 .Register(m_families->registry)
+                                 .Add({}, LatencyBounds);
 }
 
 GatewayMetrics::~GatewayMetrics() = default;
@@ -101,6 +107,11 @@
         .Observe(secondsOf(took));
 }
 
+void GatewayMetrics::loopLate(std::chrono::nanoseconds delay)
+{
+    m_families->loopDelay->Observe(secondsOf(delay));
+}
+
 std::string GatewayMetrics::page(const GatewayState &state)
 {
     for (const Level &level : Levels) {
--- a/src/snipestall/gateway/gateway_state.cpp
+++ b/src/snipestall/gateway/gateway_state.cpp
@@ -18,6 +18,7 @@
           { settings.bounds.retryWindow, settings.bounds.retryRatio, settings.bounds.retrySlack })
     , usage(settings.bounds.usageWindow)
     , memory(loop)
+    , loopLag(clock.steadyNow())
 {
     if (!settings.firstStart)
         quotas.startedAmongOthers(clock.steadyNow());
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -58,11 +58,9 @@
 {
     std::unique_ptr<LoadExchange> exchange(
         new LoadExchange(state, store, follower, std::move(hooks)));
-    auto server = ExchangeServer::create(state.io, exchange->ownAddress(),
-                                         [raw = exchange.get()](const v1::LoadReport &report) {
-                                             raw->take(report);
-                                             return raw->reportFor(report.instance(), false);
-                                         });
+    auto server = ExchangeServer::create(
+        state.io, exchange->ownAddress(),
+        [raw = exchange.get()](const v1::LoadReport &report) { return raw->answer(report); });
     if (!server)
         return tl::unexpected<Error>(server.error());
     exchange->m_server = std::move(*server);
@@ -287,6 +285,7 @@
 void LoadExchange::takeTables(const v1::LoadReport &report, Peer &peer)
 {
     for (const v1::TableState &state : report.tables()) {
+        m_state.loopWork.rows += static_cast<std::size_t>(state.rows_size());
         peer.versions[state.table()] = state.version();
         // Without rows the sender's copy can only confirm one that goes as far.
         TableChanges changes { state.rows_from() == 0 ? state.version() : state.rows_from(),
@@ -373,6 +372,16 @@
         m_hooks.holderHeard();
 }
 
+v1::LoadReport LoadExchange::answer(const v1::LoadReport &report)
+{
+    const SteadyTime begun = m_state.clock.steadyNow();
+    take(report);
+    v1::LoadReport own = reportFor(report.instance(), false);
+    ++m_state.loopWork.reports;
+    m_state.loopWork.reportTime += m_state.clock.steadyNow() - begun;
+    return own;
+}
+
 void LoadExchange::markSilent()
 {
     const SteadyTime now = m_state.clock.steadyNow();
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -113,6 +113,17 @@
                { "ms", std::to_string(inMillis(passed)) } });
 }
 
+void RequestRelay::logCut() const
+{
+    logEvent(events::RequestCut,
+             { { "attempt", m_header.attemptId },
+               { "route", m_route == nullptr ? "" : m_route->name },
+               { "runs", std::to_string(m_runs) },
+               { "sends", std::to_string(m_sends) },
+               { "answer_begun", m_answer.begun() ? "yes" : "no" },
+               { "ms", std::to_string(inMillis(m_state.clock.steadyNow() - m_received)) } });
+}
+
 Task<bool> RequestRelay::run()
 {
     m_header = platform::readCallerHeader(m_caller->request());
--- /dev/null
+++ b/src/snipestall/serving/loop_lag.cpp
@@ -0,0 +1,27 @@
+#include "snipestall/serving/loop_lag.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipestall::serving {
+
+using std::chrono::milliseconds;
+
+LoopLag::LoopLag(SteadyTime now)
+    : m_latest(now)
+    , m_previous(now)
+{ }
+
+void LoopLag::ticked(SteadyTime due, SteadyTime now)
+{
+    m_last = std::max(std::chrono::duration_cast<milliseconds>(now - due), milliseconds(0));
+    m_worst = std::max(m_worst, m_last);
+    m_previous = std::exchange(m_latest, now);
+}
+
+milliseconds LoopLag::takeWorst()
+{
+    return std::exchange(m_worst, milliseconds(0));
+}
+
+} // namespace snipestall::serving
