A shutdown's bounds count from the signal and don't wait for the store

Callers saw their connections closed without an answer around stops while the store was silent (LOST).

Cause: drain() awaited up to three calls to the store, 1.5 s each, before it first looked at the time at which it refuses, and two more after its last moment. A flag told requests whether to be refused, so it was as late as whoever set it. The time counted from the handling of the signal, not from its arrival.

Now serving::ShutdownPlan gives every bound from the earliest moment at which the signal may have come; each request asks it at its own time; leaving the fleet runs beside it, and the end of the process waits for the store no longer than to 0.1 s before the end of the grace. Where no call is awaited, no store can move a bound.

Test: ShutdownTest.ASilentStoreDoesNotProlongTheTimeForWhichWorkIsTaken failed on the code before (status 200, the request ran; 503 is due).

--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -22,6 +22,7 @@
 #include "snipestall/serving/quota_keeper.hpp"
 #include "snipestall/serving/retry_allowance.hpp"
 #include "snipestall/serving/server_table.hpp"
+#include "snipestall/serving/shutdown_plan.hpp"
 #include "snipestall/serving/usage_ledger.hpp"
 #include "snipestall/serving/usage_windows.hpp"
 
@@ -29,6 +30,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace snipestall::gateway {
 
@@ -84,10 +86,14 @@
     AttemptWatch attempts;
     /// Running streams that can't be run again.
     StreamWatch streams;
-    /// A graceful shutdown has begun.
-    bool draining = false;
-    /// So late in the shutdown that a request might not be finished: it is refused as not run.
-    bool refusing = false;
+    /// Set once a graceful shutdown has begun.
+    std::optional<serving::ShutdownPlan> shutdown;
+    [[nodiscard]] bool draining() const { return shutdown.has_value(); }
+    /// Asked for each request at its own time: a flag would be as late as whoever sets it.
+    [[nodiscard]] bool takesWork() const
+    {
+        return !shutdown || shutdown->takesWork(clock.steadyNow());
+    }
     std::size_t requestsInFlight = 0;
 };
 
--- a/src/snipestall/gateway/duty_runner.cpp
+++ b/src/snipestall/gateway/duty_runner.cpp
@@ -76,7 +76,7 @@
 
 bool DutyRunner::holdsLease() const
 {
-    return !m_state.draining && m_lease.holds(m_state.clock.steadyNow());
+    return !m_state.draining() && m_lease.holds(m_state.clock.steadyNow());
 }
 
 void DutyRunner::setCandidate(bool candidate)
@@ -103,7 +103,7 @@
 {
     // Instances that start together would otherwise all write at the same moment.
     co_await wire::sleepFor(milliseconds(static_cast<std::int64_t>(m_state.random.below(500))));
-    while (!m_state.draining) {
+    while (!m_state.draining()) {
         const SteadyTime now = m_state.clock.steadyNow();
         if (m_lease.wantsRead(now))
             co_await readLease();
--- a/src/snipestall/gateway/duty_runner_usage.cpp
+++ b/src/snipestall/gateway/duty_runner_usage.cpp
@@ -99,13 +99,13 @@
     const std::int64_t current =
         m_state.usage.windowOf(m_state.trueTime.at(m_state.clock.steadyNow()));
     // A process that shuts down stores the window that still runs, too.
-    const std::int64_t last = m_state.draining ? current : current - 1;
+    const std::int64_t last = m_state.draining() ? current : current - 1;
     if (m_storedUpTo == 0)
         m_storedUpTo = current - 1;
     while (m_storedUpTo < last) {
         const std::int64_t window = m_storedUpTo + 1;
-        const bool byHub = !m_state.draining && m_state.memberUsage.storedByHub(window);
-        if (!byHub && !m_state.draining
+        const bool byHub = !m_state.draining() && m_state.memberUsage.storedByHub(window);
+        if (!byHub && !m_state.draining()
             && m_state.memberUsage.leftToHub(sinceEndOf(window), m_state.clock.steadyNow()))
             co_return;
         if (!byHub && !co_await storeCountsOf(window))
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -29,14 +29,10 @@
 namespace {
 
 constexpr milliseconds HousekeepingEvery { 250 };
-/// Time left for the last writes to the store and the end of the process.
-constexpr milliseconds EndMargin { 500 };
 /// Finer than any target latency by far.
 constexpr milliseconds AttemptCheckEvery { 50 };
 constexpr milliseconds DrainTick { 50 };
-/// New connections may come until the readiness has been asked for a few times, once a second.
-/// What comes later is refused: it might not be finished in time.
-constexpr milliseconds TakeWorkFor { 2700 };
+constexpr milliseconds EndTick { 10 };
 
 std::uint64_t randomSeed()
 {
@@ -58,12 +54,16 @@
 
     [[nodiscard]] bool ready() const
     {
-        return !state.draining && state.catalogue && state.listKnown;
+        return !state.draining() && state.catalogue && state.listKnown;
     }
 
     Task<void> housekeeping();
     Task<void> watchAttempts();
     Task<void> drain();
+    /// Tells the store that this instance is no longer there.
+    Task<void> leaveFleet();
+    Task<void> storeLastCounts();
+    void noteRefusing();
 
     GatewayState state;
     platform::StoreClient store;
@@ -74,6 +74,9 @@
     std::unique_ptr<CallerListener> callers;
     std::unique_ptr<wire::HttpServer> readiness;
     std::unique_ptr<wire::HttpServer> metrics;
+    bool hasLeft = false;
+    bool countsStored = false;
+    bool refusalNoted = false;
 };
 
 Gateway::Gateway(std::unique_ptr<Parts> parts)
@@ -158,38 +161,59 @@
 
 void Gateway::drain()
 {
-    if (std::exchange(m_parts->state.draining, true))
+    GatewayState &state = m_parts->state;
+    if (state.draining())
         return;
-    logEvent(events::ProcessStopping,
-             { { "requests", std::to_string(m_parts->state.requestsInFlight) } });
-    asio::co_spawn(m_parts->state.io, m_parts->drain(), asio::detached);
+    state.shutdown.emplace(state.loopLag.earliestArrival(), state.settings.bounds.grace);
+    logEvent(events::ProcessStopping, { { "requests", std::to_string(state.requestsInFlight) } });
+    asio::co_spawn(state.io, m_parts->leaveFleet(), asio::detached);
+    asio::co_spawn(state.io, m_parts->drain(), asio::detached);
 }
 
-Task<void> Gateway::Parts::drain()
+Task<void> Gateway::Parts::leaveFleet()
 {
-    const SteadyTime begun = state.clock.steadyNow();
-    const SteadyTime end = begun + state.settings.bounds.grace - EndMargin;
     co_await exchange->leave();
     co_await duties.leave();
-    while (state.clock.steadyNow() < end) {
-        const SteadyTime now = state.clock.steadyNow();
-        if (now - begun >= TakeWorkFor) {
-            if (!std::exchange(state.refusing, true))
-                logEvent(events::ShutdownRefuses,
-                         { { "after_ms", std::to_string(inMillis(now - begun)) } });
+    hasLeft = true;
+}
+
+Task<void> Gateway::Parts::drain()
+{
+    while (!state.shutdown->mustAnswer(state.clock.steadyNow())) {
+        if (!state.takesWork()) {
+            noteRefusing();
             callers->closeIdle();
             if (callers->connections() == 0)
                 break;
         }
         co_await wire::sleepFor(DrainTick);
     }
-    // What was counted since, for requests that began meanwhile.
-    co_await duties.leave();
-    logEvent(events::ProcessStopped, { { "requests", std::to_string(state.requestsInFlight) } });
+    asio::co_spawn(state.io, storeLastCounts(), asio::detached);
+    const auto mayEnd = [this] { return countsStored && callers->connections() == 0; };
+    while (!mayEnd() && !state.shutdown->mustEnd(state.clock.steadyNow()))
+        co_await wire::sleepFor(EndTick);
     callers->logUnanswered();
+    logEvent(events::ProcessStopped, { { "requests", std::to_string(state.requestsInFlight) } });
     state.io.stop();
 }
 
+Task<void> Gateway::Parts::storeLastCounts()
+{
+    while (!hasLeft)
+        co_await wire::sleepFor(EndTick);
+    // What was counted since, for requests that began meanwhile.
+    co_await duties.leave();
+    countsStored = true;
+}
+
+void Gateway::Parts::noteRefusing()
+{
+    if (std::exchange(refusalNoted, true))
+        return;
+    const auto since = state.clock.steadyNow() - state.shutdown->signalled();
+    logEvent(events::ShutdownRefuses, { { "after_ms", std::to_string(inMillis(since)) } });
+}
+
 void Gateway::settingsChanged(const GatewaySettings &settings)
 {
     m_parts->state.settings.bounds = settings.bounds;
--- a/src/snipestall/gateway/gateway_metrics.cpp
+++ b/src/snipestall/gateway/gateway_metrics.cpp
@@ -55,7 +55,7 @@
     { "snipestall_gateway_config_version", "Version of the configuration in force; 0 for none.",
       [](const GatewayState &s) { return s.catalogue ? double(s.catalogue->version()) : 0; } },
     { "snipestall_gateway_draining", "1 while a graceful shutdown runs.",
-      [](const GatewayState &s) { return s.draining ? 1.0 : 0.0; } },
+      [](const GatewayState &s) { return s.draining() ? 1.0 : 0.0; } },
     { "snipestall_gateway_time_known", "1 once the common time of day is known.",
       [](const GatewayState &s) { return s.trueTime.known() ? 1.0 : 0.0; } },
 } };
--- a/src/snipestall/gateway/relay_text.hpp
+++ b/src/snipestall/gateway/relay_text.hpp
@@ -11,6 +11,9 @@
 /// When to come back after a refusal for want of a server: about as long as a restart takes.
 inline constexpr std::chrono::milliseconds RetryAfterNoServer { 700 };
 
+/// Another instance takes the caller's new connection at once.
+inline constexpr std::chrono::milliseconds RetryAfterShutdown { 50 };
+
 inline std::int64_t inMillis(SteadyTime::duration time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -89,7 +89,7 @@
 Task<void> RequestRelay::answer(CallerLink::Answer answer, const char *reason)
 {
     const unsigned status = answer.result_int();
-    if (m_state.draining)
+    if (m_state.draining())
         m_keepAlive = false;
     answer.keep_alive(m_keepAlive);
     m_keepAlive = co_await m_answer.writeWhole(std::move(answer)) && m_keepAlive;
--- a/src/snipestall/gateway/request_relay_admission.cpp
+++ b/src/snipestall/gateway/request_relay_admission.cpp
@@ -26,8 +26,6 @@
 constexpr milliseconds StartTick { 2 };
 /// When to come back to an instance that knows no configuration yet.
 constexpr milliseconds RetryAfterNoConfig { 500 };
-/// Another instance takes the caller's new connection at once.
-constexpr milliseconds RetryAfterShutdown { 50 };
 /// Longer than any caller waits: the request is not to come back.
 constexpr std::chrono::seconds RetryAfterCrashes { 60 };
 
@@ -89,7 +87,7 @@
         co_await answer(std::move(response), reason);
         co_return false;
     };
-    if (m_state.refusing)
+    if (!m_state.takesWork())
         co_return co_await refuse(refusal(503, RetryAfterShutdown), "shutting-down");
     if (!m_catalogue)
         co_return co_await refuse(refusal(503, RetryAfterNoConfig), "no-configuration");
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -112,7 +112,7 @@
     head.result(m_call->head().result_int());
     head.reason(m_call->head().reason());
     platform::copyAnswerHeader(m_call->head(), head);
-    if (m_state.draining) {
+    if (m_state.draining()) {
         m_keepAlive = false;
         head.set(http::field::connection, "close");
     }
--- /dev/null
+++ b/src/snipestall/serving/shutdown_plan.cpp
@@ -0,0 +1,17 @@
+#include "snipestall/serving/shutdown_plan.hpp"
+
+#include <algorithm>
+
+namespace snipestall::serving {
+
+using std::chrono::milliseconds;
+
+ShutdownPlan::ShutdownPlan(SteadyTime signalled, milliseconds grace)
+    : m_signalled(signalled)
+    , m_answerAt(signalled + std::max(grace - LastAnswersMargin, milliseconds(0)))
+    , m_endAt(signalled + std::max(grace - EndMargin, milliseconds(0)))
+{
+    m_refuseAt = std::min(signalled + TakeWorkFor, m_answerAt);
+}
+
+} // namespace snipestall::serving
--- /dev/null
+++ b/src/snipestall/serving/shutdown_plan_test.cpp
@@ -0,0 +1,33 @@
+#include "snipestall/serving/shutdown_plan.hpp"
+
+#include <gtest/gtest.h>
+
+namespace snipestall::serving {
+
+using namespace std::chrono_literals;
+
+// Guards against work that is taken so late that the end of the grace cuts it off.
+TEST(ShutdownPlan, WorkIsTakenForAPartOfTheGraceOnly)
+{
+    const SteadyTime signalled { 100s };
+    const ShutdownPlan plan(signalled, 8s);
+    EXPECT_TRUE(plan.takesWork(signalled + 2600ms));
+    EXPECT_FALSE(plan.takesWork(signalled + 2700ms));
+    EXPECT_FALSE(plan.mustAnswer(signalled + 7400ms));
+    EXPECT_TRUE(plan.mustAnswer(signalled + 7500ms));
+    EXPECT_FALSE(plan.mustEnd(signalled + 7800ms));
+    EXPECT_TRUE(plan.mustEnd(signalled + 7900ms));
+}
+
+// Guards against a grace shorter than the time for which work is taken.
+TEST(ShutdownPlan, AShortGraceLeavesTimeForLastAnswers)
+{
+    const SteadyTime signalled { 100s };
+    const ShutdownPlan plan(signalled, 2s);
+    EXPECT_FALSE(plan.takesWork(signalled + 1500ms));
+    EXPECT_TRUE(plan.mustAnswer(signalled + 1500ms));
+    EXPECT_FALSE(plan.mustEnd(signalled + 1500ms));
+    EXPECT_TRUE(plan.mustEnd(signalled + 1900ms));
+}
+
+} // namespace snipestall::serving
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -110,7 +110,12 @@
                 m_io.stop();
             },
             boost::asio::detached);
-        m_io.run_for(std::chrono::seconds(60));
+        // A gateway that shuts down ends the loop, too.
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(60);
+        while (!ended && std::chrono::steady_clock::now() < until) {
+            m_io.run_until(until);
+            m_io.restart();
+        }
         EXPECT_TRUE(ended);
     }
 
@@ -136,7 +141,12 @@
     /// Waits until the gateway with these metrics knows so many servers.
     wire::Task<void> untilServing(wire::Endpoint metrics, std::size_t servers)
     {
-        const std::string line = "snipestall_gateway_servers " + std::to_string(servers) + "\n";
+        co_await untilMetric(std::move(metrics), "snipestall_gateway_servers", servers);
+    }
+
+    wire::Task<void> untilMetric(wire::Endpoint metrics, std::string name, std::size_t value)
+    {
+        const std::string line = name + " " + std::to_string(value) + "\n";
         while (true) {
             const wire::HttpResponse page = co_await fetch(metrics, "/metrics");
             if (page.body.find(line) != std::string::npos)
--- /dev/null
+++ b/tests/gateway/shutdown_test.cpp
@@ -0,0 +1,48 @@
+#include "gateway_fixture.hpp"
+
+#include "snipestall/serving/shutdown_plan.hpp"
+
+namespace snipestall::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+using wire::HttpResponse;
+using wire::Task;
+
+class ShutdownTest : public GatewayPathTest
+{
+protected:
+    /// An instance that has served a request and holds the lease: leaving takes all its calls.
+    Task<Instance> servingInstance(std::chrono::milliseconds grace)
+    {
+        GatewaySettings settings = settingsOf("edge-2");
+        settings.bounds.grace = grace;
+        Instance instance = startInstance(settings);
+        co_await untilServing(instance.metrics, 2);
+        co_await untilMetric(instance.metrics, "snipestall_gateway_time_known", 1);
+        while (m_store.valueOf({ "duty", "", "lease" }).empty())
+            co_await wire::sleepFor(5ms);
+        co_await fetch(instance.callers, "/safe/x");
+        co_return instance;
+    }
+};
+
+// Guards against work that is taken late in a shutdown because the store does not answer.
+TEST_F(ShutdownTest, ASilentStoreDoesNotProlongTheTimeForWhichWorkIsTaken)
+{
+    publish();
+    run([this]() -> Task<void> {
+        const Instance instance = co_await servingInstance(30s);
+        const std::size_t ran = m_first.ran().size() + m_second.ran().size();
+        m_store.staySilent(true);
+        instance.gateway->drain();
+        co_await wire::sleepFor(serving::ShutdownPlan::TakeWorkFor);
+        const HttpResponse late = co_await fetch(instance.callers, "/safe/x");
+        EXPECT_EQ(late.status, 503);
+        EXPECT_TRUE(late.fields.find("Retry-After"));
+        EXPECT_EQ(m_first.ran().size() + m_second.ran().size(), ran);
+    });
+}
+
+} // namespace
+} // namespace snipestall::gateway
