Requests that still run at the end of a shutdown get an answer

Cause: the end of the process ended what ran, and nothing told the requests before.

Test: ShutdownTest.ARequestThatStillRunsWhenTheGraceEndsGetsAnAnswer. Without the call of giveUp() nothing answers its request.

--- a/include/snipestall/gateway/caller_listener.hpp
+++ b/include/snipestall/gateway/caller_listener.hpp
@@ -25,6 +25,8 @@
     void start();
     /// Closes connections that carry no request.
     void closeIdle();
+    /// Requests that still run get their last answer.
+    void giveUp();
     /// Logs the requests whose answer the end of the process cuts off.
     void logUnanswered() const;
     [[nodiscard]] std::size_t connections() const { return m_links.size(); }
@@ -38,7 +40,7 @@
     GatewayState &m_state;
     boost::asio::ip::tcp::acceptor m_acceptor;
     /// The request that each connection carries, null between two.
-    std::map<std::shared_ptr<CallerLink>, const RequestRelay *> m_links;
+    std::map<std::shared_ptr<CallerLink>, RequestRelay *> m_links;
 };
 
 } // namespace snipestall::gateway
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -37,6 +37,8 @@
 
     /// Returns whether the caller's connection can carry another request.
     wire::Task<bool> run();
+    /// Ends what runs for the request; its caller gets the answer that can be given now.
+    void giveUp();
     /// For a request that the end of the process leaves without its final answer.
     void logCut() const;
 
@@ -143,6 +145,8 @@
     bool m_maybeRan = false;
     bool m_counted = false;
     bool m_callerGone = false;
+    /// The process ends before this request could.
+    bool m_givenUp = false;
     bool m_keepAlive = true;
 };
 
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -159,6 +159,14 @@
     }
 }
 
+void CallerListener::giveUp()
+{
+    for (const auto &[link, relay] : m_links) {
+        if (relay != nullptr)
+            relay->giveUp();
+    }
+}
+
 void CallerListener::logUnanswered() const
 {
     for (const auto &[link, relay] : m_links) {
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -188,6 +188,7 @@
         }
         co_await wire::sleepFor(DrainTick);
     }
+    callers->giveUp();
     asio::co_spawn(state.io, storeLastCounts(), asio::detached);
     const auto mayEnd = [this] { return countsStored && callers->connections() == 0; };
     while (!mayEnd() && !state.shutdown->mustEnd(state.clock.steadyNow()))
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -113,6 +113,13 @@
                { "ms", std::to_string(inMillis(passed)) } });
 }
 
+void RequestRelay::giveUp()
+{
+    m_givenUp = true;
+    if (m_call != nullptr)
+        m_call->abort();
+}
+
 void RequestRelay::logCut() const
 {
     logEvent(events::RequestCut,
@@ -142,7 +149,8 @@
 
 bool RequestRelay::mayTryAgain(AttemptEnd last)
 {
-    if (last == AttemptEnd::Final || last == AttemptEnd::TimedOut || m_callerGone || timeIsUp())
+    if (last == AttemptEnd::Final || last == AttemptEnd::TimedOut || m_callerGone || m_givenUp
+        || timeIsUp())
         return false;
     // The rest of a body that is passed on as it comes is nowhere but in its own run.
     if (m_answer.state() == CallerAnswer::State::SpillingBody)
@@ -176,7 +184,7 @@
 
 void RequestRelay::noteBreak(const serving::ServerStatePtr &server)
 {
-    if (m_callerGone)
+    if (m_callerGone || m_givenUp)
         return;
     const SteadyTime now = m_state.clock.steadyNow();
     m_state.servers.lost(*server, now);
@@ -220,13 +228,19 @@
     }
     if (!m_maybeRan) {
         ++m_state.counters.refused;
-        co_await answer(refusal(503, RetryAfterNoServer), "no-server");
+        if (m_givenUp)
+            co_await answer(refusal(503, RetryAfterShutdown), "shutting-down");
+        else
+            co_await answer(refusal(503, RetryAfterNoServer), "no-server");
         co_return;
     }
     ++m_state.counters.failed;
     const bool late = last == AttemptEnd::TimedOut;
     const bool blocked = m_state.crashes.blocked(m_fingerprint, m_state.clock.steadyNow());
-    const char *reason = late ? "timeout" : blocked ? "ends-servers" : "answer-lost";
+    const char *reason = late ? "timeout"
+        : m_givenUp           ? "shutting-down"
+        : blocked             ? "ends-servers"
+                              : "answer-lost";
     co_await answer(ownAnswer(late ? 504 : 502), reason);
 }
 
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -2,6 +2,8 @@
 
 #include "snipestall/serving/shutdown_plan.hpp"
 
+#include <optional>
+
 namespace snipestall::gateway {
 namespace {
 
@@ -44,5 +46,27 @@
     });
 }
 
+// Guards against a connection that is closed without an answer when the grace ends.
+TEST_F(ShutdownTest, ARequestThatStillRunsWhenTheGraceEndsGetsAnAnswer)
+{
+    publish();
+    run([this]() -> Task<void> {
+        const Instance instance = co_await servingInstance(2s);
+        m_first.behave(TestBackend::Behaviour::Hang);
+        m_second.behave(TestBackend::Behaviour::Hang);
+        std::optional<HttpResponse> response;
+        boost::asio::co_spawn(
+            m_io,
+            [&]() -> Task<void> { response = co_await fetch(instance.callers, "/once/x", "POST"); },
+            boost::asio::detached);
+        while (m_first.ran().size() + m_second.ran().size() < 2)
+            co_await wire::sleepFor(5ms);
+        instance.gateway->drain();
+        while (!response)
+            co_await wire::sleepFor(5ms);
+        EXPECT_EQ(response->status, 502);
+    });
+}
+
 } // namespace
 } // namespace snipestall::gateway
--- a/tests/gateway/test_backend.cpp
+++ b/tests/gateway/test_backend.cpp
@@ -72,6 +72,11 @@
     case Behaviour::LoseAnswer:
         exchange.abort();
         co_return;
+    case Behaviour::Hang:
+        while (m_behaviour == Behaviour::Hang)
+            co_await wire::sleepFor(5ms);
+        exchange.abort();
+        co_return;
     case Behaviour::EndAfterEvents:
         co_await streamUpTo(EventsBeforeCrash, exchange, std::move(response));
         [[fallthrough]];
--- a/tests/gateway/test_backend.hpp
+++ b/tests/gateway/test_backend.hpp
@@ -26,6 +26,8 @@
         Serve,
         SayNotRun,
         LoseAnswer,
+        /// Works on the request without an end.
+        Hang,
         Fail,
         /// Says that it is not the server that was meant.
         OtherServer,
