Whether a caller still waits is asked of the kernel right before a send

Callers had left, and their requests were sent to servers all the same (GONE): those whose close lay in the kernel behind the request, those that left while an instance awaited its start, a connection, the fate of a server or a move.

Between attempts a flag was asked that the same event sets.

Now BackendCall asks right before the first byte of each send, of whatever attempt, and the answer comes from the kernel (peerHasClosed: a peek, and POLLRDHUP behind unread bytes). A request that is not sent gives its units back to the quota and blames no server; an attempt that a leaving caller ended while it connected counted as a lost server before.

--- a/include/snipestall/gateway/backend_call.hpp
+++ b/include/snipestall/gateway/backend_call.hpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,6 +29,8 @@
     Lost,
     /// As Lost, at the time limit.
     TimedOut,
+    /// No byte was sent, because nobody waits for the answer any more.
+    Unwanted,
 };
 
 /// One piece of an answer's body.
@@ -58,18 +61,22 @@
                 std::string server, wire::Endpoint address);
     ~BackendCall();
 
+    /// Whether the request is to be sent; asked right before its first byte.
+    using Wanted = std::function<bool()>;
+
     /// Sends the request and reads the answer's head.
     wire::Task<CallStart> start(Request request, std::string attemptId,
-                                std::chrono::milliseconds connectTimeout, SteadyTime until);
+                                std::chrono::milliseconds connectTimeout, SteadyTime until,
+                                Wanted wanted);
     [[nodiscard]] const Head &head() const { return m_parser->get(); }
     wire::Task<BodyRead> readBody(SteadyTime until);
     /// Closes the connection, which makes the server drop the request. What awaits returns.
     void abort();
-    /// A byte of the request may have reached the server.
     /// Nobody listens at the server's address.
     [[nodiscard]] bool refused() const { return m_refused; }
     /// The same, or the server took no connection: one that is ending resets those that wait.
     [[nodiscard]] bool turnedAway() const { return m_turnedAway; }
+    /// A byte of the request may have reached the server.
     [[nodiscard]] bool maybeSent() const { return m_maybeSent; }
     /// When the last byte of the answer arrived, or the request was sent.
     [[nodiscard]] SteadyTime lastHeard() const { return m_lastHeard; }
@@ -81,6 +88,7 @@
     wire::Task<void> writeRequest();
     wire::Task<boost::system::error_code> readHead(SteadyTime until);
     wire::Task<boost::system::error_code> dropBody(SteadyTime until);
+    void leaveUnsent(bool connected);
     void beginAnswer();
     void keepConnection();
     void expireAt(SteadyTime until);
--- a/include/snipestall/gateway/caller_link.hpp
+++ b/include/snipestall/gateway/caller_link.hpp
@@ -45,6 +45,8 @@
     /// sends its next request early is not watched any further.
     void watchLeaving(std::function<void()> left);
     void stopWatching() { m_left = nullptr; }
+    /// Whether the caller has closed its connection, also if nothing has told so yet.
+    [[nodiscard]] bool hasLeft();
 
     /// False if the caller could not be reached.
     wire::Task<bool> write(Answer answer);
--- a/include/snipestall/wire/socket_options.hpp
+++ b/include/snipestall/wire/socket_options.hpp
@@ -23,4 +23,8 @@
 /// connection is its end or bytes that belong to no request.
 bool isIdleAndOpen(boost::asio::ip::tcp::socket &socket);
 
+/// Whether the peer has closed the connection, whatever of its bytes is still unread. Asks the
+/// kernel: an event of the loop may tell it later.
+bool peerHasClosed(boost::asio::ip::tcp::socket &socket);
+
 } // namespace snipestall::wire
--- a/src/snipestall/gateway/backend_call.cpp
+++ b/src/snipestall/gateway/backend_call.cpp
@@ -146,11 +146,15 @@
 }
 
 Task<CallStart> BackendCall::start(Request request, std::string attemptId,
-                                   milliseconds connectTimeout, SteadyTime until)
+                                   milliseconds connectTimeout, SteadyTime until, Wanted wanted)
 {
     m_request = std::move(request);
     m_attemptId = std::move(attemptId);
     const bool connected = co_await connect(connectTimeout);
+    if (!wanted()) {
+        leaveUnsent(connected);
+        co_return CallStart::Unwanted;
+    }
     if (!connected)
         co_return CallStart::Unreachable;
     m_maybeSent = true;
@@ -167,6 +171,15 @@
     co_return error == beast::error::timeout ? CallStart::TimedOut : CallStart::Lost;
 }
 
+void BackendCall::leaveUnsent(bool connected)
+{
+    const bool reusable = connected && !m_aborted && m_clock.steadyNow() < m_link->idleUntil;
+    if (reusable)
+        m_pool.giveBack(m_server, std::move(m_link));
+    else
+        abort();
+}
+
 Task<BodyRead> BackendCall::readBody(SteadyTime until)
 {
     std::string bytes(ReadBytes, '\0');
--- a/src/snipestall/gateway/caller_link.cpp
+++ b/src/snipestall/gateway/caller_link.cpp
@@ -118,6 +118,11 @@
         armWatch();
 }
 
+bool CallerLink::hasLeft()
+{
+    return m_closed || wire::peerHasClosed(m_stream.socket());
+}
+
 void CallerLink::armWatch()
 {
     m_watchArmed = true;
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -142,6 +142,12 @@
     co_return m_keepAlive && !m_callerGone;
 }
 
+bool RequestRelay::stillWanted()
+{
+    m_callerGone |= m_caller->hasLeft();
+    return !m_callerGone && !m_givenUp;
+}
+
 bool RequestRelay::timeIsUp() const
 {
     return m_state.clock.steadyNow() >= m_until;
@@ -210,13 +216,13 @@
 
 Task<void> RequestRelay::finishUnserved(AttemptEnd last)
 {
+    if (!m_maybeRan && m_customer != nullptr)
+        m_state.quotas.giveBack(m_customer->name, quotaUnits());
     if (m_callerGone) {
         ++m_state.counters.callersGone;
         logEnd(0, "caller-left");
         co_return;
     }
-    if (!m_maybeRan && m_customer != nullptr)
-        m_state.quotas.giveBack(m_customer->name, quotaUnits());
     if (m_answer.begun()) {
         breakOff("stream-broken");
         co_return;
@@ -294,13 +300,16 @@
     watchForStall(server);
     watchForReclaim(server);
     const CallStart start =
-        co_await call->start(std::move(request), m_header.attemptId, ConnectTimeout, m_until);
+        co_await call->start(std::move(request), m_header.attemptId, ConnectTimeout, m_until,
+                             [this] { return stillWanted(); });
     if (start == CallStart::Answered && !m_route->isStream())
         stopStallWatch();
     AttemptEnd end = AttemptEnd::Failed;
     if (start == CallStart::Answered) {
         server->heardAt = m_state.clock.steadyNow();
         end = co_await takeAnswer(server);
+    } else if (start == CallStart::Unwanted) {
+        end = AttemptEnd::NotRun;
     } else if (start == CallStart::Unreachable) {
         m_state.servers.lost(*server, m_state.clock.steadyNow());
         m_turnedAway = call->turnedAway();
--- a/src/snipestall/wire/socket_options.cpp
+++ b/src/snipestall/wire/socket_options.cpp
@@ -5,6 +5,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 
 namespace snipestall::wire {
 
@@ -41,6 +42,22 @@
     socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
 }
 
+bool peerHasClosed(tcp::socket &socket)
+{
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    char byte = 0;
+    const std::size_t unread =
+        socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    if (error == boost::asio::error::would_block)
+        return false;
+    if (error || unread == 0)
+        return true;
+    // Unread bytes lie before the close.
+    pollfd state { socket.native_handle(), POLLRDHUP, 0 };
+    return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 bool isIdleAndOpen(tcp::socket &socket)
 {
     boost::system::error_code error;
--- /dev/null
+++ b/tests/gateway/caller_leaves_test.cpp
@@ -0,0 +1,53 @@
+#include "gateway_fixture.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace snipestall::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+using wire::Task;
+
+class CallerLeavesTest : public GatewayPathTest
+{
+protected:
+    tcp::socket connect()
+    {
+        tcp::socket socket(m_io);
+        socket.connect({ boost::asio::ip::make_address(m_callers.host), m_callers.port });
+        return socket;
+    }
+
+    static std::string requestText(const std::string &attempt)
+    {
+        return "GET /safe/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + attempt
+            + "\r\nX-Deadline-Ms: 5000\r\nAuthorization: Bearer secret\r\n\r\n";
+    }
+
+    [[nodiscard]] std::size_t runs() const { return m_first.ran().size() + m_second.ran().size(); }
+};
+
+// Guards against work for a caller that has left before its request was read.
+TEST_F(CallerLeavesTest, ARequestWhoseCallerHasLeftIsNotSent)
+{
+    publish();
+    run([this]() -> Task<void> {
+        co_await untilServing();
+        // A kept connection to each server: a request is sent as soon as it has been read.
+        while (m_first.ran().empty() || m_second.ran().empty())
+            co_await fetch(m_callers, "/safe/x");
+        const std::size_t before = runs();
+        {
+            tcp::socket caller = connect();
+            boost::asio::write(caller, boost::asio::buffer(requestText("left-1")));
+        }
+        co_await untilMetric(m_metrics, "snipestall_gateway_callers_gone", 1);
+        EXPECT_EQ(runs(), before);
+    });
+}
+
+} // namespace
+} // namespace snipestall::gateway
