A caller is watched on behind the bytes of its next request

Work went on to its end for callers that had sent bytes of their next request and then left (GONE).

Cause: with unread bytes the socket is readable all the time, so the watch for the caller's close ended with the first of them.

Test: CallerLeavesTest.ACallerIsSeenToLeaveBehindItsNextRequest failed on the code before (the call ran until its timeout, then the second request ran, too).

--- a/include/snipestall/gateway/caller_link.hpp
+++ b/include/snipestall/gateway/caller_link.hpp
@@ -4,6 +4,7 @@
 #include "snipestall/wire/task.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
@@ -41,8 +42,7 @@
     /// The request that was read last.
     [[nodiscard]] Request &request() { return m_request; }
 
-    /// Calls back once if the caller closes its connection before `stopWatching`. A caller that
-    /// sends its next request early is not watched any further.
+    /// Calls back once if the caller closes its connection before `stopWatching`.
     void watchLeaving(std::function<void()> left);
     void stopWatching() { m_left = nullptr; }
     /// Whether the caller has closed its connection, also if nothing has told so yet.
@@ -57,17 +57,19 @@
 
     /// Closes at once; what awaits returns.
     void close();
-    /// Between two requests, with nothing read of the next one.
-    [[nodiscard]] bool idle() const { return m_idle; }
+    /// Between two requests, with nothing of the next one here.
+    [[nodiscard]] bool idle();
 
 private:
     void armWatch();
     void onReadable();
+    void watchLater();
 
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
     Request m_request;
     std::function<void()> m_left;
+    boost::asio::steady_timer m_watchTimer;
     bool m_watchArmed = false;
     bool m_idle = false;
     bool m_closed = false;
--- a/src/snipestall/gateway/caller_link.cpp
+++ b/src/snipestall/gateway/caller_link.cpp
@@ -13,7 +13,6 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <array>
 #include <optional>
 #include <utility>
 
@@ -33,6 +32,8 @@
 /// Longest that a caller may take to accept one piece of an answer.
 constexpr std::chrono::seconds WriteTimeout { 10 };
 constexpr std::size_t FirstReadBytes = 4096;
+/// How often a caller is looked at that has sent its next request early.
+constexpr std::chrono::milliseconds WatchPause { 100 };
 
 RequestRead meaningOf(const beast::error_code &error)
 {
@@ -67,6 +68,7 @@
 
 CallerLink::CallerLink(tcp::socket socket)
     : m_stream(std::move(socket))
+    , m_watchTimer(m_stream.get_executor())
 {
     wire::detectLostPeer(m_stream.socket());
 }
@@ -114,7 +116,7 @@
 void CallerLink::watchLeaving(std::function<void()> left)
 {
     m_left = std::move(left);
-    if (!m_watchArmed && m_buffer.size() == 0)
+    if (!m_watchArmed)
         armWatch();
 }
 
@@ -123,6 +125,11 @@
     return m_closed || wire::peerHasClosed(m_stream.socket());
 }
 
+bool CallerLink::idle()
+{
+    return m_idle && (m_closed || wire::isIdleAndOpen(m_stream.socket()));
+}
+
 void CallerLink::armWatch()
 {
     m_watchArmed = true;
@@ -134,23 +141,31 @@
                                  });
 }
 
+void CallerLink::watchLater()
+{
+    m_watchArmed = true;
+    m_watchTimer.expires_after(WatchPause);
+    m_watchTimer.async_wait([self = shared_from_this()](const beast::error_code &error) {
+        self->m_watchArmed = false;
+        if (!error)
+            self->onReadable();
+    });
+}
+
 void CallerLink::onReadable()
 {
     if (m_left == nullptr || m_closed)
         return;
-    beast::error_code error;
-    m_stream.socket().non_blocking(true, error);
-    std::array<char, 1> byte {};
-    const std::size_t got =
-        m_stream.socket().receive(asio::buffer(byte), tcp::socket::message_peek, error);
-    if (error == asio::error::would_block) {
-        armWatch();
+    if (hasLeft()) {
+        std::exchange(m_left, nullptr)();
         return;
     }
-    // The caller's next request is there already; it is read after this one.
-    if (!error && got > 0)
-        return;
-    std::exchange(m_left, nullptr)();
+    // Bytes of the caller's next request stay unread until this one is answered: the socket is
+    // readable all the time, and says nothing when the caller leaves.
+    if (wire::isIdleAndOpen(m_stream.socket()))
+        armWatch();
+    else
+        watchLater();
 }
 
 Task<bool> CallerLink::write(Answer answer)
@@ -192,6 +207,7 @@
 {
     m_closed = true;
     m_left = nullptr;
+    m_watchTimer.cancel();
     m_stream.close();
 }
 
--- a/tests/gateway/caller_leaves_test.cpp
+++ b/tests/gateway/caller_leaves_test.cpp
@@ -49,5 +49,27 @@
     });
 }
 
+// Guards against work for a caller that leaves after it has sent its next request early.
+TEST_F(CallerLeavesTest, ACallerIsSeenToLeaveBehindItsNextRequest)
+{
+    publish();
+    m_first.behave(TestBackend::Behaviour::Hang);
+    m_second.behave(TestBackend::Behaviour::Hang);
+    run([this]() -> Task<void> {
+        co_await untilServing();
+        {
+            tcp::socket caller = connect();
+            boost::asio::write(caller, boost::asio::buffer(requestText("early-1")));
+            while (runs() == 0)
+                co_await wire::sleepFor(5ms);
+            boost::asio::write(caller, boost::asio::buffer(requestText("early-2")));
+            co_await wire::sleepFor(20ms);
+        }
+        co_await untilMetric(m_metrics, "snipestall_gateway_callers_gone", 1);
+        co_await untilMetric(m_metrics, "snipestall_gateway_in_flight", 0);
+        EXPECT_EQ(runs(), 1U);
+    });
+}
+
 } // namespace
 } // namespace snipestall::gateway
