Hubs are the instances with the most processor time

Cause: hubs were the first instances by name.

Each instance now says its processor time (limits.processor_share times processor_cores) in its row of the instances' table and in its reports, and the overlay orders by it, then by name; readers of the store follow the same order. Where all instances are alike nothing changes. Rows of earlier versions are read as of unknown size; an earlier version can't call an instance by a new row, but answers its calls.

Test: Overlay.TheInstancesWithTheMostProcessorTimeAreHubs.

--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -78,7 +78,7 @@
     void takeRole();
     void call(const std::string &name, Peer &peer);
     void setAddress(const std::string &name, const std::string &address,
-                    const std::string &dataCentre);
+                    const serving::OverlayPeer &place);
     [[nodiscard]] exchange::v1::LoadReport ownReport() const;
     /// The report for one receiver, with the changes that its copies lack.
     [[nodiscard]] exchange::v1::LoadReport reportFor(const std::string &receiver,
--- a/include/snipestall/serving/overlay.hpp
+++ b/include/snipestall/serving/overlay.hpp
@@ -7,23 +7,35 @@
 
 namespace snipestall::serving {
 
+/// An instance as the overlay sees it.
+struct OverlayPeer
+{
+    std::string dataCentre;
+    /// Processor time that it has, in cores; 0 if it is not known.
+    double capacity = 0;
+
+    bool operator==(const OverlayPeer &other) const = default;
+};
+
 /// Who exchanges reports with whom.
 ///
 /// Load: every instance needs the sum of what all others have at each server. Harm: with each pair
 /// talking, messages grow with the square of the instances. Up to `MostHubs` instances all talk to
 /// each other; beyond, each data centre has a few hubs, the others talk to one of them only, and
-/// hubs pass on sums. Everybody computes the hubs from the names it knows; whoever is called as a
-/// hub acts as one, so views that differ for a moment cost a detour and nothing else.
+/// hubs pass on sums. Hubs are the instances with the most processor time: one that is late with
+/// its members' reports is late with its own callers, too. Everybody computes the hubs from what it
+/// knows; whoever is called as a hub acts as one, so views that differ for a moment cost a detour
+/// and nothing else.
 class Overlay
 {
 public:
     /// Calls of an instance stay near this number per interval, whatever the number of instances.
     static constexpr std::size_t MostHubs = 12;
 
-    Overlay(std::string self, std::string dataCentre);
+    Overlay(std::string self, OverlayPeer own);
 
-    /// `peers`: data centre of each other instance that can be reached.
-    void update(const std::map<std::string, std::string> &peers);
+    /// `peers`: each other instance that can be reached.
+    void update(const std::map<std::string, OverlayPeer> &peers);
     [[nodiscard]] bool isHub() const { return m_isHub; }
     /// One instance of each data centre reads the store for the others.
     [[nodiscard]] bool isReader() const { return m_isReader; }
@@ -34,7 +46,7 @@
 
 private:
     std::string m_self;
-    std::string m_dataCentre;
+    OverlayPeer m_own;
     bool m_isHub = true;
     bool m_isReader = true;
     std::vector<std::string> m_targets;
--- a/include/snipestall/serving/peer_calls.hpp
+++ b/include/snipestall/serving/peer_calls.hpp
@@ -27,10 +27,10 @@
     /// choice.
     static constexpr std::chrono::milliseconds Interval { 200 };
 
-    PeerCalls(std::string self, std::string dataCentre);
+    PeerCalls(std::string self, OverlayPeer own);
 
     /// A peer is listed, or has called.
-    void known(const std::string &peer, const std::string &dataCentre);
+    void known(const std::string &peer, const OverlayPeer &place);
     /// A peer has another address: what is known of its failures does not hold any more.
     void moved(const std::string &peer);
     /// A peer's report has come, with a call of its own or as the answer to one of this instance.
@@ -54,7 +54,7 @@
 
     struct Peer
     {
-        std::string dataCentre;
+        OverlayPeer place;
         SteadyTime heard;
         SteadyTime calledAt;
         /// Set while the peer has failed and not been heard since.
@@ -69,7 +69,7 @@
     void addIfDue(const std::string &name, SteadyTime now, std::vector<std::string> &names);
 
     std::string m_self;
-    std::string m_dataCentre;
+    OverlayPeer m_own;
     std::map<std::string, Peer> m_peers;
     /// Whether the peers that can be reached are others than at the last look.
     bool m_changed = true;
--- a/src/snipestall/gateway/fleet_model.hpp
+++ b/src/snipestall/gateway/fleet_model.hpp
@@ -61,7 +61,7 @@
         Instance(std::string given, std::string at)
             : name(given)
             , dataCentre(at)
-            , calls(given, at)
+            , calls(given, { at })
         { }
     };
 
--- a/src/snipestall/gateway/fleet_model_test.cpp
+++ b/src/snipestall/gateway/fleet_model_test.cpp
@@ -41,7 +41,7 @@
     instance.up = true;
     instance.incarnation = m_random.next();
     instance.book = ReportBook();
-    instance.calls = serving::PeerCalls(instance.name, instance.dataCentre);
+    instance.calls = serving::PeerCalls(instance.name, { instance.dataCentre });
     instance.quotas = serving::QuotaKeeper(m_tolerance, m_random.next());
     if (amongOthers)
         instance.quotas.startedAmongOthers(m_now);
@@ -54,7 +54,7 @@
 {
     for (const Instance &other : m_instances) {
         if (other.name != instance.name)
-            instance.calls.known(other.name, other.dataCentre);
+            instance.calls.known(other.name, { other.dataCentre });
     }
 }
 
@@ -119,7 +119,7 @@
 
 void FleetModel::take(Instance &receiver, const v1::LoadReport &report, SteadyTime now)
 {
-    receiver.calls.known(report.instance(), report.data_centre());
+    receiver.calls.known(report.instance(), { report.data_centre() });
     receiver.calls.heard(report.instance(), now);
     receiver.book.take(report, now);
     if (receiver.book.isCovered(report, now)) {
--- a/src/snipestall/gateway/gateway_settings.cpp
+++ b/src/snipestall/gateway/gateway_settings.cpp
@@ -141,6 +141,8 @@
     const YAML::Node limits = Reader::section(*root, "limits");
     settings.fileDescriptors =
         reader.optional(limits, "file_descriptors", settings.fileDescriptors);
+    settings.processorCores = reader.optional(limits, "processor_share", 0.0)
+        * reader.optional(limits, "processor_cores", 1.0);
     settings.bounds = readBounds(reader, Reader::section(*root, "bounds"));
     if (!reader.faults().empty())
         return fail(ErrorKind::InvalidArgument,
--- /dev/null
+++ b/src/snipestall/gateway/instance_row.cpp
@@ -0,0 +1,25 @@
+#include "snipestall/gateway/instance_row.hpp"
+
+#include <sstream>
+
+namespace snipestall::gateway {
+
+std::string encodeInstance(const InstanceRow &row)
+{
+    std::ostringstream text;
+    text << row.dataCentre << ' ' << row.address << ' ' << row.capacity;
+    return text.str();
+}
+
+std::optional<InstanceRow> decodeInstance(const std::string &text)
+{
+    std::istringstream fields(text);
+    InstanceRow row;
+    if (!(fields >> row.dataCentre >> row.address))
+        return std::nullopt;
+    if (!(fields >> row.capacity))
+        row.capacity = 0;
+    return row;
+}
+
+} // namespace snipestall::gateway
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -5,6 +5,7 @@
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/exchange_transport.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
+#include "snipestall/gateway/instance_row.hpp"
 #include "snipestall/gateway/store_follower.hpp"
 #include "snipestall/wire/signal.hpp"
 
@@ -36,8 +37,6 @@
 constexpr milliseconds ReadAgainJitter { 300 };
 constexpr milliseconds StoreTimeout { 1500 };
 constexpr milliseconds RetryPause { 300 };
-/// Between data centre and address in a row of the table.
-constexpr char RowSeparator = ' ';
 
 } // namespace
 
@@ -47,7 +46,7 @@
     , m_store(store)
     , m_follower(follower)
     , m_hooks(std::move(hooks))
-    , m_calls(state.settings.instance, state.settings.dataCentre)
+    , m_calls(state.settings.instance, { state.settings.dataCentre, state.settings.processorCores })
 { }
 
 LoadExchange::~LoadExchange() = default;
@@ -86,17 +85,17 @@
 Task<bool> LoadExchange::registerSelf()
 {
     const platform::RowName name { InstancesTable, std::string(), m_state.settings.instance };
-    std::vector<platform::RowWrite> writes {
-        { name, m_state.settings.dataCentre + RowSeparator + ownAddress() }
-    };
+    const GatewaySettings &own = m_state.settings;
+    const InstanceRow row { own.dataCentre, ownAddress(), own.processorCores };
+    std::vector<platform::RowWrite> writes { { name, encodeInstance(row) } };
     const auto written = co_await m_store.write({}, std::move(writes), StoreTimeout);
     co_return written.has_value();
 }
 
 void LoadExchange::setAddress(const std::string &name, const std::string &address,
-                              const std::string &dataCentre)
+                              const serving::OverlayPeer &place)
 {
-    m_calls.known(name, dataCentre);
+    m_calls.known(name, place);
     Peer &peer = m_peers[name];
     if (peer.address == address)
         return;
@@ -113,10 +112,10 @@
     m_state.instancesKnown = true;
     m_state.quotas.registeredInstances(std::max<std::size_t>(rows->rows.size(), 1));
     for (const platform::StoredRow &row : rows->rows) {
-        const std::size_t separator = row.value.find(RowSeparator);
-        if (row.name.key == m_state.settings.instance || separator == std::string::npos)
+        const auto instance = decodeInstance(row.value);
+        if (row.name.key == m_state.settings.instance || !instance)
             continue;
-        setAddress(row.name.key, row.value.substr(separator + 1), row.value.substr(0, separator));
+        setAddress(row.name.key, instance->address, { instance->dataCentre, instance->capacity });
     }
     co_return true;
 }
@@ -201,6 +200,7 @@
     report.set_series(m_state.incarnation);
     report.set_address(ownAddress());
     report.set_data_centre(m_state.settings.dataCentre);
+    report.set_capacity(m_state.settings.processorCores);
     report.set_instances(1);
     report.set_heard_instances(1);
     report.set_process(m_state.processName());
@@ -346,7 +346,7 @@
     if (report.instance().empty() || report.instance() == m_state.settings.instance)
         return;
     const SteadyTime now = m_state.clock.steadyNow();
-    setAddress(report.instance(), report.address(), report.data_centre());
+    setAddress(report.instance(), report.address(), { report.data_centre(), report.capacity() });
     m_calls.heard(report.instance(), now);
     Peer &peer = m_peers.at(report.instance());
     if (peer.silent)
--- a/src/snipestall/serving/overlay.cpp
+++ b/src/snipestall/serving/overlay.cpp
@@ -3,38 +3,54 @@
 #include "snipestall/base/rendezvous.hpp"
 
 #include <algorithm>
+#include <compare>
 #include <utility>
 
 namespace snipestall::serving {
 
-Overlay::Overlay(std::string self, std::string dataCentre)
+namespace {
+
+/// In the order in which instances become hubs: the greatest capacity first, then by name.
+struct Candidate
+{
+    double negativeCapacity = 0;
+    std::string name;
+
+    auto operator<=>(const Candidate &other) const = default;
+};
+
+} // namespace
+
+Overlay::Overlay(std::string self, OverlayPeer own)
     : m_self(std::move(self))
-    , m_dataCentre(std::move(dataCentre))
+    , m_own(std::move(own))
 { }
 
-void Overlay::update(const std::map<std::string, std::string> &peers)
+void Overlay::update(const std::map<std::string, OverlayPeer> &peers)
 {
-    std::map<std::string, std::vector<std::string>> byDataCentre;
-    byDataCentre[m_dataCentre].push_back(m_self);
-    for (const auto &[name, dataCentre] : peers)
-        byDataCentre[dataCentre].push_back(name);
+    std::map<std::string, std::vector<Candidate>> byDataCentre;
+    byDataCentre[m_own.dataCentre].push_back({ -m_own.capacity, m_self });
+    for (const auto &[name, peer] : peers)
+        byDataCentre[peer.dataCentre].push_back({ -peer.capacity, name });
     const bool small = peers.size() + 1 <= MostHubs;
     const std::size_t hubsEach = std::max<std::size_t>(MostHubs / byDataCentre.size(), 1);
     m_hubs.clear();
     m_isHub = false;
     std::vector<std::string> ownHubs;
-    for (auto &[dataCentre, names] : byDataCentre) {
-        std::sort(names.begin(), names.end());
-        if (dataCentre == m_dataCentre)
-            m_isReader = names.front() == m_self;
-        const std::size_t count = small ? names.size() : std::min(names.size(), hubsEach);
+    for (auto &[dataCentre, candidates] : byDataCentre) {
+        std::sort(candidates.begin(), candidates.end());
+        const bool isOwn = dataCentre == m_own.dataCentre;
+        if (isOwn)
+            m_isReader = candidates.front().name == m_self;
+        const std::size_t count = small ? candidates.size() : std::min(candidates.size(), hubsEach);
         for (std::size_t i = 0; i < count; ++i) {
-            if (names[i] == m_self)
+            const std::string &name = candidates[i].name;
+            if (name == m_self)
                 m_isHub = true;
             else
-                m_hubs.push_back(names[i]);
-            if (dataCentre == m_dataCentre)
-                ownHubs.push_back(names[i]);
+                m_hubs.push_back(name);
+            if (isOwn)
+                ownHubs.push_back(name);
         }
     }
     m_targets = m_hubs;
--- a/src/snipestall/serving/overlay_test.cpp
+++ b/src/snipestall/serving/overlay_test.cpp
@@ -7,25 +7,25 @@
 namespace snipestall::serving {
 namespace {
 
-std::map<std::string, std::string> instances(int dataCentres, int each)
+std::map<std::string, OverlayPeer> instances(int dataCentres, int each)
 {
-    std::map<std::string, std::string> all;
+    std::map<std::string, OverlayPeer> all;
     for (int d = 0; d < dataCentres; ++d) {
         for (int i = 0; i < each; ++i) {
             const std::string name = "dc" + std::to_string(d) + "-" + std::to_string(100 + i);
-            all[name] = "dc" + std::to_string(d);
+            all[name].dataCentre = "dc" + std::to_string(d);
         }
     }
     return all;
 }
 
-std::map<std::string, Overlay> overlays(const std::map<std::string, std::string> &all)
+std::map<std::string, Overlay> overlays(const std::map<std::string, OverlayPeer> &all)
 {
     std::map<std::string, Overlay> made;
-    for (const auto &[name, dataCentre] : all) {
-        std::map<std::string, std::string> peers = all;
+    for (const auto &[name, place] : all) {
+        std::map<std::string, OverlayPeer> peers = all;
         peers.erase(name);
-        made.emplace(name, Overlay(name, dataCentre)).first->second.update(peers);
+        made.emplace(name, Overlay(name, place)).first->second.update(peers);
     }
     return made;
 }
@@ -81,6 +81,22 @@
     EXPECT_TRUE(overlays(all).at("dc0-101").isReader());
 }
 
+// Guards against hubs that fall behind while instances with more processor time are members.
+TEST(Overlay, TheInstancesWithTheMostProcessorTimeAreHubs)
+{
+    auto all = instances(6, 49);
+    for (int d = 0; d < 6; ++d) {
+        for (const char *large : { "-120", "-130", "-148" })
+            all.at("dc" + std::to_string(d) + large).capacity = 0.5;
+    }
+    for (const auto &[name, overlay] : overlays(all)) {
+        EXPECT_EQ(overlay.isReader(), name.ends_with("-120")) << name;
+        EXPECT_EQ(overlay.isHub(), name.ends_with("-120") || name.ends_with("-130")) << name;
+    }
+    all.erase("dc0-120");
+    EXPECT_TRUE(overlays(all).at("dc0-148").isHub());
+}
+
 TEST(Overlay, AnotherInstanceBecomesHubWhenOneIsGone)
 {
     auto all = instances(4, 19);
--- a/src/snipestall/serving/peer_calls.cpp
+++ b/src/snipestall/serving/peer_calls.cpp
@@ -5,17 +5,17 @@
 
 namespace snipestall::serving {
 
-PeerCalls::PeerCalls(std::string self, std::string dataCentre)
+PeerCalls::PeerCalls(std::string self, OverlayPeer own)
     : m_self(self)
-    , m_dataCentre(dataCentre)
-    , m_overlay(std::move(self), std::move(dataCentre))
+    , m_own(own)
+    , m_overlay(std::move(self), std::move(own))
 { }
 
-void PeerCalls::known(const std::string &peer, const std::string &dataCentre)
+void PeerCalls::known(const std::string &peer, const OverlayPeer &place)
 {
-    std::string &known = m_peers[peer].dataCentre;
-    m_changed |= known != dataCentre;
-    known = dataCentre;
+    OverlayPeer &known = m_peers[peer].place;
+    m_changed |= known != place;
+    known = place;
 }
 
 void PeerCalls::moved(const std::string &peer)
@@ -67,10 +67,10 @@
     if (!m_changed)
         return;
     m_changed = false;
-    std::map<std::string, std::string> reachable;
+    std::map<std::string, OverlayPeer> reachable;
     for (const auto &[name, peer] : m_peers) {
         if (!peer.retryAt)
-            reachable[name] = peer.dataCentre;
+            reachable[name] = peer.place;
     }
     m_overlay.update(reachable);
 }
@@ -81,12 +81,12 @@
     if (std::none_of(m_peers.begin(), m_peers.end(),
                      [&isDue](const auto &entry) { return isDue(entry.second); }))
         return;
-    std::map<std::string, std::string> withRetries;
+    std::map<std::string, OverlayPeer> withRetries;
     for (const auto &[name, peer] : m_peers) {
         if (!peer.retryAt || isDue(peer))
-            withRetries[name] = peer.dataCentre;
+            withRetries[name] = peer.place;
     }
-    Overlay wanted(m_self, m_dataCentre);
+    Overlay wanted(m_self, m_own);
     wanted.update(withRetries);
     for (const std::string &name : wanted.targets()) {
         if (m_peers.at(name).retryAt)
--- a/src/snipestall/serving/peer_calls_test.cpp
+++ b/src/snipestall/serving/peer_calls_test.cpp
@@ -14,13 +14,13 @@
 /// A member in a fleet of two data centres of twenty: "a-00" and five others are its hubs.
 PeerCalls member()
 {
-    PeerCalls calls("a-19", "a");
+    PeerCalls calls("a-19", { "a" });
     for (const char *dataCentre : { "a", "b" }) {
         for (int i = 0; i < 20; ++i) {
             const std::string name =
                 std::string(dataCentre) + (i < 10 ? "-0" : "-") + std::to_string(i);
             if (name != "a-19")
-                calls.known(name, dataCentre);
+                calls.known(name, { dataCentre });
         }
     }
     return calls;
