A stopping process stores the running window's counts again

Requests that began in the seconds in which a stopping process still takes work were in no usage report, unless a peer had heard of them.

Cause: the first call of leave() marked the running window as stored, so the second, which is there for those requests, stored nothing.

Test: ShutdownTest.RequestsThatBeginWhileWorkIsStillTakenAreCounted.

--- a/src/snipestall/gateway/duty_runner_usage.cpp
+++ b/src/snipestall/gateway/duty_runner_usage.cpp
@@ -100,7 +100,8 @@
         m_state.usage.windowOf(m_state.trueTime.at(m_state.clock.steadyNow()));
     // A process that shuts down stores the window that still runs, too.
     const std::int64_t last = m_state.draining() ? current : current - 1;
-    if (m_storedUpTo == 0)
+    // The running window is stored again each time: requests still begin in it.
+    if (m_storedUpTo == 0 || m_storedUpTo >= current)
         m_storedUpTo = current - 1;
     while (m_storedUpTo < last) {
         const std::int64_t window = m_storedUpTo + 1;
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -27,6 +27,18 @@
         co_await fetch(instance.callers, "/safe/x");
         co_return instance;
     }
+
+    /// Requests of the one customer in the instance's stored rows of all windows.
+    [[nodiscard]] std::uint64_t storedCount() const
+    {
+        std::uint64_t sum = 0;
+        for (const platform::StoredRow &row : m_store.rowsOf("usage-counts")) {
+            const std::size_t at = row.value.rfind(':');
+            if (row.name.key.starts_with("edge-2/") && at != std::string::npos)
+                sum += std::stoull(row.value.substr(at + 1));
+        }
+        return sum;
+    }
 };
 
 // Guards against work that is taken late in a shutdown because the store does not answer.
@@ -46,6 +58,22 @@
     });
 }
 
+// Guards against requests that begin during a shutdown and are in no usage report.
+TEST_F(ShutdownTest, RequestsThatBeginWhileWorkIsStillTakenAreCounted)
+{
+    publish();
+    run([this]() -> Task<void> {
+        const Instance instance = co_await servingInstance(4s);
+        instance.gateway->drain();
+        while (storedCount() < 1)
+            co_await wire::sleepFor(5ms);
+        co_await fetch(instance.callers, "/safe/x");
+        while (storedCount() < 2)
+            co_await wire::sleepFor(5ms);
+        EXPECT_EQ(storedCount(), 2U);
+    });
+}
+
 // Guards against a connection that is closed without an answer when the grace ends.
 TEST_F(ShutdownTest, ARequestThatStillRunsWhenTheGraceEndsGetsAnAnswer)
 {
