A connection whose next request has been received is not closed as idle

Callers lost requests without an answer at a stop, or when descriptors ran out (LOST): the connection was closed though their next request had come.

Cause: closeIdle() closed by a flag that the coroutine clears when it runs. Bytes that the loop had received already, in the same turn, were dropped with the connection; asking the kernel doesn't help, since they are no longer there.

Now closeIdle() only ends the wait. A read that has been done completes and its request is answered; a wait that was ended looks once more before the connection closes.

--- a/include/snipestall/gateway/caller_link.hpp
+++ b/include/snipestall/gateway/caller_link.hpp
@@ -57,10 +57,14 @@
 
     /// Closes at once; what awaits returns.
     void close();
-    /// Between two requests, with nothing of the next one here.
-    [[nodiscard]] bool idle();
+    /// Between two requests.
+    [[nodiscard]] bool idle() const { return m_idle; }
+    /// Waits for a next request no longer; one that has come is still read.
+    void stopWaiting() { m_stream.cancel(); }
 
 private:
+    /// Reads the first bytes of the next request; false if none come.
+    wire::Task<bool> awaitBytes(std::chrono::milliseconds timeout);
     void armWatch();
     void onReadable();
     void watchLater();
--- a/src/snipestall/gateway/caller_link.cpp
+++ b/src/snipestall/gateway/caller_link.cpp
@@ -73,18 +73,28 @@
     wire::detectLostPeer(m_stream.socket());
 }
 
-Task<RequestRead> CallerLink::readRequest(serving::TrafficLimits limits)
+Task<bool> CallerLink::awaitBytes(std::chrono::milliseconds timeout)
 {
-    if (m_buffer.size() == 0) {
+    while (true) {
         m_idle = true;
-        m_stream.expires_after(limits.idleTimeout);
+        m_stream.expires_after(timeout);
         auto [error, bytes] =
             co_await m_stream.async_read_some(m_buffer.prepare(FirstReadBytes), UseTuple);
         m_idle = false;
-        if (error)
-            co_return RequestRead::Closed;
-        m_buffer.commit(bytes);
+        if (!error) {
+            m_buffer.commit(bytes);
+            co_return true;
+        }
+        const bool stopped = error == asio::error::operation_aborted && !m_closed;
+        if (!stopped || wire::isIdleAndOpen(m_stream.socket()))
+            co_return false;
     }
+}
+
+Task<RequestRead> CallerLink::readRequest(serving::TrafficLimits limits)
+{
+    if (m_buffer.size() == 0 && !co_await awaitBytes(limits.idleTimeout))
+        co_return RequestRead::Closed;
     RequestParser parser;
     parser.header_limit(limits.maxHeaderBytes);
     parser.body_limit(limits.maxBodyBytes);
@@ -125,11 +135,6 @@
     return m_closed || wire::peerHasClosed(m_stream.socket());
 }
 
-bool CallerLink::idle()
-{
-    return m_idle && (m_closed || wire::isIdleAndOpen(m_stream.socket()));
-}
-
 void CallerLink::armWatch()
 {
     m_watchArmed = true;
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -155,7 +155,7 @@
 {
     for (const auto &[link, relay] : m_links) {
         if (link->idle())
-            link->close();
+            link->stopWaiting();
     }
 }
 
