A process that runs late ends its shutdown earlier

Last answers take several events of the loop. With a loop 0.25 to 0.5 s late, 0.4 s between the last answers and the end, and 0.1 s between the end and the kill, were less than one event each: such a process is killed with its requests.

The plan now takes the loop's present delay into account, the earliest arrival of an event goes back one tick more, as the loop may hand an event on twice, and connections that become idle in the last moments are ended, too.

Tests: ShutdownPlan.AProcessThatRunsLateEndsEarlier, LoopLag.AnEventThatWaitedIsNoYoungerThanItWasTakenToBe.

--- a/include/snipestall/serving/loop_lag.hpp
+++ b/include/snipestall/serving/loop_lag.hpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/base/clock.hpp"
 
+#include <array>
 #include <chrono>
 
 namespace snipestall::serving {
@@ -27,15 +28,14 @@
     /// Greatest delay since the call before.
     std::chrono::milliseconds takeWorst();
     /// An event that is handled now has happened at this time or later.
-    [[nodiscard]] SteadyTime earliestArrival() const { return m_previous; }
+    [[nodiscard]] SteadyTime earliestArrival() const { return m_handled.front(); }
 
 private:
     std::chrono::milliseconds m_last { 0 };
     std::chrono::milliseconds m_worst { 0 };
-    /// When the last tick was handled, and the one before: all that had arrived when the loop came
-    /// to that one is handled before the last one is followed by another.
-    SteadyTime m_latest;
-    SteadyTime m_previous;
+    /// When the last ticks were handled, the oldest first. The loop may hand an event on twice,
+    /// with a tick in between each time.
+    std::array<SteadyTime, 3> m_handled;
 };
 
 } // namespace snipestall::serving
--- a/include/snipestall/serving/shutdown_plan.hpp
+++ b/include/snipestall/serving/shutdown_plan.hpp
@@ -26,12 +26,22 @@
     ShutdownPlan(SteadyTime signalled, std::chrono::milliseconds grace);
 
     [[nodiscard]] bool takesWork(SteadyTime now) const { return now < m_refuseAt; }
-    /// Requests that still run can't be finished: they get their last answer.
-    [[nodiscard]] bool mustAnswer(SteadyTime now) const { return now >= m_answerAt; }
-    [[nodiscard]] bool mustEnd(SteadyTime now) const { return now >= m_endAt; }
+    /// Requests that still run can't be finished: they get their last answer. `lag`: how late the
+    /// process comes to its events; an answer takes some of them.
+    [[nodiscard]] bool mustAnswer(SteadyTime now, std::chrono::milliseconds lag) const
+    {
+        return now + EventsToAnswer * lag >= m_answerAt;
+    }
+    [[nodiscard]] bool mustEnd(SteadyTime now, std::chrono::milliseconds lag) const
+    {
+        return now + EventsToEnd * lag >= m_endAt;
+    }
     [[nodiscard]] SteadyTime signalled() const { return m_signalled; }
 
 private:
+    static constexpr int EventsToAnswer = 4;
+    static constexpr int EventsToEnd = 2;
+
     SteadyTime m_signalled;
     SteadyTime m_refuseAt;
     SteadyTime m_answerAt;
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -74,7 +74,7 @@
     std::unique_ptr<CallerListener> callers;
     std::unique_ptr<wire::HttpServer> readiness;
     std::unique_ptr<wire::HttpServer> metrics;
-    bool hasLeft = false;
+    bool leftFleet = false;
     bool countsStored = false;
     bool refusalNoted = false;
 };
@@ -174,12 +174,12 @@
 {
     co_await exchange->leave();
     co_await duties.leave();
-    hasLeft = true;
+    leftFleet = true;
 }
 
 Task<void> Gateway::Parts::drain()
 {
-    while (!state.shutdown->mustAnswer(state.clock.steadyNow())) {
+    while (!state.shutdown->mustAnswer(state.clock.steadyNow(), state.loopLag.last())) {
         if (!state.takesWork()) {
             noteRefusing();
             callers->closeIdle();
@@ -191,8 +191,10 @@
     callers->giveUp();
     asio::co_spawn(state.io, storeLastCounts(), asio::detached);
     const auto mayEnd = [this] { return countsStored && callers->connections() == 0; };
-    while (!mayEnd() && !state.shutdown->mustEnd(state.clock.steadyNow()))
+    while (!mayEnd() && !state.shutdown->mustEnd(state.clock.steadyNow(), state.loopLag.last())) {
+        callers->closeIdle();
         co_await wire::sleepFor(EndTick);
+    }
     callers->logUnanswered();
     logEvent(events::ProcessStopped, { { "requests", std::to_string(state.requestsInFlight) } });
     state.io.stop();
@@ -200,7 +202,7 @@
 
 Task<void> Gateway::Parts::storeLastCounts()
 {
-    while (!hasLeft)
+    while (!leftFleet)
         co_await wire::sleepFor(EndTick);
     // What was counted since, for requests that began meanwhile.
     co_await duties.leave();
--- a/src/snipestall/serving/loop_lag_test.cpp
+++ b/src/snipestall/serving/loop_lag_test.cpp
@@ -21,16 +21,20 @@
 }
 
 // Guards against a bound that counts from the handling of an event which had waited in the kernel.
-TEST(LoopLag, AnEventHasHappenedSinceTheTickBeforeTheLast)
+TEST(LoopLag, AnEventThatWaitedIsNoYoungerThanItWasTakenToBe)
 {
     const SteadyTime start { 10s };
     LoopLag lag(start);
     lag.ticked(start + 50ms, start + 50ms);
-    lag.ticked(start + 100ms, start + 900ms);
-    // It may have arrived just after the loop last looked, while it was busy for 850 ms.
-    EXPECT_EQ(lag.earliestArrival(), start + 50ms);
-    lag.ticked(start + 950ms, start + 950ms);
-    EXPECT_EQ(lag.earliestArrival(), start + 900ms);
+    lag.ticked(start + 100ms, start + 100ms);
+    // Busy for 850 ms: an event that came meanwhile is handled after this tick, or the next one.
+    lag.ticked(start + 150ms, start + 950ms);
+    EXPECT_LE(lag.earliestArrival(), start + 100ms);
+    lag.ticked(start + 1000ms, start + 1000ms);
+    EXPECT_LE(lag.earliestArrival(), start + 100ms);
+    lag.ticked(start + 1050ms, start + 1050ms);
+    lag.ticked(start + 1100ms, start + 1100ms);
+    EXPECT_GE(lag.earliestArrival(), start + 1000ms);
 }
 
 } // namespace snipestall::serving
--- a/src/snipestall/serving/shutdown_plan_test.cpp
+++ b/src/snipestall/serving/shutdown_plan_test.cpp
@@ -13,10 +13,10 @@
     const ShutdownPlan plan(signalled, 8s);
     EXPECT_TRUE(plan.takesWork(signalled + 2600ms));
     EXPECT_FALSE(plan.takesWork(signalled + 2700ms));
-    EXPECT_FALSE(plan.mustAnswer(signalled + 7400ms));
-    EXPECT_TRUE(plan.mustAnswer(signalled + 7500ms));
-    EXPECT_FALSE(plan.mustEnd(signalled + 7800ms));
-    EXPECT_TRUE(plan.mustEnd(signalled + 7900ms));
+    EXPECT_FALSE(plan.mustAnswer(signalled + 7400ms, 0ms));
+    EXPECT_TRUE(plan.mustAnswer(signalled + 7500ms, 0ms));
+    EXPECT_FALSE(plan.mustEnd(signalled + 7800ms, 0ms));
+    EXPECT_TRUE(plan.mustEnd(signalled + 7900ms, 0ms));
 }
 
 // Guards against a grace shorter than the time for which work is taken.
@@ -25,9 +25,19 @@
     const SteadyTime signalled { 100s };
     const ShutdownPlan plan(signalled, 2s);
     EXPECT_FALSE(plan.takesWork(signalled + 1500ms));
-    EXPECT_TRUE(plan.mustAnswer(signalled + 1500ms));
-    EXPECT_FALSE(plan.mustEnd(signalled + 1500ms));
-    EXPECT_TRUE(plan.mustEnd(signalled + 1900ms));
+    EXPECT_TRUE(plan.mustAnswer(signalled + 1500ms, 0ms));
+    EXPECT_FALSE(plan.mustEnd(signalled + 1500ms, 0ms));
+    EXPECT_TRUE(plan.mustEnd(signalled + 1900ms, 0ms));
+}
+
+// Guards against a process that is killed before it comes to its own end.
+TEST(ShutdownPlan, AProcessThatRunsLateEndsEarlier)
+{
+    const SteadyTime signalled { 100s };
+    const ShutdownPlan plan(signalled, 8s);
+    EXPECT_TRUE(plan.mustAnswer(signalled + 5500ms, 500ms));
+    EXPECT_FALSE(plan.mustEnd(signalled + 6800ms, 500ms));
+    EXPECT_TRUE(plan.mustEnd(signalled + 6900ms, 500ms));
 }
 
 } // namespace snipestall::serving
