A gateway that has shut down exits without tearing down

Suspected, by reading: frames of cut requests are freed by the loop's destructor, after the state they write to; and the server for peers waits for calls whose answers the stopped loop never gives.

Now the process writes its log and ends. Nothing it holds outlives it.

--- a/apps/snipestall_gateway/main.cpp
+++ b/apps/snipestall_gateway/main.cpp
@@ -77,7 +77,10 @@
     };
     waitForSignal();
     io.run();
-    return ExitOk;
+    // Requests that were cut refer to the gateway, and the server for peers waits for calls that
+    // this loop would have answered: neither is torn down.
+    snipestall::finishLog();
+    std::_Exit(ExitOk);
 }
 
 } // namespace
--- a/include/snipestall/base/log.hpp
+++ b/include/snipestall/base/log.hpp
@@ -24,6 +24,9 @@
 /// Lines that a reader does not take in time are dropped and counted.
 void initLog(LogFormat format, Severity least);
 
+/// Writes what is queued; later events are not written. Waits for a stopped reader only a moment.
+void finishLog();
+
 /// Writes one numbered event.
 ///
 ///     logEvent(events::PeerUp, { { "peer", name } });
--- a/src/snipestall/base/line_writer.cpp
+++ b/src/snipestall/base/line_writer.cpp
@@ -24,6 +24,13 @@
 
 LineWriter::~LineWriter()
 {
+    finish();
+}
+
+void LineWriter::finish()
+{
+    if (!m_thread.joinable())
+        return;
     {
         const std::lock_guard lock(m_mutex);
         m_ending = true;
--- a/src/snipestall/base/line_writer.hpp
+++ b/src/snipestall/base/line_writer.hpp
@@ -19,7 +19,6 @@
 {
 public:
     explicit LineWriter(int descriptor);
-    /// Writes what is queued, but waits for a reader that has stopped only a moment.
     ~LineWriter();
 
     LineWriter(const LineWriter &) = delete;
@@ -28,6 +27,9 @@
     /// Never blocks on the descriptor. The line ends without a newline.
     void write(std::string line);
     [[nodiscard]] std::uint64_t dropped() const;
+    /// Writes what is queued, but waits for a reader that has stopped only a moment. What comes
+    /// later is not written.
+    void finish();
 
 private:
     /// Some seconds of a busy instance's lines.
--- a/src/snipestall/base/log.cpp
+++ b/src/snipestall/base/log.cpp
@@ -114,6 +114,11 @@
     el::Helpers::installLogDispatchCallback<QueueDispatch>("QueueDispatch");
 }
 
+void finishLog()
+{
+    writer().finish();
+}
+
 void logEvent(const EventInfo &event, std::initializer_list<LogField> fields)
 {
     if (event.severity < state().least)
