Whether a server takes work is asked right before a send

A server is chosen before the connection to it is made, up to 0.4 s and some events of the loop earlier. Found by the review; the same question as for callers, asked at the same place.

--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -83,8 +83,9 @@
     /// Waits, for a short time at most, until it is known here whether the last server has ended,
     /// and what copies of the request have ended elsewhere.
     wire::Task<void> awaitFate();
-    /// Whether the caller still waits, and the process has time for the request.
-    [[nodiscard]] bool stillWanted();
+    /// Whether the caller still waits, the server still takes work, and the process has time for
+    /// it.
+    [[nodiscard]] bool maySend(const serving::ServerState &server);
     [[nodiscard]] bool timeIsUp() const;
     [[nodiscard]] double quotaUnits() const;
     [[nodiscard]] CallerLink::Answer ownAnswer(unsigned status) const;
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -142,10 +142,12 @@
     co_return m_keepAlive && !m_callerGone;
 }
 
-bool RequestRelay::stillWanted()
+bool RequestRelay::maySend(const serving::ServerState &server)
 {
     m_callerGone |= m_caller->hasLeft();
-    return !m_callerGone && !m_givenUp;
+    // The run that was moved to a server is there already.
+    const bool serves = server.takesWork() || !m_memoryFrom.empty();
+    return serves && !m_callerGone && !m_givenUp;
 }
 
 bool RequestRelay::timeIsUp() const
@@ -301,7 +303,7 @@
     watchForReclaim(server);
     const CallStart start =
         co_await call->start(std::move(request), m_header.attemptId, ConnectTimeout, m_until,
-                             [this] { return stillWanted(); });
+                             [this, &server] { return maySend(*server); });
     if (start == CallStart::Answered && !m_route->isStream())
         stopStallWatch();
     AttemptEnd end = AttemptEnd::Failed;
