--- a/src/snipestall/gateway/request_relay_admission.cpp
+++ b/src/snipestall/gateway/request_relay_admission.cpp
@@ -100,8 +100,10 @@
     m_customer = m_catalogue->customerOfKey(m_header.key);
     if (m_customer == nullptr && m_catalogue->hasCustomers() && !m_route->anonymous)
         co_return co_await refuse(ownAnswer(401), "unknown-key");
-    m_callerUntil = m_received + m_header.deadline.value_or(m_route->timeout);
-    m_until = std::min(m_callerUntil, m_received + m_route->timeout);
+    // The request has waited here for about as long as other events do.
+    const SteadyTime arrived = m_received - m_state.loopLag.last();
+    m_callerUntil = arrived + m_header.deadline.value_or(m_route->timeout);
+    m_until = std::min(m_callerUntil, arrived + m_route->timeout);
     m_demand.service = m_catalogue->service(pickService(*m_route, m_state.random));
     if (m_demand.service == nullptr)
         co_return co_await refuse(refusal(503, RetryAfterNoServer), "unknown-service");
