A late process doesn't take its own delay for a server's silence

The check for stalled attempts ran late, and before what the servers had sent meanwhile was read: attempts were ended and servers held for lost because this process was busy. The check now judges by the time at which it was due.

--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -138,9 +138,11 @@
 Task<void> Gateway::Parts::watchAttempts()
 {
     while (true) {
-        state.attempts.check(state.clock.steadyNow());
-        state.streams.check(state.clock.steadyNow());
+        const SteadyTime due = state.clock.steadyNow() + AttemptCheckEvery;
         co_await wire::sleepFor(AttemptCheckEvery);
+        // What servers have sent since then may wait to be read behind this.
+        state.attempts.check(due);
+        state.streams.check(state.clock.steadyNow());
     }
 }
 
