A late instance doesn't take its own delay for a hub's failure; processor time in whole numbers

Cause: a call ends unanswered after 0.6 s, whether the peer was late or this instance, whose loop had the answer waiting; and a hub went on making answers for calls whose callers had given up. Now an unanswered call of a late instance says nothing of the peer, and a report nobody waits for is taken, but not answered.

The processor time that orders hubs is a whole number of thousandths: a fraction in a row of text may differ from the one in the process, and equal instances would then order themselves differently.

Test: PeerCalls.AnAbandonedCallDoesNotChangeTheHub.

--- a/include/snipestall/gateway/exchange_transport.hpp
+++ b/include/snipestall/gateway/exchange_transport.hpp
@@ -19,7 +19,10 @@
 class ExchangeServer
 {
 public:
-    using Handler = std::function<exchange::v1::LoadReport(const exchange::v1::LoadReport &)>;
+    /// Takes a peer's report. The second is to be filled in as the answer; null if the peer does
+    /// not wait for it any more.
+    using Handler =
+        std::function<void(const exchange::v1::LoadReport &, exchange::v1::LoadReport *)>;
 
     static Result<std::unique_ptr<ExchangeServer>>
     create(boost::asio::io_context &io, const std::string &address, Handler handler);
--- a/include/snipestall/gateway/gateway_settings.hpp
+++ b/include/snipestall/gateway/gateway_settings.hpp
@@ -50,8 +50,9 @@
     /// How often backend servers renew their entries.
     std::chrono::milliseconds serverHeartbeat { 1200 };
     std::size_t fileDescriptors = 1024;
-    /// Processor time of this instance, in cores. Instances with more of it do more for the fleet.
-    double processorCores = 0;
+    /// Processor time of this instance, in thousandths of a core; 0 if it is not known. Instances
+    /// with more of it do more for the fleet.
+    std::uint32_t milliCores = 0;
     /// For how long callers that reach a process before it has read the store are kept instead of
     /// being sent away for longer. The store is read within some 20 ms of the start; a caller with
     /// little time left gives a connection up later than this.
--- a/include/snipestall/gateway/instance_row.hpp
+++ b/include/snipestall/gateway/instance_row.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -11,13 +12,13 @@
     std::string dataCentre;
     /// Where it listens for peers.
     std::string address;
-    /// Processor time in cores; 0 if it is not known.
-    double capacity = 0;
+    /// Processor time in thousandths of a core; 0 if it is not known.
+    std::uint32_t milliCores = 0;
 };
 
-/// "DATA_CENTRE ADDRESS CAPACITY".
+/// "DATA_CENTRE ADDRESS MILLI_CORES".
 std::string encodeInstance(const InstanceRow &row);
-/// Nothing for a text without an address; rows without a capacity are read, too.
+/// Nothing for a text without an address; rows without the last field are read, too.
 std::optional<InstanceRow> decodeInstance(const std::string &text);
 
 } // namespace snipestall::gateway
--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -77,6 +77,7 @@
     /// Tells the others of this process what the overlay makes of this instance.
     void takeRole();
     void call(const std::string &name, Peer &peer);
+    void noteUnanswered(const std::string &peer);
     void setAddress(const std::string &name, const std::string &address,
                     const serving::OverlayPeer &place);
     [[nodiscard]] exchange::v1::LoadReport ownReport() const;
@@ -88,8 +89,8 @@
     void takeTables(const exchange::v1::LoadReport &report, Peer &peer);
     void takeUsage(const exchange::v1::LoadReport &report);
     void take(const exchange::v1::LoadReport &report);
-    /// Takes a peer's report and gives the one that answers it.
-    exchange::v1::LoadReport answer(const exchange::v1::LoadReport &report);
+    /// Takes a peer's report and fills in the one that answers it, if the peer still waits for it.
+    void answer(const exchange::v1::LoadReport &report, exchange::v1::LoadReport *reply);
     /// What the sender, and those it speaks for, have at servers and have taken.
     void takeSums(const exchange::v1::LoadReport &report, SteadyTime now);
     void forgetSums(const std::string &peer);
--- a/include/snipestall/serving/overlay.hpp
+++ b/include/snipestall/serving/overlay.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -11,8 +12,8 @@
 struct OverlayPeer
 {
     std::string dataCentre;
-    /// Processor time that it has, in cores; 0 if it is not known.
-    double capacity = 0;
+    /// Processor time that it has, in thousandths of a core; 0 if it is not known.
+    std::uint32_t milliCores = 0;
 
     bool operator==(const OverlayPeer &other) const = default;
 };
--- a/include/snipestall/serving/peer_calls.hpp
+++ b/include/snipestall/serving/peer_calls.hpp
@@ -40,6 +40,8 @@
     /// change of the hub begins another stay.
     std::uint64_t stayAt(const std::string &hub);
     void failed(const std::string &peer, SteadyTime now);
+    /// A call has ended without an answer and says nothing of the peer.
+    void abandoned(const std::string &peer) { m_peers[peer].calling = false; }
     /// Peers to be called now; each counts as being called until it has answered or failed.
     /// `hasMembers`: others have taken this instance for a hub, so it needs what the hubs know.
     std::vector<std::string> due(SteadyTime now, bool hasMembers);
--- a/src/snipestall/gateway/exchange_transport.cpp
+++ b/src/snipestall/gateway/exchange_transport.cpp
@@ -34,9 +34,10 @@
     {
         grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
         // Request and reply live until the call is finished, which happens in the loop.
-        asio::post(m_io, [this, request, reply, reactor] {
-            *reply = m_handler(*request);
-            reactor->Finish(grpc::Status::OK);
+        asio::post(m_io, [this, context, request, reply, reactor] {
+            const bool awaited = !context->IsCancelled();
+            m_handler(*request, awaited ? reply : nullptr);
+            reactor->Finish(awaited ? grpc::Status::OK : grpc::Status::CANCELLED);
         });
         return reactor;
     }
--- a/src/snipestall/gateway/gateway_settings.cpp
+++ b/src/snipestall/gateway/gateway_settings.cpp
@@ -1,5 +1,6 @@
 #include "snipestall/gateway/gateway_settings.hpp"
 
+#include <cmath>
 #include <yaml-cpp/yaml.h>
 
 namespace snipestall::gateway {
@@ -141,8 +142,10 @@
     const YAML::Node limits = Reader::section(*root, "limits");
     settings.fileDescriptors =
         reader.optional(limits, "file_descriptors", settings.fileDescriptors);
-    settings.processorCores = reader.optional(limits, "processor_share", 0.0)
+    constexpr double MilliCoresPerCore = 1000;
+    const double cores = reader.optional(limits, "processor_share", 0.0)
         * reader.optional(limits, "processor_cores", 1.0);
+    settings.milliCores = static_cast<std::uint32_t>(std::lround(cores * MilliCoresPerCore));
     settings.bounds = readBounds(reader, Reader::section(*root, "bounds"));
     if (!reader.faults().empty())
         return fail(ErrorKind::InvalidArgument,
--- a/src/snipestall/gateway/instance_row.cpp
+++ b/src/snipestall/gateway/instance_row.cpp
@@ -7,7 +7,7 @@
 std::string encodeInstance(const InstanceRow &row)
 {
     std::ostringstream text;
-    text << row.dataCentre << ' ' << row.address << ' ' << row.capacity;
+    text << row.dataCentre << ' ' << row.address << ' ' << row.milliCores;
     return text.str();
 }
 
@@ -17,8 +17,8 @@
     InstanceRow row;
     if (!(fields >> row.dataCentre >> row.address))
         return std::nullopt;
-    if (!(fields >> row.capacity))
-        row.capacity = 0;
+    if (!(fields >> row.milliCores))
+        row.milliCores = 0;
     return row;
 }
 
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -46,7 +46,7 @@
     , m_store(store)
     , m_follower(follower)
     , m_hooks(std::move(hooks))
-    , m_calls(state.settings.instance, { state.settings.dataCentre, state.settings.processorCores })
+    , m_calls(state.settings.instance, { state.settings.dataCentre, state.settings.milliCores })
 { }
 
 LoadExchange::~LoadExchange() = default;
@@ -57,9 +57,11 @@
 {
     std::unique_ptr<LoadExchange> exchange(
         new LoadExchange(state, store, follower, std::move(hooks)));
-    auto server = ExchangeServer::create(
-        state.io, exchange->ownAddress(),
-        [raw = exchange.get()](const v1::LoadReport &report) { return raw->answer(report); });
+    const auto answer = [raw = exchange.get()](const v1::LoadReport &report,
+                                               v1::LoadReport *reply) {
+        raw->answer(report, reply);
+    };
+    auto server = ExchangeServer::create(state.io, exchange->ownAddress(), answer);
     if (!server)
         return tl::unexpected<Error>(server.error());
     exchange->m_server = std::move(*server);
@@ -86,7 +88,7 @@
 {
     const platform::RowName name { InstancesTable, std::string(), m_state.settings.instance };
     const GatewaySettings &own = m_state.settings;
-    const InstanceRow row { own.dataCentre, ownAddress(), own.processorCores };
+    const InstanceRow row { own.dataCentre, ownAddress(), own.milliCores };
     std::vector<platform::RowWrite> writes { { name, encodeInstance(row) } };
     const auto written = co_await m_store.write({}, std::move(writes), StoreTimeout);
     co_return written.has_value();
@@ -115,7 +117,7 @@
         const auto instance = decodeInstance(row.value);
         if (row.name.key == m_state.settings.instance || !instance)
             continue;
-        setAddress(row.name.key, instance->address, { instance->dataCentre, instance->capacity });
+        setAddress(row.name.key, instance->address, { instance->dataCentre, instance->milliCores });
     }
     co_return true;
 }
@@ -185,7 +187,7 @@
         report.set_series(report.series() + m_calls.stayAt(name));
     peer.channel->send(report, CallTimeout, [this, name](const v1::LoadReport *report) {
         if (report == nullptr) {
-            m_calls.failed(name, m_state.clock.steadyNow());
+            noteUnanswered(name);
             return;
         }
         m_calls.answered(name);
@@ -193,6 +195,15 @@
     });
 }
 
+void LoadExchange::noteUnanswered(const std::string &peer)
+{
+    // The answer may wait here to be read.
+    if (m_state.loopLag.last() >= serving::LoopLag::LateAfter)
+        m_calls.abandoned(peer);
+    else
+        m_calls.failed(peer, m_state.clock.steadyNow());
+}
+
 v1::LoadReport LoadExchange::ownReport() const
 {
     v1::LoadReport report;
@@ -200,7 +211,7 @@
     report.set_series(m_state.incarnation);
     report.set_address(ownAddress());
     report.set_data_centre(m_state.settings.dataCentre);
-    report.set_capacity(m_state.settings.processorCores);
+    report.set_milli_cores(m_state.settings.milliCores);
     report.set_instances(1);
     report.set_heard_instances(1);
     report.set_process(m_state.processName());
@@ -346,7 +357,7 @@
     if (report.instance().empty() || report.instance() == m_state.settings.instance)
         return;
     const SteadyTime now = m_state.clock.steadyNow();
-    setAddress(report.instance(), report.address(), { report.data_centre(), report.capacity() });
+    setAddress(report.instance(), report.address(), { report.data_centre(), report.milli_cores() });
     m_calls.heard(report.instance(), now);
     Peer &peer = m_peers.at(report.instance());
     if (peer.silent)
@@ -372,14 +383,14 @@
         m_hooks.holderHeard();
 }
 
-v1::LoadReport LoadExchange::answer(const v1::LoadReport &report)
+void LoadExchange::answer(const v1::LoadReport &report, v1::LoadReport *reply)
 {
     const SteadyTime begun = m_state.clock.steadyNow();
     take(report);
-    v1::LoadReport own = reportFor(report.instance(), false);
+    if (reply != nullptr)
+        *reply = reportFor(report.instance(), false);
     ++m_state.loopWork.reports;
     m_state.loopWork.reportTime += m_state.clock.steadyNow() - begun;
-    return own;
 }
 
 void LoadExchange::markSilent()
--- a/src/snipestall/serving/overlay.cpp
+++ b/src/snipestall/serving/overlay.cpp
@@ -3,20 +3,23 @@
 #include "snipestall/base/rendezvous.hpp"
 
 #include <algorithm>
-#include <compare>
+#include <tuple>
 #include <utility>
 
 namespace snipestall::serving {
 
 namespace {
 
-/// In the order in which instances become hubs: the greatest capacity first, then by name.
 struct Candidate
 {
-    double negativeCapacity = 0;
+    std::uint32_t milliCores = 0;
     std::string name;
 
-    auto operator<=>(const Candidate &other) const = default;
+    /// The order in which instances become hubs.
+    bool operator<(const Candidate &other) const
+    {
+        return std::tie(other.milliCores, name) < std::tie(milliCores, other.name);
+    }
 };
 
 } // namespace
@@ -29,9 +32,9 @@
 void Overlay::update(const std::map<std::string, OverlayPeer> &peers)
 {
     std::map<std::string, std::vector<Candidate>> byDataCentre;
-    byDataCentre[m_own.dataCentre].push_back({ -m_own.capacity, m_self });
+    byDataCentre[m_own.dataCentre].push_back({ m_own.milliCores, m_self });
     for (const auto &[name, peer] : peers)
-        byDataCentre[peer.dataCentre].push_back({ -peer.capacity, name });
+        byDataCentre[peer.dataCentre].push_back({ peer.milliCores, name });
     const bool small = peers.size() + 1 <= MostHubs;
     const std::size_t hubsEach = std::max<std::size_t>(MostHubs / byDataCentre.size(), 1);
     m_hubs.clear();
--- a/src/snipestall/serving/overlay_test.cpp
+++ b/src/snipestall/serving/overlay_test.cpp
@@ -87,7 +87,7 @@
     auto all = instances(6, 49);
     for (int d = 0; d < 6; ++d) {
         for (const char *large : { "-120", "-130", "-148" })
-            all.at("dc" + std::to_string(d) + large).capacity = 0.5;
+            all.at("dc" + std::to_string(d) + large).milliCores = 500;
     }
     for (const auto &[name, overlay] : overlays(all)) {
         EXPECT_EQ(overlay.isReader(), name.ends_with("-120")) << name;
--- a/src/snipestall/serving/peer_calls_test.cpp
+++ b/src/snipestall/serving/peer_calls_test.cpp
@@ -59,6 +59,15 @@
     EXPECT_EQ(calls.overlay().targets(), std::vector<std::string> { first });
 }
 
+// Guards against an instance that takes its own delay for the failure of its hub.
+TEST(PeerCalls, AnAbandonedCallDoesNotChangeTheHub)
+{
+    PeerCalls calls = member();
+    const std::string hub = onlyHub(calls, Start);
+    calls.abandoned(hub);
+    EXPECT_EQ(onlyHub(calls, Start + 200ms), hub);
+}
+
 // A hub that is overloaded or down is called by all of its members again and again.
 TEST(PeerCalls, AHubThatStaysAwayIsTriedLessAndLessOften)
 {
