--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -104,6 +104,7 @@
     wire::Task<bool> wasMoved();
     serving::Placed takeMove();
     void callerLeft();
+    void noteCallerLeft();
     /// Ends the caller's connection, so that a broken answer doesn't look complete.
     void breakOff(const char *reason);
     void logEnd(unsigned status, const char *reason) const;
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -191,7 +191,7 @@
             return;
         }
         m_calls.answered(name);
-        take(*report);
+        answer(*report, nullptr);
     });
 }
 
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -137,7 +137,10 @@
     m_keepAlive = m_caller->request().keep_alive();
     m_caller->watchLeaving([this] { callerLeft(); });
     co_await awaitStart();
-    if (co_await admit())
+    m_callerGone |= m_caller->hasLeft();
+    if (m_callerGone)
+        noteCallerLeft();
+    else if (co_await admit())
         co_await serve();
     co_return m_keepAlive && !m_callerGone;
 }
@@ -221,8 +224,7 @@
     if (!m_maybeRan && m_customer != nullptr)
         m_state.quotas.giveBack(m_customer->name, quotaUnits());
     if (m_callerGone) {
-        ++m_state.counters.callersGone;
-        logEnd(0, "caller-left");
+        noteCallerLeft();
         co_return;
     }
     if (m_answer.begun()) {
@@ -330,7 +332,7 @@
     m_memoryFrom.clear();
     m_load = nullptr;
     m_call.reset();
-    if (!m_demand.prompt)
+    if (!m_demand.prompt && start != CallStart::Unwanted)
         m_state.demand.callEnded(m_demand.service->name, m_state.clock.steadyNow() - m_sentAt,
                                  server->info.slots);
     const auto firstByte = m_firstByteAt ? *m_firstByteAt - m_sentAt : SteadyTime::duration::zero();
@@ -422,6 +424,12 @@
     m_state.metrics.firstByte(m_demand.service->name, now - m_received);
 }
 
+void RequestRelay::noteCallerLeft()
+{
+    ++m_state.counters.callersGone;
+    logEnd(0, "caller-left");
+}
+
 void RequestRelay::callerLeft()
 {
     m_callerGone = true;
