A hub keeps its sums up to date instead of adding them up for each answer; rows go to other data centres on need

Cause: for each answer a hub added up the loads of all servers and the use of all customers over all sources it had ever heard, so a report cost members times servers; members that change their hub add sources that stay. And each hub passed every changed row to the hubs of all data centres, though each data centre's reader has it from the store: eleven copies of each row, and the more the later an answer was.

Now a report changes the sums by what it changes. Rows go to another data centre only if the receiver's copy is older than 0.7 s.

Kept by ReportBook.*, QuotaFleet.* (unchanged): the sums are the same.

--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -62,6 +62,9 @@
         SteadyTime heard;
         /// How far its copies of the tables go.
         std::map<std::string, std::int64_t> versions;
+        /// Since when each of them may have lacked something at its last report.
+        std::map<std::string, std::chrono::milliseconds> ages;
+        std::string dataCentre;
         /// Was heard directly, and has not been for a while.
         bool silent = true;
         std::shared_ptr<ExchangeChannel> channel;
@@ -84,6 +87,8 @@
     /// The report for one receiver, with the changes that its copies lack.
     [[nodiscard]] exchange::v1::LoadReport reportFor(const std::string &receiver,
                                                      bool asMember) const;
+    /// Whether a peer's copy of a table is kept up to date in the peer's own data centre.
+    [[nodiscard]] bool followsItself(const Peer &peer, const std::string &table) const;
     void addTable(const TableCopy &copy, const Peer *receiver,
                   exchange::v1::LoadReport &report) const;
     void takeTables(const exchange::v1::LoadReport &report, Peer &peer);
--- a/include/snipestall/gateway/report_book.hpp
+++ b/include/snipestall/gateway/report_book.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace snipestall::gateway {
 
@@ -56,42 +57,72 @@
         Totals grown;
         std::map<std::string, serving::DecayingRate> rates;
 
-        void take(const Totals &totals, bool first, SteadyTime now);
+        /// Adds the growth to each of `sums`, too.
+        void take(const Totals &totals, bool first, SteadyTime now,
+                  const std::vector<Totals *> &sums);
         /// Growth a second of one total, as it was at `heard`.
         [[nodiscard]] double rateAt(const std::string &name, SteadyTime heard) const;
     };
-    struct Sums
+    /// What silent sources are taken to use and to be asked for.
+    struct Unheard
     {
-        std::map<std::string, exchange::v1::ServerWork> servers;
         Totals use;
         Totals asked;
-        Totals work;
-        Totals unheardUse;
-        Totals unheardAsked;
     };
     struct Source
     {
         SteadyTime heard;
         std::uint64_t series = 0;
         bool member = false;
+        /// Whether the sums hold what it has at servers.
+        bool loadsCounted = false;
         exchange::v1::LoadReport report;
         Series use;
         Series asked;
         Series work;
     };
 
+    struct ServerSum
+    {
+        std::int64_t inFlight = 0;
+        std::int64_t pendingTokens = 0;
+        std::int64_t heldTokens = 0;
+
+        bool operator==(const ServerSum &other) const = default;
+    };
+    /// Sums of several sources, kept up to date with each report: a hub is asked for them a hundred
+    /// times a second, for hundreds of servers.
+    struct SourceSums
+    {
+        Totals use;
+        Totals asked;
+        Totals work;
+        std::map<std::string, ServerSum> servers;
+    };
+
+    /// The sums of which a source is part.
+    std::vector<SourceSums *> sumsOf(const Source &source);
+    static void subtractGrowth(const Source &source, SourceSums &sums);
+    static void addServers(const exchange::v1::LoadReport &report, int factor, SourceSums &sums);
+    void subtractServers(Source &source);
+    /// What silent sources had at servers has ended.
+    void dropSilentLoads(SteadyTime now);
     /// Each hub of this instance speaks for the whole fleet: only the last one counts.
     void forgetOtherHubs(const std::string &hub);
     /// The hub that spoke for the whole fleet lately; null if there is none.
     [[nodiscard]] const Source *liveHub(SteadyTime now) const;
     static void addSource(const Source &source, SteadyTime now, exchange::v1::LoadReport &report,
-                          Sums &sums);
+                          Unheard &unheard);
     /// Counts what a source that misses its reports is taken to use. Without it, members of the hub
     /// that sums up would give out that part of a quota again until the source counts as silent.
-    static void addUnheard(const Source &source, SteadyTime now, Sums &sums);
-    static void write(const Sums &sums, exchange::v1::LoadReport &report);
+    static void addUnheard(const Source &source, SteadyTime now, Unheard &unheard);
+    static void write(const SourceSums &sums, const Unheard &unheard,
+                      exchange::v1::LoadReport &report);
 
     std::map<std::string, Source> m_sources;
+    /// Of all sources but this instance's own hubs, and of those that report to it as to their hub.
+    SourceSums m_all;
+    SourceSums m_members;
 };
 
 } // namespace snipestall::gateway
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -37,6 +37,9 @@
 constexpr milliseconds ReadAgainJitter { 300 };
 constexpr milliseconds StoreTimeout { 1500 };
 constexpr milliseconds RetryPause { 300 };
+/// Some intervals of reports: a copy that is older is not kept up to date by its data centre's
+/// reader.
+constexpr milliseconds FollowedWithin { 700 };
 
 } // namespace
 
@@ -99,6 +102,7 @@
 {
     m_calls.known(name, place);
     Peer &peer = m_peers[name];
+    peer.dataCentre = place.dataCentre;
     if (peer.address == address)
         return;
     peer.address = address;
@@ -269,6 +273,13 @@
     return report;
 }
 
+bool LoadExchange::followsItself(const Peer &peer, const std::string &table) const
+{
+    const auto age = peer.ages.find(table);
+    return peer.dataCentre != m_state.settings.dataCentre && age != peer.ages.end()
+        && age->second <= FollowedWithin;
+}
+
 void LoadExchange::addTable(const TableCopy &copy, const Peer *receiver,
                             v1::LoadReport &report) const
 {
@@ -278,7 +289,8 @@
     constexpr milliseconds Oldest { 3600000 };
     state->set_age_ms(
         static_cast<std::uint32_t>(std::min(copy.age(m_state.clock.steadyNow()), Oldest).count()));
-    if (receiver == nullptr || !receiver->versions.contains(copy.table()))
+    if (receiver == nullptr || !receiver->versions.contains(copy.table())
+        || followsItself(*receiver, copy.table()))
         return;
     const auto changes = copy.since(receiver->versions.at(copy.table()));
     if (!changes)
@@ -298,6 +310,7 @@
     for (const v1::TableState &state : report.tables()) {
         m_state.loopWork.rows += static_cast<std::size_t>(state.rows_size());
         peer.versions[state.table()] = state.version();
+        peer.ages[state.table()] = milliseconds(state.age_ms());
         // Without rows the sender's copy can only confirm one that goes as far.
         TableChanges changes { state.rows_from() == 0 ? state.version() : state.rows_from(),
                                state.version(),
--- a/src/snipestall/gateway/report_book.cpp
+++ b/src/snipestall/gateway/report_book.cpp
@@ -1,6 +1,7 @@
 #include "snipestall/gateway/report_book.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace snipestall::gateway {
 
@@ -32,18 +33,11 @@
     return totals;
 }
 
-void addTotals(const std::map<std::string, double> &more, std::map<std::string, double> &sum)
+void addTotals(const std::map<std::string, double> &more, double factor,
+               std::map<std::string, double> &sum)
 {
     for (const auto &[name, value] : more)
-        sum[name] += value;
-}
-
-void addServer(const v1::ServerWork &more, v1::ServerWork &sum)
-{
-    sum.set_server(more.server());
-    sum.set_in_flight(sum.in_flight() + more.in_flight());
-    sum.set_pending_tokens(sum.pending_tokens() + more.pending_tokens());
-    sum.set_held_tokens(sum.held_tokens() + more.held_tokens());
+        sum[name] += factor * value;
 }
 
 } // namespace
@@ -57,11 +51,14 @@
     return use;
 }
 
-void ReportBook::Series::take(const Totals &totals, bool first, SteadyTime now)
+void ReportBook::Series::take(const Totals &totals, bool first, SteadyTime now,
+                              const std::vector<Totals *> &sums)
 {
     for (const auto &[name, value] : totals) {
         const double growth = first ? 0 : std::max(0.0, value - seen[name]);
         grown[name] += growth;
+        for (Totals *sum : sums)
+            (*sum)[name] += growth;
         rates[name].add(growth, GrownOver, now);
         seen[name] = value;
     }
@@ -79,8 +76,11 @@
         forgetOtherHubs(report.instance());
     Source &source = m_sources[report.instance()];
     const bool first = source.series != report.series();
+    subtractServers(source);
     if (source.member != report.to_hub() || source.report.for_member() != report.for_member()) {
         // It speaks for others than before; those are summed up elsewhere from now on.
+        for (SourceSums *sums : sumsOf(source))
+            subtractGrowth(source, *sums);
         source.use.grown.clear();
         source.asked.grown.clear();
         source.work.grown.clear();
@@ -89,9 +89,66 @@
     source.series = report.series();
     source.member = report.to_hub();
     source.report = report;
-    source.use.take(useOf(report), first, now);
-    source.asked.take(askedOf(report), first, now);
-    source.work.take(workOf(report), first, now);
+    source.loadsCounted = true;
+    std::vector<Totals *> use;
+    std::vector<Totals *> asked;
+    std::vector<Totals *> work;
+    for (SourceSums *sums : sumsOf(source)) {
+        use.push_back(&sums->use);
+        asked.push_back(&sums->asked);
+        work.push_back(&sums->work);
+        addServers(report, 1, *sums);
+    }
+    source.use.take(useOf(report), first, now, use);
+    source.asked.take(askedOf(report), first, now, asked);
+    source.work.take(workOf(report), first, now, work);
+    dropSilentLoads(now);
+}
+
+std::vector<ReportBook::SourceSums *> ReportBook::sumsOf(const Source &source)
+{
+    // What a hub told this instance as its member stands for the whole fleet, those included that
+    // speak for themselves since this instance has become a hub.
+    if (source.report.for_member())
+        return {};
+    if (source.member)
+        return { &m_all, &m_members };
+    return { &m_all };
+}
+
+void ReportBook::addServers(const v1::LoadReport &report, int factor, SourceSums &sums)
+{
+    for (const v1::ServerWork &work : report.servers()) {
+        ServerSum &sum = sums.servers[work.server()];
+        sum.inFlight += factor * static_cast<std::int64_t>(work.in_flight());
+        sum.pendingTokens += factor * static_cast<std::int64_t>(work.pending_tokens());
+        sum.heldTokens += factor * static_cast<std::int64_t>(work.held_tokens());
+        if (sum == ServerSum())
+            sums.servers.erase(work.server());
+    }
+}
+
+void ReportBook::subtractServers(Source &source)
+{
+    if (!std::exchange(source.loadsCounted, false))
+        return;
+    for (SourceSums *sums : sumsOf(source))
+        addServers(source.report, -1, *sums);
+}
+
+void ReportBook::dropSilentLoads(SteadyTime now)
+{
+    for (auto &[name, source] : m_sources) {
+        if (now - source.heard > LoadsKeptFor)
+            subtractServers(source);
+    }
+}
+
+void ReportBook::subtractGrowth(const Source &source, SourceSums &sums)
+{
+    addTotals(source.use.grown, -1, sums.use);
+    addTotals(source.asked.grown, -1, sums.asked);
+    addTotals(source.work.grown, -1, sums.work);
 }
 
 void ReportBook::forgetOtherHubs(const std::string &hub)
@@ -114,63 +171,61 @@
     return !report.for_member() && liveHub(now) != nullptr;
 }
 
-void ReportBook::addSource(const Source &source, SteadyTime now, v1::LoadReport &report, Sums &sums)
+void ReportBook::addSource(const Source &source, SteadyTime now, v1::LoadReport &report,
+                           Unheard &unheard)
 {
-    addTotals(source.use.grown, sums.use);
-    addTotals(source.asked.grown, sums.asked);
-    addTotals(source.work.grown, sums.work);
     if (now - source.heard > CountedFor)
         return;
-    addUnheard(source, now, sums);
+    addUnheard(source, now, unheard);
     report.set_instances(report.instances() + source.report.instances());
     if (source.report.holds_lease() && now - source.heard <= LeaseHeardWithin)
         report.set_holds_lease(true);
     if (now - source.heard <= HeardWithin)
         report.set_heard_instances(report.heard_instances() + source.report.heard_instances());
-    if (now - source.heard > LoadsKeptFor)
-        return;
-    for (const v1::ServerWork &each : source.report.servers())
-        addServer(each, sums.servers[each.server()]);
 }
 
-void ReportBook::addUnheard(const Source &source, SteadyTime now, Sums &sums)
+void ReportBook::addUnheard(const Source &source, SteadyTime now, Unheard &unheard)
 {
     const auto silent = std::min<SteadyTime::duration>(now - source.heard, HeardWithin);
     const bool isLate = silent > ReportsWithin;
-    const std::chrono::duration<double> unheard = isLate ? silent : SteadyTime::duration::zero();
+    const std::chrono::duration<double> silence = isLate ? silent : SteadyTime::duration::zero();
     for (const v1::CustomerUse &use : source.report.customers()) {
         // Nearly always so; a hub adds up all customers of all its sources for each member.
         if (!isLate && use.unheard_units() <= 0 && use.unheard_asked_per_s() <= 0)
             continue;
         const std::string &customer = use.customer();
-        sums.unheardUse[customer] +=
-            use.unheard_units() + source.use.rateAt(customer, source.heard) * unheard.count();
+        unheard.use[customer] +=
+            use.unheard_units() + source.use.rateAt(customer, source.heard) * silence.count();
         if (now - source.heard > HeardWithin)
             continue;
-        sums.unheardAsked[customer] += use.unheard_asked_per_s();
+        unheard.asked[customer] += use.unheard_asked_per_s();
         if (isLate)
-            sums.unheardAsked[customer] += source.asked.rateAt(customer, source.heard);
+            unheard.asked[customer] += source.asked.rateAt(customer, source.heard);
     }
 }
 
-void ReportBook::write(const Sums &sums, v1::LoadReport &report)
+void ReportBook::write(const SourceSums &sums, const Unheard &unheard, v1::LoadReport &report)
 {
     report.clear_servers();
     report.clear_customers();
     report.clear_services();
-    for (const auto &[id, each] : sums.servers)
-        *report.add_servers() = each;
+    for (const auto &[id, sum] : sums.servers) {
+        v1::ServerWork *work = report.add_servers();
+        work->set_server(id);
+        work->set_in_flight(static_cast<std::uint32_t>(sum.inFlight));
+        work->set_pending_tokens(static_cast<std::uint32_t>(sum.pendingTokens));
+        work->set_held_tokens(static_cast<std::uint64_t>(sum.heldTokens));
+    }
     for (const auto &[customer, units] : sums.use) {
         v1::CustomerUse *entry = report.add_customers();
         entry->set_customer(customer);
         entry->set_units(units);
         const auto asked = sums.asked.find(customer);
         entry->set_asked(asked == sums.asked.end() ? units : asked->second);
-        if (const auto unheard = sums.unheardUse.find(customer); unheard != sums.unheardUse.end())
-            entry->set_unheard_units(unheard->second);
-        if (const auto unheard = sums.unheardAsked.find(customer);
-            unheard != sums.unheardAsked.end())
-            entry->set_unheard_asked_per_s(unheard->second);
+        if (const auto used = unheard.use.find(customer); used != unheard.use.end())
+            entry->set_unheard_units(used->second);
+        if (const auto rate = unheard.asked.find(customer); rate != unheard.asked.end())
+            entry->set_unheard_asked_per_s(rate->second);
     }
     for (const auto &[service, seconds] : sums.work) {
         v1::ServiceWork *entry = report.add_services();
@@ -193,21 +248,28 @@
     if (toMember)
         report.set_series(own.series() + known->second.series);
     report.set_for_member(toMember);
-    Sums sums;
-    for (const v1::ServerWork &each : own.servers())
-        addServer(each, sums.servers[each.server()]);
-    sums.use = useOf(own);
-    sums.asked = askedOf(own);
-    sums.work = workOf(own);
+    SourceSums sums = toMember ? m_all : m_members;
+    const bool counted = known != m_sources.end() && !known->second.report.for_member();
+    if (counted && (toMember || known->second.member)) {
+        subtractGrowth(known->second, sums);
+        if (known->second.loadsCounted)
+            addServers(known->second.report, -1, sums);
+    }
+    addTotals(useOf(own), 1, sums.use);
+    addTotals(askedOf(own), 1, sums.asked);
+    addTotals(workOf(own), 1, sums.work);
+    addServers(own, 1, sums);
+    Unheard unheard;
     for (const auto &[name, source] : m_sources) {
-        // What a hub told this instance as its member stands for the whole fleet, those included
-        // that speak for themselves since this instance has become a hub.
         if (source.report.for_member())
             continue;
-        if (name != receiver && (toMember || source.member))
-            addSource(source, now, report, sums);
+        if (name == receiver || !(toMember || source.member))
+            continue;
+        if (source.loadsCounted && now - source.heard > LoadsKeptFor)
+            addServers(source.report, -1, sums);
+        addSource(source, now, report, unheard);
     }
-    write(sums, report);
+    write(sums, unheard, report);
     return report;
 }
 
