--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -89,7 +89,7 @@
     /// Set once a graceful shutdown has begun.
     std::optional<serving::ShutdownPlan> shutdown;
     [[nodiscard]] bool draining() const { return shutdown.has_value(); }
-    /// Asked for each request at its own time: a flag would be as late as whoever sets it.
+    /// Asked for each request when it is admitted.
     [[nodiscard]] bool takesWork() const
     {
         return !shutdown || shutdown->takesWork(clock.steadyNow());
