--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -94,8 +94,8 @@
     void takeTables(const exchange::v1::LoadReport &report, Peer &peer);
     void takeUsage(const exchange::v1::LoadReport &report);
     void take(const exchange::v1::LoadReport &report);
-    /// Takes a peer's report and fills in the one that answers it, if the peer still waits for it.
-    void answer(const exchange::v1::LoadReport &report, exchange::v1::LoadReport *reply);
+    /// Takes a peer's report and fills in the reply, if the peer still waits for one.
+    void handleReport(const exchange::v1::LoadReport &report, exchange::v1::LoadReport *reply);
     /// What the sender, and those it speaks for, have at servers and have taken.
     void takeSums(const exchange::v1::LoadReport &report, SteadyTime now);
     void forgetSums(const std::string &peer);
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -60,11 +60,11 @@
 {
     std::unique_ptr<LoadExchange> exchange(
         new LoadExchange(state, store, follower, std::move(hooks)));
-    const auto answer = [raw = exchange.get()](const v1::LoadReport &report,
-                                               v1::LoadReport *reply) {
-        raw->answer(report, reply);
+    const auto handler = [raw = exchange.get()](const v1::LoadReport &report,
+                                                v1::LoadReport *reply) {
+        raw->handleReport(report, reply);
     };
-    auto server = ExchangeServer::create(state.io, exchange->ownAddress(), answer);
+    auto server = ExchangeServer::create(state.io, exchange->ownAddress(), handler);
     if (!server)
         return tl::unexpected<Error>(server.error());
     exchange->m_server = std::move(*server);
@@ -195,7 +195,7 @@
             return;
         }
         m_calls.answered(name);
-        answer(*report, nullptr);
+        handleReport(*report, nullptr);
     });
 }
 
@@ -396,7 +396,7 @@
         m_hooks.holderHeard();
 }
 
-void LoadExchange::answer(const v1::LoadReport &report, v1::LoadReport *reply)
+void LoadExchange::handleReport(const v1::LoadReport &report, v1::LoadReport *reply)
 {
     const SteadyTime begun = m_state.clock.steadyNow();
     take(report);
