A refused repeat is logged (909) and counted

A request that fails because the limit on repeats is used up ended with its 900 line alone; only a count of all 901 lines of the ten seconds before told it from one that no server was left for. Event 909 names the request and its service, and two gauges count the repeats sent and refused.

--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -61,6 +61,7 @@
 extern const EventInfo LoopLate;
 extern const EventInfo RequestCut;
 extern const EventInfo ShutdownRefuses;
+extern const EventInfo RepeatRefused;
 extern const EventInfo StoreLost;
 extern const EventInfo StoreRegained;
 extern const EventInfo StoreRowFaulty;
--- a/include/snipestall/gateway/gateway_counters.hpp
+++ b/include/snipestall/gateway/gateway_counters.hpp
@@ -14,6 +14,9 @@
     std::uint64_t failed = 0;
     std::uint64_t callersGone = 0;
     std::uint64_t attempts = 0;
+    /// Attempts beyond the first of their request, and those that the limit on them refused.
+    std::uint64_t repeats = 0;
+    std::uint64_t repeatsRefused = 0;
 };
 
 } // namespace snipestall::gateway
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -81,6 +81,8 @@
 
     [[nodiscard]] BackendCall::Request serverRequest(const serving::ServerState &server) const;
     [[nodiscard]] bool mayRetry(AttemptEnd last);
+    /// Takes a repeat from the limit of the service; returns false if it is used up.
+    [[nodiscard]] bool takeRepeat();
     /// Handles an answer that was cut off. The server may have crashed because of this request.
     void handleConnectionLoss(const serving::ServerStatePtr &server);
     /// Waits, for a short time at most, until this instance knows whether the last server has ended
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -211,6 +211,13 @@
     908, Severity::Info, "shutdown-refuses",
     "The process is shutting down and from now on refuses new requests as not run.", "None."
 };
+const EventInfo RepeatRefused {
+    909, Severity::Info, "repeat-refused",
+    "A request was not sent to another server, because the limit on repeats for its service is "
+    "used "
+    "up.",
+    "None; if this lasts, most attempts at the service fail: see the 901 lines of its servers."
+};
 const EventInfo StoreLost {
     910, Severity::Warning, "store-lost",
     "The platform's store does not respond; the last known data stays in force.",
@@ -337,6 +344,7 @@
     &LoopLate,
     &RequestCut,
     &ShutdownRefuses,
+    &RepeatRefused,
     &StoreLost,
     &StoreRegained,
     &StoreRowFaulty,
--- a/src/snipestall/gateway/gateway_metrics.cpp
+++ b/src/snipestall/gateway/gateway_metrics.cpp
@@ -36,7 +36,7 @@
 }
 
 /// Help texts are part of the exported metrics and stay stable.
-constexpr std::array<Gauge, 11> Gauges { {
+constexpr std::array<Gauge, 13> Gauges { {
     { "snipestall_gateway_requests", "Requests read since the start.",
       [](const GatewayState &s) { return double(s.counters.requests); } },
     { "snipestall_gateway_answered", "Requests answered by a backend server since the start.",
@@ -49,6 +49,11 @@
       [](const GatewayState &s) { return double(s.counters.callersGone); } },
     { "snipestall_gateway_attempts", "Sends to backend servers since the start.",
       [](const GatewayState &s) { return double(s.counters.attempts); } },
+    { "snipestall_gateway_repeats", "Sends beyond the first of their request since the start.",
+      [](const GatewayState &s) { return double(s.counters.repeats); } },
+    { "snipestall_gateway_repeats_refused",
+      "Sends beyond the first that the limit on repeats refused since the start.",
+      [](const GatewayState &s) { return double(s.counters.repeatsRefused); } },
     { "snipestall_gateway_in_flight", "Requests that have no final answer yet.",
       [](const GatewayState &s) { return double(s.requestsInFlight); } },
     { "snipestall_gateway_servers", "Backend servers that take work, as known here.",
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -184,7 +184,22 @@
         return false;
     if (m_maybeRan && (!m_route->mayRepeat() || m_runs >= m_route->attemptLimit))
         return false;
-    return m_state.retries.tryRepeat(m_placementRequest.service->name, m_state.clock.steadyNow());
+    return takeRepeat();
+}
+
+bool RequestRelay::takeRepeat()
+{
+    const std::string &service = m_placementRequest.service->name;
+    if (m_state.retries.tryRepeat(service, m_state.clock.steadyNow())) {
+        ++m_state.counters.repeats;
+        return true;
+    }
+    ++m_state.counters.repeatsRefused;
+    logEvent(events::RepeatRefused,
+             { { "attempt", m_header.attemptId },
+               { "service", service },
+               { "sends", std::to_string(m_sends) } });
+    return false;
 }
 
 Task<void> RequestRelay::serve()
--- a/src/snipestall/gateway/request_relay_move.cpp
+++ b/src/snipestall/gateway/request_relay_move.cpp
@@ -77,8 +77,7 @@
 {
     const SteadyTime now = m_state.clock.steadyNow();
     // A run that has not begun has no KV cache to move.
-    if (!m_lastEvent || m_callerGone
-        || !m_state.retries.tryRepeat(m_placementRequest.service->name, now))
+    if (!m_lastEvent || m_callerGone || !takeRepeat())
         return;
     serving::PlacementRequest request = m_placementRequest;
     // The run may continue in any data centre, because only free capacity matters.
