Repeats cost credits that expire, so that restarts cannot multiply them

Cause: each process counted its own window of first attempts and repeats and forgot it at its end. By the model, two more ways through the same limit: each side of a long partition divided the fixed part by its own number (10 to 46 too many), and callers that move to other instances earn a second window there.

Change: RetryAllowance gives credits for first attempts and, by the number of registered instances, for the fixed part, both at half of the limit. A credit expires after nine tenths of a window. What all instances spend in a window was earned in it or in the one before, whatever is killed, cut off or added, so the sum cannot pass the limit; a process starts with nothing unless the whole fleet starts for the first time. A peer with few credits is handed half of the difference with the reports that are exchanged already; a lost report loses them. A request counted in the past no longer replaces newer counts.

The model's instances now also exchange credits, and know the number of registered instances instead of heard ones, since the new code asks for that. New cases: after a restart nine of ten failed requests get their second attempt with credits of others, a short failure of a third is repeated to 95%.

--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -4,6 +4,7 @@
 #include "snipestall/base/result.hpp"
 #include "snipestall/gateway/report_book.hpp"
 #include "snipestall/serving/peer_calls.hpp"
+#include "snipestall/serving/retry_allowance.hpp"
 #include "snipestall/wire/task.hpp"
 
 #include <cstdint>
@@ -70,6 +71,8 @@
         /// Age of each copy at the last report: the time since which it may lack changes.
         std::map<std::string, std::chrono::milliseconds> ages;
         std::string dataCentre;
+        /// Credits for repeats at the last report.
+        serving::RetryLevels retryLevels;
         /// Set while the peer has not reported to this instance recently.
         bool silent = true;
         std::shared_ptr<ExchangeChannel> channel;
@@ -91,8 +94,7 @@
                     const serving::OverlayPeer &overlayPeer);
     [[nodiscard]] exchange::v1::LoadReport ownReport() const;
     /// The report for one receiver, with the changes that its copies of tables lack.
-    [[nodiscard]] exchange::v1::LoadReport reportFor(const std::string &receiver,
-                                                     bool asMember) const;
+    [[nodiscard]] exchange::v1::LoadReport reportFor(const std::string &receiver, bool asMember);
     /// Returns whether the copy of a table at a peer is kept up to date in the peer's own data
     /// centre.
     [[nodiscard]] bool hasLocalReader(const Peer &peer, const std::string &table) const;
@@ -102,6 +104,11 @@
     void applyUsage(const exchange::v1::LoadReport &report);
     void addRollouts(exchange::v1::LoadReport &report) const;
     void applyRollouts(const exchange::v1::LoadReport &report);
+    void addRetryLevels(exchange::v1::LoadReport &report) const;
+    /// Hands over credits for repeats to a peer that has few.
+    void addRetryGrants(const Peer &receiver, exchange::v1::LoadReport &report);
+    void applyRetryCredits(const exchange::v1::LoadReport &report, Peer &peer);
+    void updateRetryShare();
     void processReport(const exchange::v1::LoadReport &report);
     /// Processes a report of a peer and fills in the reply if the peer still waits for one.
     void handleReport(const exchange::v1::LoadReport &report, exchange::v1::LoadReport *reply);
@@ -122,6 +129,8 @@
     /// The hub whose report on the whole fleet arrived last.
     std::string m_hub;
     ReportBook m_book;
+    /// Number of rows in the table of instances at its last read; 0 before it.
+    std::size_t m_registered = 0;
     /// Whether the table of instances has been read after the instances that start together had
     /// registered themselves.
     bool m_listSettled = false;
--- /dev/null
+++ b/include/snipestall/serving/expiring_credits.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "snipestall/base/clock.hpp"
+
+#include <chrono>
+#include <deque>
+
+namespace snipestall::serving {
+
+/// An amount that was earned piece by piece. Each piece expires after a fixed time if it is not
+/// spent.
+class ExpiringCredits
+{
+public:
+    /// Credits that were earned at the same time.
+    struct Batch
+    {
+        SteadyTime earnedAt;
+        double amount = 0;
+    };
+
+    explicit ExpiringCredits(std::chrono::milliseconds lifetime)
+        : m_lifetime(lifetime)
+    { }
+
+    void add(Batch batch);
+    [[nodiscard]] double total(SteadyTime now) const;
+    /// Spends the oldest credits. Returns false, and spends nothing, if there are not enough.
+    bool trySpend(double amount, SteadyTime now);
+    /// Takes out the newest credits, at most `amount`. They count as old as the oldest of them.
+    Batch takeNewest(double amount, SteadyTime now);
+
+private:
+    /// Credits that were earned within this part of the lifetime are kept as one batch.
+    static constexpr int BatchesPerLifetime = 20;
+
+    void dropExpired(SteadyTime now);
+
+    std::chrono::milliseconds m_lifetime;
+    /// Oldest first.
+    std::deque<Batch> m_batches;
+};
+
+} // namespace snipestall::serving
--- a/include/snipestall/serving/retry_allowance.hpp
+++ b/include/snipestall/serving/retry_allowance.hpp
@@ -1,12 +1,13 @@
 #pragma once
 
 #include "snipestall/base/clock.hpp"
+#include "snipestall/serving/expiring_credits.hpp"
 
-#include <array>
 #include <chrono>
-#include <cstdint>
+#include <cstddef>
+#include <map>
 #include <string>
-#include <unordered_map>
+#include <vector>
 
 namespace snipestall::serving {
 
@@ -20,48 +21,81 @@
     double slack = 0;
 };
 
+/// Credits for repeats by service.
+using RetryLevels = std::map<std::string, double>;
+
+/// Credits for repeats that one instance hands over to another.
+struct RetryGrant
+{
+    std::string service;
+    double credits = 0;
+    /// Time since they were earned.
+    std::chrono::milliseconds age { 0 };
+};
+
 /// Limits the repeated attempts that this instance sends to each service.
 ///
-/// Load: many servers fail or lose answers, so that most attempts have to be repeated. Harm:
-/// repeats add load to servers that already fail, and so keep the failure going. Repeats are
-/// limited to a part of the first attempts in the last window, as counted by this instance, plus
-/// this instance's share of the fixed allowance, so all instances together stay within the limit
-/// without any messages between them.
+/// Load: many servers fail or lose answers, so that most attempts have to be repeated, while
+/// instances are killed, cut off or added, and callers move between them. Harm: repeats add load to
+/// servers that already fail, and so keep the failure going.
+///
+/// A repeat costs one credit. Each first attempt earns credits, and each instance earns its share
+/// of the fixed allowance over time; both at half of what is allowed. Credits expire after a
+/// window. What all instances together spend in a window has therefore been earned in it or in the
+/// window before it, which is at most the limit. This holds without any messages: a process starts
+/// with no credits, so a kill, a partition or a lost message can only lose some.
+///
+/// Credits can be handed over, so that a process that has just started can repeat requests too.
 class RetryAllowance
 {
 public:
-    explicit RetryAllowance(RetryLimits limits)
-        : m_limits(limits)
-    { }
+    explicit RetryAllowance(RetryLimits limits);
 
-    /// Sets the number of instances that share the fixed allowance.
-    void setInstances(std::size_t count) { m_instances = count; }
+    /// To be called if the whole fleet starts for the first time. Nothing has been spent before, so
+    /// this instance begins with its share of the fixed allowance.
+    void startWithFixed() { m_startsWithFixed = true; }
+    /// Sets the number of instances that share the fixed allowance, including those that can't be
+    /// reached at present. Until it is set, this instance gets no part of it.
+    void setInstances(std::size_t count, SteadyTime now);
     /// Counts a first attempt.
     void countFirstAttempt(const std::string &service, SteadyTime now);
-    /// Takes one repeat from the allowance of the window; returns false if it is used up.
+    /// Spends a credit on a repeat; returns false if there is none.
     bool tryRepeat(const std::string &service, SteadyTime now);
 
-private:
-    /// Number of slices into which the window is divided for counting.
-    static constexpr std::size_t Slices = 20;
-    /// Fraction of the limit that is used. The rest is a reserve, because windows slide at both
-    /// ends and the instances count separately.
-    static constexpr double UsedFraction = 0.7;
+    /// Credits of this instance, for its peers.
+    [[nodiscard]] RetryLevels levels(SteadyTime now);
+    /// Takes out credits for a peer that has only `peerLevels`: half of the difference, where this
+    /// instance has many more.
+    [[nodiscard]] std::vector<RetryGrant> handOver(const RetryLevels &peerLevels, SteadyTime now);
+    /// Adds credits that a peer has handed over.
+    void receive(const RetryGrant &grant, SteadyTime now);
 
-    struct Slice
-    {
-        std::int64_t number = -1;
-        std::uint32_t firstAttempts = 0;
-        std::uint32_t repeats = 0;
-    };
-    using Window = std::array<Slice, Slices>;
+private:
+    /// Part of the window after which credits expire. The rest is the time that repeats may take to
+    /// arrive, and handed over credits to be received.
+    static constexpr double LifetimeInWindows = 0.9;
+    /// Credits are spent in the window in which they were earned or in the next one.
+    static constexpr double EarnedFraction = 0.5;
+    /// Credits that an instance must have before it hands over any.
+    static constexpr double SparesFrom = 2;
+    /// How many times the credits of the peer it must have. Similar levels are not evened out, so
+    /// that few credits are lost with reports.
+    static constexpr double SparesAtRatio = 2;
 
-    Slice &slice(const std::string &service, SteadyTime now);
-    [[nodiscard]] std::int64_t sliceNumber(SteadyTime now) const;
+    /// Adds the share of the fixed allowance since the last call.
+    void earnFixed(SteadyTime now);
+    void addFixed(ExpiringCredits::Batch batch);
+    ExpiringCredits &creditsFor(const std::string &service);
 
     RetryLimits m_limits;
-    std::size_t m_instances = 1;
-    std::unordered_map<std::string, Window> m_services;
+    std::chrono::milliseconds m_lifetime;
+    /// 0 until it is known.
+    std::size_t m_instances = 0;
+    bool m_startsWithFixed = false;
+    SteadyTime m_fixedEarnedUntil;
+    /// What a service has that has not been used yet.
+    ExpiringCredits m_fixed;
+    std::map<std::string, ExpiringCredits> m_services;
 };
 
 } // namespace snipestall::serving
--- a/src/snipestall/gateway/gateway_state.cpp
+++ b/src/snipestall/gateway/gateway_state.cpp
@@ -22,7 +22,9 @@
     , loopLag(clock.steadyNow())
     , rolloutsKnown(!rollouts.enabled())
 {
-    if (!settings.firstStart)
+    if (settings.firstStart)
+        retries.startWithFixed();
+    else
         quotas.joinFleet(clock.steadyNow());
 }
 
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -37,6 +37,9 @@
 constexpr milliseconds SecondReadJitter { 300 };
 constexpr milliseconds StoreTimeout { 1500 };
 constexpr milliseconds RetryPause { 300 };
+/// Two intervals of reports. Credits are handed over only to peers that have reported within this
+/// time, because they are lost with a report that does not arrive.
+constexpr milliseconds GrantsAfterReport { 400 };
 /// Several intervals of reports. A copy that is older is not kept up to date by the reader of its
 /// data centre.
 constexpr milliseconds LocalCopyMaxAge { 700 };
@@ -147,7 +150,9 @@
     if (!rows)
         co_return false;
     m_state.instancesKnown = true;
-    m_state.quotas.setRegisteredInstances(std::max<std::size_t>(rows->rows.size(), 1));
+    m_registered = std::max<std::size_t>(rows->rows.size(), 1);
+    m_state.quotas.setRegisteredInstances(m_registered);
+    updateRetryShare();
     for (const platform::StoredRow &row : rows->rows) {
         const auto instance = decodeInstance(row.value);
         if (row.name.key == m_state.settings.instance || !instance)
@@ -274,6 +279,7 @@
         work->set_seconds(seconds);
     }
     addRollouts(report);
+    addRetryLevels(report);
     if (m_state.commonTime.known()) {
         const WallTime time = m_state.commonTime.at(m_state.clock.steadyNow());
         report.set_usage_closed_up_to(m_state.usage.windowOf(time) - 1);
@@ -330,12 +336,54 @@
     }
 }
 
+void LoadExchange::addRetryLevels(v1::LoadReport &report) const
+{
+    for (const auto &[service, credits] : m_state.retries.levels(m_state.clock.steadyNow())) {
+        v1::RetryLevel *level = report.add_retry_levels();
+        level->set_service(service);
+        level->set_credits(credits);
+    }
+}
+
+void LoadExchange::addRetryGrants(const Peer &receiver, v1::LoadReport &report)
+{
+    const SteadyTime now = m_state.clock.steadyNow();
+    if (now - receiver.lastReportAt > GrantsAfterReport)
+        return;
+    for (const serving::RetryGrant &grant : m_state.retries.handOver(receiver.retryLevels, now)) {
+        v1::RetryGrant *entry = report.add_retry_grants();
+        entry->set_service(grant.service);
+        entry->set_credits(grant.credits);
+        entry->set_age_ms(static_cast<std::uint32_t>(grant.age.count()));
+    }
+}
+
+void LoadExchange::applyRetryCredits(const v1::LoadReport &report, Peer &peer)
+{
+    peer.retryLevels.clear();
+    for (const v1::RetryLevel &level : report.retry_levels())
+        peer.retryLevels[level.service()] = level.credits();
+    for (const v1::RetryGrant &grant : report.retry_grants())
+        m_state.retries.receive({ grant.service(), grant.credits(), milliseconds(grant.age_ms()) },
+                                m_state.clock.steadyNow());
+    updateRetryShare();
+}
+
+void LoadExchange::updateRetryShare()
+{
+    // An instance that can't be reached may still serve, so it counts as long as it is registered.
+    // One that has started since the table was read reports itself.
+    if (m_registered > 0)
+        m_state.retries.setInstances(std::max(m_registered, instances()),
+                                     m_state.clock.steadyNow());
+}
+
 std::uint64_t LoadExchange::rolloutFollowedByAll(const std::string &service) const
 {
     return m_book.followedByAll(service, m_state.clock.steadyNow());
 }
 
-v1::LoadReport LoadExchange::reportFor(const std::string &receiver, bool asMember) const
+v1::LoadReport LoadExchange::reportFor(const std::string &receiver, bool asMember)
 {
     v1::LoadReport report =
         m_book.reportFor(receiver, ownReport(), asMember, m_state.clock.steadyNow());
@@ -346,6 +394,8 @@
     const Peer *peer = found == m_peers.end() ? nullptr : &found->second;
     if (report.for_member() && peer != nullptr)
         report.set_usage_stored_up_to(m_state.memberUsage.storedUpTo(peer->process));
+    if (peer != nullptr)
+        addRetryGrants(*peer, report);
     addTable(m_follower.config(), peer, report);
     addTable(m_follower.list(), peer, report);
     return report;
@@ -470,7 +520,7 @@
         forgetTotals(report.instance());
     else
         applyTotals(report, now);
-    m_state.retries.setInstances(instances());
+    applyRetryCredits(report, peer);
     // The first write to the store set the offset for all, so every instance has the same.
     if (report.has_time_offset_ms() && !m_state.commonTime.offset())
         m_state.commonTime.setOffset(milliseconds(report.time_offset_ms()));
--- a/src/snipestall/serving/retry_allowance.cpp
+++ b/src/snipestall/serving/retry_allowance.cpp
@@ -4,46 +4,94 @@
 
 namespace snipestall::serving {
 
-std::int64_t RetryAllowance::sliceNumber(SteadyTime now) const
+using std::chrono::milliseconds;
+
+RetryAllowance::RetryAllowance(RetryLimits limits)
+    : m_limits(limits)
+    , m_lifetime(std::chrono::duration_cast<milliseconds>(limits.window * LifetimeInWindows))
+    , m_fixed(m_lifetime)
+{ }
+
+void RetryAllowance::addFixed(ExpiringCredits::Batch batch)
+{
+    m_fixed.add(batch);
+    for (auto &[name, credits] : m_services)
+        credits.add(batch);
+}
+
+void RetryAllowance::earnFixed(SteadyTime now)
+{
+    if (m_instances == 0)
+        return;
+    const double perSecond = EarnedFraction * m_limits.slack / static_cast<double>(m_instances)
+        / std::chrono::duration<double>(m_limits.window).count();
+    // After a long pause, the credits of each part of it have their own age.
+    const milliseconds step = std::max(m_lifetime / 10, milliseconds(1));
+    SteadyTime from = std::max(m_fixedEarnedUntil, now - m_lifetime);
+    while (from < now) {
+        const SteadyTime until = std::min<SteadyTime>(from + step, now);
+        addFixed({ from, perSecond * std::chrono::duration<double>(until - from).count() });
+        from = until;
+    }
+    m_fixedEarnedUntil = std::max(m_fixedEarnedUntil, now);
+}
+
+void RetryAllowance::setInstances(std::size_t count, SteadyTime now)
 {
-    const auto length =
-        std::max<std::chrono::milliseconds>(m_limits.window / Slices, std::chrono::milliseconds(1));
-    return now.time_since_epoch() / length;
+    if (m_instances == 0)
+        m_fixedEarnedUntil = m_startsWithFixed ? now - m_lifetime : now;
+    else
+        earnFixed(now);
+    m_instances = std::max<std::size_t>(count, 1);
 }
 
-RetryAllowance::Slice &RetryAllowance::slice(const std::string &service, SteadyTime now)
+ExpiringCredits &RetryAllowance::creditsFor(const std::string &service)
 {
-    const std::int64_t number = sliceNumber(now);
-    Slice &current = m_services[service].at(static_cast<std::size_t>(number) % Slices);
-    if (current.number != number)
-        current = { number, 0, 0 };
-    return current;
+    return m_services.try_emplace(service, m_fixed).first->second;
 }
 
 void RetryAllowance::countFirstAttempt(const std::string &service, SteadyTime now)
 {
-    ++slice(service, now).firstAttempts;
+    earnFixed(now);
+    creditsFor(service).add({ now, EarnedFraction * m_limits.ratio });
 }
 
 bool RetryAllowance::tryRepeat(const std::string &service, SteadyTime now)
 {
-    Slice &current = slice(service, now);
-    const std::int64_t oldest = sliceNumber(now) - static_cast<std::int64_t>(Slices);
-    double firstAttempts = 0;
-    double repeats = 0;
-    for (const Slice &each : m_services[service]) {
-        if (each.number <= oldest)
+    earnFixed(now);
+    return creditsFor(service).trySpend(1, now);
+}
+
+RetryLevels RetryAllowance::levels(SteadyTime now)
+{
+    earnFixed(now);
+    RetryLevels levels;
+    for (const auto &[service, credits] : m_services)
+        levels[service] = credits.total(now);
+    return levels;
+}
+
+std::vector<RetryGrant> RetryAllowance::handOver(const RetryLevels &peerLevels, SteadyTime now)
+{
+    earnFixed(now);
+    std::vector<RetryGrant> grants;
+    for (auto &[service, credits] : m_services) {
+        const auto found = peerLevels.find(service);
+        const double peer = found == peerLevels.end() ? 0 : found->second;
+        const double own = credits.total(now);
+        if (own < SparesFrom || own < peer * SparesAtRatio)
             continue;
-        firstAttempts += each.firstAttempts;
-        repeats += each.repeats;
+        const ExpiringCredits::Batch taken = credits.takeNewest((own - peer) / 2, now);
+        grants.push_back({ service, taken.amount,
+                           std::chrono::duration_cast<milliseconds>(now - taken.earnedAt) });
     }
-    const double allowed = UsedFraction
-        * (m_limits.ratio * firstAttempts
-           + m_limits.slack / static_cast<double>(std::max<std::size_t>(m_instances, 1)));
-    if (repeats + 1 > allowed)
-        return false;
-    ++current.repeats;
-    return true;
+    return grants;
+}
+
+void RetryAllowance::receive(const RetryGrant &grant, SteadyTime now)
+{
+    if (grant.credits > 0 && grant.age >= milliseconds(0))
+        creditsFor(grant.service).add({ now - grant.age, grant.credits });
 }
 
 } // namespace snipestall::serving
--- a/src/snipestall/serving/retry_model.hpp
+++ b/src/snipestall/serving/retry_model.hpp
@@ -47,11 +47,11 @@
     /// kept. The first attempts of a window count as in the window before it or the one half a
     /// window before it if these have more.
     [[nodiscard]] double worstExcess() const;
-    /// Requests whose first attempt failed since the last resetCounts(), and how many of them were
-    /// sent a second time.
+    /// Begins to count the requests of these instances whose first attempt fails, and how many of
+    /// them are sent a second time.
+    void countRequestsOf(const std::vector<std::size_t> &indices);
     [[nodiscard]] int failed() const { return m_failed; }
     [[nodiscard]] int repeated() const { return m_repeated; }
-    void resetCounts();
 
 private:
     struct Instance
@@ -62,13 +62,14 @@
         SteadyTime cutOffUntil;
         SteadyTime nextExchange;
         bool up = true;
-        /// When each other instance was last heard of, by index.
-        std::vector<SteadyTime> heardAt;
+        bool counted = false;
     };
 
     void start(std::size_t index);
-    /// Exchanges reports with the instances that this one reaches.
+    /// Exchanges reports with the hub of an instance; a hub does so with the other hubs.
     void exchange(std::size_t index);
+    [[nodiscard]] std::size_t hubOf(std::size_t index) const;
+    void handOver(Instance &from, Instance &to);
     void serve(Instance &instance, double mean);
     [[nodiscard]] bool isRunning(const Instance &instance) const;
     [[nodiscard]] bool reaches(const Instance &from, const Instance &to) const;
--- a/src/snipestall/serving/retry_model_test.cpp
+++ b/src/snipestall/serving/retry_model_test.cpp
@@ -16,8 +16,8 @@
 
 constexpr auto Service = "lm";
 constexpr milliseconds ExchangeInterval { 200 };
-/// An instance that has not been heard of for longer counts as stopped.
-constexpr std::chrono::seconds CountedFor { 12 };
+constexpr std::size_t InstancesPerHub = 25;
+constexpr double LostReports = 0.02;
 
 } // namespace
 
@@ -34,9 +34,7 @@
 {
     const std::size_t before = m_instances.size();
     for (std::size_t i = 0; i < count; ++i)
-        m_instances.push_back({ RetryAllowance(m_options.limits), {}, {}, {}, {}, true, {} });
-    for (Instance &instance : m_instances)
-        instance.heardAt.resize(m_instances.size());
+        m_instances.push_back({ RetryAllowance(m_options.limits), {}, {}, {}, {}, true, false });
     for (std::size_t i = before; i < m_instances.size(); ++i)
         start(i);
 }
@@ -47,7 +45,6 @@
     instance.allowance = RetryAllowance(m_options.limits);
     instance.up = true;
     instance.nextExchange = m_now + milliseconds(m_random.below(ExchangeInterval.count()));
-    std::fill(instance.heardAt.begin(), instance.heardAt.end(), SteadyTime());
 }
 
 void RetryModel::kill(const std::vector<std::size_t> &indices, milliseconds downFor)
@@ -80,20 +77,43 @@
     return isRunning(to) && (from.cutOffUntil > m_now) == (to.cutOffUntil > m_now);
 }
 
+std::size_t RetryModel::hubOf(std::size_t index) const
+{
+    const std::size_t first = index - index % InstancesPerHub;
+    for (std::size_t hub = first; hub < index; ++hub) {
+        if (reaches(m_instances[index], m_instances[hub]))
+            return hub;
+    }
+    return index;
+}
+
+void RetryModel::handOver(Instance &from, Instance &to)
+{
+    for (const RetryGrant &grant : from.allowance.handOver(to.allowance.levels(m_now), m_now)) {
+        if (m_random.uniform() < LostReports)
+            continue;
+        to.allowance.receive(grant, m_now);
+    }
+}
+
 void RetryModel::exchange(std::size_t index)
 {
     Instance &instance = m_instances[index];
     instance.nextExchange = m_now + ExchangeInterval;
-    std::size_t known = 1;
-    for (std::size_t other = 0; other < m_instances.size(); ++other) {
-        if (other == index)
+    instance.allowance.setInstances(m_instances.size(), m_now);
+    const std::size_t hub = hubOf(index);
+    if (hub != index) {
+        handOver(instance, m_instances[hub]);
+        handOver(m_instances[hub], instance);
+        return;
+    }
+    for (std::size_t other = 0; other < m_instances.size(); other += InstancesPerHub) {
+        const std::size_t otherHub = hubOf(other);
+        if (otherHub == index || !reaches(instance, m_instances[otherHub]))
             continue;
-        if (reaches(instance, m_instances[other]))
-            instance.heardAt[other] = m_now;
-        if (instance.heardAt[other] != SteadyTime() && m_now - instance.heardAt[other] < CountedFor)
-            ++known;
+        handOver(instance, m_instances[otherHub]);
+        handOver(m_instances[otherHub], instance);
     }
-    instance.allowance.setInstances(known);
 }
 
 void RetryModel::serve(Instance &instance, double mean)
@@ -105,10 +125,10 @@
         ++m_firstAttempts.back();
         int attempts = 1;
         while (m_random.uniform() < m_failures) {
-            m_failed += attempts == 1 ? 1 : 0;
+            m_failed += instance.counted && attempts == 1 ? 1 : 0;
             if (attempts >= m_options.attemptLimit || !instance.allowance.tryRepeat(Service, m_now))
                 break;
-            m_repeated += attempts == 1 ? 1 : 0;
+            m_repeated += instance.counted && attempts == 1 ? 1 : 0;
             ++attempts;
             ++m_repeats.back();
         }
@@ -166,8 +186,10 @@
     return worst;
 }
 
-void RetryModel::resetCounts()
+void RetryModel::countRequestsOf(const std::vector<std::size_t> &indices)
 {
+    for (const std::size_t index : indices)
+        m_instances[index].counted = true;
     m_failed = 0;
     m_repeated = 0;
 }
@@ -198,6 +220,14 @@
     return indices;
 }
 
+std::vector<std::size_t> everyNth(const RetryModel &fleet, std::size_t n)
+{
+    std::vector<std::size_t> indices;
+    for (std::size_t i = 0; i < fleet.size(); i += n)
+        indices.push_back(i);
+    return indices;
+}
+
 class RetryFleet : public testing::TestWithParam<FleetSize>
 {
 protected:
@@ -296,6 +326,37 @@
     }
 }
 
+// Guards against callers that get no second attempt because their instance has just started, while
+// the fleet has credits to spare.
+TEST_P(RetryFleet, InstancesThatHaveJustStartedRepeatWithCreditsOfOthers)
+{
+    if (GetParam().instances == 1)
+        GTEST_SKIP() << "there are no others";
+    RetryModel fleet = fleetWith(4);
+    fleet.run(20s);
+    const std::vector<std::size_t> restarted = everyNth(fleet, 8);
+    fleet.kill(restarted, 200ms);
+    fleet.run(800ms);
+    fleet.countRequestsOf(restarted);
+    fleet.setFailures(0.5);
+    fleet.run(300ms);
+    EXPECT_GT(fleet.failed(), 0);
+    EXPECT_GE(fleet.repeated(), 0.9 * fleet.failed());
+}
+
+// Guards against callers that get no second attempt in a short failure although nothing was
+// repeated before it.
+TEST_P(RetryFleet, AShortFailureIsRepeatedWhole)
+{
+    RetryModel fleet = fleetWith(5);
+    fleet.run(20s);
+    fleet.countRequestsOf(everyNth(fleet, 1));
+    fleet.setFailures(0.3);
+    fleet.run(1s);
+    EXPECT_GT(fleet.failed(), 0);
+    EXPECT_GE(fleet.repeated(), 0.95 * fleet.failed());
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, RetryFleet,
                          testing::Values(FleetSize { 1, 52, 75 }, FleetSize { 6, 52, 75 },
                                          FleetSize { 60, 160, 300 }, FleetSize { 300, 630, 1200 }));
