An instance that has just started is told of all requests that crash servers

A request that had crashed three servers was refused by every instance that had been there, and run again by each one that started later: three more servers crashed (6 instead of 3 in the new test on the code before).

Crashes were reported for 3 s; an instance that started after that knew of none, and the users' limit (three retries in all, sent later than the time of contact) holds over all instances.

Change: a peer whose process first reported less than 1.5 s ago gets all reports that still count, with their age, so that a block ends everywhere at the same time; at most 300 in a message. Others get the recent ones as before.

CrashingRequestTest.AnInstanceThatStartsLaterLearnsWhatIsBlocked failed on the code before (6 crashed, 3 expected) and passes. Not covered: a kill of all instances at once, after which nobody knows the requests.

--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -65,6 +65,8 @@
     {
         std::string address;
         std::string process;
+        /// Time at which this process of the peer first reported.
+        SteadyTime processKnownSince;
         SteadyTime lastReportAt;
         /// Version of each of its copies of tables.
         std::map<std::string, std::int64_t> versions;
@@ -104,6 +106,7 @@
     void applyUsage(const exchange::v1::LoadReport &report);
     void addRollouts(exchange::v1::LoadReport &report) const;
     void applyRollouts(const exchange::v1::LoadReport &report);
+    void addCrashes(const Peer &receiver, exchange::v1::LoadReport &report) const;
     void addRetryLevels(exchange::v1::LoadReport &report) const;
     /// Hands over credits for repeats to a peer that has few.
     void addRetryGrants(const Peer &receiver, exchange::v1::LoadReport &report);
--- a/include/snipestall/serving/crash_watch.hpp
+++ b/include/snipestall/serving/crash_watch.hpp
@@ -18,6 +18,8 @@
 {
     std::uint64_t fingerprint = 0;
     std::string server;
+    /// Time since the crash.
+    std::chrono::milliseconds age { 0 };
 };
 
 /// Blocks requests that crash the servers that run them.
@@ -56,6 +58,9 @@
     [[nodiscard]] bool isBlocked(std::uint64_t fingerprint, SteadyTime now) const;
     /// Recent reports that have to be sent to the other instances.
     [[nodiscard]] std::vector<CrashReport> recentReports(SteadyTime now) const;
+    /// Reports of all requests that count as crashing, newest first, for an instance that has just
+    /// started; a limited number.
+    [[nodiscard]] std::vector<CrashReport> allReports(SteadyTime now) const;
 
 private:
     static constexpr std::size_t BlockThreshold = 3;
@@ -66,6 +71,8 @@
     /// Each report is included in several exchanges with the peers.
     static constexpr std::chrono::seconds ReportPeriod { 3 };
     static constexpr std::size_t MaxFingerprints = 4096;
+    /// Bounds the size of a message.
+    static constexpr std::size_t MaxReports = 300;
 
     struct BrokenRequest
     {
@@ -83,6 +90,10 @@
         SteadyTime time;
     };
 
+    /// Returns the report with its age at `now`.
+    [[nodiscard]] static CrashReport reportAt(std::uint64_t fingerprint, const std::string &server,
+                                              SteadyTime crashed, SteadyTime now);
+
     std::map<std::string, std::vector<BrokenRequest>> m_brokenRequests;
     std::set<std::string> m_checking;
     RecentHashes m_answered;
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -37,6 +37,9 @@
 constexpr milliseconds SecondReadJitter { 300 };
 constexpr milliseconds StoreTimeout { 1500 };
 constexpr milliseconds RetryPause { 300 };
+/// Several intervals of reports, within which a new process of a peer gets what older reports were
+/// about.
+constexpr milliseconds NewProcessFor { 1500 };
 /// Two intervals of reports. Credits are handed over only to peers that have reported within this
 /// time, because they are lost with a report that does not arrive.
 constexpr milliseconds GrantsAfterReport { 400 };
@@ -290,13 +293,21 @@
         for (const auto &[customer, count] : counts)
             (*usage->mutable_customers())[customer] = count;
     }
-    for (const serving::CrashReport &crash :
-         m_state.crashes.recentReports(m_state.clock.steadyNow())) {
+    return report;
+}
+
+void LoadExchange::addCrashes(const Peer &receiver, v1::LoadReport &report) const
+{
+    const SteadyTime now = m_state.clock.steadyNow();
+    const bool isNew = now - receiver.processKnownSince < NewProcessFor;
+    const auto crashes =
+        isNew ? m_state.crashes.allReports(now) : m_state.crashes.recentReports(now);
+    for (const serving::CrashReport &crash : crashes) {
         v1::Crash *entry = report.add_crashes();
         entry->set_fingerprint(crash.fingerprint);
         entry->set_server(crash.server);
+        entry->set_age_ms(static_cast<std::uint32_t>(crash.age.count()));
     }
-    return report;
 }
 
 void LoadExchange::addRollouts(v1::LoadReport &report) const
@@ -394,8 +405,10 @@
     const Peer *peer = found == m_peers.end() ? nullptr : &found->second;
     if (report.for_member() && peer != nullptr)
         report.set_usage_stored_up_to(m_state.memberUsage.storedUpTo(peer->process));
-    if (peer != nullptr)
+    if (peer != nullptr) {
+        addCrashes(*peer, report);
         addRetryGrants(*peer, report);
+    }
     addTable(m_follower.config(), peer, report);
     addTable(m_follower.list(), peer, report);
     return report;
@@ -514,6 +527,8 @@
                  { { "peer", report.instance() }, { "address", peer.address } });
     peer.silent = false;
     peer.lastReportAt = now;
+    if (peer.process != report.process())
+        peer.processKnownSince = now;
     peer.process = report.process();
     m_book.addReport(report, now);
     if (m_book.isCoveredByHub(report, now))
@@ -528,7 +543,8 @@
     applyRollouts(report);
     applyTables(report, peer);
     for (const v1::Crash &crash : report.crashes())
-        m_state.crashes.addReport({ crash.fingerprint(), crash.server() }, now);
+        m_state.crashes.addReport(
+            { crash.fingerprint(), crash.server(), milliseconds(crash.age_ms()) }, now);
     if (report.holds_lease())
         m_hooks.holderReported();
 }
--- a/src/snipestall/serving/crash_watch.cpp
+++ b/src/snipestall/serving/crash_watch.cpp
@@ -52,7 +52,7 @@
     // Already known. Sending it on again would keep it circulating among the instances forever.
     if (!crashed.servers.insert(report.server).second)
         return;
-    crashed.last = now;
+    crashed.last = std::max(crashed.last, now - report.age);
     m_recentReports.push_back({ report, now });
 }
 
@@ -89,9 +89,31 @@
     std::vector<CrashReport> reports;
     for (const RecentReport &each : m_recentReports) {
         if (now - each.time <= ReportPeriod)
-            reports.push_back(each.report);
+            reports.push_back(reportAt(each.report.fingerprint, each.report.server,
+                                       each.time - each.report.age, now));
     }
     return reports;
 }
 
+std::vector<CrashReport> CrashWatch::allReports(SteadyTime now) const
+{
+    std::vector<CrashReport> reports;
+    for (const auto &[fingerprint, crashed] : m_crashedServers) {
+        if (now - crashed.last > BlockPeriod)
+            continue;
+        for (const std::string &server : crashed.servers)
+            reports.push_back(reportAt(fingerprint, server, crashed.last, now));
+    }
+    std::ranges::stable_sort(reports, {}, &CrashReport::age);
+    reports.resize(std::min(reports.size(), MaxReports));
+    return reports;
+}
+
+CrashReport CrashWatch::reportAt(std::uint64_t fingerprint, const std::string &server,
+                                 SteadyTime crashed, SteadyTime now)
+{
+    return { fingerprint, server,
+             std::chrono::duration_cast<std::chrono::milliseconds>(now - crashed) };
+}
+
 } // namespace snipestall::serving
--- a/src/snipestall/serving/crash_watch_test.cpp
+++ b/src/snipestall/serving/crash_watch_test.cpp
@@ -94,6 +94,21 @@
     EXPECT_TRUE(first.recentReports(Start + 10s).empty());
 }
 
+// Guards against further crashes after each start of an instance that was told of recent crashes
+// only.
+TEST(CrashWatch, AnInstanceThatStartsLaterLearnsWhatIsBlockedAndUntilWhen)
+{
+    CrashWatch first;
+    for (const char *server : { "a", "b", "c" })
+        crash(first, server, Start);
+    CrashWatch later;
+    for (const CrashReport &report : first.allReports(Start + 60s))
+        later.addReport(report, Start + 60s);
+    EXPECT_TRUE(later.isBlocked(Crashing, Start + 60s));
+    EXPECT_TRUE(later.isBlocked(Crashing, Start + 119s));
+    EXPECT_FALSE(later.isBlocked(Crashing, Start + 121s));
+}
+
 TEST(CrashWatch, AReportIsSentOnOnlyOnce)
 {
     CrashWatch watch;
--- a/tests/gateway/crashing_request_test.cpp
+++ b/tests/gateway/crashing_request_test.cpp
@@ -115,5 +115,30 @@
     });
 }
 
+// Guards against further crashed servers after each start of an instance: the others had reported
+// the crashes before it started, and did not report them again.
+TEST_F(CrashingRequestTest, AnInstanceThatStartsLaterLearnsWhatIsBlocked)
+{
+    constexpr std::chrono::milliseconds LongerThanCrashesAreRecent { 3500 };
+    constexpr std::chrono::milliseconds SeveralReports { 1000 };
+    behave(Behaviour::End);
+    run([&]() -> Task<void> {
+        co_await untilServing(m_metrics, Servers);
+        for (int i = 0; i < 4; ++i)
+            co_await fetch(m_callers, "/once/x", "POST");
+        const int before = ended();
+        EXPECT_LE(before, MaxCrashedServers);
+        co_await wire::sleepFor(LongerThanCrashesAreRecent);
+        GatewaySettings settings = settingsOf("edge-2");
+        settings.firstStart = false;
+        const Instance later = startInstance(settings);
+        co_await untilServing(later.metrics, Servers);
+        co_await wire::sleepFor(SeveralReports);
+        for (int i = 0; i < 4; ++i)
+            co_await fetch(later.callers, "/once/x", "POST");
+        EXPECT_EQ(ended(), before);
+    });
+}
+
 } // namespace
 } // namespace snipestall::gateway
