--- a/tests/gateway/test_backend.cpp
+++ b/tests/gateway/test_backend.cpp
@@ -44,6 +44,7 @@
         co_await serveMove(exchange);
         co_return;
     }
+    m_arrivals.push_back(std::chrono::steady_clock::now());
     Behaviour behaviour = m_behaviour;
     if (m_whenResumed && request.fields.find("Last-Event-Id"))
         behaviour = *m_whenResumed;
@@ -54,6 +55,8 @@
         response.fields.set("X-Attempt-Id", request.fields.find("X-Attempt-Id").value_or(""));
         response.status = behaviour == Behaviour::SayNotRun ? 503 : 421;
         response.fields.set("X-Not-Executed", "1");
+        if (m_limit)
+            response.fields.set("Server-Limit", *m_limit);
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -67,6 +70,8 @@
     HttpResponse response;
     response.fields.set("X-Attempt-Id", request.fields.find("X-Attempt-Id").value_or(""));
     response.fields.set("X-Server-Seal", "seal-" + m_id);
+    if (m_limit)
+        response.fields.set("Server-Limit", *m_limit);
     response.body = "answer of " + m_id;
     switch (behaviour) {
     case Behaviour::LoseAnswer:
--- a/tests/gateway/test_backend.hpp
+++ b/tests/gateway/test_backend.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -78,6 +79,16 @@
     void behave(Behaviour behaviour) { m_behaviour = behaviour; }
     /// Sets the behaviour for requests that resume a stream after an event.
     void behaveWhenResumed(Behaviour behaviour) { m_whenResumed = behaviour; }
+    /// Names this limit in every answer; nothing lifts it.
+    void nameLimit(std::optional<std::string> requestsPerSecond)
+    {
+        m_limit = std::move(requestsPerSecond);
+    }
+    /// Times at which requests arrived, whether they were run or not.
+    [[nodiscard]] const std::vector<std::chrono::steady_clock::time_point> &arrivals() const
+    {
+        return m_arrivals;
+    }
     [[nodiscard]] const std::vector<wire::HttpRequest> &ran() const { return m_ran; }
     [[nodiscard]] const std::vector<wire::HttpRequest> &moves() const { return m_moves; }
 
@@ -100,6 +111,8 @@
     bool m_ended = false;
     Behaviour m_behaviour = Behaviour::Serve;
     std::optional<Behaviour> m_whenResumed;
+    std::optional<std::string> m_limit;
+    std::vector<std::chrono::steady_clock::time_point> m_arrivals;
     std::vector<wire::HttpRequest> m_ran;
 };
 
