The limits that backend servers name are kept by all instances together

Cause: nothing read the header; and no part of the gateway could keep a bound of a few requests over all instances.

Change: serving/server_limits. About one instance for each request per second sends to such a server, the first by rendezvous over the registered instances of its data centre, at an equal part each; all others send elsewhere. What a server names, or that it names nothing any more, is passed on with the reports; the newest answer counts. A limit begins with no requests, ends with the incarnation, and one of zero is asked every 10 s. If only limited servers are left, the request is refused at once with the time at which the next one fits.

--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -68,6 +68,8 @@
 extern const EventInfo ServerListed;
 extern const EventInfo ServerDelisted;
 extern const EventInfo ServerReadmitted;
+extern const EventInfo ServerLimitChanged;
+extern const EventInfo ServerLimitFaulty;
 extern const EventInfo DutyLeaseTaken;
 extern const EventInfo DutyLeaseLost;
 extern const EventInfo UsageReported;
--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -24,6 +24,7 @@
 #include "snipestall/serving/retry_allowance.hpp"
 #include "snipestall/serving/rollout_counts.hpp"
 #include "snipestall/serving/rollout_view.hpp"
+#include "snipestall/serving/server_limits.hpp"
 #include "snipestall/serving/server_table.hpp"
 #include "snipestall/serving/shutdown_plan.hpp"
 #include "snipestall/serving/usage_ledger.hpp"
@@ -59,6 +60,7 @@
     std::shared_ptr<const serving::Catalogue> catalogue;
     serving::ServerTable servers;
     serving::PeerLoads peerLoads;
+    serving::ServerLimits limits;
     serving::Placement placement;
     serving::QuotaKeeper quotas;
     serving::RetryAllowance retries;
--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -112,6 +112,8 @@
     void addRetryGrants(const Peer &receiver, exchange::v1::LoadReport &report);
     void applyRetryCredits(const exchange::v1::LoadReport &report, Peer &peer);
     void updateRetryShare();
+    void addServerLimits(exchange::v1::LoadReport &report) const;
+    void applyServerLimits(const exchange::v1::LoadReport &report);
     void processReport(const exchange::v1::LoadReport &report);
     /// Processes a report of a peer and fills in the reply if the peer still waits for one.
     void handleReport(const exchange::v1::LoadReport &report, exchange::v1::LoadReport *reply);
@@ -128,6 +130,9 @@
     Hooks m_hooks;
     std::unique_ptr<ExchangeServer> m_server;
     std::map<std::string, Peer> m_peers;
+    /// Data centres of the registered instances and of those that have reported since the table was
+    /// read, this one included.
+    std::map<std::string, std::string> m_instances;
     serving::PeerCalls m_calls;
     /// The hub whose report on the whole fleet arrived last.
     std::string m_hub;
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "platform/caller_header.hpp"
+#include "platform/server_header.hpp"
 #include "snipestall/gateway/attempt_watch.hpp"
 #include "snipestall/gateway/backend_call.hpp"
 #include "snipestall/gateway/caller_answer.hpp"
@@ -99,6 +100,9 @@
     [[nodiscard]] CallerConnection::Answer refusal(unsigned status,
                                                    std::chrono::milliseconds retryAfter) const;
     wire::Task<void> answer(CallerConnection::Answer answer, const char *reason);
+    /// Takes over what the answer says of the requests that its server takes.
+    void recordLimit(const serving::ServerState &server,
+                     const platform::ServerResponse &answer) const;
     void handleFirstByte();
     void recordLatency();
     void recordPromptRead();
--- a/include/snipestall/serving/placement.hpp
+++ b/include/snipestall/serving/placement.hpp
@@ -7,6 +7,7 @@
 #include "snipestall/serving/rollout_view.hpp"
 #include "snipestall/serving/server_table.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -16,6 +17,7 @@
 namespace snipestall::serving {
 
 class PeerLoads;
+class ServerLimits;
 struct Service;
 
 /// What a request needs from a backend server.
@@ -62,11 +64,16 @@
 public:
     /// `dataCentre`: the data centre of this instance; `seed`: seed of the random tie-breaks.
     Placement(const ServerTable &servers, const PeerLoads &peers, const RolloutView &rollouts,
-              std::string dataCentre, std::uint64_t seed);
+              const ServerLimits &limits, std::string dataCentre, std::uint64_t seed);
 
-    /// Returns nothing if no server of the service accepts requests.
+    /// Returns nothing if no server of the service accepts requests, or if all that do have named a
+    /// limit that is used up.
     [[nodiscard]] std::optional<ServerChoice> choose(const PlacementRequest &request,
                                                      SteadyTime now);
+    /// If only the limits that servers have named keep the request from being sent, returns when it
+    /// may be sent; otherwise nothing.
+    [[nodiscard]] std::optional<std::chrono::milliseconds>
+    waitForLimits(const PlacementRequest &request, SteadyTime now) const;
     /// The request was sent, so its shared parts are cached on `server` from now on. `server` is
     /// the key of the server.
     void requestSent(const PlacementRequest &request, const std::string &server, SteadyTime now);
@@ -78,6 +85,8 @@
     /// ones if it has no server.
     [[nodiscard]] std::vector<ServerStatePtr> candidates(const PlacementRequest &request,
                                                          SteadyTime now) const;
+    [[nodiscard]] bool mayServe(const PlacementRequest &request, const ServerState &server,
+                                VersionChoice versions) const;
     [[nodiscard]] std::vector<ServerStatePtr>
     candidatesOf(const PlacementRequest &request, VersionChoice versions, SteadyTime now) const;
     /// Servers of the new version that are on trial.
@@ -98,6 +107,7 @@
     const ServerTable &m_servers;
     const PeerLoads &m_peers;
     const RolloutView &m_rollouts;
+    const ServerLimits &m_limits;
     std::string m_dataCentre;
     PromptCacheMap m_cached;
     Random m_random;
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -240,6 +240,18 @@
                                    "A backend server whose entry had been removed has been listed "
                                    "again for long enough and gets work.",
                                    "None." };
+const EventInfo ServerLimitChanged {
+    923, Severity::Info, "server-limit-changed",
+    "A backend server named the requests per second that it takes from all instances together, or "
+    "another number, or none any more (per_second is empty); from is the instance that knows.",
+    "Look why the server is in need; its other requests go to other servers meanwhile."
+};
+const EventInfo ServerLimitFaulty {
+    924, Severity::Error, "server-limit-faulty",
+    "A backend server named a limit that is not a decimal number of at least 0; what was known of "
+    "it stays in force.",
+    "Correct the server."
+};
 const EventInfo DutyLeaseTaken {
     930, Severity::Info, "duty-lease-taken",
     "This instance took the lease and now acts on behalf of all instances.", "None."
@@ -351,6 +363,8 @@
     &ServerListed,
     &ServerDelisted,
     &ServerReadmitted,
+    &ServerLimitChanged,
+    &ServerLimitFaulty,
     &DutyLeaseTaken,
     &DutyLeaseLost,
     &UsageReported,
--- a/src/snipestall/gateway/gateway_metrics.cpp
+++ b/src/snipestall/gateway/gateway_metrics.cpp
@@ -36,7 +36,7 @@
 }
 
 /// Help texts are part of the exported metrics and stay stable.
-constexpr std::array<Gauge, 13> Gauges { {
+constexpr std::array<Gauge, 14> Gauges { {
     { "snipestall_gateway_requests", "Requests read since the start.",
       [](const GatewayState &s) { return double(s.counters.requests); } },
     { "snipestall_gateway_answered", "Requests answered by a backend server since the start.",
@@ -58,6 +58,8 @@
       [](const GatewayState &s) { return double(s.requestsInFlight); } },
     { "snipestall_gateway_servers", "Backend servers that take work, as known here.",
       serversInUse },
+    { "snipestall_gateway_limited_servers", "Backend servers that have named a limit.",
+      [](const GatewayState &s) { return double(s.limits.size()); } },
     { "snipestall_gateway_config_version", "Version of the configuration in force; 0 for none.",
       [](const GatewayState &s) { return s.catalogue ? double(s.catalogue->version()) : 0; } },
     { "snipestall_gateway_draining", "1 while a graceful shutdown runs.",
--- a/src/snipestall/gateway/gateway_state.cpp
+++ b/src/snipestall/gateway/gateway_state.cpp
@@ -10,7 +10,8 @@
     , random(seed)
     , incarnation(seed)
     , servers(settings.bounds.drain, settings.serverHeartbeat)
-    , placement(servers, peerLoads, rollouts, settings.dataCentre, seed)
+    , limits(settings.instance)
+    , placement(servers, peerLoads, rollouts, limits, settings.dataCentre, seed)
     , quotas({ settings.bounds.quotaWindow, settings.bounds.quotaOverrun,
                settings.bounds.quotaTolerance },
              seed)
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -154,14 +154,17 @@
         co_return false;
     m_state.instancesKnown = true;
     m_registered = std::max<std::size_t>(rows->rows.size(), 1);
+    m_instances = { { m_state.settings.instance, m_state.settings.dataCentre } };
     m_state.quotas.setRegisteredInstances(m_registered);
     updateRetryShare();
     for (const platform::StoredRow &row : rows->rows) {
         const auto instance = decodeInstance(row.value);
         if (row.name.key == m_state.settings.instance || !instance)
             continue;
+        m_instances[row.name.key] = instance->dataCentre;
         updatePeer(row.name.key, instance->address, { instance->dataCentre, instance->milliCores });
     }
+    m_state.limits.setInstances(m_instances);
     co_return true;
 }
 
@@ -283,6 +286,7 @@
     }
     addRollouts(report);
     addRetryLevels(report);
+    addServerLimits(report);
     if (m_state.commonTime.known()) {
         const WallTime time = m_state.commonTime.at(m_state.clock.steadyNow());
         report.set_usage_closed_up_to(m_state.usage.windowOf(time) - 1);
@@ -347,6 +351,34 @@
     }
 }
 
+void LoadExchange::addServerLimits(v1::LoadReport &report) const
+{
+    for (const serving::ServerLimitReport &limit :
+         m_state.limits.reports(m_state.clock.steadyNow())) {
+        v1::ServerLimit *entry = report.add_server_limits();
+        entry->set_server(limit.server);
+        if (limit.perSecond)
+            entry->set_per_second(*limit.perSecond);
+        entry->set_age_ms(static_cast<std::uint32_t>(limit.age.count()));
+    }
+}
+
+void LoadExchange::applyServerLimits(const v1::LoadReport &report)
+{
+    for (const v1::ServerLimit &entry : report.server_limits()) {
+        serving::ServerLimitReport limit { entry.server(), std::nullopt,
+                                           milliseconds(entry.age_ms()) };
+        if (entry.has_per_second())
+            limit.perSecond = entry.per_second();
+        if (m_state.limits.apply(limit, m_state.clock.steadyNow()))
+            logEvent(events::ServerLimitChanged,
+                     { { "server", limit.server },
+                       { "per_second", limit.perSecond ? std::to_string(*limit.perSecond) : "" },
+                       { "from", report.instance() },
+                       { "age_ms", std::to_string(limit.age.count()) } });
+    }
+}
+
 void LoadExchange::addRetryLevels(v1::LoadReport &report) const
 {
     for (const auto &[service, credits] : m_state.retries.levels(m_state.clock.steadyNow())) {
@@ -521,6 +553,8 @@
     const SteadyTime now = m_state.clock.steadyNow();
     updatePeer(report.instance(), report.address(), { report.data_centre(), report.milli_cores() });
     m_calls.reportReceived(report.instance(), now);
+    if (m_registered > 0 && m_instances.try_emplace(report.instance(), report.data_centre()).second)
+        m_state.limits.setInstances(m_instances);
     Peer &peer = m_peers.at(report.instance());
     if (peer.silent)
         logEvent(events::GatewayPeerHeard,
@@ -536,6 +570,7 @@
     else
         applyTotals(report, now);
     applyRetryCredits(report, peer);
+    applyServerLimits(report);
     // The first write to the store set the offset for all, so every instance has the same.
     if (report.has_time_offset_ms() && !m_state.commonTime.offset())
         m_state.commonTime.setOffset(milliseconds(report.time_offset_ms()));
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -272,6 +272,9 @@
         ++m_state.counters.refused;
         if (m_cancelled)
             co_await answer(refusal(503, RetryAfterShutdown), "shutting-down");
+        else if (const auto wait =
+                     m_state.placement.waitForLimits(m_placementRequest, m_state.clock.steadyNow()))
+            co_await answer(refusal(503, *wait), "server-limit");
         else
             co_await answer(refusal(503, RetryAfterNoServer), "no-server");
         co_return;
@@ -317,6 +320,9 @@
     const serving::ServerStatePtr server = placed.server;
     m_placementRequest.tried.insert(server->key);
     ++m_sends;
+    // A run that was moved was counted when its server was chosen.
+    if (m_kvCacheSource.empty())
+        m_state.limits.requestSent(*server, m_state.clock.steadyNow());
     m_connectionRejected = false;
     m_answerLost = false;
     m_movedOff = false;
@@ -401,6 +407,8 @@
     const auto parsed = platform::readServerResponse(status, m_call->head());
     if (parsed.wrongServer)
         serving::ServerTable::markReplaced(*server);
+    else
+        recordLimit(*server, parsed);
     if (parsed.notRun) {
         // The rest of the answer is read so that the connection can be reused.
         const BodyRead rest = co_await m_call->readBody(m_deadline);
@@ -417,6 +425,23 @@
     co_return co_await relayWhole(server);
 }
 
+void RequestRelay::recordLimit(const serving::ServerState &server,
+                               const platform::ServerResponse &answer) const
+{
+    if (answer.limitFaulty) {
+        logEvent(events::ServerLimitFaulty,
+                 { { "attempt", m_header.attemptId }, { "server", server.key } });
+        return;
+    }
+    const auto limit = answer.requestsPerSecond;
+    if (m_state.limits.answered(server, limit, m_state.clock.steadyNow()))
+        logEvent(events::ServerLimitChanged,
+                 { { "server", server.key },
+                   { "per_second", limit ? std::to_string(*limit) : "" },
+                   { "from", m_state.settings.instance },
+                   { "age_ms", "0" } });
+}
+
 void RequestRelay::handleFirstByte()
 {
     stopStallWatch();
--- a/src/snipestall/gateway/request_relay_move.cpp
+++ b/src/snipestall/gateway/request_relay_move.cpp
@@ -87,6 +87,7 @@
     const auto placed = m_state.placement.choose(request, now);
     if (!placed)
         return;
+    m_state.limits.requestSent(*placed->server, now);
     m_move = std::make_shared<StreamMove>();
     m_move->target = placed->server;
     boost::asio::co_spawn(m_state.io,
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -352,6 +352,7 @@
 void StoreFollower::forget(const serving::ServerState &server, const char *reason)
 {
     m_state.placement.forgetServer(server.key);
+    m_state.limits.forgetServer(server.key);
     m_state.backends.drop(server.key);
     logEvent(events::ServerDelisted,
              { { "server", server.info.id },
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/base/rendezvous.hpp"
 #include "snipestall/serving/peer_loads.hpp"
+#include "snipestall/serving/server_limits.hpp"
 #include "snipestall/serving/service.hpp"
 
 #include <algorithm>
@@ -29,6 +30,9 @@
 /// A stream that can be resumed is continued on another server when the path breaks, at the cost of
 /// reading its prompt again and of a late answer.
 constexpr double RemoteRepeatableTokens = 300;
+/// Time after which a caller may try again, probably at another instance, if only servers with a
+/// limit are left and other instances send to these.
+constexpr std::chrono::milliseconds WaitAtOthers { 500 };
 /// The rest of the KV cache is kept free for the output of the running requests.
 constexpr double UsableCacheFraction = 0.85;
 
@@ -72,10 +76,12 @@
 } // namespace
 
 Placement::Placement(const ServerTable &servers, const PeerLoads &peers,
-                     const RolloutView &rollouts, std::string dataCentre, std::uint64_t seed)
+                     const RolloutView &rollouts, const ServerLimits &limits,
+                     std::string dataCentre, std::uint64_t seed)
     : m_servers(servers)
     , m_peers(peers)
     , m_rollouts(rollouts)
+    , m_limits(limits)
     , m_dataCentre(std::move(dataCentre))
     , m_random(seed)
 { }
@@ -110,6 +116,29 @@
     return servers;
 }
 
+bool Placement::mayServe(const PlacementRequest &request, const ServerState &server,
+                         VersionChoice versions) const
+{
+    return server.info.service == request.service->name && server.takesWork()
+        && !request.tried.contains(server.key)
+        && m_rollouts.allows(server.info.service, server.info.version, versions);
+}
+
+std::optional<std::chrono::milliseconds> Placement::waitForLimits(const PlacementRequest &request,
+                                                                  SteadyTime now) const
+{
+    if (!candidates(request, now).empty())
+        return std::nullopt;
+    std::optional<std::chrono::milliseconds> shortest;
+    for (const auto &[id, server] : m_servers.all()) {
+        if (!mayServe(request, *server, VersionChoice::Any) || !m_limits.isLimited(server->key))
+            continue;
+        const auto wait = m_limits.waitFor(*server, now).value_or(WaitAtOthers);
+        shortest = std::min(shortest.value_or(wait), wait);
+    }
+    return shortest;
+}
+
 std::vector<ServerStatePtr> Placement::candidatesOf(const PlacementRequest &request,
                                                     VersionChoice versions, SteadyTime now) const
 {
@@ -119,9 +148,7 @@
     std::vector<ServerStatePtr> healthy;
     std::vector<ServerStatePtr> avoided;
     for (const auto &[id, server] : m_servers.all()) {
-        if (server->info.service != request.service->name || !server->takesWork()
-            || request.tried.contains(server->key)
-            || !m_rollouts.allows(server->info.service, server->info.version, versions))
+        if (!mayServe(request, *server, versions) || !m_limits.maySend(*server, now))
             continue;
         if (!onTrial.empty() && std::find(onTrial.begin(), onTrial.end(), id) == onTrial.end())
             continue;
--- a/src/snipestall/serving/placement_test.cpp
+++ b/src/snipestall/serving/placement_test.cpp
@@ -1,6 +1,7 @@
 #include "snipestall/serving/placement.hpp"
 
 #include "snipestall/serving/peer_loads.hpp"
+#include "snipestall/serving/server_limits.hpp"
 #include "snipestall/serving/service.hpp"
 
 #include <gtest/gtest.h>
@@ -65,13 +66,14 @@
     ServerTable m_servers;
     PeerLoads m_peers;
     RolloutView m_rollouts { true };
-    Placement m_placement { m_servers, m_peers, m_rollouts, "east", Seed };
+    ServerLimits m_limits { "edge-1" };
+    Placement m_placement { m_servers, m_peers, m_rollouts, m_limits, "east", Seed };
     std::uint64_t m_ownPart = 1000000;
 };
 
 TEST_F(PlacementTest, InstancesAgreeOnTheServerOfASharedPartWithoutAMessage)
 {
-    Placement other(m_servers, m_peers, m_rollouts, "west", Seed + 1);
+    Placement other(m_servers, m_peers, m_rollouts, m_limits, "west", Seed + 1);
     for (std::uint64_t part = 10; part < 60; ++part) {
         const auto mine = m_placement.choose(generation(part, 8000), Start);
         const auto theirs = other.choose(generation(part, 8000), Start);
@@ -175,7 +177,7 @@
 // copy would crash another server. Different calls are still spread at random.
 TEST_F(PlacementTest, CopiesOfAnUnansweredCallGoToOneServer)
 {
-    Placement other(m_servers, m_peers, m_rollouts, "east", Seed + 1);
+    Placement other(m_servers, m_peers, m_rollouts, m_limits, "east", Seed + 1);
     std::set<std::string> used;
     for (std::uint64_t fingerprint = 1; fingerprint <= 40; ++fingerprint) {
         PlacementRequest request = call();
