Limits of servers: bounded in messages and in time

Limits of servers that have ended were passed on among the instances without end, since a report of a peer adds them again after the list has dropped them (by reading; ServerLimitsTest.ALimitThatNoAnswerConfirms... covers it), and a report held all limited servers of a fleet. Limits whose answer is older than 30 s are not passed on, those older than 120 s are dropped, and a report has the 200 newest. Without any limit, placing costs no lookup.

--- a/include/snipestall/serving/server_limits.hpp
+++ b/include/snipestall/serving/server_limits.hpp
@@ -44,7 +44,7 @@
     bool answered(const ServerState &server, std::optional<double> perSecond, SteadyTime now);
     /// Applies the report of a peer. Returns whether it changes what is known.
     bool apply(const ServerLimitReport &report, SteadyTime now);
-    /// What the peers are to know.
+    /// What the peers are to know, newest first; a limited number.
     [[nodiscard]] std::vector<ServerLimitReport> reports(SteadyTime now) const;
 
     [[nodiscard]] bool isLimited(const std::string &server) const;
@@ -73,6 +73,14 @@
     static constexpr double UsedFraction = 0.9;
     /// Peers have been told of a lifted limit within this time.
     static constexpr std::chrono::seconds LiftedKeptFor { 10 };
+    /// Longer than the interval at which any server with a limit is asked. Older limits are not
+    /// passed on, so that those of servers that have ended do not circulate.
+    static constexpr std::chrono::seconds ReportedFor { 30 };
+    /// A limit that no answer has confirmed for so long is dropped, because the instances that
+    /// should send to the server may have ended.
+    static constexpr std::chrono::seconds KeptFor { 120 };
+    /// Bounds the size of a message.
+    static constexpr std::size_t MaxReports = 200;
 
     struct Limit
     {
@@ -91,6 +99,9 @@
         std::size_t candidates = 0;
     };
 
+    /// How long what is known of a server is kept after the answer that said so.
+    [[nodiscard]] static std::chrono::seconds keptFor(const Limit &limit);
+    void dropOld(SteadyTime now);
     bool set(const std::string &server, std::optional<double> perSecond, SteadyTime saidAt,
              SteadyTime now);
     [[nodiscard]] Rank rankFor(const ServerState &server) const;
--- a/src/snipestall/serving/server_limits.cpp
+++ b/src/snipestall/serving/server_limits.cpp
@@ -34,9 +34,22 @@
     m_ranks.erase(server);
 }
 
+std::chrono::seconds ServerLimits::keptFor(const Limit &limit)
+{
+    return limit.perSecond ? KeptFor : LiftedKeptFor;
+}
+
+void ServerLimits::dropOld(SteadyTime now)
+{
+    std::erase_if(m_limits, [now](const auto &entry) {
+        return now - entry.second.saidAt > keptFor(entry.second);
+    });
+}
+
 bool ServerLimits::set(const std::string &server, std::optional<double> perSecond,
                        SteadyTime saidAt, SteadyTime now)
 {
+    dropOld(now);
     const auto [found, added] = m_limits.try_emplace(server);
     Limit &limit = found->second;
     if (!added && saidAt < limit.saidAt)
@@ -63,6 +76,8 @@
 
 bool ServerLimits::apply(const ServerLimitReport &report, SteadyTime now)
 {
+    if (report.age > ReportedFor)
+        return false;
     if (!report.perSecond && !m_limits.contains(report.server))
         return false;
     return set(report.server, report.perSecond, now - report.age, now);
@@ -72,11 +87,13 @@
 {
     std::vector<ServerLimitReport> reports;
     for (const auto &[server, limit] : m_limits) {
-        if (!limit.perSecond && now - limit.saidAt > LiftedKeptFor)
+        if (now - limit.saidAt > std::min(keptFor(limit), ReportedFor))
             continue;
         reports.push_back({ server, limit.perSecond,
                             std::chrono::duration_cast<milliseconds>(now - limit.saidAt) });
     }
+    std::ranges::sort(reports, {}, &ServerLimitReport::age);
+    reports.resize(std::min(reports.size(), MaxReports));
     return reports;
 }
 
@@ -126,6 +143,9 @@
 
 bool ServerLimits::maySend(const ServerState &server, SteadyTime now) const
 {
+    // Called for every server of each request.
+    if (m_limits.empty())
+        return true;
     const auto found = m_limits.find(server.key);
     if (found == m_limits.end() || !found->second.perSecond)
         return true;
--- a/src/snipestall/serving/server_limits_test.cpp
+++ b/src/snipestall/serving/server_limits_test.cpp
@@ -91,6 +91,20 @@
     EXPECT_EQ(m_limits.size(), 0U);
 }
 
+// Guards against limits of servers that have ended, which instances would pass to each other
+// without end.
+TEST_F(ServerLimitsTest, ALimitThatNoAnswerConfirmsIsNotPassedOnForLongAndIsDropped)
+{
+    m_limits.answered(m_server, 1, Start);
+    EXPECT_EQ(m_limits.reports(Start + 29s).size(), 1U);
+    EXPECT_TRUE(m_limits.reports(Start + 31s).empty());
+    EXPECT_FALSE(m_limits.apply({ "i-2@1", 1, 31s }, Start));
+    ServerState other;
+    other.key = "i-3@1";
+    m_limits.answered(other, 1, Start + 121s);
+    EXPECT_EQ(m_limits.size(), 1U);
+}
+
 TEST_F(ServerLimitsTest, AHugeLimitHasNoEffect)
 {
     m_limits.answered(m_server, 1e12, Start);
