Credits for repeats go only to peers that take them

While versions are mixed, an instance would have handed half of its credits with each report to peers of the earlier version, which ignore them, and could have repeated nothing. Found by reading, no test. A report says now whether its sender takes credits.

--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -75,6 +75,7 @@
         std::string dataCentre;
         /// Credits for repeats at the last report.
         serving::RetryLevels retryLevels;
+        bool takesRetryGrants = false;
         /// Set while the peer has not reported to this instance recently.
         bool silent = true;
         std::shared_ptr<ExchangeChannel> channel;
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -381,6 +381,7 @@
 
 void LoadExchange::addRetryLevels(v1::LoadReport &report) const
 {
+    report.set_takes_retry_grants(true);
     for (const auto &[service, credits] : m_state.retries.levels(m_state.clock.steadyNow())) {
         v1::RetryLevel *level = report.add_retry_levels();
         level->set_service(service);
@@ -391,7 +392,7 @@
 void LoadExchange::addRetryGrants(const Peer &receiver, v1::LoadReport &report)
 {
     const SteadyTime now = m_state.clock.steadyNow();
-    if (now - receiver.lastReportAt > GrantsAfterReport)
+    if (!receiver.takesRetryGrants || now - receiver.lastReportAt > GrantsAfterReport)
         return;
     for (const serving::RetryGrant &grant : m_state.retries.handOver(receiver.retryLevels, now)) {
         v1::RetryGrant *entry = report.add_retry_grants();
@@ -403,6 +404,7 @@
 
 void LoadExchange::applyRetryCredits(const v1::LoadReport &report, Peer &peer)
 {
+    peer.takesRetryGrants = report.takes_retry_grants();
     peer.retryLevels.clear();
     for (const v1::RetryLevel &level : report.retry_levels())
         peer.retryLevels[level.service()] = level.credits();
