Soak: repeats and named limits are counted at the servers

Stand-in backends log each arrival, and refuse a share of the requests or name a limit when asked to. Two kinds of faults ask for that; they are drawn separately, so that the other faults of a seed stay the same. The judge counts repeats over all gateways against the limit, and what a server with a limit gets; its tests have a run that breaks each and one that does not.

--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -220,6 +220,8 @@
         { Kind::StoreDropsHistory, &Deployment::dropHistory, &Deployment::noAction },
         { Kind::StoreJunk, &Deployment::writeJunk, &Deployment::noAction },
         { Kind::ConfigurationChanges, &Deployment::changeConfiguration, &Deployment::noAction },
+        { Kind::BackendsRefuse, &Deployment::makeBackendsRefuse, &Deployment::endNeeds },
+        { Kind::BackendNamesLimit, &Deployment::makeBackendNameLimit, &Deployment::endNeeds },
     };
     return entries;
 }
@@ -354,6 +356,35 @@
     resume(backend(fault));
 }
 
+void Deployment::setNeed(const ManagedProcess &managed, const std::string &query)
+{
+    wire::HttpRequest request;
+    request.method = "POST";
+    request.target = "/standin/need?" + query;
+    // A server that is down or paused does not answer; it has no need then.
+    constexpr milliseconds NeedTimeout { 50 };
+    if (const auto done = harness::httpCall(managed.address, std::move(request), NeedTimeout);
+        !done)
+        std::cerr << "a backend server did not accept a need: " << done.error().message << '\n';
+}
+
+void Deployment::makeBackendsRefuse(const Fault &)
+{
+    for (const ManagedProcess &managed : m_backends)
+        setNeed(managed, "refuse=0.8");
+}
+
+void Deployment::makeBackendNameLimit(const Fault &fault)
+{
+    setNeed(backend(fault), "limit=1");
+}
+
+void Deployment::endNeeds(const Fault &)
+{
+    for (const ManagedProcess &managed : m_backends)
+        setNeed(managed, "");
+}
+
 void Deployment::silenceBackendLink(const Fault &fault)
 {
     backend(fault).link.control->drop();
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -148,6 +148,11 @@
     void pauseStore(const Fault &fault);
     void resumeStore(const Fault &fault);
     void dropHistory(const Fault &fault);
+    void makeBackendsRefuse(const Fault &fault);
+    void makeBackendNameLimit(const Fault &fault);
+    void endNeeds(const Fault &fault);
+    /// Sets what a backend server needs, as the query of the stand-in's control request.
+    static void setNeed(const ManagedProcess &managed, const std::string &query);
     void writeJunk(const Fault &fault);
     void changeConfiguration(const Fault &fault);
     void noAction(const Fault &fault);
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -21,7 +21,7 @@
     milliseconds longest;
 };
 
-constexpr std::array<KindEntry, 22> Kinds { {
+constexpr std::array<KindEntry, 24> Kinds { {
     { FaultKind::GatewayKilled, "gateway-killed", false, milliseconds(200), milliseconds(1500) },
     { FaultKind::AllGatewaysKilled, "all-gateways-killed", false, milliseconds(200),
       milliseconds(900) },
@@ -54,6 +54,9 @@
     { FaultKind::StoreJunk, "store-junk", false, milliseconds(50), milliseconds(50) },
     { FaultKind::ConfigurationChanges, "configuration-changes", true, milliseconds(50),
       milliseconds(50) },
+    { FaultKind::BackendsRefuse, "backends-refuse", false, milliseconds(1000), milliseconds(6000) },
+    { FaultKind::BackendNamesLimit, "backend-names-limit", false, milliseconds(4000),
+      milliseconds(9000) },
 } };
 
 const KindEntry &entryOf(FaultKind kind)
@@ -62,6 +65,8 @@
                          [kind](const KindEntry &entry) { return entry.kind == kind; });
 }
 
+/// The kinds after these are drawn separately.
+constexpr std::size_t IndependentKinds = 22;
 /// The first fault begins at this time, when instances and backend servers have started.
 constexpr milliseconds FirstFault { 1500 };
 /// Mean interval in ms between the beginnings of two drawn faults, so that some faults overlap and
@@ -100,6 +105,31 @@
     return entryOf(kind).planned;
 }
 
+namespace {
+
+/// Adds a fault of each of these kinds to every other run. They are drawn separately, so that the
+/// other faults of a seed stay the same.
+void addNeeds(std::uint64_t seed, milliseconds quietFrom, std::vector<Fault> &faults)
+{
+    constexpr std::uint64_t SeedOffset = 7919;
+    Random random(seed + SeedOffset);
+    for (const FaultKind kind : { FaultKind::BackendsRefuse, FaultKind::BackendNamesLimit }) {
+        const KindEntry &entry = entryOf(kind);
+        const auto spread = static_cast<std::uint64_t>((entry.longest - entry.shortest).count());
+        const milliseconds length =
+            entry.shortest + milliseconds(static_cast<std::int64_t>(random.below(spread + 1)));
+        const auto range =
+            static_cast<std::uint64_t>(std::max(quietFrom - FirstFault, milliseconds(1)).count());
+        const milliseconds begin =
+            FirstFault + milliseconds(static_cast<std::int64_t>(random.below(range)));
+        const std::uint64_t target = random.below(1000);
+        if (random.below(2) == 0)
+            faults.push_back({ kind, target, begin, std::min(begin + length, quietFrom) });
+    }
+}
+
+} // namespace
+
 std::vector<Fault> drawFaults(std::uint64_t seed, milliseconds quietFrom)
 {
     Random random(seed);
@@ -108,7 +138,7 @@
     // Some runs contain planned work only; in these runs no answer at all may be lost.
     const bool plannedOnly = random.below(4) == 0;
     while (at < quietFrom) {
-        const KindEntry &entry = Kinds.at(random.below(Kinds.size()));
+        const KindEntry &entry = Kinds.at(random.below(IndependentKinds));
         const auto spread = static_cast<std::uint64_t>((entry.longest - entry.shortest).count());
         const milliseconds length =
             entry.shortest + milliseconds(static_cast<std::int64_t>(random.below(spread + 1)));
@@ -117,6 +147,8 @@
             faults.push_back(fault);
         at += milliseconds(static_cast<std::int64_t>(random.exponential(MeanIntervalMs)));
     }
+    if (!plannedOnly)
+        addNeeds(seed, quietFrom, faults);
     return faults;
 }
 
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -36,6 +36,10 @@
     /// Another program writes into the table of the backend servers and overwrites some entries.
     StoreJunk,
     ConfigurationChanges,
+    /// All backend servers refuse most requests.
+    BackendsRefuse,
+    /// The backend server names a limit of one request per second.
+    BackendNamesLimit,
 };
 
 /// A fault of a process or link; its beginning and end are relative to the start of the run.
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <set>
 #include <sstream>
 
 namespace snipestall::soak {
@@ -28,6 +29,20 @@
 constexpr milliseconds RecoveryTime { 6000 };
 constexpr std::size_t MinRequestsToJudge = 20;
 
+/// The limit on repeats in the settings of the gateways.
+constexpr milliseconds RetryWindow { 10000 };
+constexpr double RetryRatio = 0.2;
+constexpr double RetrySlack = 60;
+/// A server that names one request per second may get one and a half times as many, and 5 more.
+constexpr milliseconds LimitWindow { 4000 };
+constexpr std::size_t MaxArrivalsAtLimit = 11;
+
+std::size_t countWithin(const std::vector<Moment> &times, Moment begin, milliseconds length)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        times, [begin, length](Moment time) { return time >= begin && time < begin + length; }));
+}
+
 bool runsAtMostOnce(RequestKind kind)
 {
     return kind == RequestKind::NonIdempotent || kind == RequestKind::NonResumableStream;
@@ -80,6 +95,10 @@
         std::string attempt;
         Run run;
         words >> word;
+        if (word == "arrive")
+            m_arrivals.push_back(readArrival(words));
+        if (word == "limit")
+            m_limitChanges.push_back(readLimitChange(words));
         if (word != "run")
             continue;
         words >> attempt >> run.server >> run.method >> run.target >> run.customer >> run.key
@@ -102,6 +121,8 @@
     }
     judgeRecovery();
     judgeDuties();
+    judgeRepeats();
+    judgeLimits();
     for (const std::string &end : m_record.unexpectedEnds)
         m_findings.push_back(end);
     return m_findings;
@@ -192,6 +213,101 @@
         addFinding(attempt, "stayed unanswered beyond its route's time");
 }
 
+Judge::Arrival Judge::readArrival(std::istream &words)
+{
+    Arrival arrival;
+    std::int64_t millis = 0;
+    words >> arrival.attempt >> arrival.server >> arrival.service >> millis;
+    arrival.time = Moment(milliseconds(millis));
+    return arrival;
+}
+
+Judge::LimitChange Judge::readLimitChange(std::istream &words)
+{
+    LimitChange change;
+    std::int64_t millis = 0;
+    std::string limit;
+    words >> change.server >> millis >> limit;
+    change.time = Moment(milliseconds(millis));
+    change.named = !limit.empty();
+    return change;
+}
+
+void Judge::judgeRepeats()
+{
+    std::map<std::string, std::vector<Moment>> requests;
+    for (const Attempt &attempt : m_record.attempts)
+        requests[isStream(attempt.kind) ? "lm" : "ledger"].push_back(attempt.sent);
+    std::map<std::string, std::vector<Moment>> repeats;
+    std::set<std::string> seen;
+    for (const Arrival &arrival : m_arrivals) {
+        if (!seen.insert(arrival.attempt).second)
+            repeats[arrival.service].push_back(arrival.time);
+    }
+    for (auto &[service, times] : repeats) {
+        std::ranges::sort(times);
+        for (const Moment begin : times) {
+            const auto count = countWithin(times, begin, RetryWindow);
+            const std::size_t most =
+                std::max({ countWithin(requests[service], begin, RetryWindow),
+                           countWithin(requests[service], begin - RetryWindow, RetryWindow),
+                           countWithin(requests[service], begin - RetryWindow / 2, RetryWindow) });
+            const double allowed = RetryRatio * static_cast<double>(most) + RetrySlack;
+            if (static_cast<double>(count) <= allowed)
+                continue;
+            m_findings.push_back(service + " got " + std::to_string(count) + " repeats for "
+                                 + std::to_string(most) + " requests within the retry window");
+            break;
+        }
+    }
+}
+
+bool Judge::gatewayFaultWithin(Moment from, Moment to) const
+{
+    constexpr std::array<FaultKind, 4> Kinds { FaultKind::GatewayKilled,
+                                               FaultKind::AllGatewaysKilled,
+                                               FaultKind::GatewayStopped,
+                                               FaultKind::GatewayPaused };
+    return std::any_of(m_record.faults.begin(), m_record.faults.end(), [&](const Fault &fault) {
+        return std::ranges::find(Kinds, fault.kind) != Kinds.end()
+            && m_record.startedAt + fault.begin <= to
+            && m_record.startedAt + fault.end + ContactMargin >= from;
+    });
+}
+
+void Judge::judgeLimits()
+{
+    for (auto named = m_limitChanges.begin(); named != m_limitChanges.end(); ++named) {
+        if (!named->named)
+            continue;
+        const auto lifted =
+            std::find_if(named, m_limitChanges.end(), [&named](const LimitChange &change) {
+                return change.server == named->server && !change.named;
+            });
+        const Moment to = lifted == m_limitChanges.end() ? Moment::max() : lifted->time;
+        // The restart of an instance excuses it.
+        if (!gatewayFaultWithin(named->time, to))
+            judgeLimit(named->server, named->time + ContactMargin, to);
+    }
+}
+
+void Judge::judgeLimit(const std::string &server, Moment from, Moment to)
+{
+    std::vector<Moment> times;
+    for (const Arrival &arrival : m_arrivals) {
+        if (arrival.server == server && arrival.time >= from && arrival.time < to)
+            times.push_back(arrival.time);
+    }
+    for (const Moment begin : times) {
+        const std::size_t count = countWithin(times, begin, LimitWindow);
+        if (count <= MaxArrivalsAtLimit)
+            continue;
+        m_findings.push_back(server + " had named a limit and got " + std::to_string(count)
+                             + " requests within 4 s");
+        return;
+    }
+}
+
 void Judge::judgeRecovery()
 {
     std::size_t asked = 0;
--- a/tests/soak/judge.hpp
+++ b/tests/soak/judge.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <iosfwd>
 #include <map>
 #include <string>
 #include <vector>
@@ -44,8 +45,25 @@
         std::string key;
         std::uint64_t bodyHash = 0;
     };
+    /// A request that reached a server, whether it was run or not.
+    struct Arrival
+    {
+        std::string attempt;
+        std::string server;
+        std::string service;
+        Moment time;
+    };
+    /// A server began or ceased to name a limit.
+    struct LimitChange
+    {
+        std::string server;
+        Moment time;
+        bool named = false;
+    };
 
     void readRuns();
+    static Arrival readArrival(std::istream &words);
+    static LimitChange readLimitChange(std::istream &words);
     void judgeAttempt(const Attempt &attempt);
     void judgeRuns(const Attempt &attempt, const std::vector<Run> &runs);
     void judgeAnswer(const Attempt &attempt, const std::vector<Run> &runs);
@@ -53,14 +71,23 @@
     void judgeLoss(const Attempt &attempt, const std::vector<Run> &runs);
     void judgeRecovery();
     void judgeDuties();
+    /// Compares the repeats of all instances with the limit on them.
+    void judgeRepeats();
+    /// Compares what a server with a limit got with that limit.
+    void judgeLimits();
+    void judgeLimit(const std::string &server, Moment from, Moment to);
     /// Whether an unplanned fault was in force between `from` and `to`, or had ended less than
     /// `margin` before `from`.
     [[nodiscard]] bool unplannedFaultWithin(Moment from, Moment to,
                                             std::chrono::milliseconds margin) const;
+    /// Whether an instance was not running at some time between `from` and `to`.
+    [[nodiscard]] bool gatewayFaultWithin(Moment from, Moment to) const;
     void addFinding(const Attempt &attempt, const std::string &what);
 
     const RunRecord &m_record;
     std::map<std::string, std::vector<Run>> m_runs;
+    std::vector<Arrival> m_arrivals;
+    std::vector<LimitChange> m_limitChanges;
     std::vector<std::string> m_findings;
 };
 
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -197,5 +197,33 @@
     }
 }
 
+// Guards against a run in which servers get more repeats than allowed and nobody notices, because
+// each instance keeps to its own part.
+TEST_F(JudgeTest, RepeatsBeyondTheLimitAreFound)
+{
+    for (int i = 0; i < 62; ++i)
+        m_record.runLog += "arrive c1-0 b1 ledger " + std::to_string(1000000 + i) + "\n";
+    EXPECT_TRUE(finds("got 61 repeats"));
+}
+
+TEST_F(JudgeTest, RepeatsWithinTheLimitAreNotFound)
+{
+    for (int i = 0; i < 61; ++i)
+        m_record.runLog += "arrive c1-0 b1 ledger " + std::to_string(1000000 + i) + "\n";
+    EXPECT_FALSE(finds("repeats"));
+}
+
+// Guards against a run in which a server gets more requests than its limit and nobody notices.
+TEST_F(JudgeTest, RequestsBeyondANamedLimitAreFound)
+{
+    m_record.runLog += "limit b1 1000000 1\n";
+    for (int i = 0; i < 12; ++i)
+        m_record.runLog +=
+            "arrive c1-" + std::to_string(i) + " b1 ledger " + std::to_string(1003100 + i) + "\n";
+    EXPECT_TRUE(finds("had named a limit and got 12"));
+    m_record.faults = { { FaultKind::GatewayKilled, 0, 1s, 2s } };
+    EXPECT_FALSE(finds("had named a limit"));
+}
+
 } // namespace
 } // namespace snipestall::soak
