--- a/src/snipestall/serving/retry_model.hpp
+++ b/src/snipestall/serving/retry_model.hpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/base/clock.hpp"
 #include "snipestall/base/random.hpp"
+#include "snipestall/serving/fleet_disturbances.hpp"
 #include "snipestall/serving/retry_allowance.hpp"
 
 #include <chrono>
@@ -32,12 +33,8 @@
     /// Sets the share of attempts that fail.
     void setFailures(double share) { m_failures = share; }
     void setRequestsPerSecond(double rate) { m_options.requestsPerSecond = rate; }
-    /// Stops these processes. They start again after `downFor`, without any state.
-    void kill(const std::vector<std::size_t> &indices, std::chrono::milliseconds downFor);
-    /// Suspends these processes for some time. They keep their state.
-    void freeze(const std::vector<std::size_t> &indices, std::chrono::milliseconds length);
-    /// Separates these instances from all others. They still reach each other and the servers.
-    void cutOff(const std::vector<std::size_t> &indices, std::chrono::milliseconds length);
+    /// Kills, suspensions and partitions of the instances.
+    FleetDisturbances &disturb() { return m_fleet; }
     /// Starts additional instances.
     void addInstances(std::size_t count);
     void run(std::chrono::milliseconds length);
@@ -57,28 +54,22 @@
     struct Instance
     {
         RetryAllowance allowance;
-        SteadyTime downUntil;
-        SteadyTime frozenUntil;
-        SteadyTime cutOffUntil;
         SteadyTime nextExchange;
-        bool up = true;
         bool counted = false;
     };
 
     void start(std::size_t index);
-    /// Exchanges reports with the hub of an instance; a hub does so with the other hubs.
+    /// Hands over credits in both directions between an instance and its partners.
     void exchange(std::size_t index);
-    [[nodiscard]] std::size_t hubOf(std::size_t index) const;
     void handOver(Instance &from, Instance &to);
     void serve(Instance &instance, double mean);
-    [[nodiscard]] bool isRunning(const Instance &instance) const;
-    [[nodiscard]] bool reaches(const Instance &from, const Instance &to) const;
     [[nodiscard]] double firstAttemptsIn(std::size_t endTick) const;
 
     Options m_options;
     Random m_random;
     SteadyTime m_now { std::chrono::seconds(100) };
     double m_failures = 0;
+    FleetDisturbances m_fleet;
     std::vector<Instance> m_instances;
     std::vector<int> m_firstAttempts;
     std::vector<int> m_repeats;
--- a/src/snipestall/serving/retry_model_test.cpp
+++ b/src/snipestall/serving/retry_model_test.cpp
@@ -16,7 +16,6 @@
 
 constexpr auto Service = "lm";
 constexpr milliseconds ExchangeInterval { 200 };
-constexpr std::size_t InstancesPerHub = 25;
 constexpr double LostReports = 0.02;
 
 } // namespace
@@ -32,9 +31,10 @@
 
 void RetryModel::addInstances(std::size_t count)
 {
+    m_fleet.addInstances(count);
     const std::size_t before = m_instances.size();
     for (std::size_t i = 0; i < count; ++i)
-        m_instances.push_back({ RetryAllowance(m_options.limits), {}, {}, {}, {}, true, false });
+        m_instances.push_back({ RetryAllowance(m_options.limits), {}, false });
     for (std::size_t i = before; i < m_instances.size(); ++i)
         start(i);
 }
@@ -43,50 +43,9 @@
 {
     Instance &instance = m_instances[index];
     instance.allowance = RetryAllowance(m_options.limits);
-    instance.up = true;
     instance.nextExchange = m_now + milliseconds(m_random.below(ExchangeInterval.count()));
 }
 
-void RetryModel::kill(const std::vector<std::size_t> &indices, milliseconds downFor)
-{
-    for (const std::size_t index : indices) {
-        m_instances[index].up = false;
-        m_instances[index].downUntil = m_now + downFor;
-    }
-}
-
-void RetryModel::freeze(const std::vector<std::size_t> &indices, milliseconds length)
-{
-    for (const std::size_t index : indices)
-        m_instances[index].frozenUntil = m_now + length;
-}
-
-void RetryModel::cutOff(const std::vector<std::size_t> &indices, milliseconds length)
-{
-    for (const std::size_t index : indices)
-        m_instances[index].cutOffUntil = m_now + length;
-}
-
-bool RetryModel::isRunning(const Instance &instance) const
-{
-    return instance.up && instance.frozenUntil <= m_now;
-}
-
-bool RetryModel::reaches(const Instance &from, const Instance &to) const
-{
-    return isRunning(to) && (from.cutOffUntil > m_now) == (to.cutOffUntil > m_now);
-}
-
-std::size_t RetryModel::hubOf(std::size_t index) const
-{
-    const std::size_t first = index - index % InstancesPerHub;
-    for (std::size_t hub = first; hub < index; ++hub) {
-        if (reaches(m_instances[index], m_instances[hub]))
-            return hub;
-    }
-    return index;
-}
-
 void RetryModel::handOver(Instance &from, Instance &to)
 {
     for (const RetryGrant &grant : from.allowance.handOver(to.allowance.levels(m_now), m_now)) {
@@ -101,18 +60,9 @@
     Instance &instance = m_instances[index];
     instance.nextExchange = m_now + ExchangeInterval;
     instance.allowance.setInstances(m_instances.size(), m_now);
-    const std::size_t hub = hubOf(index);
-    if (hub != index) {
-        handOver(instance, m_instances[hub]);
-        handOver(m_instances[hub], instance);
-        return;
-    }
-    for (std::size_t other = 0; other < m_instances.size(); other += InstancesPerHub) {
-        const std::size_t otherHub = hubOf(other);
-        if (otherHub == index || !reaches(instance, m_instances[otherHub]))
-            continue;
-        handOver(instance, m_instances[otherHub]);
-        handOver(m_instances[otherHub], instance);
+    for (const std::size_t partner : m_fleet.partnersOf(index)) {
+        handOver(instance, m_instances[partner]);
+        handOver(m_instances[partner], instance);
     }
 }
 
@@ -141,17 +91,13 @@
         m_now += Tick;
         m_firstAttempts.push_back(0);
         m_repeats.push_back(0);
-        for (std::size_t i = 0; i < m_instances.size(); ++i) {
-            if (!m_instances[i].up && m_now >= m_instances[i].downUntil)
-                start(i);
-        }
-        const auto serving =
-            std::count_if(m_instances.begin(), m_instances.end(),
-                          [this](const Instance &each) { return isRunning(each); });
+        m_fleet.setNow(m_now);
+        for (const std::size_t index : m_fleet.startDue())
+            start(index);
         const double mean = m_options.requestsPerSecond
-            * std::chrono::duration<double>(Tick).count() / static_cast<double>(serving);
+            * std::chrono::duration<double>(Tick).count() / static_cast<double>(m_fleet.running());
         for (std::size_t i = 0; i < m_instances.size(); ++i) {
-            if (!isRunning(m_instances[i]))
+            if (!m_fleet.isRunning(i))
                 continue;
             if (m_now >= m_instances[i].nextExchange)
                 exchange(i);
@@ -254,7 +200,7 @@
     fleet.setFailures(0.9);
     fleet.run(2s);
     for (int i = 0; i < 6; ++i) {
-        fleet.kill(someOf(fleet, 1, random), 200ms);
+        fleet.disturb().kill(someOf(fleet, 1, random), 200ms);
         fleet.run(1500ms);
     }
     fleet.run(10s);
@@ -270,7 +216,7 @@
     fleet.run(12s);
     fleet.setFailures(0.9);
     for (int i = 0; i < 16; ++i) {
-        fleet.kill(someOf(fleet, 0.5, random), 200ms);
+        fleet.disturb().kill(someOf(fleet, 0.5, random), 200ms);
         fleet.run(700ms);
     }
     fleet.run(10s);
@@ -285,7 +231,7 @@
     RetryModel fleet = fleetWith(3);
     fleet.run(5s);
     fleet.setRequestsPerSecond(GetParam().requestsPerSecond / 5);
-    fleet.cutOff(someOf(fleet, 0.5, random), 40s);
+    fleet.disturb().cutOff(someOf(fleet, 0.5, random), 40s);
     fleet.run(20s);
     fleet.setFailures(1);
     fleet.run(15s);
@@ -307,13 +253,13 @@
             case 0:
             case 1:
             case 2:
-                fleet.kill(someOf(fleet, share, random), length / 4);
+                fleet.disturb().kill(someOf(fleet, share, random), length / 4);
                 break;
             case 3:
-                fleet.freeze(someOf(fleet, share / 2, random), length);
+                fleet.disturb().freeze(someOf(fleet, share / 2, random), length);
                 break;
             case 4:
-                fleet.cutOff(someOf(fleet, share, random), 5 * length);
+                fleet.disturb().cutOff(someOf(fleet, share, random), 5 * length);
                 break;
             case 5:
                 fleet.addInstances(random.below(1 + fleet.size() / 10));
@@ -337,7 +283,7 @@
     RetryModel fleet = fleetWith(4);
     fleet.run(20s);
     const std::vector<std::size_t> restarted = everyNth(fleet, 8);
-    fleet.kill(restarted, 200ms);
+    fleet.disturb().kill(restarted, 200ms);
     fleet.run(800ms);
     fleet.countRequestsOf(restarted);
     fleet.setFailures(0.5);
--- a/src/snipestall/serving/server_limit_model.hpp
+++ b/src/snipestall/serving/server_limit_model.hpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/base/clock.hpp"
 #include "snipestall/base/random.hpp"
+#include "snipestall/serving/fleet_disturbances.hpp"
 #include "snipestall/serving/server_limits.hpp"
 #include "snipestall/serving/server_table.hpp"
 
@@ -25,11 +26,8 @@
 
     /// The first server names this limit in its answers from now on, or none.
     void nameLimit(std::optional<double> perSecond);
-    /// Stops these processes. They start again after `downFor`, without any state.
-    void kill(const std::vector<std::size_t> &indices, std::chrono::milliseconds downFor);
-    void freeze(const std::vector<std::size_t> &indices, std::chrono::milliseconds length);
-    /// Separates these instances from all others. They still reach each other and the servers.
-    void cutOff(const std::vector<std::size_t> &indices, std::chrono::milliseconds length);
+    /// Kills, suspensions and partitions of the instances.
+    FleetDisturbances &disturb() { return m_fleet; }
     /// Registers additional instances. The others learn of them one by one within `learnedWithin`.
     void addInstances(std::size_t count, std::chrono::milliseconds learnedWithin);
     void run(std::chrono::milliseconds length);
@@ -52,12 +50,7 @@
         SteadyTime registeredAt;
         /// After which other instances have learned of this one, in the order of their indices.
         std::chrono::milliseconds learnedWithin { 0 };
-        SteadyTime downUntil;
-        SteadyTime frozenUntil;
-        SteadyTime cutOffUntil;
-        SteadyTime disturbedUntil;
         SteadyTime nextExchange;
-        bool up = true;
         std::uint64_t incarnation = 1;
         std::optional<SteadyTime> toldAt;
     };
@@ -74,9 +67,6 @@
     };
 
     void start(std::size_t index);
-    [[nodiscard]] bool isRunning(const Instance &instance) const;
-    [[nodiscard]] bool reaches(const Instance &from, const Instance &to) const;
-    [[nodiscard]] std::size_t hubOf(std::size_t index) const;
     void learnInstances(std::size_t index);
     void exchange(std::size_t index);
     void passReports(const Instance &from, Instance &to) const;
@@ -85,11 +75,12 @@
     std::optional<std::size_t> chooseServer(const Instance &instance);
     void send(std::size_t index);
     void deliverAnswers();
-    [[nodiscard]] bool counts(const Instance &instance) const;
+    [[nodiscard]] bool counts(std::size_t index) const;
 
     double m_requestsPerSecond;
     Random m_random;
     SteadyTime m_now { std::chrono::seconds(1000) };
+    FleetDisturbances m_fleet;
     std::vector<Instance> m_instances;
     /// All instances have learned of all others by then.
     SteadyTime m_instancesSettledAt;
@@ -98,9 +89,8 @@
     std::multimap<SteadyTime, Answer> m_answers;
     std::optional<double> m_limit;
     SteadyTime m_namedAt;
-    /// Limits that count since they were named, and until when; for arrivals at the first server.
+    /// At the first server.
     std::vector<Arrival> m_arrivals;
-    double m_allowed = 0;
     double m_worstExcess = -1e9;
     int m_refused = 0;
 };
--- a/src/snipestall/serving/server_limit_model_test.cpp
+++ b/src/snipestall/serving/server_limit_model_test.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr milliseconds ExchangeInterval { 200 };
-constexpr std::size_t InstancesPerHub = 25;
 constexpr std::size_t DataCentres = 3;
 /// Time of contact: within it, all instances are to keep a limit.
 constexpr std::chrono::seconds Contact { 3 };
@@ -49,6 +48,7 @@
 void ServerLimitModel::addInstances(std::size_t count, milliseconds learnedWithin)
 {
     m_instancesSettledAt = m_now + learnedWithin + 40 * ExchangeInterval;
+    m_fleet.addInstances(count);
     const std::size_t before = m_instances.size();
     for (std::size_t i = before; i < before + count; ++i) {
         const std::string name = "edge-" + std::to_string(i);
@@ -58,11 +58,6 @@
                                 {},
                                 {},
                                 {},
-                                {},
-                                {},
-                                {},
-                                {},
-                                true,
                                 1,
                                 {} });
         m_instances[i].registeredAt = m_now;
@@ -75,11 +70,9 @@
 void ServerLimitModel::start(std::size_t index)
 {
     Instance &instance = m_instances[index];
-    instance.up = true;
     ++instance.incarnation;
     instance.limits = ServerLimits(instance.name);
     instance.nextExchange = m_now + milliseconds(m_random.below(ExchangeInterval.count()));
-    instance.disturbedUntil = m_now;
     learnInstances(index);
 }
 
@@ -104,50 +97,6 @@
     m_namedAt = m_now;
 }
 
-void ServerLimitModel::kill(const std::vector<std::size_t> &indices, milliseconds downFor)
-{
-    for (const std::size_t index : indices) {
-        m_instances[index].up = false;
-        m_instances[index].downUntil = m_now + downFor;
-    }
-}
-
-void ServerLimitModel::freeze(const std::vector<std::size_t> &indices, milliseconds length)
-{
-    for (const std::size_t index : indices) {
-        m_instances[index].frozenUntil = m_now + length;
-        m_instances[index].disturbedUntil = m_now + length;
-    }
-}
-
-void ServerLimitModel::cutOff(const std::vector<std::size_t> &indices, milliseconds length)
-{
-    for (const std::size_t index : indices) {
-        m_instances[index].cutOffUntil = m_now + length;
-        m_instances[index].disturbedUntil = m_now + length;
-    }
-}
-
-bool ServerLimitModel::isRunning(const Instance &instance) const
-{
-    return instance.up && instance.frozenUntil <= m_now;
-}
-
-bool ServerLimitModel::reaches(const Instance &from, const Instance &to) const
-{
-    return isRunning(to) && (from.cutOffUntil > m_now) == (to.cutOffUntil > m_now);
-}
-
-std::size_t ServerLimitModel::hubOf(std::size_t index) const
-{
-    const std::size_t first = index - index % InstancesPerHub;
-    for (std::size_t hub = first; hub < index; ++hub) {
-        if (reaches(m_instances[index], m_instances[hub]))
-            return hub;
-    }
-    return index;
-}
-
 void ServerLimitModel::passReports(const Instance &from, Instance &to) const
 {
     for (const ServerLimitReport &report : from.limits.reports(m_now))
@@ -160,20 +109,17 @@
     instance.nextExchange = m_now + ExchangeInterval;
     if (m_now < m_instancesSettledAt && m_random.uniform() < 0.1)
         learnInstances(index);
-    const std::size_t hub = hubOf(index);
-    for (std::size_t other = 0; other < m_instances.size(); other += InstancesPerHub) {
-        const std::size_t target = hub == index ? hubOf(other) : hub;
-        if (target != index && reaches(instance, m_instances[target])) {
-            passReports(instance, m_instances[target]);
-            passReports(m_instances[target], instance);
-        }
+    for (const std::size_t partner : m_fleet.partnersOf(index)) {
+        passReports(instance, m_instances[partner]);
+        passReports(m_instances[partner], instance);
     }
 }
 
-bool ServerLimitModel::counts(const Instance &instance) const
+bool ServerLimitModel::counts(std::size_t index) const
 {
+    const Instance &instance = m_instances[index];
     return m_limit && m_now >= m_namedAt + Contact && instance.toldAt
-        && m_now >= *instance.toldAt + ToldFor && m_now >= instance.disturbedUntil + Contact;
+        && m_now >= *instance.toldAt + ToldFor && m_now >= m_fleet.disturbedUntil(index) + Contact;
 }
 
 std::optional<std::size_t> ServerLimitModel::chooseServer(const Instance &instance)
@@ -198,7 +144,7 @@
     m_answers.emplace(m_now + milliseconds(20 + m_random.below(300)),
                       Answer { index, instance.incarnation, *server });
     if (*server == 0)
-        m_arrivals.push_back({ m_now, counts(instance) });
+        m_arrivals.push_back({ m_now, counts(index) });
 }
 
 void ServerLimitModel::serve(std::size_t index, double mean)
@@ -216,7 +162,7 @@
         m_answers.erase(m_answers.begin());
         --m_inFlight[answer.server];
         Instance &instance = m_instances[answer.instance];
-        if (!isRunning(instance) || instance.incarnation != answer.incarnation)
+        if (!m_fleet.isRunning(answer.instance) || instance.incarnation != answer.incarnation)
             continue;
         const auto limit = answer.server == 0 ? m_limit : std::nullopt;
         instance.limits.answered(m_servers[answer.server], limit, m_now);
@@ -229,18 +175,14 @@
 {
     for (milliseconds passed { 0 }; passed < length; passed += Tick) {
         m_now += Tick;
+        m_fleet.setNow(m_now);
         deliverAnswers();
-        for (std::size_t i = 0; i < m_instances.size(); ++i) {
-            if (!m_instances[i].up && m_now >= m_instances[i].downUntil)
-                start(i);
-        }
-        const auto running =
-            std::count_if(m_instances.begin(), m_instances.end(),
-                          [this](const Instance &each) { return isRunning(each); });
+        for (const std::size_t index : m_fleet.startDue())
+            start(index);
         const double mean = m_requestsPerSecond * std::chrono::duration<double>(Tick).count()
-            / static_cast<double>(running);
+            / static_cast<double>(m_fleet.running());
         for (std::size_t i = 0; i < m_instances.size(); ++i) {
-            if (!isRunning(m_instances[i]))
+            if (!m_fleet.isRunning(i))
                 continue;
             if (m_now >= m_instances[i].nextExchange)
                 exchange(i);
@@ -358,13 +300,13 @@
             const auto affected = someOf(fleet, random.uniform(), random);
             switch (random.below(3)) {
             case 0:
-                fleet.kill(affected, length / 4);
+                fleet.disturb().kill(affected, length / 4);
                 break;
             case 1:
-                fleet.freeze(affected, length);
+                fleet.disturb().freeze(affected, length);
                 break;
             default:
-                fleet.cutOff(affected, 2 * length);
+                fleet.disturb().cutOff(affected, 2 * length);
             }
             fleet.run(milliseconds(random.below(3000)));
         }
