--- /dev/null
+++ b/src/snipestall/gateway/load_exchange_reports.cpp
@@ -0,0 +1,340 @@
+// The part of LoadExchange that fills in reports and applies their parts.
+
+#include "snipestall/gateway/load_exchange.hpp"
+
+#include "platform/store_client.hpp"
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
+#include "snipestall/gateway/gateway_state.hpp"
+#include "snipestall/gateway/store_follower.hpp"
+
+#include "exchange.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipestall::gateway {
+
+using std::chrono::milliseconds;
+namespace v1 = exchange::v1;
+
+namespace {
+
+/// Several intervals of reports. A copy that is older is not kept up to date by the reader of its
+/// data centre.
+constexpr milliseconds LocalCopyMaxAge { 700 };
+/// Several intervals of reports, within which a new process of a peer gets what older reports were
+/// about.
+constexpr milliseconds NewProcessFor { 1500 };
+/// Two intervals of reports. Credits are handed over only to peers that have reported within this
+/// time, because they are lost with a report that does not arrive.
+constexpr milliseconds GrantsAfterReport { 400 };
+
+void encodeStage(const serving::RolloutStage &stage, v1::RolloutStage &entry)
+{
+    entry.set_service(stage.service);
+    entry.set_version(stage.version);
+    entry.set_order(stage.order);
+    entry.set_number(stage.number);
+    entry.set_step(toString(stage.step));
+    for (const auto &[route, share] : stage.shares)
+        (*entry.mutable_shares())[route] = share;
+    entry.set_default_share(stage.defaultShare);
+    entry.set_servers(stage.servers);
+    entry.set_old_servers_leave_ms(static_cast<std::uint32_t>(stage.oldServersLeaveIn.count()));
+}
+
+serving::RolloutStage decodeStage(const v1::RolloutStage &entry)
+{
+    serving::RolloutStage stage;
+    stage.service = entry.service();
+    stage.version = entry.version();
+    stage.order = entry.order();
+    stage.number = entry.number();
+    stage.step = serving::rolloutStepOf(entry.step());
+    stage.shares = { entry.shares().begin(), entry.shares().end() };
+    stage.defaultShare = entry.default_share();
+    stage.servers = entry.servers();
+    stage.oldServersLeaveIn = milliseconds(entry.old_servers_leave_ms());
+    return stage;
+}
+
+} // namespace
+
+v1::LoadReport LoadExchange::ownReport() const
+{
+    v1::LoadReport report;
+    report.set_instance(m_state.settings.instance);
+    report.set_series(m_state.incarnation);
+    report.set_address(ownAddress());
+    report.set_data_centre(m_state.settings.dataCentre);
+    report.set_milli_cores(m_state.settings.milliCores);
+    report.set_instances(1);
+    report.set_heard_instances(1);
+    report.set_process(m_state.processName());
+    if (const auto offset = m_state.commonTime.offset())
+        report.set_time_offset_ms(offset->count());
+    report.set_holds_lease(m_hooks.holdsLease());
+    for (const auto &[id, server] : m_state.servers.all()) {
+        if (server->own.inFlight == 0)
+            continue;
+        v1::ServerWork *work = report.add_servers();
+        work->set_server(server->key);
+        work->set_in_flight(server->own.inFlight);
+        work->set_pending_tokens(static_cast<std::uint32_t>(server->own.pendingTokens));
+        work->set_held_tokens(static_cast<std::uint64_t>(server->own.heldTokens));
+    }
+    for (const auto &[customer, totals] : m_state.quotas.ownUse()) {
+        v1::CustomerUse *use = report.add_customers();
+        use->set_customer(customer);
+        use->set_units(totals.taken);
+        use->set_asked(totals.asked);
+    }
+    for (const auto &[service, seconds] : m_state.demand.ownWork()) {
+        v1::ServiceWork *work = report.add_services();
+        work->set_service(service);
+        work->set_seconds(seconds);
+    }
+    addRollouts(report);
+    addRetryLevels(report);
+    addServerLimits(report);
+    if (m_state.commonTime.known()) {
+        const WallTime time = m_state.commonTime.at(m_state.clock.steadyNow());
+        report.set_usage_closed_up_to(m_state.usage.windowOf(time) - 1);
+    }
+    for (const auto &[window, counts] : m_state.usage.all()) {
+        v1::UsageCount *usage = report.add_usage();
+        usage->set_window(window);
+        for (const auto &[customer, count] : counts)
+            (*usage->mutable_customers())[customer] = count;
+    }
+    return report;
+}
+
+void LoadExchange::addCrashes(const Peer &receiver, v1::LoadReport &report) const
+{
+    const SteadyTime now = m_state.clock.steadyNow();
+    const bool isNew = now - receiver.processKnownSince < NewProcessFor;
+    const auto crashes =
+        isNew ? m_state.crashes.allReports(now) : m_state.crashes.recentReports(now);
+    for (const serving::CrashReport &crash : crashes) {
+        v1::Crash *entry = report.add_crashes();
+        entry->set_fingerprint(crash.fingerprint);
+        entry->set_server(crash.server);
+        entry->set_age_ms(static_cast<std::uint32_t>(crash.age.count()));
+    }
+}
+
+void LoadExchange::addRollouts(v1::LoadReport &report) const
+{
+    if (!m_state.rollouts.enabled())
+        return;
+    for (const serving::RolloutStage &stage : m_state.rollouts.stages())
+        encodeStage(stage, *report.add_rollout_stages());
+    for (const serving::RolloutOrder &order : m_state.rollouts.activeOrders()) {
+        v1::RolloutFollowed *followed = report.add_rollouts_followed();
+        followed->set_service(order.service);
+        followed->set_number(
+            m_state.rollouts.followedNumber(order.service, m_state.clock.steadyNow()));
+    }
+    for (const auto &[name, value] : m_state.rolloutTotals.own()) {
+        v1::RolloutTotal *total = report.add_rollout_totals();
+        total->set_name(name);
+        total->set_value(value);
+    }
+}
+
+void LoadExchange::applyRollouts(const v1::LoadReport &report)
+{
+    for (const v1::RolloutStage &each : report.rollout_stages()) {
+        const serving::RolloutStage stage = decodeStage(each);
+        const serving::RolloutOrder *order = m_state.rollouts.activeOrder(stage.service);
+        const bool ends = order != nullptr && order->id == stage.order && isFinal(stage.step);
+        if (!m_state.rollouts.stageReceived(stage, m_state.clock.steadyNow()))
+            continue;
+        if (ends)
+            m_state.rolloutCounter.forget(stage.order);
+        logEvent(events::RolloutFollowed,
+                 { { "service", stage.service },
+                   { "version", stage.version },
+                   { "step", toString(stage.step) },
+                   { "order", std::to_string(stage.order) } });
+    }
+}
+
+void LoadExchange::addServerLimits(v1::LoadReport &report) const
+{
+    for (const serving::ServerLimitReport &limit :
+         m_state.limits.reports(m_state.clock.steadyNow())) {
+        v1::ServerLimit *entry = report.add_server_limits();
+        entry->set_server(limit.server);
+        if (limit.perSecond)
+            entry->set_per_second(*limit.perSecond);
+        entry->set_age_ms(static_cast<std::uint32_t>(limit.age.count()));
+    }
+}
+
+void LoadExchange::applyServerLimits(const v1::LoadReport &report)
+{
+    for (const v1::ServerLimit &entry : report.server_limits()) {
+        serving::ServerLimitReport limit { entry.server(), std::nullopt,
+                                           milliseconds(entry.age_ms()) };
+        if (entry.has_per_second())
+            limit.perSecond = entry.per_second();
+        if (m_state.limits.apply(limit, m_state.clock.steadyNow()))
+            logEvent(events::ServerLimitChanged,
+                     { { "server", limit.server },
+                       { "per_second", limit.perSecond ? std::to_string(*limit.perSecond) : "" },
+                       { "from", report.instance() },
+                       { "age_ms", std::to_string(limit.age.count()) } });
+    }
+}
+
+void LoadExchange::addRetryLevels(v1::LoadReport &report) const
+{
+    report.set_takes_retry_grants(true);
+    for (const auto &[service, credits] : m_state.retries.levels(m_state.clock.steadyNow())) {
+        v1::RetryLevel *level = report.add_retry_levels();
+        level->set_service(service);
+        level->set_credits(credits);
+    }
+}
+
+void LoadExchange::addRetryGrants(const Peer &receiver, v1::LoadReport &report)
+{
+    const SteadyTime now = m_state.clock.steadyNow();
+    if (!receiver.takesRetryGrants || now - receiver.lastReportAt > GrantsAfterReport)
+        return;
+    for (const serving::RetryGrant &grant : m_state.retries.handOver(receiver.retryLevels, now)) {
+        v1::RetryGrant *entry = report.add_retry_grants();
+        entry->set_service(grant.service);
+        entry->set_credits(grant.credits);
+        entry->set_age_ms(static_cast<std::uint32_t>(grant.age.count()));
+    }
+}
+
+void LoadExchange::applyRetryCredits(const v1::LoadReport &report, Peer &peer)
+{
+    peer.takesRetryGrants = report.takes_retry_grants();
+    peer.retryLevels.clear();
+    for (const v1::RetryLevel &level : report.retry_levels())
+        peer.retryLevels[level.service()] = level.credits();
+    for (const v1::RetryGrant &grant : report.retry_grants())
+        m_state.retries.receive({ grant.service(), grant.credits(), milliseconds(grant.age_ms()) },
+                                m_state.clock.steadyNow());
+    updateRetryShare();
+}
+
+v1::LoadReport LoadExchange::reportFor(const std::string &receiver, bool asMember)
+{
+    v1::LoadReport report =
+        m_book.reportFor(receiver, ownReport(), asMember, m_state.clock.steadyNow());
+    // Sums keep the counts of orders that have ended.
+    if (m_state.rollouts.activeOrders().empty())
+        report.clear_rollout_totals();
+    const auto found = m_peers.find(receiver);
+    const Peer *peer = found == m_peers.end() ? nullptr : &found->second;
+    if (report.for_member() && peer != nullptr)
+        report.set_usage_stored_up_to(m_state.memberUsage.storedUpTo(peer->process));
+    if (peer != nullptr) {
+        addCrashes(*peer, report);
+        addRetryGrants(*peer, report);
+    }
+    addTable(m_follower.config(), peer, report);
+    addTable(m_follower.list(), peer, report);
+    return report;
+}
+
+bool LoadExchange::hasLocalReader(const Peer &peer, const std::string &table) const
+{
+    const auto age = peer.ages.find(table);
+    return peer.dataCentre != m_state.settings.dataCentre && age != peer.ages.end()
+        && age->second <= LocalCopyMaxAge;
+}
+
+void LoadExchange::addTable(const TableCopy &copy, const Peer *receiver,
+                            v1::LoadReport &report) const
+{
+    v1::TableState *state = report.add_tables();
+    state->set_table(copy.table());
+    state->set_version(copy.version());
+    constexpr milliseconds MaxAge { 3600000 };
+    state->set_age_ms(
+        static_cast<std::uint32_t>(std::min(copy.age(m_state.clock.steadyNow()), MaxAge).count()));
+    if (receiver == nullptr || !receiver->versions.contains(copy.table())
+        || hasLocalReader(*receiver, copy.table()))
+        return;
+    const auto changes = copy.since(receiver->versions.at(copy.table()));
+    if (!changes)
+        return;
+    state->set_rows_from(changes->from);
+    for (const platform::StoredRow &row : changes->rows) {
+        v1::TableRow *entry = state->add_rows();
+        entry->set_key(row.name.key);
+        entry->set_value(row.value);
+        entry->set_version(row.version);
+        entry->set_removed(row.removed);
+    }
+}
+
+void LoadExchange::applyTables(const v1::LoadReport &report, Peer &peer)
+{
+    for (const v1::TableState &state : report.tables()) {
+        m_state.loopWork.rows += static_cast<std::size_t>(state.rows_size());
+        peer.versions[state.table()] = state.version();
+        peer.ages[state.table()] = milliseconds(state.age_ms());
+        // Without rows, the copy of the sender can only confirm a copy of the same version.
+        TableChanges changes { state.rows_from() == 0 ? state.version() : state.rows_from(),
+                               state.version(),
+                               {} };
+        for (const v1::TableRow &row : state.rows())
+            changes.rows.push_back({ { state.table(), std::string(), row.key() },
+                                     row.value(),
+                                     row.version(),
+                                     row.removed() });
+        m_follower.applyPeerChanges(changes, state.table(), milliseconds(state.age_ms()));
+    }
+}
+
+void LoadExchange::applyUsage(const v1::LoadReport &report)
+{
+    if (report.for_member())
+        m_state.memberUsage.hubStored(report.usage_stored_up_to(), m_state.clock.steadyNow());
+    if (report.to_hub())
+        m_state.memberUsage.memberClosed(report.process(), report.usage_closed_up_to());
+    for (const v1::UsageCount &usage : report.usage()) {
+        const serving::UsageCounts counts(usage.customers().begin(), usage.customers().end());
+        m_state.usageLedger.addCounts(usage.window(), report.process(), counts);
+    }
+}
+
+void LoadExchange::applyTotals(const v1::LoadReport &report, SteadyTime now)
+{
+    if (report.for_member() && m_hub != report.instance()) {
+        // The reports of both hubs cover the whole fleet. If they were added up, every server would
+        // look twice as loaded.
+        m_state.peerLoads.forget(m_hub);
+        m_hub = report.instance();
+    }
+    serving::PeerLoads::Loads loads;
+    for (const v1::ServerWork &work : report.servers())
+        loads[work.server()] = { work.in_flight(), static_cast<double>(work.pending_tokens()),
+                                 static_cast<double>(work.held_tokens()) };
+    m_state.peerLoads.update(report.instance(), std::move(loads), now);
+    m_state.quotas.updatePeerUse(
+        report.instance(),
+        { report.series(), report.instances(), report.heard_instances(), report.for_member() },
+        ReportBook::quotaUse(report), now);
+    serving::ServiceWork services;
+    for (const v1::ServiceWork &each : report.services())
+        services[each.service()] = each.seconds();
+    m_state.demand.updatePeerWork(report.instance(), report.series(), services);
+    if (m_state.rollouts.activeOrders().empty())
+        return;
+    serving::Totals rollouts;
+    for (const v1::RolloutTotal &total : report.rollout_totals())
+        rollouts[total.name()] = total.value();
+    m_state.rolloutTotals.updatePeer(report.instance(), report.series(), rollouts);
+}
+
+} // namespace snipestall::gateway
