UsageTest no longer hangs: the server for peers ends the calls that it holds

A gateway that is destroyed after its loop has ended hung in the shutdown of its server for peers: a call that had arrived last waited for the loop, and the shutdown for the call (stacks in docs/incidents/usage_test_hang.log). Callers are not concerned; the program ends by _Exit. The server ends the calls that it holds before it shuts down, and takes none after that.

--- a/src/snipestall/gateway/exchange_transport.cpp
+++ b/src/snipestall/gateway/exchange_transport.cpp
@@ -5,6 +5,9 @@
 #include <boost/asio/post.hpp>
 #include <grpcpp/grpcpp.h>
 
+#include <memory>
+#include <mutex>
+#include <set>
 #include <utility>
 
 namespace snipestall::gateway {
@@ -21,6 +24,39 @@
 constexpr int KeepAliveIntervalMs = 1000;
 constexpr int KeepAliveTimeoutMs = 700;
 
+/// The calls of peers that have arrived and not been answered yet. They arrive on threads of gRPC
+/// and are answered on the loop.
+class OpenCalls
+{
+public:
+    /// Returns false if no more calls are taken.
+    bool add(grpc::ServerUnaryReactor *call)
+    {
+        const std::scoped_lock lock(m_mutex);
+        return !m_closed && m_calls.insert(call).second;
+    }
+    /// Returns whether the call is still to be answered.
+    bool remove(grpc::ServerUnaryReactor *call)
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_calls.erase(call) > 0;
+    }
+    /// Ends all calls, and those that arrive from now on.
+    void close()
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_closed = true;
+        for (grpc::ServerUnaryReactor *call : m_calls)
+            call->Finish(grpc::Status::CANCELLED);
+        m_calls.clear();
+    }
+
+private:
+    std::mutex m_mutex;
+    std::set<grpc::ServerUnaryReactor *> m_calls;
+    bool m_closed = false;
+};
+
 class Service final : public v1::LoadExchange::CallbackService
 {
 public:
@@ -29,13 +65,23 @@
         , m_handler(std::move(handler))
     { }
 
+    /// The loop may have ended, so calls that wait for it are ended here.
+    void close() { m_calls->close(); }
+
     grpc::ServerUnaryReactor *Exchange(grpc::CallbackServerContext *context,
                                        const v1::LoadReport *request,
                                        v1::LoadReport *reply) override
     {
         grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
-        // The request and the reply exist until the call is finished, which happens in the loop.
-        asio::post(m_io, [this, context, request, reply, reactor] {
+        if (!m_calls->add(reactor)) {
+            reactor->Finish(grpc::Status::CANCELLED);
+            return reactor;
+        }
+        // The request and the reply exist until the call is finished, and this service until
+        // close() has removed the call.
+        asio::post(m_io, [this, calls = m_calls, context, request, reply, reactor] {
+            if (!calls->remove(reactor))
+                return;
             const bool awaited = !context->IsCancelled();
             m_handler(*request, awaited ? reply : nullptr);
             reactor->Finish(awaited ? grpc::Status::OK : grpc::Status::CANCELLED);
@@ -46,6 +92,7 @@
 private:
     asio::io_context &m_io;
     ExchangeServer::Handler m_handler;
+    std::shared_ptr<OpenCalls> m_calls = std::make_shared<OpenCalls>();
 };
 
 grpc::ChannelArguments channelArguments()
@@ -86,6 +133,7 @@
 
 ExchangeServer::~ExchangeServer()
 {
+    m_state->service.close();
     m_state->server->Shutdown(std::chrono::system_clock::now());
 }
 
