ShutdownTest no longer depends on where a usage window ends

Started 3.80, 3.85 or 3.88 s into a usage window of 5 s it hung in 3 of 3 runs, at 1.0, 3.92 and 3.95 s it passed. Cause: the window ends between the requests and the end of the stop; the other instance reports the window (932, with both counts, so no count is lost) and removes the stored rows that the test waits for.

--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -49,8 +49,10 @@
 
     /// `exposureShare`: part of the requests that a new version may get during a rollout.
     explicit GatewayPathTest(std::chrono::milliseconds startWait = std::chrono::milliseconds(10),
-                             double exposureShare = 0)
+                             double exposureShare = 0,
+                             std::chrono::milliseconds usageWindow = std::chrono::seconds(5))
         : m_exposureShare(exposureShare)
+        , m_usageWindow(usageWindow)
     {
         GatewaySettings settings = settingsOf("edge-1");
         settings.startWait = startWait;
@@ -71,6 +73,7 @@
         settings.bounds.retrySlack = 60;
         settings.bounds.exposureShare = m_exposureShare;
         settings.bounds.exposureTolerance = 50;
+        settings.bounds.usageWindow = m_usageWindow;
         settings.store = m_store.endpoint();
         settings.duties = m_store.endpoint();
         return settings;
@@ -168,6 +171,7 @@
     }
 
     double m_exposureShare = 0;
+    std::chrono::milliseconds m_usageWindow;
     boost::asio::io_context m_io { 1 };
     platform::StandinStore m_store { m_io };
     TestBackend m_first { m_io, "i-1" };
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -14,6 +14,12 @@
 class ShutdownTest : public GatewayPathTest
 {
 protected:
+    // No usage window ends during a test: the other instance would report it and remove the rows
+    // that the test waits for.
+    ShutdownTest()
+        : GatewayPathTest(10ms, 0, 24h)
+    { }
+
     /// Returns an instance that has served a request and holds the lease, so that its shutdown
     /// needs every call to the store.
     Task<Instance> servingInstance(std::chrono::milliseconds grace)
