One line for a changed limit, one list of instances

Found on reading the change again. Event 923 was written out in two places with the same four fields; logServerLimit() writes it. LoadExchange kept the number of registered instances beside the map that has them; the share of the fixed allowance now follows the map, which also has those that have reported since the table was read, as the number of heard instances did before. An empty map means that the table has not been read.

--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -132,14 +132,12 @@
     std::unique_ptr<ExchangeServer> m_server;
     std::map<std::string, Peer> m_peers;
     /// Data centres of the registered instances and of those that have reported since the table was
-    /// read, this one included.
+    /// read, this one included; empty before the first read.
     std::map<std::string, std::string> m_instances;
     serving::PeerCalls m_calls;
     /// The hub whose report on the whole fleet arrived last.
     std::string m_hub;
     ReportBook m_book;
-    /// Number of rows in the table of instances at its last read; 0 before it.
-    std::size_t m_registered = 0;
     /// Whether the table of instances has been read after the instances that start together had
     /// registered themselves.
     bool m_listSettled = false;
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -115,10 +115,8 @@
     if (!rows)
         co_return false;
     m_state.instancesKnown = true;
-    m_registered = std::max<std::size_t>(rows->rows.size(), 1);
     m_instances = { { m_state.settings.instance, m_state.settings.dataCentre } };
-    m_state.quotas.setRegisteredInstances(m_registered);
-    updateRetryShare();
+    m_state.quotas.setRegisteredInstances(std::max<std::size_t>(rows->rows.size(), 1));
     for (const platform::StoredRow &row : rows->rows) {
         const auto instance = decodeInstance(row.value);
         if (row.name.key == m_state.settings.instance || !instance)
@@ -127,6 +125,7 @@
         updatePeer(row.name.key, instance->address, { instance->dataCentre, instance->milliCores });
     }
     m_state.limits.setInstances(m_instances);
+    updateRetryShare();
     co_return true;
 }
 
@@ -216,8 +215,8 @@
 {
     // An instance that can't be reached may still serve, so it counts as long as it is registered.
     // One that has started since the table was read reports itself.
-    if (m_registered > 0)
-        m_state.retries.setInstances(std::max(m_registered, instances()),
+    if (!m_instances.empty())
+        m_state.retries.setInstances(std::max(m_instances.size(), instances()),
                                      m_state.clock.steadyNow());
 }
 
@@ -241,7 +240,8 @@
     const SteadyTime now = m_state.clock.steadyNow();
     updatePeer(report.instance(), report.address(), { report.data_centre(), report.milli_cores() });
     m_calls.reportReceived(report.instance(), now);
-    if (m_registered > 0 && m_instances.try_emplace(report.instance(), report.data_centre()).second)
+    if (!m_instances.empty()
+        && m_instances.try_emplace(report.instance(), report.data_centre()).second)
         m_state.limits.setInstances(m_instances);
     Peer &peer = m_peers.at(report.instance());
     if (peer.silent)
--- a/src/snipestall/gateway/load_exchange_reports.cpp
+++ b/src/snipestall/gateway/load_exchange_reports.cpp
@@ -3,6 +3,7 @@
 #include "snipestall/gateway/load_exchange.hpp"
 
 #include "platform/store_client.hpp"
+#include "server_limit_log.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
@@ -182,11 +183,7 @@
         if (entry.has_per_second())
             limit.perSecond = entry.per_second();
         if (m_state.limits.apply(limit, m_state.clock.steadyNow()))
-            logEvent(events::ServerLimitChanged,
-                     { { "server", limit.server },
-                       { "per_second", limit.perSecond ? std::to_string(*limit.perSecond) : "" },
-                       { "from", report.instance() },
-                       { "age_ms", std::to_string(limit.age.count()) } });
+            logServerLimit(limit, report.instance());
     }
 }
 
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -3,6 +3,7 @@
 #include "load_guard.hpp"
 #include "platform/server_header.hpp"
 #include "relay_text.hpp"
+#include "server_limit_log.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/base/rendezvous.hpp"
@@ -435,11 +436,7 @@
     }
     const auto limit = answer.requestsPerSecond;
     if (m_state.limits.answered(server, limit, m_state.clock.steadyNow()))
-        logEvent(events::ServerLimitChanged,
-                 { { "server", server.key },
-                   { "per_second", limit ? std::to_string(*limit) : "" },
-                   { "from", m_state.settings.instance },
-                   { "age_ms", "0" } });
+        logServerLimit({ server.key, limit, milliseconds(0) }, m_state.settings.instance);
 }
 
 void RequestRelay::handleFirstByte()
