--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -78,6 +78,7 @@
 extern const EventInfo FleetOrderFailed;
 extern const EventInfo GatewayPeerHeard;
 extern const EventInfo GatewayPeerSilent;
+extern const EventInfo ReportsUnanswered;
 extern const EventInfo RolloutOrdered;
 extern const EventInfo RolloutOrderFaulty;
 extern const EventInfo RolloutStepTaken;
--- a/include/snipestall/gateway/exchange_transport.hpp
+++ b/include/snipestall/gateway/exchange_transport.hpp
@@ -43,10 +43,12 @@
     ExchangeChannel(boost::asio::io_context &io, const std::string &address);
     ~ExchangeChannel();
 
-    /// Sends a report. Calls `done` on the I/O loop with the report of the peer, or with null if
-    /// the peer did not answer within `timeout`.
-    void send(const exchange::v1::LoadReport &report, std::chrono::milliseconds timeout,
-              std::function<void(const exchange::v1::LoadReport *)> done);
+    /// Receives the report of the peer. Errors: DeadlineExceeded if the peer did not answer in
+    /// time, Unavailable if the connection failed.
+    using Done = std::function<void(const Result<const exchange::v1::LoadReport *> &)>;
+
+    /// Sends a report. Calls `done` on the I/O loop within about `timeout`.
+    void send(const exchange::v1::LoadReport &report, std::chrono::milliseconds timeout, Done done);
 
 private:
     struct State;
--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/base/clock.hpp"
 #include "snipestall/base/result.hpp"
+#include "snipestall/gateway/exchange_work.hpp"
 #include "snipestall/gateway/report_book.hpp"
 #include "snipestall/serving/peer_calls.hpp"
 #include "snipestall/serving/retry_allowance.hpp"
@@ -93,6 +94,10 @@
     void applyRole();
     void call(const std::string &name, Peer &peer);
     void handleUnanswered(const std::string &peer);
+    void recordSent(const exchange::v1::LoadReport &report);
+    void recordAnswer(const Result<const exchange::v1::LoadReport *> &answer,
+                      SteadyTime::duration passed);
+    void logWork(SteadyTime now);
     void updatePeer(const std::string &name, const std::string &address,
                     const serving::OverlayPeer &overlayPeer);
     [[nodiscard]] exchange::v1::LoadReport ownReport() const;
@@ -138,6 +143,8 @@
     /// The hub whose report on the whole fleet arrived last.
     std::string m_hub;
     ReportBook m_book;
+    ExchangeWork m_work;
+    SteadyTime m_nextWorkLog;
     /// Whether the table of instances has been read after the instances that start together had
     /// registered themselves.
     bool m_listSettled = false;
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -279,6 +279,13 @@
     941, Severity::Warning, "gateway-peer-silent", "Another instance has not reported for a while.",
     "Check the instance and the network path to it if this persists."
 };
+const EventInfo ReportsUnanswered {
+    942, Severity::Warning, "reports-unanswered",
+    "Within the last second, reports to other instances got no answer in time: the line has their "
+    "number, how many failed with the connection, the bytes that were sent and how many of them "
+    "are rows of the store's tables.",
+    "If the peers are up, compare the bytes with what the links of both instances carry."
+};
 const EventInfo RolloutOrdered {
     950, Severity::Info, "rollout-ordered",
     "The operator ordered that the traffic of a service move to another version of its servers.",
@@ -373,6 +380,7 @@
     &FleetOrderFailed,
     &GatewayPeerHeard,
     &GatewayPeerSilent,
+    &ReportsUnanswered,
     &RolloutOrdered,
     &RolloutOrderFaulty,
     &RolloutStepTaken,
--- a/src/snipestall/gateway/exchange_transport.cpp
+++ b/src/snipestall/gateway/exchange_transport.cpp
@@ -108,6 +108,13 @@
     return arguments;
 }
 
+Error errorOf(const grpc::Status &status)
+{
+    const bool late = status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+    return { late ? ErrorKind::DeadlineExceeded : ErrorKind::Unavailable,
+             status.error_message() + "; check that the peer is up and can be reached" };
+}
+
 struct Call
 {
     grpc::ClientContext context;
@@ -178,7 +185,7 @@
 ExchangeChannel::~ExchangeChannel() = default;
 
 void ExchangeChannel::send(const v1::LoadReport &report, std::chrono::milliseconds timeout,
-                           std::function<void(const v1::LoadReport *)> done)
+                           Done done)
 {
     auto call = std::make_shared<Call>();
     call->request = report;
@@ -186,8 +193,12 @@
     m_state->stub->async()->Exchange(
         &call->context, &call->request, &call->reply,
         [state = m_state, call, done = std::move(done)](const grpc::Status &status) {
-            asio::post(state->io,
-                       [call, done, ok = status.ok()] { done(ok ? &call->reply : nullptr); });
+            asio::post(state->io, [call, done, status] {
+                if (status.ok())
+                    done(&call->reply);
+                else
+                    done(tl::unexpected<Error>(errorOf(status)));
+            });
         });
 }
 
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -1,6 +1,7 @@
 #include "snipestall/gateway/load_exchange.hpp"
 
 #include "platform/store_client.hpp"
+#include "relay_text.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/exchange_transport.hpp"
@@ -37,6 +38,8 @@
 constexpr milliseconds SecondReadJitter { 300 };
 constexpr milliseconds StoreTimeout { 1500 };
 constexpr milliseconds RetryPause { 300 };
+/// Limits the number of log lines while peers do not answer.
+constexpr milliseconds WorkLogInterval { 1000 };
 
 } // namespace
 
@@ -164,6 +167,7 @@
     while (true) {
         callPeers();
         markSilent();
+        logWork(m_state.clock.steadyNow());
         co_await wire::sleepFor(serving::PeerCalls::Interval / 2);
     }
 }
@@ -192,14 +196,58 @@
     v1::LoadReport report = reportFor(name, asMember);
     if (asMember)
         report.set_series(report.series() + m_calls.hubSession(name));
-    peer.channel->send(report, CallTimeout, [this, name](const v1::LoadReport *report) {
-        if (report == nullptr) {
-            handleUnanswered(name);
-            return;
-        }
-        m_calls.callAnswered(name);
-        handleReport(*report, nullptr);
-    });
+    recordSent(report);
+    peer.channel->send(report, CallTimeout,
+                       [this, name, now](const Result<const v1::LoadReport *> &answer) {
+                           recordAnswer(answer, m_state.clock.steadyNow() - now);
+                           if (!answer) {
+                               handleUnanswered(name);
+                               return;
+                           }
+                           m_calls.callAnswered(name);
+                           handleReport(**answer, nullptr);
+                       });
+}
+
+void LoadExchange::recordSent(const v1::LoadReport &report)
+{
+    const std::size_t bytes = report.ByteSizeLong();
+    m_work.bytes += bytes;
+    m_work.largest = std::max(m_work.largest, bytes);
+    for (const v1::TableState &state : report.tables()) {
+        if (state.rows_size() > 0)
+            m_work.rowBytes += state.ByteSizeLong();
+    }
+}
+
+void LoadExchange::recordAnswer(const Result<const v1::LoadReport *> &answer,
+                                SteadyTime::duration passed)
+{
+    ++m_work.calls;
+    m_work.slowestAnswer = std::max(m_work.slowestAnswer, passed);
+    if (answer)
+        return;
+    const bool isLate = answer.error().kind == ErrorKind::DeadlineExceeded;
+    ++(isLate ? m_work.late : m_work.disconnected);
+}
+
+void LoadExchange::logWork(SteadyTime now)
+{
+    if (now < m_nextWorkLog)
+        return;
+    m_nextWorkLog = now + WorkLogInterval;
+    const ExchangeWork work = std::exchange(m_work, {});
+    if (work.late + work.disconnected == 0)
+        return;
+    logEvent(events::ReportsUnanswered,
+             { { "calls", std::to_string(work.calls) },
+               { "late", std::to_string(work.late) },
+               { "disconnected", std::to_string(work.disconnected) },
+               { "slowest_ms", std::to_string(toMillis(work.slowestAnswer)) },
+               { "bytes", std::to_string(work.bytes) },
+               { "largest", std::to_string(work.largest) },
+               { "row_bytes", std::to_string(work.rowBytes) },
+               { "hub", m_calls.overlay().isHub() ? m_state.settings.instance : m_hub } });
 }
 
 void LoadExchange::handleUnanswered(const std::string &peer)
@@ -276,8 +324,10 @@
 {
     const SteadyTime begun = m_state.clock.steadyNow();
     processReport(report);
-    if (reply != nullptr)
+    if (reply != nullptr) {
         *reply = reportFor(report.instance(), false);
+        recordSent(*reply);
+    }
     ++m_state.loopWork.reports;
     m_state.loopWork.reportTime += m_state.clock.steadyNow() - begun;
 }
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -4,6 +4,7 @@
 #include "platform/operator_config.hpp"
 #include "platform/rollout_document.hpp"
 #include "platform/well_known_rows.hpp"
+#include "relay_text.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
@@ -209,6 +210,7 @@
     }
     if (row.name.key != platform::ConfigKey || row.removed)
         return;
+    const SteadyTime begun = m_state.clock.steadyNow();
     const auto catalogue = platform::decodeConfig(row.value);
     if (!catalogue) {
         logFault(row, catalogue.error());
@@ -220,7 +222,9 @@
     m_state.quotas.configure((*catalogue)->customers(), m_state.clock.steadyNow());
     logEvent(events::SettingsApplied,
              { { "version", std::to_string((*catalogue)->version()) },
-               { "row", std::to_string(row.version) } });
+               { "row", std::to_string(row.version) },
+               { "bytes", std::to_string(row.value.size()) },
+               { "decode_ms", std::to_string(toMillis(m_state.clock.steadyNow() - begun)) } });
     m_changed();
 }
 
