load_exchange: what peers have of the tables is a class of its own

No change of behaviour: PeerTables fills in the tables' part of a report and reads it, without LoadExchange's sockets, so that a model of a fleet can use it.

--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -3,6 +3,7 @@
 #include "snipestall/base/clock.hpp"
 #include "snipestall/base/result.hpp"
 #include "snipestall/gateway/exchange_work.hpp"
+#include "snipestall/gateway/peer_tables.hpp"
 #include "snipestall/gateway/report_book.hpp"
 #include "snipestall/serving/peer_calls.hpp"
 #include "snipestall/serving/retry_allowance.hpp"
@@ -24,7 +25,6 @@
 class ExchangeServer;
 class ExchangeChannel;
 class StoreFollower;
-class TableCopy;
 struct GatewayState;
 
 /// Exchanges reports with other instances several times a second: the load that this instance has
@@ -69,11 +69,6 @@
         /// Time at which this process of the peer first reported.
         SteadyTime processKnownSince;
         SteadyTime lastReportAt;
-        /// Version of each of its copies of tables.
-        std::map<std::string, std::int64_t> versions;
-        /// Age of each copy at the last report: the time since which it may lack changes.
-        std::map<std::string, std::chrono::milliseconds> ages;
-        std::string dataCentre;
         /// Credits for repeats at the last report.
         serving::RetryLevels retryLevels;
         bool takesRetryGrants = false;
@@ -103,12 +98,7 @@
     [[nodiscard]] exchange::v1::LoadReport ownReport() const;
     /// The report for one receiver, with the changes that its copies of tables lack.
     [[nodiscard]] exchange::v1::LoadReport reportFor(const std::string &receiver, bool asMember);
-    /// Returns whether the copy of a table at a peer is kept up to date in the peer's own data
-    /// centre.
-    [[nodiscard]] bool hasLocalReader(const Peer &peer, const std::string &table) const;
-    void addTable(const TableCopy &copy, const Peer *receiver,
-                  exchange::v1::LoadReport &report) const;
-    void applyTables(const exchange::v1::LoadReport &report, Peer &peer);
+    void applyTables(const exchange::v1::LoadReport &report);
     void applyUsage(const exchange::v1::LoadReport &report);
     void addRollouts(exchange::v1::LoadReport &report) const;
     void applyRollouts(const exchange::v1::LoadReport &report);
@@ -143,6 +133,7 @@
     /// The hub whose report on the whole fleet arrived last.
     std::string m_hub;
     ReportBook m_book;
+    PeerTables m_tables;
     ExchangeWork m_work;
     SteadyTime m_nextWorkLog;
     /// Whether the table of instances has been read after the instances that start together had
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -50,6 +50,7 @@
     , m_follower(follower)
     , m_hooks(std::move(hooks))
     , m_calls(state.settings.instance, { state.settings.dataCentre, state.settings.milliCores })
+    , m_tables(state.settings.dataCentre)
 {
     m_book.setContact(state.settings.bounds.contact);
 }
@@ -104,7 +105,6 @@
 {
     m_calls.addPeer(name, overlayPeer);
     Peer &peer = m_peers[name];
-    peer.dataCentre = overlayPeer.dataCentre;
     if (peer.address == address)
         return;
     peer.address = address;
@@ -312,7 +312,7 @@
         m_state.commonTime.setOffset(milliseconds(report.time_offset_ms()));
     applyUsage(report);
     applyRollouts(report);
-    applyTables(report, peer);
+    applyTables(report);
     for (const v1::Crash &crash : report.crashes())
         m_state.crashes.addReport(
             { crash.fingerprint(), crash.server(), milliseconds(crash.age_ms()) }, now);
--- a/src/snipestall/gateway/load_exchange_reports.cpp
+++ b/src/snipestall/gateway/load_exchange_reports.cpp
@@ -21,9 +21,6 @@
 
 namespace {
 
-/// Several intervals of reports. A copy that is older is not kept up to date by the reader of its
-/// data centre.
-constexpr milliseconds LocalCopyMaxAge { 700 };
 /// Several intervals of reports, within which a new process of a peer gets what older reports were
 /// about.
 constexpr milliseconds NewProcessFor { 1500 };
@@ -237,59 +234,19 @@
         addCrashes(*peer, report);
         addRetryGrants(*peer, report);
     }
-    addTable(m_follower.config(), peer, report);
-    addTable(m_follower.list(), peer, report);
+    const SteadyTime now = m_state.clock.steadyNow();
+    for (const TableCopy *copy : { &m_follower.config(), &m_follower.list() })
+        m_tables.addTo(report, receiver, *copy, now);
     return report;
 }
 
-bool LoadExchange::hasLocalReader(const Peer &peer, const std::string &table) const
-{
-    const auto age = peer.ages.find(table);
-    return peer.dataCentre != m_state.settings.dataCentre && age != peer.ages.end()
-        && age->second <= LocalCopyMaxAge;
-}
-
-void LoadExchange::addTable(const TableCopy &copy, const Peer *receiver,
-                            v1::LoadReport &report) const
-{
-    v1::TableState *state = report.add_tables();
-    state->set_table(copy.table());
-    state->set_version(copy.version());
-    constexpr milliseconds MaxAge { 3600000 };
-    state->set_age_ms(
-        static_cast<std::uint32_t>(std::min(copy.age(m_state.clock.steadyNow()), MaxAge).count()));
-    if (receiver == nullptr || !receiver->versions.contains(copy.table())
-        || hasLocalReader(*receiver, copy.table()))
-        return;
-    const auto changes = copy.since(receiver->versions.at(copy.table()));
-    if (!changes)
-        return;
-    state->set_rows_from(changes->from);
-    for (const platform::StoredRow &row : changes->rows) {
-        v1::TableRow *entry = state->add_rows();
-        entry->set_key(row.name.key);
-        entry->set_value(row.value);
-        entry->set_version(row.version);
-        entry->set_removed(row.removed);
-    }
-}
-
-void LoadExchange::applyTables(const v1::LoadReport &report, Peer &peer)
+void LoadExchange::applyTables(const v1::LoadReport &report)
 {
+    m_tables.reportReceived(report);
     for (const v1::TableState &state : report.tables()) {
         m_state.loopWork.rows += static_cast<std::size_t>(state.rows_size());
-        peer.versions[state.table()] = state.version();
-        peer.ages[state.table()] = milliseconds(state.age_ms());
-        // Without rows, the copy of the sender can only confirm a copy of the same version.
-        TableChanges changes { state.rows_from() == 0 ? state.version() : state.rows_from(),
-                               state.version(),
-                               {} };
-        for (const v1::TableRow &row : state.rows())
-            changes.rows.push_back({ { state.table(), std::string(), row.key() },
-                                     row.value(),
-                                     row.version(),
-                                     row.removed() });
-        m_follower.applyPeerChanges(changes, state.table(), milliseconds(state.age_ms()));
+        m_follower.applyPeerChanges(PeerTables::changesIn(state), state.table(),
+                                    milliseconds(state.age_ms()));
     }
 }
 
