TableFleet: messages share the links segment by segment

The model let a message occupy a link as a whole, so a read of the store by a small instance delayed every report behind it by a second, which connections that share a link do not do to each other. Each message now has one segment of 32 kB under way.

--- a/src/snipestall/gateway/table_fleet_model.hpp
+++ b/src/snipestall/gateway/table_fleet_model.hpp
@@ -13,6 +13,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <queue>
 #include <string>
 #include <vector>
@@ -77,12 +78,23 @@
             : copy(table)
         { }
     };
-    /// One direction of a link, which carries one message after another.
+    /// One direction of a link, which carries one segment after another.
     struct Direction
     {
         double bytesPerSecond = 0;
         SteadyTime freeAt;
     };
+    /// A message on its way. Each message has one segment under way at a time, so that several
+    /// share a link.
+    struct Message
+    {
+        Direction *out = nullptr;
+        Direction *in = nullptr;
+        std::size_t bytesLeft = 0;
+        /// Set once the call that the message belongs to has ended; the rest is not sent then.
+        std::shared_ptr<bool> ended;
+        std::function<void()> arrived;
+    };
     struct Instance
     {
         std::string name;
@@ -109,15 +121,14 @@
     };
 
     void at(SteadyTime time, std::function<void()> action);
-    /// Reserves the links for a message. Returns its arrival, which may be after `until`; a message
-    /// that is given up stops using the links then.
-    SteadyTime transfer(Direction *out, Direction *in, std::size_t bytes, SteadyTime until);
+    void send(Message message);
+    /// Begins a call, which ends at `deadline` at the latest; then `failed` is called, unless the
+    /// call has ended before.
+    std::shared_ptr<bool> beginCall(SteadyTime deadline, std::function<void()> failed);
     void write(Table &table, const std::string &key, std::string value);
     void tick(Instance &instance);
     void call(Instance &caller, Instance &callee);
-    void answer(Instance &caller, Instance &callee, const exchange::v1::LoadReport &report,
-                SteadyTime deadline);
-    void fail(Instance &caller, const std::string &callee);
+    void answer(Instance &caller, Instance &callee, const std::shared_ptr<bool> &ended);
     [[nodiscard]] exchange::v1::LoadReport report(const Instance &sender,
                                                   const std::string &receiver, bool asMember) const;
     void receive(Instance &receiver, const exchange::v1::LoadReport &report);
@@ -131,6 +142,7 @@
     std::int64_t m_version = 1;
     Table m_config;
     Table m_servers;
+    Direction m_storeLink { 500e6, {} };
     std::vector<Instance> m_instances;
     std::map<std::string, std::size_t> m_byName;
     std::priority_queue<Event> m_events;
--- a/src/snipestall/gateway/table_fleet_test.cpp
+++ b/src/snipestall/gateway/table_fleet_test.cpp
@@ -16,10 +16,11 @@
 
 constexpr double LargeLink = 25e6;
 constexpr double SmallLink = 1.25e6;
-constexpr double StoreLink = 500e6;
 constexpr std::uint32_t LargeMilliCores = 500;
 constexpr std::uint32_t SmallMilliCores = 120;
 constexpr milliseconds Delay { 2 };
+/// Data that one connection has under way.
+constexpr std::size_t SegmentBytes = std::size_t { 32 } << 10;
 constexpr milliseconds CallTimeout { 600 };
 constexpr milliseconds PollSpacing { 200 };
 constexpr milliseconds PollTimeout { 2030 };
@@ -78,18 +79,38 @@
     m_events.push({ time, ++m_eventNumber, std::move(action) });
 }
 
-SteadyTime TableFleet::transfer(Direction *out, Direction *in, std::size_t bytes, SteadyTime until)
+void TableFleet::send(Message message)
 {
+    if (*message.ended)
+        return;
+    const std::size_t bytes = std::min(message.bytesLeft, SegmentBytes);
+    message.bytesLeft -= bytes;
     SteadyTime arrival = m_now;
-    for (Direction *direction : { out, in }) {
-        const double seconds = static_cast<double>(bytes) / direction->bytesPerSecond;
-        const SteadyTime begun = std::max(arrival, direction->freeAt);
-        arrival = begun
-            + std::chrono::duration_cast<SteadyTime::duration>(
-                      std::chrono::duration<double>(seconds));
-        direction->freeAt = std::max(direction->freeAt, std::min(arrival, std::max(begun, until)));
+    for (Direction *direction : { message.out, message.in }) {
+        const std::chrono::duration<double> length(static_cast<double>(bytes)
+                                                   / direction->bytesPerSecond);
+        arrival = std::max(arrival, direction->freeAt)
+            + std::chrono::duration_cast<SteadyTime::duration>(length);
+        direction->freeAt = arrival;
     }
-    return arrival + Delay;
+    at(arrival + Delay, [this, message = std::move(message)] {
+        if (*message.ended)
+            return;
+        if (message.bytesLeft > 0)
+            send(message);
+        else
+            message.arrived();
+    });
+}
+
+std::shared_ptr<bool> TableFleet::beginCall(SteadyTime deadline, std::function<void()> failed)
+{
+    auto ended = std::make_shared<bool>(false);
+    at(deadline, [ended, failed = std::move(failed)] {
+        if (!std::exchange(*ended, true))
+            failed();
+    });
+    return ended;
 }
 
 void TableFleet::write(Table &table, const std::string &key, std::string value)
@@ -144,17 +165,14 @@
         rows.push_back(row);
         bytes += row.value.size() * 4 / 3;
     }
-    Direction store { StoreLink, m_now };
-    const SteadyTime deadline = m_now + PollTimeout;
-    const SteadyTime arrival = transfer(&store, &instance.in, bytes, deadline);
-    at(std::min(arrival, deadline),
-       [this, &follower, &table, rows, version = m_version, arrived = arrival <= deadline] {
-           follower.polling = false;
-           if (!arrived)
-               return;
-           follower.copy.advance(rows, version, true, m_now);
-           count(table, follower);
-       });
+    const auto ended = beginCall(m_now + PollTimeout, [&follower] { follower.polling = false; });
+    const auto arrived = [this, ended, &follower, &table, rows, version = m_version] {
+        *ended = true;
+        follower.polling = false;
+        follower.copy.advance(rows, version, true, m_now);
+        count(table, follower);
+    };
+    send({ &m_storeLink, &instance.in, bytes, ended, arrived });
 }
 
 v1::LoadReport TableFleet::report(const Instance &sender, const std::string &receiver,
@@ -190,40 +208,28 @@
 {
     const bool asMember = !caller.calls.overlay().isHub() && !hasMembers(caller);
     const v1::LoadReport request = report(caller, callee.name, asMember);
-    const SteadyTime deadline = m_now + CallTimeout;
     const std::size_t bytes = ReportBytes + request.ByteSizeLong();
     m_bytesSent += bytes;
-    const SteadyTime arrival = transfer(&caller.out, &callee.in, bytes, deadline);
-    if (arrival > deadline) {
-        at(deadline, [this, &caller, name = callee.name] { fail(caller, name); });
-        return;
-    }
-    at(arrival, [this, &caller, &callee, request, deadline] {
-        receive(callee, request);
-        answer(caller, callee, report(callee, caller.name, false), deadline);
+    const auto ended = beginCall(m_now + CallTimeout, [this, &caller, name = callee.name] {
+        ++m_failedCalls;
+        caller.calls.callFailed(name, m_now);
     });
+    send({ &caller.out, &callee.in, bytes, ended, [this, &caller, &callee, request, ended] {
+              receive(callee, request);
+              answer(caller, callee, ended);
+          } });
 }
 
-void TableFleet::answer(Instance &caller, Instance &callee, const v1::LoadReport &report,
-                        SteadyTime deadline)
+void TableFleet::answer(Instance &caller, Instance &callee, const std::shared_ptr<bool> &ended)
 {
-    const std::size_t bytes = ReportBytes + report.ByteSizeLong();
+    const v1::LoadReport reply = report(callee, caller.name, false);
+    const std::size_t bytes = ReportBytes + reply.ByteSizeLong();
     m_bytesSent += bytes;
-    const SteadyTime arrival = transfer(&callee.out, &caller.in, bytes, deadline);
-    if (arrival > deadline) {
-        at(deadline, [this, &caller, name = callee.name] { fail(caller, name); });
-        return;
-    }
-    at(arrival, [this, &caller, &callee, report] {
-        receive(caller, report);
-        caller.calls.callAnswered(callee.name);
-    });
-}
-
-void TableFleet::fail(Instance &caller, const std::string &callee)
-{
-    ++m_failedCalls;
-    caller.calls.callFailed(callee, m_now);
+    send({ &callee.out, &caller.in, bytes, ended, [this, &caller, &callee, reply, ended] {
+              *ended = true;
+              receive(caller, reply);
+              caller.calls.callAnswered(callee.name);
+          } });
 }
 
 void TableFleet::count(Table &table, Follower &follower)
