Large changes of tables are fetched in parts, as differences

Callers saw requests handled by a configuration that had been replaced more than 3 s before (CONFIG), and servers got requests after their notice (DRAIN), for tens of seconds after each change of a configuration of hundreds of kB.

Cause: a report carried every row that its receiver had not confirmed, whole, in each version that it had had since. It was made anew every 0.2 s by each hub and given up after 0.6 s, so a link of 10 Mbit/s carried none of them, nor the list of servers, the loads and the confirmation in them that would have ended it.

Change: a large row is passed on as the compressed difference to its last value (zstd), of other rows only the last value. Changes of up to 4 kB travel in the reports as before; larger ones are requested by the receiver, 32 kB at a time, from one peer. A hub serves three at once and names others that have the changes. An instance with another value than the difference is made for gets the whole row; one of an earlier version gets plain rows in the report if they are small. Kept changes are bounded in bytes.

Why it works: what a report carries no longer depends on a table's size, a lost part costs itself, and a changed route of a configuration of 282 kB is some 100 bytes.

--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -79,6 +79,8 @@
 extern const EventInfo GatewayPeerHeard;
 extern const EventInfo GatewayPeerSilent;
 extern const EventInfo ReportsUnanswered;
+extern const EventInfo TableChangesFetched;
+extern const EventInfo TableChangesFaulty;
 extern const EventInfo RolloutOrdered;
 extern const EventInfo RolloutOrderFaulty;
 extern const EventInfo RolloutStepTaken;
--- a/include/snipestall/gateway/exchange_transport.hpp
+++ b/include/snipestall/gateway/exchange_transport.hpp
@@ -10,23 +10,29 @@
 #include <string>
 
 namespace snipestall::exchange::v1 {
+class ChangesAnswer;
+class ChangesRequest;
 class LoadReport;
-}
+} // namespace snipestall::exchange::v1
 
 namespace snipestall::gateway {
 
-/// Receives the reports of peers and answers them. The threads of gRPC only transfer bytes; the
-/// handler runs on the I/O loop.
+/// Receives the reports and requests of peers and answers them. The threads of gRPC only transfer
+/// bytes; the handlers run on the I/O loop.
 class ExchangeServer
 {
 public:
-    /// Handles a report of a peer. The second argument is the reply to be filled in; it is null if
-    /// the peer no longer waits for it.
-    using Handler =
-        std::function<void(const exchange::v1::LoadReport &, exchange::v1::LoadReport *)>;
+    /// Each handles a message of a peer. The second argument is the answer to be filled in; it is
+    /// null if the peer no longer waits for it.
+    struct Handlers
+    {
+        std::function<void(const exchange::v1::LoadReport &, exchange::v1::LoadReport *)> report;
+        std::function<void(const exchange::v1::ChangesRequest &, exchange::v1::ChangesAnswer *)>
+            changes;
+    };
 
     static Result<std::unique_ptr<ExchangeServer>>
-    create(boost::asio::io_context &io, const std::string &address, Handler handler);
+    create(boost::asio::io_context &io, const std::string &address, Handlers handlers);
     ~ExchangeServer();
 
 private:
@@ -36,19 +42,24 @@
     std::unique_ptr<State> m_state;
 };
 
-/// Connection for sending reports to one peer.
+/// Connection for calls to one peer.
 class ExchangeChannel
 {
 public:
     ExchangeChannel(boost::asio::io_context &io, const std::string &address);
     ~ExchangeChannel();
 
-    /// Receives the report of the peer. Errors: DeadlineExceeded if the peer did not answer in
+    /// Receives the answer of the peer. Errors: DeadlineExceeded if the peer did not answer in
     /// time, Unavailable if the connection failed.
-    using Done = std::function<void(const Result<const exchange::v1::LoadReport *> &)>;
+    template<typename Answer>
+    using Done = std::function<void(const Result<const Answer *> &)>;
 
     /// Sends a report. Calls `done` on the I/O loop within about `timeout`.
-    void send(const exchange::v1::LoadReport &report, std::chrono::milliseconds timeout, Done done);
+    void send(const exchange::v1::LoadReport &report, std::chrono::milliseconds timeout,
+              Done<exchange::v1::LoadReport> done);
+    /// Requests a part of the changes of a table, as `send`.
+    void fetch(const exchange::v1::ChangesRequest &request, std::chrono::milliseconds timeout,
+               Done<exchange::v1::ChangesAnswer> done);
 
 private:
     struct State;
--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -3,8 +3,8 @@
 #include "snipestall/base/clock.hpp"
 #include "snipestall/base/result.hpp"
 #include "snipestall/gateway/exchange_work.hpp"
-#include "snipestall/gateway/peer_tables.hpp"
 #include "snipestall/gateway/report_book.hpp"
+#include "snipestall/gateway/table_exchange.hpp"
 #include "snipestall/serving/peer_calls.hpp"
 #include "snipestall/serving/retry_allowance.hpp"
 #include "snipestall/wire/task.hpp"
@@ -99,6 +99,13 @@
     /// The report for one receiver, with the changes that its copies of tables lack.
     [[nodiscard]] exchange::v1::LoadReport reportFor(const std::string &receiver, bool asMember);
     void applyTables(const exchange::v1::LoadReport &report);
+    void applyChanges(const std::string &table, const std::string &peer,
+                      const TableChanges &changes);
+    /// Requests the changes that peers offer to be fetched.
+    void fetchChanges();
+    void requestChanges(const TableExchange::Request &request);
+    void answerChanges(const exchange::v1::ChangesRequest &request,
+                       exchange::v1::ChangesAnswer *answer);
     void applyUsage(const exchange::v1::LoadReport &report);
     void addRollouts(exchange::v1::LoadReport &report) const;
     void applyRollouts(const exchange::v1::LoadReport &report);
@@ -133,7 +140,7 @@
     /// The hub whose report on the whole fleet arrived last.
     std::string m_hub;
     ReportBook m_book;
-    PeerTables m_tables;
+    TableExchange m_tables;
     ExchangeWork m_work;
     SteadyTime m_nextWorkLog;
     /// Whether the table of instances has been read after the instances that start together had
--- a/include/snipestall/gateway/store_follower.hpp
+++ b/include/snipestall/gateway/store_follower.hpp
@@ -43,9 +43,12 @@
     /// Copies of the tables that are followed.
     [[nodiscard]] const TableCopy &config() const { return m_config.copy; }
     [[nodiscard]] const TableCopy &list() const { return m_list.copy; }
-    /// Applies the changes of a table that a peer has passed on, and the age of its copy.
-    void applyPeerChanges(const TableChanges &changes, const std::string &table,
-                          std::chrono::milliseconds age);
+    /// Applies the changes of a table that a peer has passed on. Errors: see
+    /// TableCopy::advanceFromPeer.
+    Result<void> applyPeerChanges(const std::string &table, const TableChanges &changes);
+    /// Records that a peer with a copy of this version knew it to be complete `age` ago.
+    void confirmFromPeer(const std::string &table, std::int64_t version,
+                         std::chrono::milliseconds age);
     /// Removes the servers whose entries expired and were not listed again, and readmits those that
     /// have proved to be running. The caller calls it several times a second.
     void updateExpiredServers();
@@ -66,6 +69,7 @@
         bool storeUnavailable = false;
     };
 
+    Feed *feedOf(const std::string &table);
     wire::Task<void> follow(Feed &feed);
     wire::Task<bool> pollOnce(Feed &feed);
     void handlePollAnswer(Feed &feed, std::chrono::milliseconds storeTime);
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -286,6 +286,18 @@
     "are rows of the store's tables.",
     "If the peers are up, compare the bytes with what the links of both instances carry."
 };
+const EventInfo TableChangesFetched {
+    943, Severity::Info, "table-changes-fetched",
+    "Changes of a table of the store that are too large for a report were fetched from another "
+    "instance.",
+    "None."
+};
+const EventInfo TableChangesFaulty {
+    944, Severity::Warning, "table-changes-faulty",
+    "Changes of a table that another instance passed on can't be applied; the whole rows are "
+    "requested.",
+    "If this persists, check that all instances read the same store."
+};
 const EventInfo RolloutOrdered {
     950, Severity::Info, "rollout-ordered",
     "The operator ordered that the traffic of a service move to another version of its servers.",
@@ -381,6 +393,8 @@
     &GatewayPeerHeard,
     &GatewayPeerSilent,
     &ReportsUnanswered,
+    &TableChangesFetched,
+    &TableChangesFaulty,
     &RolloutOrdered,
     &RolloutOrderFaulty,
     &RolloutStepTaken,
--- a/src/snipestall/gateway/exchange_transport.cpp
+++ b/src/snipestall/gateway/exchange_transport.cpp
@@ -60,9 +60,9 @@
 class Service final : public v1::LoadExchange::CallbackService
 {
 public:
-    Service(asio::io_context &io, ExchangeServer::Handler handler)
+    Service(asio::io_context &io, ExchangeServer::Handlers handlers)
         : m_io(io)
-        , m_handler(std::move(handler))
+        , m_handlers(std::move(handlers))
     { }
 
     /// The loop may have ended, so calls that wait for it are ended here.
@@ -71,27 +71,42 @@
     grpc::ServerUnaryReactor *Exchange(grpc::CallbackServerContext *context,
                                        const v1::LoadReport *request,
                                        v1::LoadReport *reply) override
+    {
+        return answerOnLoop(context, m_handlers.report, request, reply);
+    }
+
+    grpc::ServerUnaryReactor *FetchChanges(grpc::CallbackServerContext *context,
+                                           const v1::ChangesRequest *request,
+                                           v1::ChangesAnswer *answer) override
+    {
+        return answerOnLoop(context, m_handlers.changes, request, answer);
+    }
+
+private:
+    template<typename Handler, typename Request, typename Answer>
+    grpc::ServerUnaryReactor *answerOnLoop(grpc::CallbackServerContext *context,
+                                           const Handler &handler, const Request *request,
+                                           Answer *answer)
     {
         grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
         if (!m_calls->add(reactor)) {
             reactor->Finish(grpc::Status::CANCELLED);
             return reactor;
         }
-        // The request and the reply exist until the call is finished, and this service until
+        // The request and the answer exist until the call is finished, and this service until
         // close() has removed the call.
-        asio::post(m_io, [this, calls = m_calls, context, request, reply, reactor] {
+        asio::post(m_io, [&handler, calls = m_calls, context, request, answer, reactor] {
             if (!calls->remove(reactor))
                 return;
             const bool awaited = !context->IsCancelled();
-            m_handler(*request, awaited ? reply : nullptr);
+            handler(*request, awaited ? answer : nullptr);
             reactor->Finish(awaited ? grpc::Status::OK : grpc::Status::CANCELLED);
         });
         return reactor;
     }
 
-private:
     asio::io_context &m_io;
-    ExchangeServer::Handler m_handler;
+    ExchangeServer::Handlers m_handlers;
     std::shared_ptr<OpenCalls> m_calls = std::make_shared<OpenCalls>();
 };
 
@@ -115,19 +130,20 @@
              status.error_message() + "; check that the peer is up and can be reached" };
 }
 
+template<typename Request, typename Answer>
 struct Call
 {
     grpc::ClientContext context;
-    v1::LoadReport request;
-    v1::LoadReport reply;
+    Request request;
+    Answer answer;
 };
 
 } // namespace
 
 struct ExchangeServer::State
 {
-    State(asio::io_context &io, Handler handler)
-        : service(io, std::move(handler))
+    State(asio::io_context &io, Handlers handlers)
+        : service(io, std::move(handlers))
     { }
 
     Service service;
@@ -145,9 +161,9 @@
 }
 
 Result<std::unique_ptr<ExchangeServer>>
-ExchangeServer::create(asio::io_context &io, const std::string &address, Handler handler)
+ExchangeServer::create(asio::io_context &io, const std::string &address, Handlers handlers)
 {
-    auto state = std::make_unique<State>(io, std::move(handler));
+    auto state = std::make_unique<State>(io, std::move(handlers));
     grpc::ServerBuilder builder;
     int port = 0;
     builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
@@ -184,22 +200,48 @@
 
 ExchangeChannel::~ExchangeChannel() = default;
 
-void ExchangeChannel::send(const v1::LoadReport &report, std::chrono::milliseconds timeout,
-                           Done done)
+namespace {
+
+/// Makes a call of the service. `start` is the asynchronous method of the stub.
+template<typename Start, typename Request, typename Answer>
+void makeCall(asio::io_context &io, std::chrono::milliseconds timeout, const Request &request,
+              ExchangeChannel::Done<Answer> done, const Start &start)
 {
-    auto call = std::make_shared<Call>();
-    call->request = report;
+    auto call = std::make_shared<Call<Request, Answer>>();
+    call->request = request;
     call->context.set_deadline(std::chrono::system_clock::now() + timeout);
-    m_state->stub->async()->Exchange(
-        &call->context, &call->request, &call->reply,
-        [state = m_state, call, done = std::move(done)](const grpc::Status &status) {
-            asio::post(state->io, [call, done, status] {
-                if (status.ok())
-                    done(&call->reply);
-                else
-                    done(tl::unexpected<Error>(errorOf(status)));
-            });
+    start(*call, [&io, call, done = std::move(done)](const grpc::Status &status) {
+        asio::post(io, [call, done, status] {
+            if (status.ok())
+                done(&call->answer);
+            else
+                done(tl::unexpected<Error>(errorOf(status)));
         });
+    });
+}
+
+} // namespace
+
+void ExchangeChannel::send(const v1::LoadReport &report, std::chrono::milliseconds timeout,
+                           Done<v1::LoadReport> done)
+{
+    makeCall(m_state->io, timeout, report, std::move(done),
+             [state = m_state](auto &call, auto ended) {
+                 state->stub->async()->Exchange(
+                     &call.context, &call.request, &call.answer,
+                     [state, ended = std::move(ended)](const grpc::Status &s) { ended(s); });
+             });
+}
+
+void ExchangeChannel::fetch(const v1::ChangesRequest &request, std::chrono::milliseconds timeout,
+                            Done<v1::ChangesAnswer> done)
+{
+    makeCall(m_state->io, timeout, request, std::move(done),
+             [state = m_state](auto &call, auto ended) {
+                 state->stub->async()->FetchChanges(
+                     &call.context, &call.request, &call.answer,
+                     [state, ended = std::move(ended)](const grpc::Status &s) { ended(s); });
+             });
 }
 
 } // namespace snipestall::gateway
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -50,8 +50,10 @@
     , m_follower(follower)
     , m_hooks(std::move(hooks))
     , m_calls(state.settings.instance, { state.settings.dataCentre, state.settings.milliCores })
-    , m_tables(state.settings.dataCentre)
+    , m_tables(state.settings.instance, state.settings.dataCentre, state.random.next())
 {
+    m_tables.addTable(follower.config());
+    m_tables.addTable(follower.list());
     m_book.setContact(state.settings.bounds.contact);
 }
 
@@ -63,11 +65,15 @@
 {
     std::unique_ptr<LoadExchange> exchange(
         new LoadExchange(state, store, follower, std::move(hooks)));
-    const auto handler = [raw = exchange.get()](const v1::LoadReport &report,
-                                                v1::LoadReport *reply) {
+    ExchangeServer::Handlers handlers;
+    handlers.report = [raw = exchange.get()](const v1::LoadReport &report, v1::LoadReport *reply) {
         raw->handleReport(report, reply);
     };
-    auto server = ExchangeServer::create(state.io, exchange->ownAddress(), handler);
+    handlers.changes = [raw = exchange.get()](const v1::ChangesRequest &request,
+                                              v1::ChangesAnswer *answer) {
+        raw->answerChanges(request, answer);
+    };
+    auto server = ExchangeServer::create(state.io, exchange->ownAddress(), std::move(handlers));
     if (!server)
         return tl::unexpected<Error>(server.error());
     exchange->m_server = std::move(*server);
@@ -166,6 +172,7 @@
 {
     while (true) {
         callPeers();
+        fetchChanges();
         markSilent();
         logWork(m_state.clock.steadyNow());
         co_await wire::sleepFor(serving::PeerCalls::Interval / 2);
@@ -214,10 +221,8 @@
     const std::size_t bytes = report.ByteSizeLong();
     m_work.bytes += bytes;
     m_work.largest = std::max(m_work.largest, bytes);
-    for (const v1::TableState &state : report.tables()) {
-        if (state.rows_size() > 0)
-            m_work.rowBytes += state.ByteSizeLong();
-    }
+    for (const v1::TableState &state : report.tables())
+        m_work.rowBytes += state.changes().size();
 }
 
 void LoadExchange::recordAnswer(const Result<const v1::LoadReport *> &answer,
--- a/src/snipestall/gateway/load_exchange_reports.cpp
+++ b/src/snipestall/gateway/load_exchange_reports.cpp
@@ -234,22 +234,10 @@
         addCrashes(*peer, report);
         addRetryGrants(*peer, report);
     }
-    const SteadyTime now = m_state.clock.steadyNow();
-    for (const TableCopy *copy : { &m_follower.config(), &m_follower.list() })
-        m_tables.addTo(report, receiver, *copy, now);
+    m_tables.addTo(report, receiver, m_state.clock.steadyNow());
     return report;
 }
 
-void LoadExchange::applyTables(const v1::LoadReport &report)
-{
-    m_tables.reportReceived(report);
-    for (const v1::TableState &state : report.tables()) {
-        m_state.loopWork.rows += static_cast<std::size_t>(state.rows_size());
-        m_follower.applyPeerChanges(PeerTables::changesIn(state), state.table(),
-                                    milliseconds(state.age_ms()));
-    }
-}
-
 void LoadExchange::applyUsage(const v1::LoadReport &report)
 {
     if (report.for_member())
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -88,24 +88,37 @@
         || feed.copy.age(m_state.clock.steadyNow()) > pollWait() + ReportDelay;
 }
 
-void StoreFollower::applyPeerChanges(const TableChanges &changes, const std::string &table,
-                                     milliseconds age)
+StoreFollower::Feed *StoreFollower::feedOf(const std::string &table)
 {
-    Feed *feed = table == m_config.copy.table() ? &m_config : &m_list;
-    if (feed->copy.table() != table || !feed->loaded)
-        return;
-    if (feed == &m_list && changes.to > feed->copy.version())
-        m_expiryWindow.listReceived(feed->copy.age(m_state.clock.steadyNow()),
-                                    m_state.clock.steadyNow());
-    const std::int64_t known = feed->copy.version();
-    if (feed->copy.advanceFromPeer(changes)) {
-        for (const platform::StoredRow &row : changes.rows) {
-            // A change that this copy already contains would overwrite a later one.
-            if (row.version > known)
-                (this->*feed->change)(row);
-        }
+    for (Feed *feed : { &m_config, &m_list }) {
+        if (feed->loaded && feed->copy.table() == table)
+            return feed;
     }
-    feed->copy.confirm(changes.to, age, m_state.clock.steadyNow());
+    return nullptr;
+}
+
+Result<void> StoreFollower::applyPeerChanges(const std::string &table, const TableChanges &changes)
+{
+    Feed *feed = feedOf(table);
+    if (feed == nullptr)
+        return {};
+    const SteadyTime now = m_state.clock.steadyNow();
+    const milliseconds age = feed->copy.age(now);
+    const auto rows = feed->copy.advanceFromPeer(changes);
+    if (!rows)
+        return tl::unexpected<Error>(rows.error());
+    if (feed == &m_list)
+        m_expiryWindow.listReceived(age, now);
+    for (const platform::StoredRow &row : *rows)
+        (this->*feed->change)(row);
+    return {};
+}
+
+void StoreFollower::confirmFromPeer(const std::string &table, std::int64_t version,
+                                    milliseconds age)
+{
+    if (Feed *feed = feedOf(table))
+        feed->copy.confirm(version, age, m_state.clock.steadyNow());
 }
 
 Task<void> StoreFollower::follow(Feed &feed)
--- a/src/snipestall/gateway/table_fleet_model.hpp
+++ b/src/snipestall/gateway/table_fleet_model.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "snipestall/base/random.hpp"
-#include "snipestall/gateway/peer_tables.hpp"
 #include "snipestall/gateway/table_copy.hpp"
+#include "snipestall/gateway/table_exchange.hpp"
 #include "snipestall/serving/peer_calls.hpp"
 
 #include "exchange.pb.h"
@@ -100,13 +100,13 @@
         std::string name;
         serving::OverlayPeer info;
         serving::PeerCalls calls;
-        PeerTables tables;
+        TableExchange tables;
         std::map<std::string, Follower> followers;
         Direction out;
         Direction in;
         SteadyTime membersReportedAt;
 
-        Instance(std::string given, serving::OverlayPeer own);
+        Instance(const std::string &given, const serving::OverlayPeer &own, std::uint64_t seed);
     };
     struct Event
     {
@@ -129,9 +129,15 @@
     void tick(Instance &instance);
     void call(Instance &caller, Instance &callee);
     void answer(Instance &caller, Instance &callee, const std::shared_ptr<bool> &ended);
-    [[nodiscard]] exchange::v1::LoadReport report(const Instance &sender,
-                                                  const std::string &receiver, bool asMember) const;
+    [[nodiscard]] exchange::v1::LoadReport report(Instance &sender, const std::string &receiver,
+                                                  bool asMember);
     void receive(Instance &receiver, const exchange::v1::LoadReport &report);
+    void apply(Instance &receiver, const std::string &table, const std::string &peer,
+               const TableChanges &changes);
+    void fetch(Instance &receiver);
+    void request(Instance &receiver, const TableExchange::Request &request);
+    void sendPart(Instance &receiver, Instance &holder, const TableExchange::Request &request,
+                  const std::shared_ptr<bool> &ended);
     void poll(Instance &instance, Table &table);
     void count(Table &table, Follower &follower);
     [[nodiscard]] bool hasMembers(const Instance &instance) const;
--- a/src/snipestall/gateway/table_fleet_test.cpp
+++ b/src/snipestall/gateway/table_fleet_test.cpp
@@ -28,16 +28,19 @@
 constexpr milliseconds MembersKeptFor { 2500 };
 /// Size of a report without rows.
 constexpr std::size_t ReportBytes = 3000;
+constexpr milliseconds PartTimeout { 1000 };
+constexpr std::size_t RequestBytes = 150;
 
 } // namespace
 
 // --- The model -------------------------------------------------------------------------------
 
-TableFleet::Instance::Instance(std::string given, serving::OverlayPeer own)
+TableFleet::Instance::Instance(const std::string &given, const serving::OverlayPeer &own,
+                               std::uint64_t seed)
     : name(given)
     , info(own)
     , calls(given, own)
-    , tables(own.dataCentre)
+    , tables(given, own.dataCentre, seed)
 { }
 
 TableFleet::TableFleet(Size size, std::uint64_t seed)
@@ -53,7 +56,8 @@
             m_byName[name] = m_instances.size();
             m_instances.emplace_back(
                 name,
-                serving::OverlayPeer { dataCentre, large ? LargeMilliCores : SmallMilliCores });
+                serving::OverlayPeer { dataCentre, large ? LargeMilliCores : SmallMilliCores },
+                m_random.next());
             Instance &added = m_instances.back();
             added.out.bytesPerSecond = added.in.bytesPerSecond = large ? LargeLink : SmallLink;
             for (const Table *table : { &m_config, &m_servers }) {
@@ -65,6 +69,8 @@
         }
     }
     for (Instance &instance : m_instances) {
+        for (const auto &[name, follower] : instance.followers)
+            instance.tables.addTable(follower.copy);
         for (const Instance &other : m_instances) {
             if (other.name != instance.name)
                 instance.calls.addPeer(other.name, other.info);
@@ -142,6 +148,7 @@
     at(m_now + serving::PeerCalls::Interval / 2, [this, &instance] { tick(instance); });
     for (const std::string &name : instance.calls.dueCalls(m_now, hasMembers(instance)))
         call(instance, m_instances[m_byName.at(name)]);
+    fetch(instance);
     for (Table *table : { &m_config, &m_servers }) {
         const Follower &follower = instance.followers.at(table->name);
         const bool must =
@@ -175,15 +182,13 @@
     send({ &m_storeLink, &instance.in, bytes, ended, arrived });
 }
 
-v1::LoadReport TableFleet::report(const Instance &sender, const std::string &receiver,
-                                  bool asMember) const
+v1::LoadReport TableFleet::report(Instance &sender, const std::string &receiver, bool asMember)
 {
     v1::LoadReport report;
     report.set_instance(sender.name);
     report.set_data_centre(sender.info.dataCentre);
     report.set_to_hub(asMember);
-    for (const auto &[name, follower] : sender.followers)
-        sender.tables.addTo(report, receiver, follower.copy, m_now);
+    sender.tables.addTo(report, receiver, m_now);
     return report;
 }
 
@@ -194,14 +199,62 @@
     receiver.calls.reportReceived(sender.name, m_now);
     if (report.to_hub())
         receiver.membersReportedAt = m_now;
-    receiver.tables.reportReceived(report);
+    receiver.tables.reportReceived(report, m_now);
     for (const v1::TableState &state : report.tables()) {
-        Follower &follower = receiver.followers.at(state.table());
-        const TableChanges changes = PeerTables::changesIn(state);
-        follower.copy.advanceFromPeer(changes);
-        follower.copy.confirm(changes.to, milliseconds(state.age_ms()), m_now);
-        count(state.table() == m_config.name ? m_config : m_servers, follower);
+        const auto changes = TableExchange::changesIn(state);
+        ASSERT_TRUE(changes) << changes.error().message;
+        if (*changes)
+            apply(receiver, state.table(), sender.name, **changes);
+        receiver.followers.at(state.table())
+            .copy.confirm(state.version(), milliseconds(state.age_ms()), m_now);
+        receiver.tables.offered(sender.name, state, m_now);
     }
+    fetch(receiver);
+}
+
+void TableFleet::apply(Instance &receiver, const std::string &table, const std::string &peer,
+                       const TableChanges &changes)
+{
+    Follower &follower = receiver.followers.at(table);
+    const auto applied = follower.copy.advanceFromPeer(changes);
+    if (!applied && applied.error().kind != ErrorKind::Conflict)
+        receiver.tables.rejected(table, peer, changes.to, m_now);
+    count(table == m_config.name ? m_config : m_servers, follower);
+}
+
+void TableFleet::fetch(Instance &receiver)
+{
+    for (const TableExchange::Request &due : receiver.tables.dueRequests(m_now))
+        request(receiver, due);
+}
+
+void TableFleet::request(Instance &receiver, const TableExchange::Request &request)
+{
+    Instance &holder = m_instances[m_byName.at(request.peer)];
+    const auto ended = beginCall(m_now + PartTimeout, [this, &receiver, table = request.table] {
+        receiver.tables.failed(table, m_now);
+    });
+    send({ &receiver.out, &holder.in, RequestBytes, ended,
+           [this, &receiver, &holder, request, ended] {
+               sendPart(receiver, holder, request, ended);
+           } });
+}
+
+void TableFleet::sendPart(Instance &receiver, Instance &holder,
+                          const TableExchange::Request &request, const std::shared_ptr<bool> &ended)
+{
+    const v1::ChangesAnswer answer =
+        holder.tables.answer(receiver.tables.messageOf(request), m_now);
+    const std::size_t bytes = RequestBytes + answer.ByteSizeLong();
+    m_bytesSent += bytes;
+    send({ &holder.out, &receiver.in, bytes, ended, [this, &receiver, request, answer, ended] {
+              *ended = true;
+              const auto changes = receiver.tables.answered(request.table, answer, m_now);
+              ASSERT_TRUE(changes) << changes.error().message;
+              if (*changes)
+                  apply(receiver, request.table, request.peer, **changes);
+              fetch(receiver);
+          } });
 }
 
 void TableFleet::call(Instance &caller, Instance &callee)
