A call between instances ends at its deadline, whatever gRPC reports

The peer counted as being called meanwhile, so a member kept a hub that did not answer and called no other, and a hub did not call that peer.

CallEnd ends a call once, by its outcome or by a timer of the loop, and cancels it then. It works whatever holds gRPC up, because the timer is the loop's own.

--- a/src/snipestall/gateway/exchange_transport.cpp
+++ b/src/snipestall/gateway/exchange_transport.cpp
@@ -1,5 +1,7 @@
 #include "snipestall/gateway/exchange_transport.hpp"
 
+#include "snipestall/gateway/call_end.hpp"
+
 #include "exchange.grpc.pb.h"
 
 #include <boost/asio/post.hpp>
@@ -210,12 +212,15 @@
     auto call = std::make_shared<Call<Request, Answer>>();
     call->request = request;
     call->context.set_deadline(std::chrono::system_clock::now() + timeout);
-    start(*call, [&io, call, done = std::move(done)](const grpc::Status &status) {
-        asio::post(io, [call, done, status] {
+    const auto end = std::make_shared<CallEnd<Answer>>(io, std::move(done),
+                                                       [call] { call->context.TryCancel(); });
+    end->startDeadline(timeout);
+    start(*call, [&io, call, end](const grpc::Status &status) {
+        asio::post(io, [call, end, status] {
             if (status.ok())
-                done(&call->answer);
+                end->end(&call->answer);
             else
-                done(tl::unexpected<Error>(errorOf(status)));
+                end->end(tl::unexpected<Error>(errorOf(status)));
         });
     });
 }
