--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -41,6 +41,7 @@
     /// A gateway and the addresses at which it listens.
     struct Instance
     {
+        GatewaySettings settings;
         wire::Endpoint callers;
         wire::Endpoint readiness;
         wire::Endpoint metrics;
@@ -57,6 +58,7 @@
         GatewaySettings settings = settingsOf("edge-1");
         settings.startWait = startWait;
         Instance instance = startInstance(settings);
+        m_settings = instance.settings;
         m_callers = instance.callers;
         m_readiness = instance.readiness;
         m_metrics = instance.metrics;
@@ -93,6 +95,7 @@
             if (gateway)
                 instance.gateway = std::move(*gateway);
         }
+        instance.settings = settings;
         instance.callers = settings.callers;
         instance.readiness = settings.readiness;
         instance.metrics = { "127.0.0.1", settings.metricsPort };
@@ -177,6 +180,7 @@
     TestBackend m_first { m_io, "i-1" };
     TestBackend m_second { m_io, "i-2" };
     wire::HttpClient m_client { m_io };
+    GatewaySettings m_settings;
     wire::Endpoint m_callers;
     wire::Endpoint m_readiness;
     wire::Endpoint m_metrics;
