An instance that reaches no backend server forwards its requests

Cause: a request could only be served through the instance that had read it.

ServerReach suspects a cut when three servers in a row, with none in between that answers, can't be reached or do not answer, and ReachProber decides by opening connections to two more; it goes on every quarter second until one is accepted. While cut off, an instance forwards each request over a port between instances (forward_port) to one that is not, in its own data centre if most of that is left, chosen in proportion to processor time. Who is cut off is part of the reports, across hubs. One hop: what came from an instance is not forwarded again. The instance that the caller has sent to counts the quota, the first attempt and the arrival at a rollout; the one that serves counts usage, loads, limits and the versions' answers. A request that may run once is sent to a second instance only if the first could not be reached or says that it has not run. An instance with an older configuration says so. Header fields between instances count on that port alone and reach neither callers nor servers.

Why it works: the paths of the other instances are not cut, and the decision needs connections that fail everywhere, so an ill server or service is none.

Not measured: a model of the load of those that serve for others at 60 and 300 instances.

--- a/include/snipestall/gateway/gateway_counters.hpp
+++ b/include/snipestall/gateway/gateway_counters.hpp
@@ -17,6 +17,8 @@
     /// Attempts beyond the first of their request, and those that the limit on them refused.
     std::uint64_t repeats = 0;
     std::uint64_t repeatsRefused = 0;
+    /// Attempts through another instance, because this one reached no backend server.
+    std::uint64_t forwarded = 0;
     /// Changes of tables that were too large for a report and were fetched from another instance.
     std::uint64_t changesFetched = 0;
 };
--- a/include/snipestall/gateway/gateway_settings.hpp
+++ b/include/snipestall/gateway/gateway_settings.hpp
@@ -51,6 +51,9 @@
     wire::Endpoint callers;
     wire::Endpoint readiness;
     std::uint16_t peerPort = 0;
+    /// Port for requests that other instances forward, which only instances must be able to reach;
+    /// 0 if this instance takes none.
+    std::uint16_t forwardPort = 0;
     std::uint16_t metricsPort = 0;
     wire::Endpoint store;
     wire::Endpoint duties;
--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -15,6 +15,7 @@
 #include "snipestall/serving/crash_watch.hpp"
 #include "snipestall/serving/demand_meter.hpp"
 #include "snipestall/serving/fleet_totals.hpp"
+#include "snipestall/serving/forward_targets.hpp"
 #include "snipestall/serving/latency_pressure.hpp"
 #include "snipestall/serving/loop_lag.hpp"
 #include "snipestall/serving/member_usage.hpp"
@@ -25,6 +26,7 @@
 #include "snipestall/serving/rollout_counts.hpp"
 #include "snipestall/serving/rollout_view.hpp"
 #include "snipestall/serving/server_limits.hpp"
+#include "snipestall/serving/server_reach.hpp"
 #include "snipestall/serving/server_table.hpp"
 #include "snipestall/serving/shutdown_plan.hpp"
 #include "snipestall/serving/usage_ledger.hpp"
@@ -61,6 +63,8 @@
     serving::ServerTable servers;
     serving::PeerLoads peerLoads;
     serving::ServerLimits limits;
+    serving::ServerReach reach;
+    serving::ForwardTargets forwardTargets;
     serving::Placement placement;
     serving::QuotaKeeper quotas;
     serving::RetryAllowance retries;
--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -94,7 +94,7 @@
                       SteadyTime::duration passed);
     void logWork(SteadyTime now);
     void updatePeer(const std::string &name, const std::string &address,
-                    const serving::OverlayPeer &overlayPeer);
+                    const serving::OverlayPeer &overlayPeer, std::uint32_t forwardPort);
     [[nodiscard]] exchange::v1::LoadReport ownReport() const;
     /// The report for one receiver, with the changes that its copies of tables lack.
     [[nodiscard]] exchange::v1::LoadReport reportFor(const std::string &receiver, bool asMember);
@@ -117,6 +117,8 @@
     void updateRetryShare();
     void addServerLimits(exchange::v1::LoadReport &report) const;
     void applyServerLimits(const exchange::v1::LoadReport &report);
+    void addCutOffs(exchange::v1::LoadReport &report) const;
+    void applyCutOffs(const exchange::v1::LoadReport &report);
     void processReport(const exchange::v1::LoadReport &report);
     /// Processes a report of a peer and fills in the reply if the peer still waits for one.
     void handleReport(const exchange::v1::LoadReport &report, exchange::v1::LoadReport *reply);
--- /dev/null
+++ b/include/snipestall/gateway/reach_prober.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "snipestall/wire/task.hpp"
+
+namespace snipestall::gateway {
+
+struct GatewayState;
+
+/// Finds out whether this instance reaches any backend server when it is suspected that it does
+/// not, and again and again while it does not. Opens connections to servers and sends nothing on
+/// them.
+class ReachProber
+{
+public:
+    explicit ReachProber(GatewayState &state)
+        : m_state(state)
+    { }
+
+    wire::Task<void> run();
+
+private:
+    /// Returns whether one of a few servers accepts a connection.
+    wire::Task<bool> anyServerAccepts();
+    void handleCutOff();
+    void handleReached();
+
+    GatewayState &m_state;
+};
+
+} // namespace snipestall::gateway
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -6,9 +6,11 @@
 #include "snipestall/gateway/backend_call.hpp"
 #include "snipestall/gateway/caller_answer.hpp"
 #include "snipestall/gateway/caller_connection.hpp"
+#include "snipestall/gateway/request_origin.hpp"
 #include "snipestall/gateway/stream_move.hpp"
 #include "snipestall/gateway/stream_watch.hpp"
 #include "snipestall/gateway/version_recorder.hpp"
+#include "snipestall/serving/forward_targets.hpp"
 #include "snipestall/serving/placement.hpp"
 #include "snipestall/wire/event_splitter.hpp"
 #include "snipestall/wire/task.hpp"
@@ -17,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_set>
 
 namespace snipestall::serving {
 class Catalogue;
@@ -34,7 +37,8 @@
 class RequestRelay
 {
 public:
-    RequestRelay(GatewayState &state, std::shared_ptr<CallerConnection> caller);
+    RequestRelay(GatewayState &state, std::shared_ptr<CallerConnection> caller,
+                 RequestOrigin origin);
     ~RequestRelay();
 
     /// Serves the request. Returns whether the connection of the caller can carry another request.
@@ -66,6 +70,14 @@
     wire::Task<bool> admit();
     wire::Task<void> serve();
     wire::Task<AttemptEnd> attempt(serving::ServerChoice placed);
+    /// Returns the instance that is to serve the request, if this one reaches no server. A request
+    /// that was forwarded here is not forwarded again.
+    [[nodiscard]] std::optional<serving::ForwardTarget> forwardTarget();
+    /// Attempts the request through another instance, which chooses the server.
+    wire::Task<AttemptEnd> forward(serving::ForwardTarget target);
+    wire::Task<AttemptEnd> handleForwardedAnswer(const serving::ServerStatePtr &instance);
+    [[nodiscard]] BackendCall::Request forwardedRequest() const;
+    [[nodiscard]] bool wasForwarded() const { return m_origin == RequestOrigin::Instance; }
     wire::Task<AttemptEnd> handleAnswer(const serving::ServerStatePtr &server);
     wire::Task<AttemptEnd> relayWhole(const serving::ServerStatePtr &server);
     wire::Task<AttemptEnd> relayStream(const serving::ServerStatePtr &server);
@@ -92,6 +104,8 @@
     /// Returns whether the caller still waits, the server still accepts work, and the process has
     /// time for the request.
     [[nodiscard]] bool maySend(const serving::ServerState &server);
+    /// Records what the start of an attempt says of the path to the servers.
+    void recordReach(CallStart start, const serving::ServerState &server);
     /// What the end of an attempt says of its server.
     [[nodiscard]] VersionRecorder::Outcome outcomeOf(CallStart start, AttemptEnd end) const;
     [[nodiscard]] bool deadlinePassed() const;
@@ -125,6 +139,7 @@
 
     GatewayState &m_state;
     std::shared_ptr<CallerConnection> m_caller;
+    RequestOrigin m_origin;
     CallerAnswer m_answer;
     std::shared_ptr<const serving::Catalogue> m_catalogue;
     platform::CallerHeader m_header;
@@ -167,6 +182,12 @@
     int m_sends = 0;
     /// Set while an attempt waits for its first byte.
     LoadGuard *m_loadGuard = nullptr;
+    /// Names of the instances to which the request was forwarded, and whether it is at one now.
+    std::unordered_set<std::string> m_forwardedTo;
+    bool m_atInstance = false;
+    /// Whether the last attempt could not be sent to another instance.
+    bool m_forwardUnsent = false;
+    bool m_quotaTaken = false;
     bool m_maybeRan = false;
     bool m_usageCounted = false;
     bool m_callerGone = false;
--- a/include/snipestall/gateway/version_recorder.hpp
+++ b/include/snipestall/gateway/version_recorder.hpp
@@ -31,8 +31,12 @@
 
     explicit VersionRecorder(GatewayState &state);
 
+    /// Sets what the attempts are for.
+    void setRequest(const std::string &service, const std::string &route);
     /// The request has arrived and is admitted.
-    void requestArrived(const std::string &service, const std::string &route);
+    void requestArrived();
+    /// The request is attempted through another instance, which counts the attempt.
+    void attemptForwarded() { m_order.reset(); }
     /// An attempt at a server begins. `size`: what the time to its first byte grows with.
     void attemptBegins(const serving::ServerState &server, double size);
     void firstByte(std::chrono::duration<double> took);
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -218,6 +218,12 @@
     "up.",
     "None; if this lasts, most attempts at the service fail: see the 901 lines of its servers."
 };
+const EventInfo RequestForwarded {
+    913, Severity::Info, "request-forwarded",
+    "A request was forwarded to another instance; search that instance's output for the same "
+    "attempt.",
+    "None; see the servers-unreachable line before it."
+};
 const EventInfo StoreLost {
     910, Severity::Warning, "store-lost",
     "The platform's store does not respond; the last known data stays in force.",
@@ -252,6 +258,14 @@
     "it stays in force.",
     "Correct the server."
 };
+const EventInfo ServersUnreachable {
+    925, Severity::Warning, "servers-unreachable",
+    "This instance reaches no backend server; requests of its callers are forwarded to other "
+    "instances that do.",
+    "Check the network between this instance and the servers."
+};
+const EventInfo ServersReachable { 926, Severity::Info, "servers-reachable",
+                                   "This instance reaches backend servers again.", "None." };
 const EventInfo DutyLeaseTaken {
     930, Severity::Info, "duty-lease-taken",
     "This instance took the lease and now acts on behalf of all instances.", "None."
@@ -376,6 +390,7 @@
     &RequestCut,
     &ShutdownRefuses,
     &RepeatRefused,
+    &RequestForwarded,
     &StoreLost,
     &StoreRegained,
     &StoreRowFaulty,
@@ -384,6 +399,8 @@
     &ServerReadmitted,
     &ServerLimitChanged,
     &ServerLimitFaulty,
+    &ServersUnreachable,
+    &ServersReachable,
     &DutyLeaseTaken,
     &DutyLeaseLost,
     &UsageReported,
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <array>
 #include <exception>
 #include <utility>
@@ -32,6 +33,11 @@
 /// Pause of the accept loop when no descriptors are left.
 constexpr std::chrono::milliseconds AcceptPause { 20 };
 
+/// Header fields that instances add to a forwarded request.
+constexpr std::uint32_t ForwardHeaderBytes = 1024;
+/// Longer than other instances keep idle connections, so that none is closed while it is used.
+constexpr std::chrono::milliseconds ForwardIdleTimeout { 60000 };
+
 struct ReadFault
 {
     RequestRead read;
@@ -60,13 +66,14 @@
 
 } // namespace
 
-CallerListener::CallerListener(GatewayState &state, tcp::acceptor acceptor)
+CallerListener::CallerListener(GatewayState &state, tcp::acceptor acceptor, RequestOrigin origin)
     : m_state(state)
     , m_acceptor(std::move(acceptor))
+    , m_origin(origin)
 { }
 
-Result<std::unique_ptr<CallerListener>> CallerListener::create(GatewayState &state,
-                                                               const wire::Endpoint &address)
+Result<std::unique_ptr<CallerListener>>
+CallerListener::create(GatewayState &state, const wire::Endpoint &address, RequestOrigin origin)
 {
     boost::system::error_code error;
     const tcp::endpoint local(asio::ip::make_address(address.host, error), address.port);
@@ -83,7 +90,7 @@
         return fail(ErrorKind::Unavailable,
                     "can't listen on " + address.toString() + ": " + error.message()
                         + "; free the address");
-    return std::unique_ptr<CallerListener>(new CallerListener(state, std::move(acceptor)));
+    return std::unique_ptr<CallerListener>(new CallerListener(state, std::move(acceptor), origin));
 }
 
 void CallerListener::start()
@@ -124,13 +131,22 @@
     m_connections.erase(connection);
 }
 
+serving::TrafficLimits CallerListener::limits() const
+{
+    serving::TrafficLimits limits =
+        m_state.catalogue ? m_state.catalogue->limits() : serving::TrafficLimits {};
+    if (m_origin == RequestOrigin::Instance) {
+        limits.maxHeaderBytes += ForwardHeaderBytes;
+        limits.idleTimeout = std::max(limits.idleTimeout, ForwardIdleTimeout);
+    }
+    return limits;
+}
+
 Task<void> CallerListener::serveRequests(CallerConnection &connection,
                                          std::shared_ptr<CallerConnection> shared)
 {
     while (true) {
-        const serving::TrafficLimits limits =
-            m_state.catalogue ? m_state.catalogue->limits() : serving::TrafficLimits {};
-        const RequestRead read = co_await connection.readRequest(limits);
+        const RequestRead read = co_await connection.readRequest(limits());
         if (read == RequestRead::Closed)
             co_return;
         if (read != RequestRead::Ok) {
@@ -143,7 +159,7 @@
             co_return;
         }
         ++m_state.loopWork.requestsRead;
-        RequestRelay relay(m_state, shared);
+        RequestRelay relay(m_state, shared, m_origin);
         m_connections[shared] = &relay;
         const bool keepOpen = co_await relay.run();
         m_connections[shared] = nullptr;
--- /dev/null
+++ b/src/snipestall/gateway/forward_header.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <boost/beast/http/fields.hpp>
+
+#include <array>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace snipestall::gateway {
+
+// Header fields between an instance that forwards a request and the one that serves it. They count
+// only on connections of instances, and neither callers nor backend servers get them.
+
+/// The version of the configuration by which the request was admitted.
+inline constexpr const char *ForwardConfigField = "Snipestall-Config-Version";
+/// The start of the request is already counted in the usage of its customer.
+inline constexpr const char *ForwardCountedField = "Snipestall-Usage-Counted";
+/// In an answer: the request has not run and will not run.
+inline constexpr const char *ForwardNotRunField = "Snipestall-Not-Run";
+
+inline void eraseForwardFields(boost::beast::http::fields &fields)
+{
+    for (const char *name : { ForwardConfigField, ForwardCountedField, ForwardNotRunField })
+        fields.erase(name);
+}
+
+/// Returns the version of the configuration that a forwarded request states; 0 if it states none.
+inline std::int64_t forwardedConfigVersion(const boost::beast::http::fields &fields)
+{
+    const auto found = fields.find(ForwardConfigField);
+    if (found == fields.end())
+        return 0;
+    const std::string_view text(found->value().data(), found->value().size());
+    std::int64_t version = 0;
+    std::from_chars(text.data(), text.data() + text.size(), version);
+    return version;
+}
+
+} // namespace snipestall::gateway
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/gateway/load_exchange.hpp"
 #include "snipestall/gateway/loop_watch.hpp"
+#include "snipestall/gateway/reach_prober.hpp"
 #include "snipestall/gateway/rollout_runner.hpp"
 #include "snipestall/gateway/store_follower.hpp"
 #include "snipestall/wire/http_exchange.hpp"
@@ -20,6 +21,7 @@
 
 #include <random>
 #include <utility>
+#include <vector>
 
 namespace snipestall::gateway {
 
@@ -57,6 +59,7 @@
                          return exchange->rolloutFollowedByAll(service);
                      } })
         , loopWatch(state)
+        , reachProber(state)
     { }
 
     [[nodiscard]] bool ready() const
@@ -64,6 +67,25 @@
         return !state.draining() && state.catalogue && state.serverListKnown;
     }
 
+    [[nodiscard]] std::vector<CallerListener *> listeners() const
+    {
+        if (instances)
+            return { callers.get(), instances.get() };
+        return { callers.get() };
+    }
+    [[nodiscard]] std::size_t connections() const
+    {
+        std::size_t count = 0;
+        for (const CallerListener *listener : listeners())
+            count += listener->connections();
+        return count;
+    }
+    void closeIdle()
+    {
+        for (CallerListener *listener : listeners())
+            listener->closeIdle();
+    }
+
     Task<void> housekeeping();
     Task<void> watchAttempts();
     Task<void> runRollouts();
@@ -79,8 +101,11 @@
     DutyRunner duties;
     RolloutRunner rollouts;
     LoopWatch loopWatch;
+    ReachProber reachProber;
     std::unique_ptr<LoadExchange> exchange;
     std::unique_ptr<CallerListener> callers;
+    /// Takes requests that other instances forward; null if this instance takes none.
+    std::unique_ptr<CallerListener> instances;
     std::unique_ptr<wire::HttpServer> readiness;
     std::unique_ptr<wire::HttpServer> metrics;
     bool leftFleet = false;
@@ -105,10 +130,18 @@
     if (!exchange)
         return tl::unexpected<Error>(exchange.error());
     raw->exchange = std::move(*exchange);
-    auto callers = CallerListener::create(raw->state, raw->state.settings.callers);
+    auto callers =
+        CallerListener::create(raw->state, raw->state.settings.callers, RequestOrigin::Caller);
     if (!callers)
         return tl::unexpected<Error>(callers.error());
     raw->callers = std::move(*callers);
+    if (const std::uint16_t port = raw->state.settings.forwardPort; port != 0) {
+        auto instances = CallerListener::create(raw->state, { raw->state.settings.address, port },
+                                                RequestOrigin::Instance);
+        if (!instances)
+            return tl::unexpected<Error>(instances.error());
+        raw->instances = std::move(*instances);
+    }
     auto readiness = wire::HttpServer::create(io, raw->state.settings.readiness,
                                               [raw](wire::HttpExchange &exchange) -> Task<void> {
                                                   wire::HttpResponse response;
@@ -140,8 +173,10 @@
     m_parts->duties.start();
     if (m_parts->state.rollouts.enabled())
         asio::co_spawn(m_parts->state.io, m_parts->runRollouts(), asio::detached);
-    m_parts->callers->start();
+    for (CallerListener *listener : m_parts->listeners())
+        listener->start();
     m_parts->loopWatch.start();
+    asio::co_spawn(m_parts->state.io, m_parts->reachProber.run(), asio::detached);
     asio::co_spawn(m_parts->state.io, m_parts->housekeeping(), asio::detached);
     asio::co_spawn(m_parts->state.io, m_parts->watchAttempts(), asio::detached);
 }
@@ -203,20 +238,22 @@
     while (!state.shutdown->mustAnswer(state.clock.steadyNow(), state.loopLag.last())) {
         if (!state.takesWork()) {
             logRefusing();
-            callers->closeIdle();
-            if (callers->connections() == 0)
+            closeIdle();
+            if (connections() == 0)
                 break;
         }
         co_await wire::sleepFor(DrainTick);
     }
-    callers->cancelRequests();
+    for (CallerListener *listener : listeners())
+        listener->cancelRequests();
     asio::co_spawn(state.io, storeLastCounts(), asio::detached);
-    const auto mayEnd = [this] { return countsStored && callers->connections() == 0; };
+    const auto mayEnd = [this] { return countsStored && connections() == 0; };
     while (!mayEnd() && !state.shutdown->mustEnd(state.clock.steadyNow(), state.loopLag.last())) {
-        callers->closeIdle();
+        closeIdle();
         co_await wire::sleepFor(EndTick);
     }
-    callers->logUnanswered();
+    for (const CallerListener *listener : listeners())
+        listener->logUnanswered();
     logEvent(events::ProcessStopped, { { "requests", std::to_string(state.requestsInFlight) } });
     state.io.stop();
 }
--- a/src/snipestall/gateway/gateway_metrics.cpp
+++ b/src/snipestall/gateway/gateway_metrics.cpp
@@ -36,7 +36,7 @@
 }
 
 /// Help texts are part of the exported metrics and stay stable.
-constexpr std::array<Gauge, 15> Gauges { {
+constexpr std::array<Gauge, 17> Gauges { {
     { "snipestall_gateway_requests", "Requests read since the start.",
       [](const GatewayState &s) { return double(s.counters.requests); } },
     { "snipestall_gateway_answered", "Requests answered by a backend server since the start.",
@@ -51,6 +51,11 @@
       [](const GatewayState &s) { return double(s.counters.attempts); } },
     { "snipestall_gateway_repeats", "Sends beyond the first of their request since the start.",
       [](const GatewayState &s) { return double(s.counters.repeats); } },
+    { "snipestall_gateway_forwarded",
+      "Requests forwarded to other instances, because this one reached no backend server.",
+      [](const GatewayState &s) { return double(s.counters.forwarded); } },
+    { "snipestall_gateway_cut_off", "1 while this instance reaches no backend server.",
+      [](const GatewayState &s) { return s.reach.cutOff() ? 1.0 : 0.0; } },
     { "snipestall_gateway_changes_fetched",
       "Changes of tables of the store that were fetched from another instance, because they are "
       "too "
--- a/src/snipestall/gateway/gateway_settings.cpp
+++ b/src/snipestall/gateway/gateway_settings.cpp
@@ -138,6 +138,7 @@
     settings.callers = reader.endpoint(*root, "callers");
     settings.readiness = reader.endpoint(*root, "readiness");
     settings.peerPort = reader.required<std::uint16_t>(*root, "peer_port");
+    settings.forwardPort = reader.optional<std::uint16_t>(*root, "forward_port", 0);
     settings.metricsPort = reader.required<std::uint16_t>(*root, "metrics_port");
     settings.store = reader.endpoint(*root, "store");
     settings.duties = reader.endpoint(*root, "duties");
--- a/src/snipestall/gateway/instance_row.cpp
+++ b/src/snipestall/gateway/instance_row.cpp
@@ -7,7 +7,7 @@
 std::string encodeInstance(const InstanceRow &row)
 {
     std::ostringstream text;
-    text << row.dataCentre << ' ' << row.address << ' ' << row.milliCores;
+    text << row.dataCentre << ' ' << row.address << ' ' << row.milliCores << ' ' << row.forwardPort;
     return text.str();
 }
 
@@ -19,6 +19,8 @@
         return std::nullopt;
     if (!(fields >> row.milliCores))
         row.milliCores = 0;
+    if (!(fields >> row.forwardPort))
+        row.forwardPort = 0;
     return row;
 }
 
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -100,16 +100,21 @@
 {
     const platform::RowName name { InstancesTable, std::string(), m_state.settings.instance };
     const GatewaySettings &own = m_state.settings;
-    const InstanceRow row { own.dataCentre, ownAddress(), own.milliCores };
+    const InstanceRow row { own.dataCentre, ownAddress(), own.milliCores, own.forwardPort };
     std::vector<platform::RowWrite> writes { { name, encodeInstance(row) } };
     const auto written = co_await m_store.write({}, std::move(writes), StoreTimeout);
     co_return written.has_value();
 }
 
 void LoadExchange::updatePeer(const std::string &name, const std::string &address,
-                              const serving::OverlayPeer &overlayPeer)
+                              const serving::OverlayPeer &overlayPeer, std::uint32_t forwardPort)
 {
     m_calls.addPeer(name, overlayPeer);
+    std::optional<wire::Endpoint> forwardAddress;
+    if (const auto parsed = wire::Endpoint::parse(address); parsed && forwardPort != 0)
+        forwardAddress = { parsed->host, static_cast<std::uint16_t>(forwardPort) };
+    m_state.forwardTargets.setInstance(name, forwardAddress, overlayPeer.dataCentre,
+                                       overlayPeer.milliCores);
     Peer &peer = m_peers[name];
     if (peer.address == address)
         return;
@@ -131,7 +136,8 @@
         if (row.name.key == m_state.settings.instance || !instance)
             continue;
         m_instances[row.name.key] = instance->dataCentre;
-        updatePeer(row.name.key, instance->address, { instance->dataCentre, instance->milliCores });
+        updatePeer(row.name.key, instance->address, { instance->dataCentre, instance->milliCores },
+                   instance->forwardPort);
     }
     m_state.limits.setInstances(m_instances);
     updateRetryShare();
@@ -291,7 +297,8 @@
     if (report.instance().empty() || report.instance() == m_state.settings.instance)
         return;
     const SteadyTime now = m_state.clock.steadyNow();
-    updatePeer(report.instance(), report.address(), { report.data_centre(), report.milli_cores() });
+    updatePeer(report.instance(), report.address(), { report.data_centre(), report.milli_cores() },
+               report.forward_port());
     m_calls.reportReceived(report.instance(), now);
     if (!m_instances.empty()
         && m_instances.try_emplace(report.instance(), report.data_centre()).second)
@@ -312,6 +319,7 @@
         applyTotals(report, now);
     applyRetryCredits(report, peer);
     applyServerLimits(report);
+    applyCutOffs(report);
     // The first write to the store set the offset for all, so every instance has the same.
     if (report.has_time_offset_ms() && !m_state.commonTime.offset())
         m_state.commonTime.setOffset(milliseconds(report.time_offset_ms()));
--- a/src/snipestall/gateway/load_exchange_reports.cpp
+++ b/src/snipestall/gateway/load_exchange_reports.cpp
@@ -67,6 +67,7 @@
     report.set_address(ownAddress());
     report.set_data_centre(m_state.settings.dataCentre);
     report.set_milli_cores(m_state.settings.milliCores);
+    report.set_forward_port(m_state.settings.forwardPort);
     report.set_instances(1);
     report.set_heard_instances(1);
     report.set_process(m_state.processName());
@@ -96,6 +97,7 @@
     addRollouts(report);
     addRetryLevels(report);
     addServerLimits(report);
+    addCutOffs(report);
     if (m_state.commonTime.known()) {
         const WallTime time = m_state.commonTime.at(m_state.clock.steadyNow());
         report.set_usage_closed_up_to(m_state.usage.windowOf(time) - 1);
@@ -184,6 +186,33 @@
     }
 }
 
+void LoadExchange::addCutOffs(v1::LoadReport &report) const
+{
+    const auto add = [&report](const std::string &instance, milliseconds age) {
+        v1::CutOff *entry = report.add_cut_off();
+        entry->set_instance(instance);
+        entry->set_age_ms(static_cast<std::uint32_t>(age.count()));
+    };
+    if (m_state.reach.cutOff())
+        add(m_state.settings.instance, milliseconds(0));
+    for (const serving::CutOffReport &each :
+         m_state.forwardTargets.cutOffs(m_state.clock.steadyNow()))
+        add(each.instance, each.age);
+}
+
+void LoadExchange::applyCutOffs(const v1::LoadReport &report)
+{
+    bool senderCutOff = false;
+    for (const v1::CutOff &entry : report.cut_off()) {
+        senderCutOff |= entry.instance() == report.instance();
+        if (entry.instance() != m_state.settings.instance)
+            m_state.forwardTargets.cutOff({ entry.instance(), milliseconds(entry.age_ms()) },
+                                          m_state.clock.steadyNow());
+    }
+    if (!senderCutOff)
+        m_state.forwardTargets.reaches(report.instance());
+}
+
 void LoadExchange::addRetryLevels(v1::LoadReport &report) const
 {
     report.set_takes_retry_grants(true);
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -1,5 +1,6 @@
 #include "snipestall/gateway/request_relay.hpp"
 
+#include "forward_header.hpp"
 #include "load_guard.hpp"
 #include "platform/server_header.hpp"
 #include "relay_text.hpp"
@@ -48,9 +49,11 @@
 
 } // namespace
 
-RequestRelay::RequestRelay(GatewayState &state, std::shared_ptr<CallerConnection> caller)
+RequestRelay::RequestRelay(GatewayState &state, std::shared_ptr<CallerConnection> caller,
+                           RequestOrigin origin)
     : m_state(state)
     , m_caller(std::move(caller))
+    , m_origin(origin)
     , m_answer(*m_caller)
     , m_received(state.clock.steadyNow())
     , m_versions(state)
@@ -116,7 +119,8 @@
         return false;
     if (m_maybeRan && (!m_route->mayRepeat() || m_runs >= m_route->attemptLimit))
         return false;
-    return takeRepeat();
+    // A request that did not reach the other instance has reached no server either.
+    return m_forwardUnsent || takeRepeat();
 }
 
 bool RequestRelay::takeRepeat()
@@ -136,9 +140,15 @@
 
 Task<void> RequestRelay::serve()
 {
-    m_state.retries.countFirstAttempt(m_placementRequest.service->name, m_received);
+    if (!wasForwarded())
+        m_state.retries.countFirstAttempt(m_placementRequest.service->name, m_received);
     AttemptEnd last = AttemptEnd::NotRun;
     do {
+        if (const auto target = forwardTarget()) {
+            last = co_await forward(*target);
+            continue;
+        }
+        m_forwardUnsent = false;
         m_placementRequest.versions =
             m_state.rollouts.choose(m_placementRequest.service->name, m_route->name, m_sends == 0,
                                     m_state.random, m_state.clock.steadyNow());
@@ -160,6 +170,8 @@
     if (m_callerGone || m_cancelled || m_movedOff)
         return;
     m_answerLost = true;
+    if (m_atInstance)
+        return;
     const SteadyTime now = m_state.clock.steadyNow();
     m_state.servers.lost(*server, now);
     // A server with a notice was reclaimed, so no request caused its end.
@@ -204,6 +216,7 @@
     call.resumeAfter = m_lastEvent;
     call.kvCacheSource = m_kvCacheSource;
     platform::writeServerHeader(from, call, request);
+    eraseForwardFields(request);
     request.body() = from.body();
     request.prepare_payload();
     return request;
@@ -244,6 +257,7 @@
     if (start == CallStart::Answered && !m_route->isStream())
         stopStallWatch();
     AttemptEnd end = AttemptEnd::Failed;
+    recordReach(start, *server);
     if (start == CallStart::Answered) {
         server->lastByteAt = m_state.clock.steadyNow();
         end = co_await handleAnswer(server);
@@ -284,6 +298,18 @@
     co_return end;
 }
 
+void RequestRelay::recordReach(CallStart start, const serving::ServerState &server)
+{
+    // Whether a path that was cut is back is found out by ReachProber.
+    if (start == CallStart::Unwanted || m_callerGone || m_cancelled || m_movedOff
+        || m_state.reach.cutOff())
+        return;
+    if (start == CallStart::Answered)
+        m_state.reach.reached();
+    else
+        m_state.reach.failed(server.key, m_state.clock.steadyNow());
+}
+
 VersionRecorder::Outcome RequestRelay::outcomeOf(CallStart start, AttemptEnd end) const
 {
     using Outcome = VersionRecorder::Outcome;
@@ -344,7 +370,8 @@
         m_versions.firstByte(m_state.clock.steadyNow() - m_sentAt);
         m_loadGuard = nullptr;
     }
-    if (m_usageCounted || m_customer == nullptr || !m_state.commonTime.known())
+    // An instance that serves a forwarded request counts its start.
+    if (m_usageCounted || m_atInstance || m_customer == nullptr || !m_state.commonTime.known())
         return;
     m_usageCounted = true;
     m_state.usage.requestStarted(m_customer->name,
--- a/src/snipestall/gateway/request_relay_admission.cpp
+++ b/src/snipestall/gateway/request_relay_admission.cpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/gateway/request_relay.hpp"
 
+#include "forward_header.hpp"
 #include "relay_text.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
@@ -95,9 +96,12 @@
         co_return co_await refuse(refusal(503, RetryAfterShutdown), "shutting-down");
     if (!m_catalogue)
         co_return co_await refuse(refusal(503, RetryAfterNoConfig), "no-configuration");
+    const CallerConnection::Request &request = m_caller->request();
+    // The callers of the other instance have seen the effects of its configuration.
+    if (wasForwarded() && m_catalogue->version() < forwardedConfigVersion(request))
+        co_return co_await refuse(refusal(503, RetryAfterNoConfig), "older-configuration");
     if (m_header.attemptId.empty())
         co_return co_await refuse(ownAnswer(400), "no-attempt-id");
-    const CallerConnection::Request &request = m_caller->request();
     m_route = m_catalogue->route(hostOf(request), pathOf(request));
     if (m_route == nullptr)
         co_return co_await refuse(ownAnswer(404), "no-route");
@@ -119,10 +123,17 @@
         m_placementRequest.unansweredFingerprint = m_fingerprint;
     if (m_state.crashes.isBlocked(m_fingerprint, m_received))
         co_return co_await refuse(refusal(503, RetryAfterCrashes), "ends-servers");
-    m_versions.requestArrived(m_placementRequest.service->name, m_route->name);
+    m_versions.setRequest(m_placementRequest.service->name, m_route->name);
+    // What a request takes of limits is counted by the instance that its caller has sent it to.
+    if (wasForwarded()) {
+        m_usageCounted = request.find(ForwardCountedField) != request.end();
+        co_return true;
+    }
+    m_versions.requestArrived();
     if (m_customer == nullptr)
         co_return true;
     const auto decision = m_state.quotas.take(m_customer->name, quotaUnits(), m_received);
+    m_quotaTaken = decision.admitted;
     if (decision.admitted)
         co_return true;
     logEvent(events::QuotaRefused,
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/gateway/request_relay.hpp"
 
+#include "forward_header.hpp"
 #include "platform/server_header.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/serving/stream_pace.hpp"
@@ -47,14 +48,15 @@
         handleConnectionLoss(server);
         return AttemptEnd::Failed;
     }
-    if (!m_callerGone)
+    if (!m_callerGone && !m_atInstance)
         m_state.servers.lost(*server, m_state.clock.steadyNow());
     return AttemptEnd::TimedOut;
 }
 
 void RequestRelay::handleWholeAnswer(serving::ServerState &server)
 {
-    m_state.servers.answered(server);
+    if (!m_atInstance)
+        m_state.servers.answered(server);
     m_state.crashes.requestAnswered(m_fingerprint, m_state.clock.steadyNow());
 }
 
@@ -67,6 +69,7 @@
     whole.version(m_caller->request().version());
     whole.reason(m_call->head().reason());
     platform::copyResponseHeader(m_call->head(), whole);
+    eraseForwardFields(whole);
     while (true) {
         BodyRead piece = co_await m_call->readBody(m_deadline);
         if (piece.kind == BodyRead::Kind::Bytes) {
@@ -112,6 +115,7 @@
     head.result(m_call->head().result_int());
     head.reason(m_call->head().reason());
     platform::copyResponseHeader(m_call->head(), head);
+    eraseForwardFields(head);
     if (m_state.draining()) {
         m_keepAlive = false;
         head.set(http::field::connection, "close");
--- a/src/snipestall/gateway/request_relay_end.cpp
+++ b/src/snipestall/gateway/request_relay_end.cpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/gateway/request_relay.hpp"
 
+#include "forward_header.hpp"
 #include "platform/server_header.hpp"
 #include "relay_text.hpp"
 #include "snipestall/base/event_catalogue.hpp"
@@ -45,6 +46,8 @@
 {
     CallerConnection::Answer answer = ownAnswer(status);
     answer.set(http::field::retry_after, secondsText(retryAfter));
+    if (wasForwarded())
+        answer.set(ForwardNotRunField, "1");
     return answer;
 }
 
@@ -88,7 +91,7 @@
 
 Task<void> RequestRelay::finishUnserved(AttemptEnd last)
 {
-    if (!m_maybeRan && m_customer != nullptr)
+    if (!m_maybeRan && m_quotaTaken)
         m_state.quotas.refund(m_customer->name, quotaUnits());
     if (m_callerGone) {
         recordCallerLeft();
--- /dev/null
+++ b/src/snipestall/gateway/request_relay_forward.cpp
@@ -0,0 +1,131 @@
+// The part of RequestRelay that forwards a request to another instance, because this one reaches no
+// backend server.
+
+#include "snipestall/gateway/request_relay.hpp"
+
+#include "forward_header.hpp"
+#include "platform/server_header.hpp"
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
+#include "snipestall/gateway/gateway_state.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipestall::gateway {
+
+using std::chrono::milliseconds;
+using wire::Task;
+
+namespace {
+
+/// An instance that runs accepts a connection within a few round trips.
+constexpr milliseconds ConnectTimeout { 200 };
+constexpr unsigned FirstNonSuccessStatus = 300;
+
+/// Name of the connections to an instance in the pool, different from every key of a server.
+std::string poolKey(const std::string &instance)
+{
+    return "instance:" + instance;
+}
+
+} // namespace
+
+std::optional<serving::ForwardTarget> RequestRelay::forwardTarget()
+{
+    if (wasForwarded() || !m_state.reach.cutOff())
+        return std::nullopt;
+    return m_state.forwardTargets.choose(m_forwardedTo, m_state.clock.steadyNow());
+}
+
+BackendCall::Request RequestRelay::forwardedRequest() const
+{
+    const CallerConnection::Request &from = m_caller->request();
+    BackendCall::Request request;
+    request.method_string(from.method_string());
+    request.target(from.target());
+    request.version(11);
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(m_callerDeadline - m_state.clock.steadyNow());
+    platform::writeForwardHeader(from, std::max(left, milliseconds(1)), m_lastEvent, request);
+    eraseForwardFields(request);
+    request.set(ForwardConfigField, std::to_string(m_catalogue->version()));
+    if (m_usageCounted)
+        request.set(ForwardCountedField, "1");
+    request.body() = from.body();
+    request.prepare_payload();
+    return request;
+}
+
+Task<RequestRelay::AttemptEnd> RequestRelay::forward(serving::ForwardTarget target)
+{
+    m_forwardedTo.insert(target.name);
+    ++m_sends;
+    ++m_state.counters.forwarded;
+    m_connectionRejected = false;
+    m_answerLost = false;
+    m_movedOff = false;
+    m_atInstance = true;
+    m_sentAt = m_state.clock.steadyNow();
+    m_firstByteAt.reset();
+    m_unreadTokens = 0;
+    m_tokensAhead = 0;
+    m_versions.attemptForwarded();
+    // Stands for the server, which the other instance chooses. It is in no table.
+    const auto instance = std::make_shared<serving::ServerState>();
+    instance->key = poolKey(target.name);
+    m_call = std::make_shared<BackendCall>(m_state.io, m_state.backends, m_state.clock,
+                                           instance->key, target.address);
+    const auto call = m_call;
+    BackendCall::Request request = forwardedRequest();
+    BackendCall::IsWanted isWanted = [this] {
+        m_callerGone |= m_caller->hasDisconnected();
+        return !m_callerGone && !m_cancelled;
+    };
+    const CallStart start = co_await call->start(std::move(request), m_header.attemptId,
+                                                 ConnectTimeout, m_deadline, std::move(isWanted));
+    AttemptEnd end = AttemptEnd::NotRun;
+    const bool unreachable = start == CallStart::Unreachable || start == CallStart::Lost;
+    if (unreachable && !m_callerGone && !m_cancelled)
+        m_state.forwardTargets.failed(target.name, m_state.clock.steadyNow());
+    if (start == CallStart::Answered) {
+        end = co_await handleForwardedAnswer(instance);
+    } else if (start == CallStart::Lost || start == CallStart::TimedOut) {
+        m_maybeRan = true;
+        ++m_runs;
+        end = start == CallStart::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Failed;
+    }
+    m_forwardUnsent = start == CallStart::Unreachable;
+    m_atInstance = false;
+    m_call.reset();
+    logEvent(events::RequestForwarded,
+             { { "attempt", m_header.attemptId },
+               { "instance", target.name },
+               { "start", std::to_string(static_cast<int>(start)) },
+               { "end", std::to_string(static_cast<int>(end)) } });
+    co_return end;
+}
+
+Task<RequestRelay::AttemptEnd>
+RequestRelay::handleForwardedAnswer(const serving::ServerStatePtr &instance)
+{
+    const BackendCall::Head &head = m_call->head();
+    if (head.find(ForwardNotRunField) != head.end()) {
+        // The rest of the answer is read so that the connection can be reused.
+        const BodyRead rest = co_await m_call->readBody(m_deadline);
+        if (rest.kind == BodyRead::Kind::Bytes)
+            co_await m_call->readBody(m_deadline);
+        co_return AttemptEnd::NotRun;
+    }
+    m_maybeRan = true;
+    ++m_runs;
+    if (!m_answer.canContinueWith(head))
+        co_return co_await dropAnswer(*instance);
+    const unsigned status = head.result_int();
+    const auto parsed = platform::readServerResponse(status, head);
+    if (status < FirstNonSuccessStatus && m_route->isStream() && parsed.mayBeEventStream)
+        co_return co_await relayStream(instance);
+    co_return co_await relayWhole(instance);
+}
+
+} // namespace snipestall::gateway
--- a/src/snipestall/gateway/server_probe.cpp
+++ b/src/snipestall/gateway/server_probe.cpp
@@ -27,19 +27,32 @@
 /// before its listener, so the first probe may still be accepted.
 constexpr std::array<milliseconds, 2> Pauses { milliseconds(0), milliseconds(100) };
 
-/// Returns true only if the connection is refused. A missing answer may also be due to a partition.
-Task<bool> refusesConnections(asio::io_context &io, wire::Endpoint address)
+Task<boost::system::error_code> connectTo(asio::io_context &io, wire::Endpoint address,
+                                          milliseconds timeout)
 {
     boost::beast::tcp_stream stream(io);
     boost::system::error_code bad;
     const asio::ip::tcp::endpoint remote(asio::ip::make_address(address.host, bad), address.port);
-    stream.expires_after(ConnectTimeout);
+    stream.expires_after(timeout);
     const auto [error] = co_await stream.async_connect(remote, asio::as_tuple(asio::use_awaitable));
+    co_return error;
+}
+
+/// Returns true only if the connection is refused. A missing answer may also be due to a partition.
+Task<bool> refusesConnections(asio::io_context &io, wire::Endpoint address)
+{
+    const auto error = co_await connectTo(io, std::move(address), ConnectTimeout);
     co_return error == asio::error::connection_refused;
 }
 
 } // namespace
 
+Task<bool> acceptsConnections(asio::io_context &io, wire::Endpoint address, milliseconds timeout)
+{
+    const auto error = co_await connectTo(io, std::move(address), timeout);
+    co_return !error;
+}
+
 Task<void> probeServerEnd(GatewayState &state, serving::ServerStatePtr server)
 {
     for (const milliseconds pause : Pauses) {
--- a/src/snipestall/gateway/version_recorder.cpp
+++ b/src/snipestall/gateway/version_recorder.cpp
@@ -10,12 +10,16 @@
     : m_state(state)
 { }
 
-void VersionRecorder::requestArrived(const std::string &service, const std::string &route)
+void VersionRecorder::setRequest(const std::string &service, const std::string &route)
 {
     m_service = service;
     m_route = route;
-    if (const serving::RolloutOrder *order = m_state.rollouts.activeOrder(service))
-        m_state.rolloutCounter.requestArrived(order->id, route);
+}
+
+void VersionRecorder::requestArrived()
+{
+    if (const serving::RolloutOrder *order = m_state.rollouts.activeOrder(m_service))
+        m_state.rolloutCounter.requestArrived(order->id, m_route);
 }
 
 void VersionRecorder::attemptBegins(const serving::ServerState &server, double size)
--- a/tests/gateway/cut_off_test.cpp
+++ b/tests/gateway/cut_off_test.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <chrono>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,7 +53,8 @@
     static void introduce(platform::StandinStore &store, const GatewaySettings &instance)
     {
         const InstanceRow row { instance.dataCentre,
-                                instance.address + ":" + std::to_string(instance.peerPort) };
+                                instance.address + ":" + std::to_string(instance.peerPort), 0,
+                                instance.forwardPort };
         store.put({ "instances", "", instance.instance }, encodeInstance(row));
     }
 
@@ -70,6 +72,19 @@
             link->cut(kind);
     }
 
+    /// Returns the line of a metric of the instance that may be cut off.
+    Task<std::string> metric(std::string name)
+    {
+        const wire::HttpResponse page = co_await fetch(m_cut.metrics, "/metrics");
+        const std::size_t at = page.body.find("\n" + name + " ");
+        co_return page.body.substr(at + 1, page.body.find('\n', at + 1) - at - 1);
+    }
+    Task<bool> hasMetric(std::string line)
+    {
+        const wire::HttpResponse page = co_await fetch(m_cut.metrics, "/metrics");
+        co_return page.body.find("\n" + line + "\n") != std::string::npos;
+    }
+
     /// Sends requests to the instance one after the other. Returns how many of them were served.
     Task<int> served(std::string path, std::string method)
     {
@@ -98,9 +113,26 @@
             EXPECT_GE(once, Requests * 2 / 3);
             const int safe = co_await served("/safe/x", "GET");
             EXPECT_GE(safe, Requests * 2 / 3);
+            expectEachRunOnce();
         });
     }
 
+    /// Checks that no request that may run once has run twice, and that the servers see nothing of
+    /// what instances tell each other.
+    void expectEachRunOnce() const
+    {
+        std::set<std::string> attempts;
+        for (const TestBackend *backend : { &m_first, &m_second }) {
+            for (const wire::HttpRequest &request : backend->ran()) {
+                const std::string attempt = request.fields.find("X-Attempt-Id").value_or("");
+                EXPECT_TRUE(!request.path().starts_with("/once/")
+                            || attempts.insert(attempt).second)
+                    << attempt << " has run twice";
+                EXPECT_FALSE(request.fields.find("Snipestall-Config-Version"));
+            }
+        }
+    }
+
     platform::StandinStore m_cutStore { m_io };
     std::vector<std::unique_ptr<TestLink>> m_links;
     Instance m_cut;
@@ -125,5 +157,84 @@
     expectServedWhileCut(TestLink::Cut::RefuseNew);
 }
 
+TEST_F(CutOffTest, StreamsAreForwardedAsTheyArrive)
+{
+    for (TestBackend *backend : { &m_first, &m_second })
+        backend->behave(TestBackend::Behaviour::StreamRest);
+    run([this]() -> Task<void> {
+        co_await untilAllServing();
+        cut(TestLink::Cut::Refuse);
+        wire::HttpResponse response;
+        do {
+            response = co_await fetch(m_cut.callers, "/again/x", "POST");
+        } while (response.status != 200);
+        for (int event = 1; event <= TestBackend::AllEvents; ++event)
+            EXPECT_NE(response.body.find("id: " + std::to_string(event) + "\n"), std::string::npos);
+    });
+}
+
+// Guards against callers that are forwarded for longer than the cut.
+TEST_F(CutOffTest, RequestsAreServedLocallyOnceThePathIsBack)
+{
+    run([this]() -> Task<void> {
+        co_await untilAllServing();
+        cut(TestLink::Cut::Refuse);
+        do {
+            co_await fetch(m_cut.callers, "/safe/x");
+            co_await wire::sleepFor(5ms);
+        } while (!co_await hasMetric("snipestall_gateway_cut_off 1"));
+        cut(TestLink::Cut::None);
+        while (!co_await hasMetric("snipestall_gateway_cut_off 0"))
+            co_await wire::sleepFor(5ms);
+        const std::string before = co_await metric("snipestall_gateway_forwarded");
+        EXPECT_EQ(co_await served("/once/x", "POST"), Requests);
+        EXPECT_EQ(co_await metric("snipestall_gateway_forwarded"), before);
+    });
+}
+
+// A caller that sends what instances tell each other gains nothing, and the servers do not get it.
+TEST_F(CutOffTest, ACallerCannotPassForAnInstance)
+{
+    run([this]() -> Task<void> {
+        co_await untilAllServing();
+        wire::HttpRequest request;
+        request.method = "POST";
+        request.target = "/once/x";
+        request.fields.set("Host", "a.example");
+        request.fields.set("X-Attempt-Id", "attempt-forged");
+        request.fields.set("Authorization", "Bearer none");
+        request.fields.set("Snipestall-Config-Version", "1");
+        const auto unknown = co_await m_client.fetch(m_callers, request);
+        EXPECT_EQ(unknown->status, 401);
+        request.fields.set("Authorization", "Bearer secret");
+        request.fields.set("Snipestall-Config-Version", "999");
+        const auto known = co_await m_client.fetch(m_callers, request);
+        EXPECT_EQ(known->status, 200);
+        expectEachRunOnce();
+    });
+}
+
+// Guards against answers by a configuration that the callers of an instance have seen replaced: the
+// instance that serves its requests has an older one.
+TEST_F(CutOffTest, AnInstanceWithAnOlderConfigurationServesNoForwardedRequest)
+{
+    run([this]() -> Task<void> {
+        co_await untilAllServing();
+        wire::HttpRequest request;
+        request.target = "/safe/x";
+        request.fields.set("Host", "a.example");
+        request.fields.set("X-Attempt-Id", "attempt-newer");
+        request.fields.set("Authorization", "Bearer secret");
+        request.fields.set("Snipestall-Config-Version", "4");
+        const wire::Endpoint instances { "127.0.0.1", m_settings.forwardPort };
+        const auto newer = co_await m_client.fetch(instances, request);
+        EXPECT_EQ(newer->status, 503);
+        EXPECT_TRUE(newer->fields.find("Snipestall-Not-Run"));
+        request.fields.set("Snipestall-Config-Version", "3");
+        const auto same = co_await m_client.fetch(instances, request);
+        EXPECT_EQ(same->status, 200);
+    });
+}
+
 } // namespace
 } // namespace snipestall::gateway
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -90,6 +90,7 @@
             settings.callers = { "127.0.0.1", freePort() };
             settings.readiness = { "127.0.0.1", freePort() };
             settings.peerPort = freePort();
+            settings.forwardPort = freePort();
             settings.metricsPort = freePort();
             auto gateway = Gateway::create(m_io, settings);
             if (gateway)
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -141,8 +141,9 @@
     return "instance: " + name + "\ndata_centre: dc-" + std::to_string(index % 2)
         + "\naddress: " + Host + "\ncallers: " + callers.toString() + "\nreadiness: "
         + m_gateways[index].readiness.toString() + "\npeer_port: " + std::to_string(m_ports.take())
-        + "\nmetrics_port: " + std::to_string(m_ports.take()) + "\nstore: "
-        + m_gateways[index].link.endpoint.toString() + "\nduties: " + m_storeAddress.toString()
+        + "\nforward_port: " + std::to_string(m_ports.take()) + "\nmetrics_port: "
+        + std::to_string(m_ports.take()) + "\nstore: " + m_gateways[index].link.endpoint.toString()
+        + "\nduties: " + m_storeAddress.toString()
         + "\nserver_heartbeat_ms: 300\nlimits: {file_descriptors: 1024}\n"
           "bounds: {drain_ms: 2000, grace_s: 8, contact_ms: 3000, retry_slack: 60,"
           " usage_window_s: 2, lease_ms: 3000}\n";
