Slots of servers that fail on rejections are shared out among the instances

Now every slot of such a server (four fifths of them) belongs to one instance, by rendezvous hashing, those of the server's data centre first, so that no message is needed before a request is sent; that a service needs it goes round in the reports. An instance without a share forwards the request to one that has, at two of them at most, by the port for instances; then it is refused at once, with when to come back.

Not modelled: kills and partitions in such a time.

--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -72,6 +72,7 @@
 extern const EventInfo ServerLimitChanged;
 extern const EventInfo ServerLimitFaulty;
 extern const EventInfo ServersUnreachable;
+extern const EventInfo SlotsShared;
 extern const EventInfo ServersReachable;
 extern const EventInfo DutyLeaseTaken;
 extern const EventInfo DutyLeaseLost;
--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -29,6 +29,7 @@
 #include "snipestall/serving/server_reach.hpp"
 #include "snipestall/serving/server_table.hpp"
 #include "snipestall/serving/shutdown_plan.hpp"
+#include "snipestall/serving/slot_shares.hpp"
 #include "snipestall/serving/usage_ledger.hpp"
 #include "snipestall/serving/usage_windows.hpp"
 
@@ -63,6 +64,7 @@
     serving::ServerTable servers;
     serving::PeerLoads peerLoads;
     serving::ServerLimits limits;
+    serving::SlotShares slotShares;
     serving::ServerReach reach;
     serving::ForwardTargets forwardTargets;
     serving::Placement placement;
--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -83,6 +83,8 @@
     wire::Task<void> exchangeLoop();
     wire::Task<bool> registerSelf();
     wire::Task<bool> readInstances();
+    /// Tells those who share something among the instances which instances there are.
+    void setInstances();
     void callPeers();
     /// Applies the role that the overlay gives to this instance: reader of the store, candidate for
     /// the lease.
@@ -119,6 +121,8 @@
     void applyServerLimits(const exchange::v1::LoadReport &report);
     void addCutOffs(exchange::v1::LoadReport &report) const;
     void applyCutOffs(const exchange::v1::LoadReport &report);
+    void addRejectionReports(exchange::v1::LoadReport &report) const;
+    void applyRejectionReports(const exchange::v1::LoadReport &report);
     void processReport(const exchange::v1::LoadReport &report);
     /// Processes a report of a peer and fills in the reply if the peer still waits for one.
     void handleReport(const exchange::v1::LoadReport &report, exchange::v1::LoadReport *reply);
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -73,6 +73,8 @@
     /// Returns the instance that is to serve the request, if this one reaches no server. A request
     /// that was forwarded here is not forwarded again.
     [[nodiscard]] std::optional<serving::ForwardTarget> forwardTarget();
+    /// Returns an instance that has a share of the slots of a server that this one has no share of.
+    [[nodiscard]] std::optional<serving::ForwardTarget> shareHolder();
     /// Attempts the request through another instance, which chooses the server.
     wire::Task<AttemptEnd> forward(serving::ForwardTarget target);
     wire::Task<AttemptEnd> handleForwardedAnswer(const serving::ServerStatePtr &instance);
@@ -115,8 +117,8 @@
                                                    std::chrono::milliseconds retryAfter) const;
     wire::Task<void> answer(CallerConnection::Answer answer, const char *reason);
     /// Takes over what the answer says of the requests that its server takes.
-    void recordLimit(const serving::ServerState &server,
-                     const platform::ServerResponse &answer) const;
+    void recordLimits(const serving::ServerState &server,
+                      const platform::ServerResponse &answer) const;
     void handleFirstByte();
     void recordLatency();
     void recordPromptRead();
--- a/include/snipestall/serving/forward_targets.hpp
+++ b/include/snipestall/serving/forward_targets.hpp
@@ -50,6 +50,8 @@
     [[nodiscard]] std::vector<CutOffReport> cutOffs(SteadyTime now) const;
     /// A request could not be forwarded to an instance.
     void failed(const std::string &name, SteadyTime now);
+    /// Returns an instance by its name; nothing if it takes no requests now.
+    [[nodiscard]] std::optional<ForwardTarget> find(const std::string &name, SteadyTime now) const;
     /// Returns nothing if no instance is left that might serve the request.
     std::optional<ForwardTarget> choose(const std::unordered_set<std::string> &tried,
                                         SteadyTime now);
@@ -70,6 +72,8 @@
     using Candidates = std::vector<std::pair<const std::string *, const Instance *>>;
 
     [[nodiscard]] bool isCutOff(const std::string &name, SteadyTime now) const;
+    [[nodiscard]] bool takesRequests(const std::string &name, const Instance &instance,
+                                     SteadyTime now) const;
 
     std::string m_dataCentre;
     Random m_random;
--- a/include/snipestall/serving/placement.hpp
+++ b/include/snipestall/serving/placement.hpp
@@ -18,6 +18,7 @@
 
 class PeerLoads;
 class ServerLimits;
+class SlotShares;
 struct Service;
 
 /// What a request needs from a backend server.
@@ -64,14 +65,19 @@
 public:
     /// `dataCentre`: the data centre of this instance; `seed`: seed of the random tie-breaks.
     Placement(const ServerTable &servers, const PeerLoads &peers, const RolloutView &rollouts,
-              const ServerLimits &limits, std::string dataCentre, std::uint64_t seed);
+              const ServerLimits &limits, const SlotShares &shares, std::string dataCentre,
+              std::uint64_t seed);
 
     /// Returns nothing if no server of the service accepts requests, or if all that do have named a
     /// limit that is used up.
     [[nodiscard]] std::optional<ServerChoice> choose(const PlacementRequest &request,
                                                      SteadyTime now);
-    /// If only the limits that servers have named keep the request from being sent, returns when it
-    /// may be sent; otherwise nothing.
+    /// If this instance only lacks a share of the slots of a server that might get the request,
+    /// returns the instances that have one; otherwise none.
+    [[nodiscard]] std::vector<std::string> shareHolders(const PlacementRequest &request,
+                                                        SteadyTime now);
+    /// If only the limits that servers have named, or shared slots, keep the request from being
+    /// sent, returns when it may be sent; otherwise nothing.
     [[nodiscard]] std::optional<std::chrono::milliseconds>
     waitForLimits(const PlacementRequest &request, SteadyTime now) const;
     /// The request was sent, so its shared parts are cached on `server` from now on. `server` is
@@ -108,6 +114,7 @@
     const PeerLoads &m_peers;
     const RolloutView &m_rollouts;
     const ServerLimits &m_limits;
+    const SlotShares &m_shares;
     std::string m_dataCentre;
     PromptCacheMap m_cached;
     Random m_random;
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -266,6 +266,12 @@
 };
 const EventInfo ServersReachable { 926, Severity::Info, "servers-reachable",
                                    "This instance reaches backend servers again.", "None." };
+const EventInfo SlotsShared {
+    927, Severity::Warning, "slots-shared",
+    "The servers of a service fail if they have to reject requests, so each of their slots belongs "
+    "to one instance from now on; requests without a free slot are refused.",
+    "Look why the servers are in need; give the service more of them."
+};
 const EventInfo DutyLeaseTaken {
     930, Severity::Info, "duty-lease-taken",
     "This instance took the lease and now acts on behalf of all instances.", "None."
@@ -401,6 +407,7 @@
     &ServerLimitFaulty,
     &ServersUnreachable,
     &ServersReachable,
+    &SlotsShared,
     &DutyLeaseTaken,
     &DutyLeaseLost,
     &UsageReported,
--- a/src/snipestall/gateway/forward_header.hpp
+++ b/src/snipestall/gateway/forward_header.hpp
@@ -18,8 +18,11 @@
 inline constexpr const char *ForwardConfigField = "Snipestall-Config-Version";
 /// The start of the request is already counted in the usage of its customer.
 inline constexpr const char *ForwardCountedField = "Snipestall-Usage-Counted";
-/// In an answer: the request has not run and will not run.
+/// In an answer: the request has not run and will not run. The value says whether a server has
+/// rejected it or none has got it.
 inline constexpr const char *ForwardNotRunField = "Snipestall-Not-Run";
+inline constexpr const char *ForwardRejected = "rejected";
+inline constexpr const char *ForwardUnsent = "unsent";
 
 inline void eraseForwardFields(boost::beast::http::fields &fields)
 {
--- a/src/snipestall/gateway/gateway_state.cpp
+++ b/src/snipestall/gateway/gateway_state.cpp
@@ -11,8 +11,9 @@
     , incarnation(seed)
     , servers(settings.bounds.drain, settings.serverHeartbeat)
     , limits(settings.instance)
+    , slotShares(settings.instance)
     , forwardTargets(settings.dataCentre, seed)
-    , placement(servers, peerLoads, rollouts, limits, settings.dataCentre, seed)
+    , placement(servers, peerLoads, rollouts, limits, slotShares, settings.dataCentre, seed)
     , quotas({ settings.bounds.quotaWindow, settings.bounds.quotaOverrun,
                settings.bounds.quotaTolerance },
              seed)
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -139,11 +139,17 @@
         updatePeer(row.name.key, instance->address, { instance->dataCentre, instance->milliCores },
                    instance->forwardPort);
     }
-    m_state.limits.setInstances(m_instances);
+    setInstances();
     updateRetryShare();
     co_return true;
 }
 
+void LoadExchange::setInstances()
+{
+    m_state.limits.setInstances(m_instances);
+    m_state.slotShares.setInstances(m_instances);
+}
+
 Task<void> LoadExchange::registerLoop()
 {
     while (!co_await registerSelf())
@@ -302,7 +308,7 @@
     m_calls.reportReceived(report.instance(), now);
     if (!m_instances.empty()
         && m_instances.try_emplace(report.instance(), report.data_centre()).second)
-        m_state.limits.setInstances(m_instances);
+        setInstances();
     Peer &peer = m_peers.at(report.instance());
     if (peer.silent)
         logEvent(events::GatewayPeerHeard,
@@ -320,6 +326,7 @@
     applyRetryCredits(report, peer);
     applyServerLimits(report);
     applyCutOffs(report);
+    applyRejectionReports(report);
     // The first write to the store set the offset for all, so every instance has the same.
     if (report.has_time_offset_ms() && !m_state.commonTime.offset())
         m_state.commonTime.setOffset(milliseconds(report.time_offset_ms()));
--- a/src/snipestall/gateway/load_exchange_reports.cpp
+++ b/src/snipestall/gateway/load_exchange_reports.cpp
@@ -98,6 +98,7 @@
     addRetryLevels(report);
     addServerLimits(report);
     addCutOffs(report);
+    addRejectionReports(report);
     if (m_state.commonTime.known()) {
         const WallTime time = m_state.commonTime.at(m_state.clock.steadyNow());
         report.set_usage_closed_up_to(m_state.usage.windowOf(time) - 1);
@@ -213,6 +214,26 @@
         m_state.forwardTargets.reaches(report.instance());
 }
 
+void LoadExchange::addRejectionReports(v1::LoadReport &report) const
+{
+    for (const serving::RejectionReport &each :
+         m_state.slotShares.reports(m_state.clock.steadyNow())) {
+        v1::RejectionReport *entry = report.add_rejection_reports();
+        entry->set_service(each.service);
+        entry->set_age_ms(static_cast<std::uint32_t>(each.age.count()));
+    }
+}
+
+void LoadExchange::applyRejectionReports(const v1::LoadReport &report)
+{
+    for (const v1::RejectionReport &entry : report.rejection_reports()) {
+        const serving::RejectionReport named { entry.service(), milliseconds(entry.age_ms()) };
+        if (m_state.slotShares.named(named, m_state.clock.steadyNow()))
+            logEvent(events::SlotsShared,
+                     { { "service", named.service }, { "from", report.instance() } });
+    }
+}
+
 void LoadExchange::addRetryLevels(v1::LoadReport &report) const
 {
     report.set_takes_retry_grants(true);
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -153,8 +153,13 @@
             m_state.rollouts.choose(m_placementRequest.service->name, m_route->name, m_sends == 0,
                                     m_state.random, m_state.clock.steadyNow());
         const auto placed = m_state.placement.choose(m_placementRequest, m_state.clock.steadyNow());
-        if (!placed)
-            break;
+        if (!placed) {
+            const auto holder = shareHolder();
+            if (!holder)
+                break;
+            last = co_await forward(*holder);
+            continue;
+        }
         last = co_await attempt(*placed);
         while (last == AttemptEnd::Moved)
             last = co_await attempt(finishMove());
@@ -328,7 +333,7 @@
     if (parsed.wrongServer)
         serving::ServerTable::markReplaced(*server);
     else
-        recordLimit(*server, parsed);
+        recordLimits(*server, parsed);
     if (parsed.notRun) {
         // The rest of the answer is read so that the connection can be reused.
         const BodyRead rest = co_await m_call->readBody(m_deadline);
@@ -345,9 +350,14 @@
     co_return co_await relayWhole(server);
 }
 
-void RequestRelay::recordLimit(const serving::ServerState &server,
-                               const platform::ServerResponse &answer) const
+void RequestRelay::recordLimits(const serving::ServerState &server,
+                                const platform::ServerResponse &answer) const
 {
+    const std::string &service = server.info.service;
+    if (answer.failsOnRejections
+        && m_state.slotShares.named({ service, milliseconds(0) }, m_state.clock.steadyNow()))
+        logEvent(events::SlotsShared,
+                 { { "service", service }, { "from", m_state.settings.instance } });
     if (answer.limitFaulty) {
         logEvent(events::ServerLimitFaulty,
                  { { "attempt", m_header.attemptId }, { "server", server.key } });
--- a/src/snipestall/gateway/request_relay_end.cpp
+++ b/src/snipestall/gateway/request_relay_end.cpp
@@ -47,7 +47,7 @@
     CallerConnection::Answer answer = ownAnswer(status);
     answer.set(http::field::retry_after, secondsText(retryAfter));
     if (wasForwarded())
-        answer.set(ForwardNotRunField, "1");
+        answer.set(ForwardNotRunField, m_sends > 0 ? ForwardRejected : ForwardUnsent);
     return answer;
 }
 
--- a/src/snipestall/gateway/request_relay_forward.cpp
+++ b/src/snipestall/gateway/request_relay_forward.cpp
@@ -10,7 +10,9 @@
 #include "snipestall/gateway/gateway_state.hpp"
 
 #include <algorithm>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace snipestall::gateway {
 
@@ -22,6 +24,8 @@
 /// An instance that runs accepts a connection within a few round trips.
 constexpr milliseconds ConnectTimeout { 200 };
 constexpr unsigned FirstNonSuccessStatus = 300;
+/// Instances that are asked for a free slot of a server whose slots are shared.
+constexpr std::size_t MaxShareHolders = 2;
 
 /// Name of the connections to an instance in the pool, different from every key of a server.
 std::string poolKey(const std::string &instance)
@@ -38,6 +42,20 @@
     return m_state.forwardTargets.choose(m_forwardedTo, m_state.clock.steadyNow());
 }
 
+std::optional<serving::ForwardTarget> RequestRelay::shareHolder()
+{
+    if (wasForwarded() || m_forwardedTo.size() >= MaxShareHolders)
+        return std::nullopt;
+    const SteadyTime now = m_state.clock.steadyNow();
+    std::vector<std::string> holders = m_state.placement.shareHolders(m_placementRequest, now);
+    std::erase_if(holders, [this, now](const std::string &name) {
+        return m_forwardedTo.contains(name) || !m_state.forwardTargets.find(name, now);
+    });
+    if (holders.empty())
+        return std::nullopt;
+    return m_state.forwardTargets.find(holders[m_state.random.below(holders.size())], now);
+}
+
 BackendCall::Request RequestRelay::forwardedRequest() const
 {
     const CallerConnection::Request &from = m_caller->request();
@@ -66,6 +84,7 @@
     m_answerLost = false;
     m_movedOff = false;
     m_atInstance = true;
+    m_forwardUnsent = false;
     m_sentAt = m_state.clock.steadyNow();
     m_firstByteAt.reset();
     m_unreadTokens = 0;
@@ -95,7 +114,7 @@
         ++m_runs;
         end = start == CallStart::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Failed;
     }
-    m_forwardUnsent = start == CallStart::Unreachable;
+    m_forwardUnsent = start == CallStart::Unreachable || m_forwardUnsent;
     m_atInstance = false;
     m_call.reset();
     logEvent(events::RequestForwarded,
@@ -110,7 +129,8 @@
 RequestRelay::handleForwardedAnswer(const serving::ServerStatePtr &instance)
 {
     const BackendCall::Head &head = m_call->head();
-    if (head.find(ForwardNotRunField) != head.end()) {
+    if (const auto notRun = head.find(ForwardNotRunField); notRun != head.end()) {
+        m_forwardUnsent = notRun->value() == ForwardUnsent;
         // The rest of the answer is read so that the connection can be reused.
         const BodyRead rest = co_await m_call->readBody(m_deadline);
         if (rest.kind == BodyRead::Kind::Bytes)
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -370,6 +370,7 @@
 {
     m_state.placement.forgetServer(server.key);
     m_state.limits.forgetServer(server.key);
+    m_state.slotShares.forgetServer(server.key);
     m_state.backends.drop(server.key);
     logEvent(events::ServerDelisted,
              { { "server", server.info.id },
--- a/src/snipestall/serving/forward_targets.cpp
+++ b/src/snipestall/serving/forward_targets.cpp
@@ -54,6 +54,20 @@
         found->second.avoidUntil = now + AvoidFailedFor;
 }
 
+bool ForwardTargets::takesRequests(const std::string &name, const Instance &instance,
+                                   SteadyTime now) const
+{
+    return now >= instance.avoidUntil && !isCutOff(name, now);
+}
+
+std::optional<ForwardTarget> ForwardTargets::find(const std::string &name, SteadyTime now) const
+{
+    const auto found = m_instances.find(name);
+    if (found == m_instances.end() || !takesRequests(name, found->second, now))
+        return std::nullopt;
+    return ForwardTarget { name, found->second.address };
+}
+
 std::optional<ForwardTarget> ForwardTargets::choose(const std::unordered_set<std::string> &tried,
                                                     SteadyTime now)
 {
@@ -64,7 +78,7 @@
     for (const auto &[name, instance] : m_instances) {
         const bool isNear = instance.dataCentre == m_dataCentre;
         nearInstances += isNear ? 1 : 0;
-        if (tried.contains(name) || now < instance.avoidUntil || isCutOff(name, now))
+        if (tried.contains(name) || !takesRequests(name, instance, now))
             continue;
         all.emplace_back(&name, &instance);
         if (isNear)
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -4,6 +4,7 @@
 #include "snipestall/serving/peer_loads.hpp"
 #include "snipestall/serving/server_limits.hpp"
 #include "snipestall/serving/service.hpp"
+#include "snipestall/serving/slot_shares.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -33,6 +34,8 @@
 /// Time after which a caller may try again, probably at another instance, if only servers with a
 /// limit are left and other instances send to these.
 constexpr std::chrono::milliseconds WaitAtOthers { 500 };
+/// Some requests of a plain service end within this time.
+constexpr std::chrono::milliseconds WaitForSlot { 100 };
 /// The rest of the KV cache is kept free for the output of the running requests.
 constexpr double UsableCacheFraction = 0.85;
 
@@ -77,11 +80,12 @@
 
 Placement::Placement(const ServerTable &servers, const PeerLoads &peers,
                      const RolloutView &rollouts, const ServerLimits &limits,
-                     std::string dataCentre, std::uint64_t seed)
+                     const SlotShares &shares, std::string dataCentre, std::uint64_t seed)
     : m_servers(servers)
     , m_peers(peers)
     , m_rollouts(rollouts)
     , m_limits(limits)
+    , m_shares(shares)
     , m_dataCentre(std::move(dataCentre))
     , m_random(seed)
 { }
@@ -131,14 +135,31 @@
         return std::nullopt;
     std::optional<std::chrono::milliseconds> shortest;
     for (const auto &[id, server] : m_servers.all()) {
-        if (!mayServe(request, *server, VersionChoice::Any) || !m_limits.isLimited(server->key))
+        const bool isShared = m_shares.isShared(server->info.service, now);
+        if (!mayServe(request, *server, VersionChoice::Any)
+            || !(isShared || m_limits.isLimited(server->key)))
             continue;
-        const auto wait = m_limits.waitFor(*server, now).value_or(WaitAtOthers);
+        auto wait = m_limits.waitFor(*server, now).value_or(WaitAtOthers);
+        if (isShared)
+            wait = std::max(wait, WaitForSlot);
         shortest = std::min(shortest.value_or(wait), wait);
     }
     return shortest;
 }
 
+std::vector<std::string> Placement::shareHolders(const PlacementRequest &request, SteadyTime now)
+{
+    std::vector<ServerStatePtr> shared;
+    for (const auto &[id, server] : m_servers.all()) {
+        if (mayServe(request, *server, request.versions) && m_limits.maySend(*server, now)
+            && m_shares.isShared(server->info.service, now))
+            shared.push_back(server);
+    }
+    if (shared.empty())
+        return {};
+    return m_shares.holders(*shared[m_random.below(shared.size())]);
+}
+
 std::vector<ServerStatePtr> Placement::candidatesOf(const PlacementRequest &request,
                                                     VersionChoice versions, SteadyTime now) const
 {
@@ -148,7 +169,8 @@
     std::vector<ServerStatePtr> healthy;
     std::vector<ServerStatePtr> avoided;
     for (const auto &[id, server] : m_servers.all()) {
-        if (!mayServe(request, *server, versions) || !m_limits.maySend(*server, now))
+        if (!mayServe(request, *server, versions) || !m_limits.maySend(*server, now)
+            || !m_shares.maySend(*server, now))
             continue;
         if (!onTrial.empty() && std::find(onTrial.begin(), onTrial.end(), id) == onTrial.end())
             continue;
--- a/src/snipestall/serving/placement_test.cpp
+++ b/src/snipestall/serving/placement_test.cpp
@@ -3,6 +3,7 @@
 #include "snipestall/serving/peer_loads.hpp"
 #include "snipestall/serving/server_limits.hpp"
 #include "snipestall/serving/service.hpp"
+#include "snipestall/serving/slot_shares.hpp"
 
 #include <gtest/gtest.h>
 
@@ -67,13 +68,14 @@
     PeerLoads m_peers;
     RolloutView m_rollouts { true };
     ServerLimits m_limits { "edge-1" };
-    Placement m_placement { m_servers, m_peers, m_rollouts, m_limits, "east", Seed };
+    SlotShares m_shares { "edge-1" };
+    Placement m_placement { m_servers, m_peers, m_rollouts, m_limits, m_shares, "east", Seed };
     std::uint64_t m_ownPart = 1000000;
 };
 
 TEST_F(PlacementTest, InstancesAgreeOnTheServerOfASharedPartWithoutAMessage)
 {
-    Placement other(m_servers, m_peers, m_rollouts, m_limits, "west", Seed + 1);
+    Placement other(m_servers, m_peers, m_rollouts, m_limits, m_shares, "west", Seed + 1);
     for (std::uint64_t part = 10; part < 60; ++part) {
         const auto mine = m_placement.choose(generation(part, 8000), Start);
         const auto theirs = other.choose(generation(part, 8000), Start);
@@ -177,7 +179,7 @@
 // copy would crash another server. Different calls are still spread at random.
 TEST_F(PlacementTest, CopiesOfAnUnansweredCallGoToOneServer)
 {
-    Placement other(m_servers, m_peers, m_rollouts, m_limits, "east", Seed + 1);
+    Placement other(m_servers, m_peers, m_rollouts, m_limits, m_shares, "east", Seed + 1);
     std::set<std::string> used;
     for (std::uint64_t fingerprint = 1; fingerprint <= 40; ++fingerprint) {
         PlacementRequest request = call();
--- a/tests/gateway/test_backend.cpp
+++ b/tests/gateway/test_backend.cpp
@@ -45,6 +45,10 @@
         co_return;
     }
     m_arrivals.push_back(std::chrono::steady_clock::now());
+    if (m_slots) {
+        co_await serveInSlot(exchange);
+        co_return;
+    }
     Behaviour behaviour = m_behaviour;
     if (m_whenResumed && request.fields.find("Last-Event-Id"))
         behaviour = *m_whenResumed;
@@ -64,6 +68,27 @@
     co_await run(exchange, behaviour);
 }
 
+Task<void> TestBackend::serveInSlot(wire::HttpExchange &exchange)
+{
+    HttpResponse response;
+    response.fields.set("X-Attempt-Id",
+                        exchange.request().fields.find("X-Attempt-Id").value_or(""));
+    response.fields.set("Server-Brittle", m_rejectionLimit);
+    if (m_running >= *m_slots) {
+        m_rejections.push_back(std::chrono::steady_clock::now());
+        response.status = 503;
+        response.fields.set("X-Not-Executed", "1");
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    ++m_running;
+    m_ran.push_back(exchange.request());
+    co_await wire::sleepFor(m_work);
+    --m_running;
+    response.fields.set("X-Server-Seal", "seal-" + m_id);
+    co_await exchange.respond(std::move(response));
+}
+
 Task<void> TestBackend::run(wire::HttpExchange &exchange, Behaviour behaviour)
 {
     const HttpRequest &request = exchange.request();
--- a/tests/gateway/test_backend.hpp
+++ b/tests/gateway/test_backend.hpp
@@ -84,6 +84,19 @@
     {
         m_limit = std::move(requestsPerSecond);
     }
+    /// Runs this many requests at a time, each for some time, rejects those beyond and says in all
+    /// answers that it fails if it rejects more than a few in a second.
+    void limitSlots(int slots, std::chrono::milliseconds work, std::string rejectionLimit)
+    {
+        m_slots = slots;
+        m_work = work;
+        m_rejectionLimit = std::move(rejectionLimit);
+    }
+    /// Times at which requests were rejected for want of a slot.
+    [[nodiscard]] const std::vector<std::chrono::steady_clock::time_point> &rejections() const
+    {
+        return m_rejections;
+    }
     /// Times at which requests arrived, whether they were run or not.
     [[nodiscard]] const std::vector<std::chrono::steady_clock::time_point> &arrivals() const
     {
@@ -95,6 +108,8 @@
 private:
     wire::Task<void> serve(wire::HttpExchange &exchange);
     wire::Task<void> serveMove(wire::HttpExchange &exchange);
+    /// Runs the request if a slot is free, rejects it otherwise.
+    wire::Task<void> serveInSlot(wire::HttpExchange &exchange);
     wire::Task<void> run(wire::HttpExchange &exchange, Behaviour behaviour);
     void end(wire::HttpExchange &exchange);
     wire::Task<void> stream(wire::HttpExchange &exchange, wire::HttpResponse response);
@@ -114,6 +129,11 @@
     std::optional<std::string> m_limit;
     std::vector<std::chrono::steady_clock::time_point> m_arrivals;
     std::vector<wire::HttpRequest> m_ran;
+    std::optional<int> m_slots;
+    int m_running = 0;
+    std::chrono::milliseconds m_work { 0 };
+    std::string m_rejectionLimit;
+    std::vector<std::chrono::steady_clock::time_point> m_rejections;
 };
 
 } // namespace snipestall::gateway
