--- a/src/snipestall/gateway/table_fleet_test.cpp
+++ b/src/snipestall/gateway/table_fleet_test.cpp
@@ -348,9 +348,9 @@
             m_routes.push_back(R"({"name":"r-)" + randomText(m_random, 7) + R"(","host":")"
                                + randomText(m_random, 6) + R"(.example","prefix":"/)"
                                + randomText(m_random, 8)
-                               + R"(/","kind":"idempotent","timeoutMs":12000,)"
-                                 R"("targetMs":1000,"priority":1,"service":"ledger",)"
-                                 R"("attempts":2,"anonymous":false,"streamResume":false})");
+                               + R"(/","requestBy":"idempotent","limitMsec":12000,)"
+                                 R"("objectiveMillis":1000,"priority":1,"service":"ledger",)"
+                                 R"("sendsAtMost":2,"anonymous":false,"continuation":false})");
     }
     void replaceRoute()
     {
