--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -89,6 +89,9 @@
     void handleWholeAnswer(serving::ServerState &server);
     /// Reads and drops an answer that can't continue the part that the caller has received.
     wire::Task<AttemptEnd> dropAnswer(serving::ServerState &server);
+    /// Reads the rest of an answer that says that the request has not run, so that the connection
+    /// can be reused.
+    wire::Task<void> readRejection();
     /// Head of the server's answer as it is passed on to the caller.
     [[nodiscard]] boost::beast::http::response_header<> answerHead();
     /// Ends a request that no attempt has answered. `last` is the result of the last attempt.
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -335,10 +335,7 @@
     else
         recordLimits(*server, parsed);
     if (parsed.notRun) {
-        // The rest of the answer is read so that the connection can be reused.
-        const BodyRead rest = co_await m_call->readBody(m_deadline);
-        if (rest.kind == BodyRead::Kind::Bytes)
-            co_await m_call->readBody(m_deadline);
+        co_await readRejection();
         co_return AttemptEnd::NotRun;
     }
     m_maybeRan = true;
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -41,6 +41,13 @@
     co_return piece.kind == BodyRead::Kind::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Failed;
 }
 
+Task<void> RequestRelay::readRejection()
+{
+    const BodyRead rest = co_await m_call->readBody(m_deadline);
+    if (rest.kind == BodyRead::Kind::Bytes)
+        co_await m_call->readBody(m_deadline);
+}
+
 RequestRelay::AttemptEnd RequestRelay::handleIncompleteAnswer(const BodyRead &piece,
                                                               const serving::ServerStatePtr &server)
 {
--- a/src/snipestall/gateway/request_relay_forward.cpp
+++ b/src/snipestall/gateway/request_relay_forward.cpp
@@ -131,10 +131,7 @@
     const BackendCall::Head &head = m_call->head();
     if (const auto notRun = head.find(ForwardNotRunField); notRun != head.end()) {
         m_forwardUnsent = notRun->value() == ForwardUnsent;
-        // The rest of the answer is read so that the connection can be reused.
-        const BodyRead rest = co_await m_call->readBody(m_deadline);
-        if (rest.kind == BodyRead::Kind::Bytes)
-            co_await m_call->readBody(m_deadline);
+        co_await readRejection();
         co_return AttemptEnd::NotRun;
     }
     m_maybeRan = true;
--- a/src/snipestall/gateway/table_copy_test.cpp
+++ b/src/snipestall/gateway/table_copy_test.cpp
@@ -1,5 +1,7 @@
 #include "snipestall/gateway/table_copy.hpp"
 
+#include "test_text.hpp"
+
 #include "snipestall/base/random.hpp"
 
 #include <gtest/gtest.h>
@@ -126,17 +128,6 @@
     EXPECT_EQ(empty.age(Start), std::chrono::milliseconds::max());
 }
 
-/// Text of random letters, which does not get smaller by compression to less than half.
-std::string largeText(std::uint64_t seed)
-{
-    constexpr std::size_t Bytes = 300000;
-    Random random(seed);
-    std::string text;
-    for (std::size_t i = 0; i < Bytes; ++i)
-        text += static_cast<char>('a' + random.below(26));
-    return text;
-}
-
 platform::StoredRow largeRow(std::int64_t version, std::string value)
 {
     return { { "servers", "", "large" }, std::move(value), version, false };
--- a/src/snipestall/gateway/table_exchange_test.cpp
+++ b/src/snipestall/gateway/table_exchange_test.cpp
@@ -1,5 +1,7 @@
 #include "snipestall/gateway/table_exchange.hpp"
 
+#include "test_text.hpp"
+
 #include "snipestall/base/random.hpp"
 #include "snipestall/gateway/table_copy.hpp"
 
@@ -19,16 +21,6 @@
 /// Size that a report must not exceed by far, whatever has changed.
 constexpr std::size_t MaxReportSize = 8192;
 
-std::string largeText(std::uint64_t seed)
-{
-    constexpr std::size_t Bytes = 300000;
-    Random random(seed);
-    std::string text;
-    for (std::size_t i = 0; i < Bytes; ++i)
-        text += static_cast<char>('a' + random.below(26));
-    return text;
-}
-
 platform::StoredRow row(std::int64_t version, std::string value)
 {
     return { { "op", "", "config" }, std::move(value), version, false };
--- a/src/snipestall/gateway/table_fleet_test.cpp
+++ b/src/snipestall/gateway/table_fleet_test.cpp
@@ -1,5 +1,7 @@
 #include "snipestall/gateway/table_fleet_model.hpp"
 
+#include "test_text.hpp"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -326,14 +328,6 @@
 /// Time within which a configuration has to be in force, and the leaving of a server known.
 constexpr milliseconds InForceWithin { 3000 };
 
-std::string randomText(Random &random, std::size_t length)
-{
-    std::string text;
-    for (std::size_t i = 0; i < length; ++i)
-        text += static_cast<char>('a' + random.below(26));
-    return text;
-}
-
 /// A configuration with many routes, of which each has names of its own.
 class Config
 {
--- a/src/snipestall/serving/forward_targets_test.cpp
+++ b/src/snipestall/serving/forward_targets_test.cpp
@@ -95,5 +95,44 @@
     EXPECT_FALSE(m_targets.choose({}, Start));
 }
 
+/// The parameter is the number of instances in each of four data centres.
+class ForwardTargetsFleet : public testing::TestWithParam<int>
+{ };
+
+// Guards against instances that are overrun by the requests of a data centre that is cut off as a
+// whole: each of the others gets about an equal part.
+TEST_P(ForwardTargetsFleet, ACutDataCentreIsServedByAllOthersAlike)
+{
+    constexpr int DataCentres = 4;
+    constexpr int RequestsEach = 400;
+    std::map<std::string, int> served;
+    for (int sender = 0; sender < GetParam(); ++sender) {
+        ForwardTargets targets("dc-0", static_cast<std::uint64_t>(sender));
+        for (int dataCentre = 0; dataCentre < DataCentres; ++dataCentre) {
+            for (int i = 0; i < GetParam(); ++i) {
+                const std::string name =
+                    "edge-" + std::to_string(dataCentre) + "-" + std::to_string(i);
+                if (dataCentre == 0 && i == sender)
+                    continue;
+                targets.setInstance(name, wire::Endpoint { "10.0.0.1", 7615 },
+                                    "dc-" + std::to_string(dataCentre), 120);
+                if (dataCentre == 0)
+                    targets.cutOff({ name, 200ms }, Start);
+            }
+        }
+        for (int i = 0; i < RequestsEach; ++i) {
+            const auto target = targets.choose({}, Start);
+            ASSERT_TRUE(target);
+            ++served[target->name];
+        }
+    }
+    const int others = (DataCentres - 1) * GetParam();
+    EXPECT_EQ(served.size(), static_cast<std::size_t>(others));
+    for (const auto &[name, count] : served)
+        EXPECT_LT(count, 2 * GetParam() * RequestsEach / others) << name;
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, ForwardTargetsFleet, testing::Values(2, 15, 75));
+
 } // namespace
 } // namespace snipestall::serving
