ReachProber is checked with the attempts, and asks no removed instances

The check for a cut was a loop of its own, with 20 wake-ups a second in each process; it is part of the loop that watches attempts now. Instances that are no longer registered are no targets, so that no request waits for a connection to one that was removed for good. Without a server that could be asked nothing counts as a cut.

--- a/include/snipestall/gateway/reach_prober.hpp
+++ b/include/snipestall/gateway/reach_prober.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipestall/base/clock.hpp"
 #include "snipestall/wire/task.hpp"
 
 namespace snipestall::gateway {
@@ -16,7 +17,10 @@
         : m_state(state)
     { }
 
-    wire::Task<void> run();
+    /// Returns whether it is to be found out now.
+    [[nodiscard]] bool isDue();
+    /// Finds out. To be called if that is due, once at a time.
+    wire::Task<void> probe();
 
 private:
     /// Returns whether one of a few servers accepts a connection.
@@ -25,6 +29,7 @@
     void handleReached();
 
     GatewayState &m_state;
+    SteadyTime m_nextProbe;
 };
 
 } // namespace snipestall::gateway
--- a/include/snipestall/serving/forward_targets.hpp
+++ b/include/snipestall/serving/forward_targets.hpp
@@ -42,6 +42,8 @@
     /// nothing if it does not.
     void setInstance(const std::string &name, std::optional<wire::Endpoint> address,
                      const std::string &dataCentre, std::uint32_t milliCores);
+    /// Forgets all instances but the registered ones, given with their data centres.
+    void keepOnly(const std::map<std::string, std::string> &registered);
     /// Takes over that an instance was cut off some time ago.
     void cutOff(const CutOffReport &report, SteadyTime now);
     /// An instance has reported itself and is not cut off.
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -88,6 +88,7 @@
 
     Task<void> housekeeping();
     Task<void> watchAttempts();
+    Task<void> probeReach();
     Task<void> runRollouts();
     Task<void> drain();
     /// Removes this instance from the store and stores its counts.
@@ -108,6 +109,7 @@
     std::unique_ptr<CallerListener> instances;
     std::unique_ptr<wire::HttpServer> readiness;
     std::unique_ptr<wire::HttpServer> metrics;
+    bool probing = false;
     bool leftFleet = false;
     bool countsStored = false;
     bool refusalLogged = false;
@@ -176,7 +178,6 @@
     for (CallerListener *listener : m_parts->listeners())
         listener->start();
     m_parts->loopWatch.start();
-    asio::co_spawn(m_parts->state.io, m_parts->reachProber.run(), asio::detached);
     asio::co_spawn(m_parts->state.io, m_parts->housekeeping(), asio::detached);
     asio::co_spawn(m_parts->state.io, m_parts->watchAttempts(), asio::detached);
 }
@@ -189,9 +190,18 @@
         // Data that servers have sent since `due` may still be waiting to be read after this check.
         state.attempts.check(due);
         state.streams.check(state.clock.steadyNow());
+        if (!probing && reachProber.isDue())
+            asio::co_spawn(state.io, probeReach(), asio::detached);
     }
 }
 
+Task<void> Gateway::Parts::probeReach()
+{
+    probing = true;
+    co_await reachProber.probe();
+    probing = false;
+}
+
 Task<void> Gateway::Parts::runRollouts()
 {
     while (true) {
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -148,6 +148,7 @@
 {
     m_state.limits.setInstances(m_instances);
     m_state.slotShares.setInstances(m_instances);
+    m_state.forwardTargets.keepOnly(m_instances);
 }
 
 Task<void> LoadExchange::registerLoop()
--- a/src/snipestall/gateway/reach_prober.cpp
+++ b/src/snipestall/gateway/reach_prober.cpp
@@ -4,7 +4,6 @@
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/gateway/server_probe.hpp"
-#include "snipestall/wire/signal.hpp"
 
 #include <utility>
 #include <vector>
@@ -16,7 +15,6 @@
 
 namespace {
 
-constexpr milliseconds SuspicionTick { 50 };
 /// Pause between two probes while no server is reached, which is also how long callers are
 /// forwarded after the path is back.
 constexpr milliseconds CutOffPause { 250 };
@@ -26,18 +24,20 @@
 
 } // namespace
 
-Task<void> ReachProber::run()
+bool ReachProber::isDue()
 {
-    while (true) {
-        const milliseconds pause = m_state.reach.cutOff() ? CutOffPause : SuspicionTick;
-        co_await wire::sleepFor(pause);
-        if (!m_state.reach.suspected(m_state.servers.all().size(), m_state.clock.steadyNow()))
-            continue;
-        if (co_await anyServerAccepts())
-            handleReached();
-        else
-            handleCutOff();
-    }
+    const SteadyTime now = m_state.clock.steadyNow();
+    return now >= m_nextProbe && m_state.reach.suspected(m_state.servers.all().size(), now);
+}
+
+Task<void> ReachProber::probe()
+{
+    const bool accepted = co_await anyServerAccepts();
+    if (accepted)
+        handleReached();
+    else
+        handleCutOff();
+    m_nextProbe = m_state.clock.steadyNow() + CutOffPause;
 }
 
 Task<bool> ReachProber::anyServerAccepts()
@@ -47,11 +47,15 @@
         if (server->takesWork())
             servers.push_back(server);
     }
+    // Without a server to be asked nothing speaks for a cut.
+    if (servers.empty())
+        co_return true;
     for (int i = 0; i < ServersPerProbe && !servers.empty(); ++i) {
         const auto chosen = static_cast<std::ptrdiff_t>(m_state.random.below(servers.size()));
         const wire::Endpoint address = servers[static_cast<std::size_t>(chosen)]->info.address;
         servers.erase(servers.begin() + chosen);
-        if (co_await acceptsConnections(m_state.io, address, ConnectTimeout))
+        const bool accepts = co_await acceptsConnections(m_state.io, address, ConnectTimeout);
+        if (accepts)
             co_return true;
     }
     co_return false;
--- a/src/snipestall/serving/forward_targets.cpp
+++ b/src/snipestall/serving/forward_targets.cpp
@@ -25,6 +25,12 @@
     instance.milliCores = milliCores;
 }
 
+void ForwardTargets::keepOnly(const std::map<std::string, std::string> &registered)
+{
+    std::erase_if(m_instances,
+                  [&registered](const auto &entry) { return !registered.contains(entry.first); });
+}
+
 void ForwardTargets::cutOff(const CutOffReport &report, SteadyTime now)
 {
     SteadyTime &at = m_cutOff[report.instance];
--- a/src/snipestall/serving/forward_targets_test.cpp
+++ b/src/snipestall/serving/forward_targets_test.cpp
@@ -95,6 +95,15 @@
     EXPECT_FALSE(m_targets.choose({}, Start));
 }
 
+// Guards against requests that wait for connections to instances that were removed for good.
+TEST_F(ForwardTargetsTest, OnlyRegisteredInstancesAreChosen)
+{
+    add("a", "east");
+    add("gone", "east");
+    m_targets.keepOnly({ { "a", "east" } });
+    EXPECT_EQ(choices(Start).at("a"), 1000);
+}
+
 /// The parameter is the number of instances in each of four data centres.
 class ForwardTargetsFleet : public testing::TestWithParam<int>
 { };
