--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -294,6 +294,7 @@
     logEvent(events::GatewayAttemptEnded,
              { { "attempt", m_header.attemptId },
                { "server", server->info.id },
+               { "software", server->info.version },
                { "unread_tokens", integerText(placed.unreadTokens) },
                { "tokens_ahead", integerText(placed.tokensAhead) },
                { "in_flight", std::to_string(placed.inFlight) },
