--- a/tests/gateway/test_backend.cpp
+++ b/tests/gateway/test_backend.cpp
@@ -22,13 +22,14 @@
     return std::stoi(request.fields.find("Last-Event-Id").value_or("0"));
 }
 
-std::string eventText(int number)
+} // namespace
+
+std::string TestBackend::eventText(int number) const
 {
-    return "id: " + std::to_string(number) + "\ndata: x\n\n";
+    return "id: " + std::to_string(number) + "\ndata: " + (m_version.empty() ? "x" : m_version)
+        + "\n\n";
 }
 
-} // namespace
-
 Task<void> TestBackend::serveMove(wire::HttpExchange &exchange)
 {
     m_moves.push_back(exchange.request());
--- a/tests/gateway/test_backend.hpp
+++ b/tests/gateway/test_backend.hpp
@@ -67,10 +67,15 @@
     [[nodiscard]] std::string entry(const std::string &state = R"("ready")",
                                     int incarnation = 1) const
     {
-        return R"({"service":"ledger","zone":"east","slotCount":4,"born":)"
-            + std::to_string(incarnation) + R"(,"state":)" + state + R"(,"address":")" + address()
-            + "\"}";
+        const std::string version = m_version.empty() ? "" : R"(,"version":")" + m_version + "\"";
+        return R"({"service":")" + m_service + R"(","zone":"east","slotCount":4,"born":)"
+            + std::to_string(incarnation) + R"(,"state":)" + state + version + R"(,"address":")"
+            + address() + "\"}";
     }
+    /// Sets the version of the software, which is listed and written into each event.
+    void setVersion(std::string version) { m_version = std::move(version); }
+    [[nodiscard]] const std::string &version() const { return m_version; }
+    void setService(std::string service) { m_service = std::move(service); }
     [[nodiscard]] std::string address() const { return m_server->endpoint().toString(); }
     [[nodiscard]] int events() const { return m_events; }
     [[nodiscard]] int misdirected() const { return m_misdirected; }
@@ -117,7 +122,11 @@
     wire::Task<void> streamUpTo(int last, wire::HttpExchange &exchange,
                                 wire::HttpResponse response);
 
+    [[nodiscard]] std::string eventText(int number) const;
+
     std::string m_id;
+    std::string m_service = "ledger";
+    std::string m_version;
     std::unique_ptr<wire::HttpServer> m_server;
     std::vector<wire::HttpRequest> m_moves;
     int m_events = 0;
