Streams go on only at the service and software version that began them

Cause: nothing tied a stream to who began it. The relay chose version and service anew for each send; Resumes was read nowhere; forwarding and moves carried no version; and after a kill the next instance knew nothing of the first.

Change: CallerAnswer keeps who wrote the first event, and PlacementRequest::origin narrows the candidates in one place, for sends, moves and forwarded requests alike. Over tries, an attempt whose origin is not known for certain is refused at once as not run. What makes it known: - StreamRecords: the streams that an instance begins or continues, passed to its hub and between hubs in the reports (StreamExchange), kept as long as their callers wait; others ask the hubs. - StreamVersions: one row of the store names every version that may begin streams. A version is used 1 s after its registration, so a read younger than that shows all that can have begun one; with a single version streams go on without a record, also after a kill of all instances. The requests' 914 and 915 say which stream, which origin, from where and how old.

Why it works: a stream is never continued by a guess, so what is lost of the records costs resumptions, not order.

--- a/include/snipestall/gateway/caller_answer.hpp
+++ b/include/snipestall/gateway/caller_answer.hpp
@@ -1,11 +1,16 @@
 #pragma once
 
 #include "snipestall/gateway/caller_connection.hpp"
+#include "snipestall/serving/stream_origin.hpp"
+#include "snipestall/wire/event_splitter.hpp"
 #include "snipestall/wire/task.hpp"
 
 #include <boost/beast/http/message.hpp>
 
+#include <cstdint>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace snipestall::gateway {
 
@@ -16,7 +21,8 @@
 /// answer is not the rest of what was begun, and its end is passed on as the end of the first: the
 /// caller takes a stream that lacks its last events, or a body made of two halves, for a whole
 /// answer. So the kind of answer that was begun determines what may follow. Any other end closes
-/// the connection instead.
+/// the connection instead. The same holds for the service and the software version that wrote the
+/// first event of a stream, also one that another attempt of the caller has begun.
 class CallerAnswer
 {
 public:
@@ -49,6 +55,21 @@
     /// stream. The rest must have the status and the media type of the part that was sent.
     [[nodiscard]] bool canContinueWith(const boost::beast::http::response_header<> &head) const;
 
+    /// The caller takes up a stream of which it has the events up to `lastEvent`. `origin` is not
+    /// set if the stream can't be continued elsewhere anyway.
+    void resume(std::uint64_t lastEvent, std::optional<serving::StreamOrigin> origin);
+    /// Id of the last event that the caller has received.
+    [[nodiscard]] std::optional<std::uint64_t> lastEvent() const { return m_lastEvent; }
+    /// Who wrote the first event, and has to write the rest; not set before that event, or if it is
+    /// not known.
+    [[nodiscard]] const std::optional<serving::StreamOrigin> &origin() const { return m_origin; }
+    /// Returns whether a server other than the one that is sending may send the rest.
+    [[nodiscard]] bool mayChangeServer() const { return !m_hasEvents || m_origin.has_value(); }
+    /// Returns the bytes of those events that the caller lacks, which are to be written next.
+    /// `origin`: who wrote them, if that is known.
+    std::string takeNew(std::vector<wire::RawEvent> events,
+                        const std::optional<serving::StreamOrigin> &origin);
+
     /// Writes the whole answer. Like all functions that write, it returns false if the caller could
     /// not be reached.
     wire::Task<bool> writeWhole(CallerConnection::Answer answer);
@@ -71,6 +92,9 @@
     /// Status of the answer that was begun.
     unsigned m_status = 0;
     std::string m_mediaType;
+    std::optional<std::uint64_t> m_lastEvent;
+    bool m_hasEvents = false;
+    std::optional<serving::StreamOrigin> m_origin;
 };
 
 } // namespace snipestall::gateway
--- a/include/snipestall/gateway/exchange_transport.hpp
+++ b/include/snipestall/gateway/exchange_transport.hpp
@@ -13,6 +13,8 @@
 class ChangesAnswer;
 class ChangesRequest;
 class LoadReport;
+class StreamAnswer;
+class StreamQuery;
 } // namespace snipestall::exchange::v1
 
 namespace snipestall::gateway {
@@ -29,6 +31,8 @@
         std::function<void(const exchange::v1::LoadReport &, exchange::v1::LoadReport *)> report;
         std::function<void(const exchange::v1::ChangesRequest &, exchange::v1::ChangesAnswer *)>
             changes;
+        std::function<void(const exchange::v1::StreamQuery &, exchange::v1::StreamAnswer *)>
+            streams;
     };
 
     static Result<std::unique_ptr<ExchangeServer>>
@@ -60,6 +64,9 @@
     /// Requests a part of the changes of a table, as `send`.
     void fetch(const exchange::v1::ChangesRequest &request, std::chrono::milliseconds timeout,
                Done<exchange::v1::ChangesAnswer> done);
+    /// Asks for the origin of a stream, as `send`.
+    void find(const exchange::v1::StreamQuery &query, std::chrono::milliseconds timeout,
+              Done<exchange::v1::StreamAnswer> done);
 
 private:
     struct State;
--- a/include/snipestall/gateway/gateway_counters.hpp
+++ b/include/snipestall/gateway/gateway_counters.hpp
@@ -19,6 +19,11 @@
     std::uint64_t repeatsRefused = 0;
     /// Attempts through another instance, because this one reached no backend server.
     std::uint64_t forwarded = 0;
+    /// Streams that callers took up: those that went on, those whose origin was not known, and
+    /// those for which no server of their version was left.
+    std::uint64_t resumed = 0;
+    std::uint64_t resumesUnknown = 0;
+    std::uint64_t resumesWithoutServer = 0;
     /// Changes of tables that were too large for a report and were fetched from another instance.
     std::uint64_t changesFetched = 0;
 };
--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -30,6 +30,8 @@
 #include "snipestall/serving/server_table.hpp"
 #include "snipestall/serving/shutdown_plan.hpp"
 #include "snipestall/serving/slot_shares.hpp"
+#include "snipestall/serving/stream_records.hpp"
+#include "snipestall/serving/stream_versions.hpp"
 #include "snipestall/serving/usage_ledger.hpp"
 #include "snipestall/serving/usage_windows.hpp"
 
@@ -38,9 +40,12 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace snipestall::gateway {
 
+class OriginResolver;
+
 /// State that the parts of one gateway process share. Only the thread of the I/O loop accesses it.
 struct GatewayState
 {
@@ -67,6 +72,8 @@
     serving::SlotShares slotShares;
     serving::ServerReach reach;
     serving::ForwardTargets forwardTargets;
+    serving::StreamRecords streamRecords;
+    serving::StreamVersions streamVersions;
     serving::Placement placement;
     serving::QuotaKeeper quotas;
     serving::RetryAllowance retries;
@@ -98,8 +105,14 @@
     /// just started.
     [[nodiscard]] bool canServe() const
     {
-        return catalogue && serverListKnown && instancesKnown && rolloutsKnown;
+        return catalogue && serverListKnown && instancesKnown && rolloutsKnown
+            && streamVersions.known();
     }
+    /// Software versions of the listed servers of services that serve streams which may be
+    /// continued elsewhere.
+    [[nodiscard]] std::set<serving::StreamOrigin> listedStreamVersions() const;
+    /// Finds out who began a stream that a caller takes up; set before the first request.
+    OriginResolver *originResolver = nullptr;
     /// Time at which a new backend server was last listed.
     SteadyTime serverAddedAt;
     std::int64_t listVersion = 0;
--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -2,19 +2,23 @@
 
 #include "snipestall/base/clock.hpp"
 #include "snipestall/base/result.hpp"
+#include "snipestall/gateway/exchange_transport.hpp"
 #include "snipestall/gateway/exchange_work.hpp"
 #include "snipestall/gateway/report_book.hpp"
+#include "snipestall/gateway/stream_exchange.hpp"
 #include "snipestall/gateway/table_exchange.hpp"
 #include "snipestall/serving/peer_calls.hpp"
 #include "snipestall/serving/retry_allowance.hpp"
 #include "snipestall/wire/task.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace snipestall::platform {
 class StoreClient;
@@ -22,8 +26,6 @@
 
 namespace snipestall::gateway {
 
-class ExchangeServer;
-class ExchangeChannel;
 class StoreFollower;
 struct GatewayState;
 
@@ -60,6 +62,14 @@
     /// The lowest number of a stage of a service's rollout that the other instances in contact
     /// follow.
     [[nodiscard]] std::uint64_t rolloutFollowedByAll(const std::string &service) const;
+    /// The instances that keep the records of all streams, in the order in which they are to be
+    /// asked.
+    [[nodiscard]] std::vector<std::string> recordHolders();
+    /// Asks an instance for the origin of a stream. Calls `done` on the I/O loop within about
+    /// `timeout`.
+    void findStream(const std::string &instance, std::uint64_t key,
+                    std::chrono::milliseconds timeout,
+                    ExchangeChannel::Done<exchange::v1::StreamAnswer> done) const;
 
 private:
     struct Peer
@@ -147,6 +157,7 @@
     std::string m_hub;
     ReportBook m_book;
     TableExchange m_tables;
+    StreamExchange m_streams;
     ExchangeWork m_work;
     SteadyTime m_nextWorkLog;
     /// Whether the table of instances has been read after the instances that start together had
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -68,6 +68,19 @@
     wire::Task<void> awaitStart();
     /// Checks the request and refuses it if it may not be served. Returns true if it is admitted.
     wire::Task<bool> admit();
+    /// Binds a request that takes up a stream to the service and version that began it. Returns why
+    /// it can't be served; null if it can.
+    wire::Task<const char *> bindToOrigin();
+    /// Binds a request to the origin of a stream of its route. Returns false if the route does not
+    /// lead there any more.
+    bool setOrigin(const serving::StreamOrigin &origin);
+    /// The first event of this attempt is about to be passed on: others may have to continue the
+    /// stream.
+    void recordOrigin();
+    /// Refuses the rest of a stream that no server can continue.
+    wire::Task<void> refuseRest();
+    void logResumed(const std::string &source, std::chrono::milliseconds age) const;
+    void logNotResumed(const std::string &reason) const;
     wire::Task<void> serve();
     wire::Task<AttemptEnd> attempt(serving::ServerChoice placed);
     /// Returns the instance that is to serve the request, if this one reaches no server. A request
@@ -82,8 +95,11 @@
     [[nodiscard]] bool wasForwarded() const { return m_origin == RequestOrigin::Instance; }
     wire::Task<AttemptEnd> handleAnswer(const serving::ServerStatePtr &server);
     wire::Task<AttemptEnd> relayWhole(const serving::ServerStatePtr &server);
-    wire::Task<AttemptEnd> relayStream(const serving::ServerStatePtr &server);
-    wire::Task<bool> forwardEvents(std::vector<wire::RawEvent> events);
+    /// `origin`: who writes the stream, if that is known.
+    wire::Task<AttemptEnd> relayStream(const serving::ServerStatePtr &server,
+                                       std::optional<serving::StreamOrigin> origin);
+    wire::Task<bool> forwardEvents(std::vector<wire::RawEvent> events,
+                                   const std::optional<serving::StreamOrigin> &origin);
     /// Handles an answer that ended before it was complete, and returns how its attempt ended.
     AttemptEnd handleIncompleteAnswer(const BodyRead &piece, const serving::ServerStatePtr &server);
     void handleWholeAnswer(serving::ServerState &server);
@@ -92,7 +108,8 @@
     /// Reads the rest of an answer that says that the request has not run, so that the connection
     /// can be reused.
     wire::Task<void> readRejection();
-    /// Head of the server's answer as it is passed on to the caller.
+    /// Head of the server's answer as it is passed on to the caller, or to the instance that has
+    /// forwarded the request.
     [[nodiscard]] boost::beast::http::response_header<> answerHead();
     /// Ends a request that no attempt has answered. `last` is the result of the last attempt.
     wire::Task<void> finishUnserved(AttemptEnd last);
@@ -157,8 +174,8 @@
     /// Time at which the caller stops waiting.
     SteadyTime m_callerDeadline;
     std::shared_ptr<BackendCall> m_call;
-    /// Id of the last event that the caller has received.
-    std::optional<std::uint64_t> m_lastEvent;
+    /// Whether others know, or will hear, who writes the stream.
+    bool m_originRecorded = false;
     /// Failure that a server returned. It is passed on if no repeat succeeds.
     std::optional<CallerConnection::Answer> m_failure;
     SteadyTime m_sentAt;
@@ -192,6 +209,8 @@
     bool m_atInstance = false;
     /// Whether the last attempt could not be sent to another instance.
     bool m_forwardUnsent = false;
+    /// Whether the last search for a server found none.
+    bool m_serverMissing = false;
     bool m_quotaTaken = false;
     bool m_maybeRan = false;
     bool m_usageCounted = false;
--- a/include/snipestall/gateway/store_follower.hpp
+++ b/include/snipestall/gateway/store_follower.hpp
@@ -40,6 +40,8 @@
     /// Sets whether this instance reads the store for others. It also reads the store when no other
     /// instance can confirm that its copy is complete.
     void setReader(bool reader) { m_reader = reader; }
+    /// Whether this instance gets the changes of the list from the store itself.
+    [[nodiscard]] bool readsList() const { return mustPoll(m_list); }
     /// Copies of the tables that are followed.
     [[nodiscard]] const TableCopy &config() const { return m_config.copy; }
     [[nodiscard]] const TableCopy &list() const { return m_list.copy; }
--- a/include/snipestall/serving/peer_calls.hpp
+++ b/include/snipestall/serving/peer_calls.hpp
@@ -51,6 +51,8 @@
     /// hubs.
     std::vector<std::string> dueCalls(SteadyTime now, bool hasMembers);
     [[nodiscard]] const Overlay &overlay() const { return m_overlay; }
+    /// Takes into account the peers that were added or have failed since the last calls were due.
+    void updateOverlay();
 
 private:
     /// A peer that did not answer is left out of the overlay until it reports again. It is called
@@ -70,7 +72,6 @@
         bool calling = false;
     };
 
-    void updateOverlay();
     /// Adds the peers that have failed, are to be called again and would be called if they had not
     /// failed.
     void addRetries(SteadyTime now, std::vector<std::string> &names);
--- a/include/snipestall/serving/placement.hpp
+++ b/include/snipestall/serving/placement.hpp
@@ -6,6 +6,7 @@
 #include "snipestall/serving/prompt_cache_map.hpp"
 #include "snipestall/serving/rollout_view.hpp"
 #include "snipestall/serving/server_table.hpp"
+#include "snipestall/serving/stream_origin.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -19,6 +20,7 @@
 class PeerLoads;
 class ServerLimits;
 class SlotShares;
+class StreamVersions;
 struct Service;
 
 /// What a request needs from a backend server.
@@ -32,8 +34,12 @@
     /// Fingerprint of a request that no server is known to have answered; not set for other
     /// requests.
     std::optional<std::uint64_t> unansweredFingerprint;
-    /// Versions of servers that the request may be sent to.
+    /// Versions of servers that the request may be sent to, unless it continues a stream.
     VersionChoice versions = VersionChoice::Any;
+    /// Set for the rest of a stream: only a server of this service and version can continue it.
+    std::optional<StreamOrigin> origin;
+    /// Whether the answer is a stream that other instances may have to continue.
+    bool beginsResumable = false;
     /// Keys of the servers that this request has already been sent to.
     std::unordered_set<std::string> tried;
 };
@@ -65,8 +71,8 @@
 public:
     /// `dataCentre`: the data centre of this instance; `seed`: seed of the random tie-breaks.
     Placement(const ServerTable &servers, const PeerLoads &peers, const RolloutView &rollouts,
-              const ServerLimits &limits, const SlotShares &shares, std::string dataCentre,
-              std::uint64_t seed);
+              const ServerLimits &limits, const SlotShares &shares,
+              const StreamVersions &streamVersions, std::string dataCentre, std::uint64_t seed);
 
     /// Returns nothing if no server of the service accepts requests, or if all that do have named a
     /// limit that is used up.
@@ -92,7 +98,7 @@
     [[nodiscard]] std::vector<ServerStatePtr> candidates(const PlacementRequest &request,
                                                          SteadyTime now) const;
     [[nodiscard]] bool mayServe(const PlacementRequest &request, const ServerState &server,
-                                VersionChoice versions) const;
+                                VersionChoice versions, SteadyTime now) const;
     [[nodiscard]] std::vector<ServerStatePtr>
     candidatesOf(const PlacementRequest &request, VersionChoice versions, SteadyTime now) const;
     /// Servers of the new version that are on trial.
@@ -115,6 +121,7 @@
     const RolloutView &m_rollouts;
     const ServerLimits &m_limits;
     const SlotShares &m_shares;
+    const StreamVersions &m_streamVersions;
     std::string m_dataCentre;
     PromptCacheMap m_cached;
     Random m_random;
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -224,6 +224,23 @@
     "attempt.",
     "None; see the servers-unreachable line before it."
 };
+const EventInfo StreamResumed {
+    914, Severity::Info, "stream-resumed",
+    "A caller took up a stream; the line has the service and software version that began it and "
+    "have to write the rest, and where and how long ago that was learned.",
+    "None; the 901 lines with the same attempt id show the servers that were tried."
+};
+const EventInfo StreamNotResumed {
+    915, Severity::Info, "stream-not-resumed",
+    "A stream could not be continued, because it is not known which version began it, or no server "
+    "of that version can continue it.",
+    "With no-server-of-version, look why its servers left; with unknown, which instances ended "
+    "before they had reported."
+};
+const EventInfo StreamVersionsStored {
+    916, Severity::Info, "stream-versions-stored",
+    "The row of the store changed that says which software versions may begin streams.", "None."
+};
 const EventInfo StoreLost {
     910, Severity::Warning, "store-lost",
     "The platform's store does not respond; the last known data stays in force.",
@@ -397,6 +414,9 @@
     &ShutdownRefuses,
     &RepeatRefused,
     &RequestForwarded,
+    &StreamResumed,
+    &StreamNotResumed,
+    &StreamVersionsStored,
     &StoreLost,
     &StoreRegained,
     &StoreRowFaulty,
--- a/src/snipestall/gateway/caller_answer.cpp
+++ b/src/snipestall/gateway/caller_answer.cpp
@@ -33,6 +33,29 @@
         && boost::beast::iequals(mediaTypeOf(head), m_mediaType);
 }
 
+void CallerAnswer::resume(std::uint64_t lastEvent, std::optional<serving::StreamOrigin> origin)
+{
+    m_lastEvent = lastEvent;
+    m_origin = std::move(origin);
+}
+
+std::string CallerAnswer::takeNew(std::vector<wire::RawEvent> events,
+                                  const std::optional<serving::StreamOrigin> &origin)
+{
+    std::string text;
+    for (wire::RawEvent &event : events) {
+        // A resumed run may repeat the event after which it was resumed.
+        if (event.id && m_lastEvent && *event.id <= *m_lastEvent)
+            continue;
+        if (event.id)
+            m_lastEvent = event.id;
+        text += event.text;
+    }
+    if (!text.empty() && !std::exchange(m_hasEvents, true) && !m_origin)
+        m_origin = origin;
+    return text;
+}
+
 Task<bool> CallerAnswer::writeWhole(CallerConnection::Answer answer)
 {
     if (m_state != State::NotBegun) {
--- a/src/snipestall/gateway/exchange_transport.cpp
+++ b/src/snipestall/gateway/exchange_transport.cpp
@@ -84,6 +84,13 @@
         return answerOnLoop(context, m_handlers.changes, request, answer);
     }
 
+    grpc::ServerUnaryReactor *FindStream(grpc::CallbackServerContext *context,
+                                         const v1::StreamQuery *query,
+                                         v1::StreamAnswer *answer) override
+    {
+        return answerOnLoop(context, m_handlers.streams, query, answer);
+    }
+
 private:
     template<typename Handler, typename Request, typename Answer>
     grpc::ServerUnaryReactor *answerOnLoop(grpc::CallbackServerContext *context,
@@ -249,4 +256,15 @@
              });
 }
 
+void ExchangeChannel::find(const v1::StreamQuery &query, std::chrono::milliseconds timeout,
+                           Done<v1::StreamAnswer> done)
+{
+    makeCall(m_state->io, timeout, query, std::move(done),
+             [state = m_state](auto &call, auto ended) {
+                 state->stub->async()->FindStream(
+                     &call.context, &call.request, &call.answer,
+                     [state, ended = std::move(ended)](const grpc::Status &s) { ended(s); });
+             });
+}
+
 } // namespace snipestall::gateway
--- a/src/snipestall/gateway/forward_header.hpp
+++ b/src/snipestall/gateway/forward_header.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "snipestall/serving/stream_origin.hpp"
+
 #include <boost/beast/http/fields.hpp>
 
 #include <array>
@@ -24,12 +26,38 @@
 inline constexpr const char *ForwardRejected = "rejected";
 inline constexpr const char *ForwardUnsent = "unsent";
 
+/// The service and the software version that wrote the first event of the stream: in a request, who
+/// has to continue it; in an answer, who wrote it.
+inline constexpr const char *ForwardServiceField = "Snipestall-Stream-Service";
+inline constexpr const char *ForwardVersionField = "Snipestall-Stream-Version";
+
 inline void eraseForwardFields(boost::beast::http::fields &fields)
 {
-    for (const char *name : { ForwardConfigField, ForwardCountedField, ForwardNotRunField })
+    for (const char *name : { ForwardConfigField, ForwardCountedField, ForwardNotRunField,
+                              ForwardServiceField, ForwardVersionField })
         fields.erase(name);
 }
 
+inline void setForwardedOrigin(const std::optional<serving::StreamOrigin> &origin,
+                               boost::beast::http::fields &fields)
+{
+    if (!origin)
+        return;
+    fields.set(ForwardServiceField, origin->service);
+    fields.set(ForwardVersionField, origin->version);
+}
+
+/// Returns the origin that a forwarded request or its answer states; nothing if it states none.
+inline std::optional<serving::StreamOrigin>
+forwardedOrigin(const boost::beast::http::fields &fields)
+{
+    const auto service = fields.find(ForwardServiceField);
+    const auto version = fields.find(ForwardVersionField);
+    if (service == fields.end() || version == fields.end())
+        return std::nullopt;
+    return serving::StreamOrigin { std::string(service->value()), std::string(version->value()) };
+}
+
 /// Returns the version of the configuration that a forwarded request states; 0 if it states none.
 inline std::int64_t forwardedConfigVersion(const boost::beast::http::fields &fields)
 {
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -9,9 +9,11 @@
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/gateway/load_exchange.hpp"
 #include "snipestall/gateway/loop_watch.hpp"
+#include "snipestall/gateway/origin_resolver.hpp"
 #include "snipestall/gateway/reach_prober.hpp"
 #include "snipestall/gateway/rollout_runner.hpp"
 #include "snipestall/gateway/store_follower.hpp"
+#include "snipestall/gateway/version_registrar.hpp"
 #include "snipestall/wire/http_exchange.hpp"
 #include "snipestall/wire/http_server.hpp"
 #include "snipestall/wire/signal.hpp"
@@ -34,6 +36,7 @@
 constexpr milliseconds HousekeepingInterval { 250 };
 /// Much shorter than any target latency.
 constexpr milliseconds AttemptCheckInterval { 50 };
+constexpr milliseconds VersionsTick { 50 };
 constexpr milliseconds DrainTick { 50 };
 constexpr milliseconds EndTick { 10 };
 
@@ -58,6 +61,9 @@
                      [this](const std::string &service) {
                          return exchange->rolloutFollowedByAll(service);
                      } })
+        , versions(
+              state, store,
+              { [this] { return follower.readsList(); }, [this] { return duties.holdsLease(); } })
         , loopWatch(state)
         , reachProber(state)
     { }
@@ -90,6 +96,7 @@
     Task<void> watchAttempts();
     Task<void> probeReach();
     Task<void> runRollouts();
+    Task<void> registerVersions();
     Task<void> drain();
     /// Removes this instance from the store and stores its counts.
     Task<void> leaveFleet();
@@ -101,9 +108,11 @@
     StoreFollower follower;
     DutyRunner duties;
     RolloutRunner rollouts;
+    VersionRegistrar versions;
     LoopWatch loopWatch;
     ReachProber reachProber;
     std::unique_ptr<LoadExchange> exchange;
+    std::unique_ptr<OriginResolver> originResolver;
     std::unique_ptr<CallerListener> callers;
     /// Takes requests that other instances forward; null if this instance takes none.
     std::unique_ptr<CallerListener> instances;
@@ -132,6 +141,9 @@
     if (!exchange)
         return tl::unexpected<Error>(exchange.error());
     raw->exchange = std::move(*exchange);
+    raw->originResolver =
+        std::make_unique<OriginResolver>(raw->state, raw->versions, *raw->exchange);
+    raw->state.originResolver = raw->originResolver.get();
     auto callers =
         CallerListener::create(raw->state, raw->state.settings.callers, RequestOrigin::Caller);
     if (!callers)
@@ -175,6 +187,7 @@
     m_parts->duties.start();
     if (m_parts->state.rollouts.enabled())
         asio::co_spawn(m_parts->state.io, m_parts->runRollouts(), asio::detached);
+    asio::co_spawn(m_parts->state.io, m_parts->registerVersions(), asio::detached);
     for (CallerListener *listener : m_parts->listeners())
         listener->start();
     m_parts->loopWatch.start();
@@ -210,6 +223,14 @@
     }
 }
 
+Task<void> Gateway::Parts::registerVersions()
+{
+    while (true) {
+        co_await versions.tick();
+        co_await wire::sleepFor(VersionsTick);
+    }
+}
+
 Task<void> Gateway::Parts::housekeeping()
 {
     bool wasReady = false;
--- a/src/snipestall/gateway/gateway_metrics.cpp
+++ b/src/snipestall/gateway/gateway_metrics.cpp
@@ -8,6 +8,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <array>
 #include <sstream>
 
@@ -35,8 +36,17 @@
     return count;
 }
 
+double versionsPending(const GatewayState &state)
+{
+    const auto versions = state.listedStreamVersions();
+    return static_cast<double>(
+        std::ranges::count_if(versions, [&state](const serving::StreamOrigin &version) {
+            return !state.streamVersions.mayBegin(version, state.clock.steadyNow());
+        }));
+}
+
 /// Help texts are part of the exported metrics and stay stable.
-constexpr std::array<Gauge, 17> Gauges { {
+constexpr std::array<Gauge, 22> Gauges { {
     { "snipestall_gateway_requests", "Requests read since the start.",
       [](const GatewayState &s) { return double(s.counters.requests); } },
     { "snipestall_gateway_answered", "Requests answered by a backend server since the start.",
@@ -61,6 +71,20 @@
       "too "
       "large for a report.",
       [](const GatewayState &s) { return double(s.counters.changesFetched); } },
+    { "snipestall_gateway_streams_resumed",
+      "Streams that callers took up and that went on at the version that began them.",
+      [](const GatewayState &s) { return double(s.counters.resumed); } },
+    { "snipestall_gateway_resumes_unknown",
+      "Streams that callers took up and that were refused, because it is not known which version "
+      "began them.",
+      [](const GatewayState &s) { return double(s.counters.resumesUnknown); } },
+    { "snipestall_gateway_resumes_without_server",
+      "Streams that callers took up and that were refused for want of a server of their version.",
+      [](const GatewayState &s) { return double(s.counters.resumesWithoutServer); } },
+    { "snipestall_gateway_versions_pending",
+      "Listed software versions whose servers may not begin streams yet.", versionsPending },
+    { "snipestall_gateway_stream_records", "Streams whose origin is known here.",
+      [](const GatewayState &s) { return double(s.streamRecords.size()); } },
     { "snipestall_gateway_repeats_refused",
       "Sends beyond the first that the limit on repeats refused since the start.",
       [](const GatewayState &s) { return double(s.counters.repeatsRefused); } },
--- a/src/snipestall/gateway/gateway_state.cpp
+++ b/src/snipestall/gateway/gateway_state.cpp
@@ -1,5 +1,6 @@
 #include "snipestall/gateway/gateway_state.hpp"
 
+#include <string>
 #include <utility>
 
 namespace snipestall::gateway {
@@ -13,7 +14,9 @@
     , limits(settings.instance)
     , slotShares(settings.instance)
     , forwardTargets(settings.dataCentre, seed)
-    , placement(servers, peerLoads, rollouts, limits, slotShares, settings.dataCentre, seed)
+    , streamRecords(random.next())
+    , placement(servers, peerLoads, rollouts, limits, slotShares, streamVersions,
+                settings.dataCentre, seed)
     , quotas({ settings.bounds.quotaWindow, settings.bounds.quotaOverrun,
                settings.bounds.quotaTolerance },
              seed)
@@ -31,4 +34,23 @@
         quotas.joinFleet(clock.steadyNow());
 }
 
+std::set<serving::StreamOrigin> GatewayState::listedStreamVersions() const
+{
+    if (!catalogue)
+        return {};
+    std::set<std::string> services;
+    for (const serving::Route &route : catalogue->routes()) {
+        if (!route.isStream() || !route.mayRepeat())
+            continue;
+        for (const serving::RouteTarget &target : route.targets)
+            services.insert(target.service);
+    }
+    std::set<serving::StreamOrigin> versions;
+    for (const auto &[id, server] : servers.all()) {
+        if (server->takesWork() && services.contains(server->info.service))
+            versions.insert({ server->info.service, server->info.version });
+    }
+    return versions;
+}
+
 } // namespace snipestall::gateway
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -4,6 +4,7 @@
 #include "relay_text.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
+#include "snipestall/base/rendezvous.hpp"
 #include "snipestall/gateway/exchange_transport.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/gateway/instance_row.hpp"
@@ -51,6 +52,7 @@
     , m_hooks(std::move(hooks))
     , m_calls(state.settings.instance, { state.settings.dataCentre, state.settings.milliCores })
     , m_tables(state.settings.instance, state.settings.dataCentre, state.random.next())
+    , m_streams(state.streamRecords)
 {
     m_tables.addTable(follower.config());
     m_tables.addTable(follower.list());
@@ -73,6 +75,11 @@
                                               v1::ChangesAnswer *answer) {
         raw->answerChanges(request, answer);
     };
+    handlers.streams = [raw = exchange.get()](const v1::StreamQuery &query,
+                                              v1::StreamAnswer *answer) {
+        if (answer != nullptr)
+            raw->m_streams.answer(query.key(), *answer, raw->m_state.clock.steadyNow());
+    };
     auto server = ExchangeServer::create(state.io, exchange->ownAddress(), std::move(handlers));
     if (!server)
         return tl::unexpected<Error>(server.error());
@@ -291,6 +298,36 @@
     return m_book.followedByAll(service, m_state.clock.steadyNow());
 }
 
+std::vector<std::string> LoadExchange::recordHolders()
+{
+    m_calls.updateOverlay();
+    const serving::Overlay &overlay = m_calls.overlay();
+    std::vector<std::string> names =
+        rendezvousOrder(std::to_string(m_state.random.next()), overlay.hubs());
+    // Processes that have run for longer have heard of more streams. Those that this instance has
+    // not heard itself, as it is no hub, come last in any order.
+    const auto orderOf = [this](const std::string &name) {
+        const auto found = m_peers.find(name);
+        const bool isHeard = found != m_peers.end() && !found->second.silent;
+        return std::pair(!isHeard, isHeard ? found->second.processKnownSince : SteadyTime::max());
+    };
+    std::ranges::stable_sort(names, {}, orderOf);
+    return names;
+}
+
+void LoadExchange::findStream(const std::string &instance, std::uint64_t key, milliseconds timeout,
+                              ExchangeChannel::Done<v1::StreamAnswer> done) const
+{
+    const auto found = m_peers.find(instance);
+    if (found == m_peers.end()) {
+        done(fail(ErrorKind::NotFound, "no instance " + instance + "; ask another one"));
+        return;
+    }
+    v1::StreamQuery query;
+    query.set_key(key);
+    found->second.channel->find(query, timeout, std::move(done));
+}
+
 void LoadExchange::forgetTotals(const std::string &peer)
 {
     m_state.peerLoads.forget(peer);
@@ -334,6 +371,7 @@
     applyUsage(report);
     applyRollouts(report);
     applyTables(report);
+    m_streams.reportReceived(report, now);
     for (const v1::Crash &crash : report.crashes())
         m_state.crashes.addReport(
             { crash.fingerprint(), crash.server(), milliseconds(crash.age_ms()) }, now);
--- a/src/snipestall/gateway/load_exchange_reports.cpp
+++ b/src/snipestall/gateway/load_exchange_reports.cpp
@@ -285,6 +285,7 @@
         addRetryGrants(*peer, report);
     }
     m_tables.addTo(report, receiver, m_state.clock.steadyNow());
+    m_streams.addTo(report, receiver, m_state.clock.steadyNow());
     return report;
 }
 
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -111,7 +111,7 @@
         || deadlinePassed())
         return false;
     // The rest of a body that is passed on as it arrives can only come from its own run.
-    if (m_answer.state() == CallerAnswer::State::ForwardingBody)
+    if (m_answer.state() == CallerAnswer::State::ForwardingBody || !m_answer.mayChangeServer())
         return false;
     if (m_sends >= m_route->attemptLimit + MaxRejections)
         return false;
@@ -144,6 +144,9 @@
         m_state.retries.countFirstAttempt(m_placementRequest.service->name, m_received);
     AttemptEnd last = AttemptEnd::NotRun;
     do {
+        m_serverMissing = m_answer.origin() && !setOrigin(*m_answer.origin());
+        if (m_serverMissing)
+            break;
         if (const auto target = forwardTarget()) {
             last = co_await forward(*target);
             continue;
@@ -155,6 +158,7 @@
         const auto placed = m_state.placement.choose(m_placementRequest, m_state.clock.steadyNow());
         if (!placed) {
             const auto holder = shareHolder();
+            m_serverMissing = !holder;
             if (!holder)
                 break;
             last = co_await forward(*holder);
@@ -216,9 +220,11 @@
     if (m_placementRequest.prompt) {
         const int priority = m_customer != nullptr && m_customer->priority ? *m_customer->priority
                                                                            : m_route->priority;
-        call.priority = std::clamp(priority, 0, LowestPriority);
+        // The rest of a stream goes before new requests of its kind.
+        const int ahead = m_answer.origin() ? 1 : 0;
+        call.priority = std::clamp(priority - ahead, 0, LowestPriority);
     }
-    call.resumeAfter = m_lastEvent;
+    call.resumeAfter = m_answer.lastEvent();
     call.kvCacheSource = m_kvCacheSource;
     platform::writeServerHeader(from, call, request);
     eraseForwardFields(request);
@@ -343,8 +349,9 @@
     ++m_runs;
     if (!m_answer.canContinueWith(m_call->head()))
         co_return co_await dropAnswer(*server);
+    const serving::StreamOrigin origin { server->info.service, server->info.version };
     if (status < FirstNonSuccessStatus && m_route->isStream() && parsed.mayBeEventStream)
-        co_return co_await relayStream(server);
+        co_return co_await relayStream(server, origin);
     co_return co_await relayWhole(server);
 }
 
--- a/src/snipestall/gateway/request_relay_admission.cpp
+++ b/src/snipestall/gateway/request_relay_admission.cpp
@@ -28,6 +28,9 @@
 constexpr milliseconds StartTick { 2 };
 /// Retry time for an instance that has no configuration yet.
 constexpr milliseconds RetryAfterNoConfig { 500 };
+/// Retry time for a stream whose origin is not known: the reports of other instances arrive within
+/// this time.
+constexpr milliseconds RetryAfterUnknownOrigin { 500 };
 /// Retry time for a request that ends servers. It is longer than any caller waits, because the
 /// request should not be repeated.
 constexpr std::chrono::seconds RetryAfterCrashes { 60 };
@@ -117,7 +120,15 @@
         co_return co_await refuse(refusal(503, RetryAfterNoServer), "unknown-service");
     m_placementRequest.prompt = m_header.prompt;
     m_placementRequest.mayRepeat = m_route->mayRepeat();
-    m_lastEvent = m_header.resumeAfter;
+    m_placementRequest.beginsResumable = m_route->isStream() && m_route->mayRepeat();
+    if (m_placementRequest.beginsResumable && m_header.resumeFaulty)
+        co_return co_await refuse(ownAnswer(400), "unreadable-resume");
+    if (m_placementRequest.beginsResumable && m_header.resumeAfter) {
+        if (const char *reason = co_await bindToOrigin())
+            co_return co_await refuse(refusal(503, RetryAfterUnknownOrigin), reason);
+    } else if (m_header.resumeAfter) {
+        m_answer.resume(*m_header.resumeAfter, std::nullopt);
+    }
     m_fingerprint = fingerprintOf(request, m_customer);
     if (!m_state.crashes.wasAnswered(m_fingerprint))
         m_placementRequest.unansweredFingerprint = m_fingerprint;
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -123,6 +123,8 @@
     head.reason(m_call->head().reason());
     platform::copyResponseHeader(m_call->head(), head);
     eraseForwardFields(head);
+    if (wasForwarded())
+        setForwardedOrigin(m_answer.origin(), head);
     if (m_state.draining()) {
         m_keepAlive = false;
         head.set(http::field::connection, "close");
@@ -130,26 +132,22 @@
     return head;
 }
 
-Task<bool> RequestRelay::forwardEvents(std::vector<wire::RawEvent> events)
+Task<bool> RequestRelay::forwardEvents(std::vector<wire::RawEvent> events,
+                                       const std::optional<serving::StreamOrigin> &origin)
 {
-    std::string piece;
-    for (wire::RawEvent &event : events) {
-        // A resumed run may repeat the event after which it was resumed.
-        if (event.id && m_lastEvent && *event.id <= *m_lastEvent)
-            continue;
-        if (event.id)
-            m_lastEvent = event.id;
-        piece += event.text;
-    }
+    std::string piece = m_answer.takeNew(std::move(events), origin);
     if (piece.empty())
         co_return true;
     handleFirstByte();
+    recordOrigin();
     if (!m_answer.begun() && !co_await m_answer.beginEvents(answerHead()))
         co_return false;
     co_return co_await m_answer.writePiece(std::move(piece));
 }
 
-Task<RequestRelay::AttemptEnd> RequestRelay::relayStream(const serving::ServerStatePtr &server)
+Task<RequestRelay::AttemptEnd>
+RequestRelay::relayStream(const serving::ServerStatePtr &server,
+                          std::optional<serving::StreamOrigin> origin)
 {
     wire::EventSplitter splitter;
     serving::StreamPace pace;
@@ -158,7 +156,7 @@
         if (piece.kind == BodyRead::Kind::Bytes) {
             server->lastByteAt = m_state.clock.steadyNow();
             pace.event(server->lastByteAt);
-            if (co_await forwardEvents(splitter.feed(piece.bytes)))
+            if (co_await forwardEvents(splitter.feed(piece.bytes), origin))
                 continue;
             m_call->abort();
             m_keepAlive = false;
--- a/src/snipestall/gateway/request_relay_end.cpp
+++ b/src/snipestall/gateway/request_relay_end.cpp
@@ -101,6 +101,8 @@
         co_return;
     }
     if (m_answer.begun()) {
+        if (m_answer.origin() && m_serverMissing)
+            logNotResumed("no-server-of-version");
         abortAnswer("stream-broken");
         co_return;
     }
@@ -116,6 +118,8 @@
         else if (const auto wait =
                      m_state.placement.waitForLimits(m_placementRequest, m_state.clock.steadyNow()))
             co_await answer(refusal(503, *wait), "server-limit");
+        else if (m_answer.origin())
+            co_await refuseRest();
         else
             co_await answer(refusal(503, RetryAfterNoServer), "no-server");
         co_return;
--- a/src/snipestall/gateway/request_relay_forward.cpp
+++ b/src/snipestall/gateway/request_relay_forward.cpp
@@ -65,9 +65,11 @@
     request.version(11);
     const auto left =
         std::chrono::duration_cast<milliseconds>(m_callerDeadline - m_state.clock.steadyNow());
-    platform::writeForwardHeader(from, std::max(left, milliseconds(1)), m_lastEvent, request);
+    platform::writeForwardHeader(from, std::max(left, milliseconds(1)), m_answer.lastEvent(),
+                                 request);
     eraseForwardFields(request);
     request.set(ForwardConfigField, std::to_string(m_catalogue->version()));
+    setForwardedOrigin(m_answer.origin(), request);
     if (m_usageCounted)
         request.set(ForwardCountedField, "1");
     request.body() = from.body();
@@ -136,12 +138,13 @@
     }
     m_maybeRan = true;
     ++m_runs;
-    if (!m_answer.canContinueWith(head))
+    const std::optional<serving::StreamOrigin> origin = forwardedOrigin(head);
+    if (!m_answer.canContinueWith(head) || (m_answer.origin() && m_answer.origin() != origin))
         co_return co_await dropAnswer(*instance);
     const unsigned status = head.result_int();
     const auto parsed = platform::readServerResponse(status, head);
     if (status < FirstNonSuccessStatus && m_route->isStream() && parsed.mayBeEventStream)
-        co_return co_await relayStream(instance);
+        co_return co_await relayStream(instance, origin);
     co_return co_await relayWhole(instance);
 }
 
--- a/src/snipestall/gateway/request_relay_move.cpp
+++ b/src/snipestall/gateway/request_relay_move.cpp
@@ -77,22 +77,21 @@
 {
     const SteadyTime now = m_state.clock.steadyNow();
     // A run that has not begun has no KV cache to move.
-    if (!m_lastEvent || m_callerGone || !takeRepeat())
+    if (!m_answer.lastEvent() || !m_answer.origin() || m_callerGone || !takeRepeat())
         return;
     serving::PlacementRequest request = m_placementRequest;
     // The run may continue in any data centre, because only free capacity matters.
     request.mayRepeat = true;
-    request.versions =
-        m_state.rollouts.choose(request.service->name, m_route->name, false, m_state.random, now);
+    request.origin = m_answer.origin();
     const auto placed = m_state.placement.choose(request, now);
     if (!placed)
         return;
     m_state.limits.requestSent(*placed->server, now);
     m_move = std::make_shared<StreamMove>();
     m_move->target = placed->server;
-    boost::asio::co_spawn(m_state.io,
-                          callMove(m_state, m_move, source, m_header.attemptId, *m_lastEvent),
-                          boost::asio::detached);
+    boost::asio::co_spawn(
+        m_state.io, callMove(m_state, m_move, source, m_header.attemptId, *m_answer.lastEvent()),
+        boost::asio::detached);
 }
 
 Task<bool> RequestRelay::awaitMove()
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -5,6 +5,7 @@
 #include "snipestall/serving/server_limits.hpp"
 #include "snipestall/serving/service.hpp"
 #include "snipestall/serving/slot_shares.hpp"
+#include "snipestall/serving/stream_versions.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -80,12 +81,14 @@
 
 Placement::Placement(const ServerTable &servers, const PeerLoads &peers,
                      const RolloutView &rollouts, const ServerLimits &limits,
-                     const SlotShares &shares, std::string dataCentre, std::uint64_t seed)
+                     const SlotShares &shares, const StreamVersions &streamVersions,
+                     std::string dataCentre, std::uint64_t seed)
     : m_servers(servers)
     , m_peers(peers)
     , m_rollouts(rollouts)
     , m_limits(limits)
     , m_shares(shares)
+    , m_streamVersions(streamVersions)
     , m_dataCentre(std::move(dataCentre))
     , m_random(seed)
 { }
@@ -121,11 +124,18 @@
 }
 
 bool Placement::mayServe(const PlacementRequest &request, const ServerState &server,
-                         VersionChoice versions) const
+                         VersionChoice versions, SteadyTime now) const
 {
-    return server.info.service == request.service->name && server.takesWork()
-        && !request.tried.contains(server.key)
-        && m_rollouts.allows(server.info.service, server.info.version, versions);
+    const BackendServer &info = server.info;
+    if (info.service != request.service->name || !server.takesWork()
+        || request.tried.contains(server.key))
+        return false;
+    if (request.origin)
+        return *request.origin == StreamOrigin { info.service, info.version }
+        && m_rollouts.maySend(info.service, info.version, now);
+    return m_rollouts.allows(info.service, info.version, versions)
+        && (!request.beginsResumable
+            || m_streamVersions.mayBegin({ info.service, info.version }, now));
 }
 
 std::optional<std::chrono::milliseconds> Placement::waitForLimits(const PlacementRequest &request,
@@ -136,7 +146,7 @@
     std::optional<std::chrono::milliseconds> shortest;
     for (const auto &[id, server] : m_servers.all()) {
         const bool isShared = m_shares.isShared(server->info.service, now);
-        if (!mayServe(request, *server, VersionChoice::Any)
+        if (!mayServe(request, *server, VersionChoice::Any, now)
             || !(isShared || m_limits.isLimited(server->key)))
             continue;
         auto wait = m_limits.waitFor(*server, now).value_or(WaitAtOthers);
@@ -151,7 +161,7 @@
 {
     std::vector<ServerStatePtr> shared;
     for (const auto &[id, server] : m_servers.all()) {
-        if (mayServe(request, *server, request.versions) && m_limits.maySend(*server, now)
+        if (mayServe(request, *server, request.versions, now) && m_limits.maySend(*server, now)
             && m_shares.isShared(server->info.service, now))
             shared.push_back(server);
     }
@@ -163,13 +173,15 @@
 std::vector<ServerStatePtr> Placement::candidatesOf(const PlacementRequest &request,
                                                     VersionChoice versions, SteadyTime now) const
 {
-    const bool triesNew = versions == VersionChoice::New;
+    const bool triesNew = request.origin
+        ? m_rollouts.isOnTrial(request.origin->service, request.origin->version)
+        : versions == VersionChoice::New;
     const std::vector<std::string> onTrial =
         triesNew ? serversOnTrial(*request.service) : std::vector<std::string>();
     std::vector<ServerStatePtr> healthy;
     std::vector<ServerStatePtr> avoided;
     for (const auto &[id, server] : m_servers.all()) {
-        if (!mayServe(request, *server, versions) || !m_limits.maySend(*server, now)
+        if (!mayServe(request, *server, versions, now) || !m_limits.maySend(*server, now)
             || !m_shares.maySend(*server, now))
             continue;
         if (!onTrial.empty() && std::find(onTrial.begin(), onTrial.end(), id) == onTrial.end())
