A rollout waits for the streams of the old version instead of moving them to the new one

Change: old servers get nothing new from "switched" on, and the order completes once nothing runs there; emptyBy, oldServersLeaveIn and what served them are gone. The target of an order is registered when the order arrives, so that its trial of streams does not wait for that.

Weighed: ending the streams at the order's time keeps more orders in time and cuts streams; the promise that nobody is cut off goes first, and the wait is bounded by the routes' timeout. RolloutTest and StreamOriginTest pass.

--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -108,8 +108,8 @@
         return catalogue && serverListKnown && instancesKnown && rolloutsKnown
             && streamVersions.known();
     }
-    /// Software versions of the listed servers of services that serve streams which may be
-    /// continued elsewhere.
+    /// Software versions of the listed servers, and those that orders move traffic to, of services
+    /// that serve streams which may be continued elsewhere.
     [[nodiscard]] std::set<serving::StreamOrigin> listedStreamVersions() const;
     /// Finds out who began a stream that a caller takes up; set before the first request.
     OriginResolver *originResolver = nullptr;
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -146,8 +146,7 @@
     void stopStallWatch();
     void watchForReclaim(const serving::ServerStatePtr &server);
     void stopReclaimWatch();
-    /// The server stops soon: moves the run, or ends it if it can be resumed elsewhere.
-    void leaveServer(const serving::ServerStatePtr &source);
+    /// The server stops soon: moves the run to another one.
     void beginMove(const serving::ServerStatePtr &source);
     /// Waits for a move that is in progress; returns true if the run continues at another server.
     wire::Task<bool> awaitMove();
@@ -192,8 +191,6 @@
     VersionRecorder m_versions;
     /// Whether the last answer was cut off.
     bool m_answerLost = false;
-    /// Whether the run was ended to be continued elsewhere, because its server stops.
-    bool m_movedOff = false;
     /// Key of the server that last cut off an answer.
     std::string m_lastLostServer;
     /// Whether the last server refused or reset the connection.
--- a/include/snipestall/gateway/rollout_runner.hpp
+++ b/include/snipestall/gateway/rollout_runner.hpp
@@ -66,7 +66,6 @@
     wire::Task<void> settle(serving::RolloutPlan &plan, const serving::RolloutRecord &record);
     [[nodiscard]] serving::RolloutState stateOf(const serving::RolloutPlan &plan) const;
     void judge();
-    void markOldServers();
 
     GatewayState &m_state;
     platform::StoreClient &m_store;
--- a/include/snipestall/gateway/version_registrar.hpp
+++ b/include/snipestall/gateway/version_registrar.hpp
@@ -62,6 +62,7 @@
     /// State of the list and the configuration at the last look.
     SteadyTime m_serverAddedAt;
     std::shared_ptr<const serving::Catalogue> m_catalogue;
+    std::size_t m_orders = 0;
     SteadyTime m_lookAt;
     /// Set while the row has to be changed.
     std::optional<SteadyTime> m_updateAt;
--- a/include/snipestall/serving/rollout.hpp
+++ b/include/snipestall/serving/rollout.hpp
@@ -62,9 +62,6 @@
     double defaultShare = 0;
     /// Number of servers of the new version that get requests; 0 means all.
     std::uint32_t servers = 0;
-    /// Time until the old servers may be stopped; set near the end of a rollout only. Streams that
-    /// still run there are moved away before.
-    std::chrono::milliseconds oldServersLeaveIn { 0 };
 
     [[nodiscard]] double shareOf(const std::string &route) const;
 };
--- a/include/snipestall/serving/rollout_judge.hpp
+++ b/include/snipestall/serving/rollout_judge.hpp
@@ -104,6 +104,9 @@
     {
         Recent recent { RecentFor };
         Recent justNow { JustNow };
+        /// Answers and failures of the old version since the order was given. Once it gets no more
+        /// requests, its last few answers alone would be too uncertain a measure.
+        VersionCounts all;
         RateMonitor fewFailures { 0.05 };
         RateMonitor manyFailures { 0.3 };
         RateMonitor slow { 0.25 };
--- a/include/snipestall/serving/rollout_plan.hpp
+++ b/include/snipestall/serving/rollout_plan.hpp
@@ -111,11 +111,6 @@
     /// comes late shows, and the switch is not before the second.
     static constexpr double TrialPart = 0.3;
     static constexpr double SwitchPart = 0.45;
-    /// From the first part on, instances know that the old servers stop at the second, and move
-    /// streams away before.
-    static constexpr double MovePart = 0.65;
-    static constexpr double EmptyPart = 0.78;
-    static constexpr std::chrono::milliseconds ShortestMoveTime { 500 };
     /// Time with a larger part before the new version gets all requests, so that a fault that comes
     /// under load shows.
     static constexpr std::chrono::milliseconds ShortestGrowth { 1000 };
--- a/include/snipestall/serving/rollout_view.hpp
+++ b/include/snipestall/serving/rollout_view.hpp
@@ -88,9 +88,6 @@
                                SteadyTime now) const;
     /// Whether a version is the target of an active order and not in service yet.
     [[nodiscard]] bool isOnTrial(const std::string &service, const std::string &version) const;
-    /// When the old servers of a service have to be empty, if that is decided.
-    [[nodiscard]] std::optional<SteadyTime> oldServersLeaveAt(const std::string &service,
-                                                              SteadyTime now) const;
     /// Number of servers of the new version that get requests; 0 means all.
     [[nodiscard]] std::uint32_t serversInUse(const std::string &service) const;
 
--- a/include/snipestall/serving/server_table.hpp
+++ b/include/snipestall/serving/server_table.hpp
@@ -34,9 +34,6 @@
     /// Set while the server is being reclaimed: until when it certainly serves, on the clock of
     /// this instance.
     std::optional<SteadyTime> leavesAt;
-    /// Set near the end of a rollout on a server of the old version: by when nothing may run there
-    /// any more.
-    std::optional<SteadyTime> emptyBy;
     /// Answers that were cut off since the server last sent a whole one. If it sends another, it
     /// has not crashed.
     int unexplainedLosses = 0;
--- a/src/snipestall/gateway/gateway_state.cpp
+++ b/src/snipestall/gateway/gateway_state.cpp
@@ -50,6 +50,11 @@
         if (server->takesWork() && services.contains(server->info.service))
             versions.insert({ server->info.service, server->info.version });
     }
+    // The servers of an order's version are started about when the order is given.
+    for (const serving::RolloutOrder &order : rollouts.activeOrders()) {
+        if (services.contains(order.service))
+            versions.insert({ order.service, order.version });
+    }
     return versions;
 }
 
--- a/src/snipestall/gateway/load_exchange_reports.cpp
+++ b/src/snipestall/gateway/load_exchange_reports.cpp
@@ -39,7 +39,6 @@
         (*entry.mutable_shares())[route] = share;
     entry.set_default_share(stage.defaultShare);
     entry.set_servers(stage.servers);
-    entry.set_old_servers_leave_ms(static_cast<std::uint32_t>(stage.oldServersLeaveIn.count()));
 }
 
 serving::RolloutStage decodeStage(const v1::RolloutStage &entry)
@@ -53,7 +52,6 @@
     stage.shares = { entry.shares().begin(), entry.shares().end() };
     stage.defaultShare = entry.default_share();
     stage.servers = entry.servers();
-    stage.oldServersLeaveIn = milliseconds(entry.old_servers_leave_ms());
     return stage;
 }
 
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -176,7 +176,7 @@
 
 void RequestRelay::handleConnectionLoss(const serving::ServerStatePtr &server)
 {
-    if (m_callerGone || m_cancelled || m_movedOff)
+    if (m_callerGone || m_cancelled)
         return;
     m_answerLost = true;
     if (m_atInstance)
@@ -243,7 +243,6 @@
         m_state.limits.requestSent(*server, m_state.clock.steadyNow());
     m_connectionRejected = false;
     m_answerLost = false;
-    m_movedOff = false;
     ++m_state.counters.attempts;
     const double held = m_placementRequest.prompt ? m_placementRequest.prompt->promptTokens : 0;
     LoadGuard load(server, placed.unreadTokens, held);
@@ -313,8 +312,7 @@
 void RequestRelay::recordReach(CallStart start, const serving::ServerState &server)
 {
     // Whether a path that was cut is back is found out by ReachProber.
-    if (start == CallStart::Unwanted || m_callerGone || m_cancelled || m_movedOff
-        || m_state.reach.cutOff())
+    if (start == CallStart::Unwanted || m_callerGone || m_cancelled || m_state.reach.cutOff())
         return;
     if (start == CallStart::Answered)
         m_state.reach.reached();
@@ -325,8 +323,7 @@
 VersionRecorder::Outcome RequestRelay::outcomeOf(CallStart start, AttemptEnd end) const
 {
     using Outcome = VersionRecorder::Outcome;
-    if (m_callerGone || m_cancelled || m_movedOff || end == AttemptEnd::NotRun
-        || end == AttemptEnd::Moved)
+    if (m_callerGone || m_cancelled || end == AttemptEnd::NotRun || end == AttemptEnd::Moved)
         return Outcome::Unknown;
     if (m_answerLost || start == CallStart::Lost)
         return Outcome::Lost;
--- a/src/snipestall/gateway/request_relay_forward.cpp
+++ b/src/snipestall/gateway/request_relay_forward.cpp
@@ -84,7 +84,6 @@
     ++m_state.counters.forwarded;
     m_connectionRejected = false;
     m_answerLost = false;
-    m_movedOff = false;
     m_atInstance = true;
     m_forwardUnsent = false;
     m_sentAt = m_state.clock.steadyNow();
--- a/src/snipestall/gateway/request_relay_move.cpp
+++ b/src/snipestall/gateway/request_relay_move.cpp
@@ -47,10 +47,10 @@
 {
     const bool movable =
         m_placementRequest.service->engine && m_placementRequest.service->engine->movesRuns;
-    const bool resumable = m_route->isStream() && m_route->mayRepeat();
-    if (!movable && !resumable)
+    // A run that may be repeated is resumed when its server ends.
+    if (!movable || m_route->mayRepeat())
         return;
-    m_streamHandle = m_state.streams.add({ server, [this, server] { leaveServer(server); } });
+    m_streamHandle = m_state.streams.add({ server, [this, server] { beginMove(server); } });
 }
 
 void RequestRelay::stopReclaimWatch()
@@ -59,20 +59,6 @@
         m_state.streams.remove(*std::exchange(m_streamHandle, std::nullopt));
 }
 
-void RequestRelay::leaveServer(const serving::ServerStatePtr &source)
-{
-    if (!m_route->mayRepeat()) {
-        beginMove(source);
-        return;
-    }
-    // A run that ends with a reclaimed server is resumed then. A rollout waits for it.
-    const bool mayResume = m_call != nullptr && m_runs < m_route->attemptLimit;
-    if (!source->emptyBy || !mayResume)
-        return;
-    m_movedOff = true;
-    m_call->abort();
-}
-
 void RequestRelay::beginMove(const serving::ServerStatePtr &source)
 {
     const SteadyTime now = m_state.clock.steadyNow();
--- a/src/snipestall/gateway/rollout_runner.cpp
+++ b/src/snipestall/gateway/rollout_runner.cpp
@@ -50,7 +50,6 @@
     else
         m_plans.clear();
     co_await readIfUnheard();
-    markOldServers();
 }
 
 Task<bool> RolloutRunner::readRecords()
@@ -258,16 +257,4 @@
                                   m_state.clock.steadyNow());
 }
 
-void RolloutRunner::markOldServers()
-{
-    const SteadyTime now = m_state.clock.steadyNow();
-    for (const auto &[id, server] : m_state.servers.all()) {
-        const std::string &service = server->info.service;
-        const serving::RolloutOrder *order = m_state.rollouts.activeOrder(service);
-        server->emptyBy.reset();
-        if (order != nullptr && server->info.version != order->version)
-            server->emptyBy = m_state.rollouts.oldServersLeaveAt(service, now);
-    }
-}
-
 } // namespace snipestall::gateway
--- a/src/snipestall/gateway/version_registrar.cpp
+++ b/src/snipestall/gateway/version_registrar.cpp
@@ -49,12 +49,14 @@
 
 bool VersionRegistrar::mustLook(SteadyTime now)
 {
+    const std::size_t orders = m_state.rollouts.activeOrders().size();
     const bool due = now >= m_lookAt || m_serverAddedAt != m_state.serverAddedAt
-        || m_catalogue != m_state.catalogue;
+        || m_catalogue != m_state.catalogue || m_orders != orders;
     if (due)
         m_lookAt = now + CheckInterval;
     m_serverAddedAt = m_state.serverAddedAt;
     m_catalogue = m_state.catalogue;
+    m_orders = orders;
     return due;
 }
 
--- a/src/snipestall/serving/rollout_judge.cpp
+++ b/src/snipestall/serving/rollout_judge.cpp
@@ -84,7 +84,7 @@
         return;
     const double recent = failureRate(route.recent.counts());
     const double justNow = failureRate(route.justNow.counts());
-    const double rate = std::max(recent, justNow);
+    const double rate = std::max({ recent, justNow, failureRate(route.all) });
     if (rate > IllRate || justNow > RisingFactor * recent + RisingMargin)
         return;
     route.fewFailures.add(grown.failures, grown.answers, rate);
@@ -132,6 +132,8 @@
         const VersionCounts normal = grownBy(total.oldVersion, before.oldVersion);
         route.recent.add(normal, now);
         route.justNow.add(normal, now);
+        route.all.answers += normal.answers;
+        route.all.failures += normal.failures;
         const VersionCounts grown = grownBy(total.newVersion, before.newVersion);
         judgeFailures(grown, route);
         judgeLatency(grown, route);
--- a/src/snipestall/serving/rollout_plan.cpp
+++ b/src/snipestall/serving/rollout_plan.cpp
@@ -232,10 +232,6 @@
         m_sentPerSecond += stage.shareOf(name) * rate.perSecond;
     if (stage.step == RolloutStep::Trial)
         stage.servers = trialServers(state);
-    if (stage.step == RolloutStep::Switched && passed(state, MovePart)) {
-        const auto emptyAt = std::chrono::duration_cast<milliseconds>(m_order.duration * EmptyPart);
-        stage.oldServersLeaveIn = std::max(emptyAt - state.elapsed, ShortestMoveTime);
-    }
     return stage;
 }
 
--- a/src/snipestall/serving/rollout_view.cpp
+++ b/src/snipestall/serving/rollout_view.cpp
@@ -247,16 +247,6 @@
         && !known->accepted.contains(version);
 }
 
-std::optional<SteadyTime> RolloutView::oldServersLeaveAt(const std::string &service,
-                                                         SteadyTime now) const
-{
-    const Service *known = find(service);
-    if (known == nullptr || !follows(*known, now) || known->stage->step != RolloutStep::Switched
-        || known->stage->oldServersLeaveIn.count() == 0)
-        return std::nullopt;
-    return known->stageAt + known->stage->oldServersLeaveIn;
-}
-
 std::uint32_t RolloutView::serversInUse(const std::string &service) const
 {
     const Service *known = find(service);
