--- a/tests/soak/attempt.hpp
+++ b/tests/soak/attempt.hpp
@@ -28,6 +28,10 @@
     std::size_t gateway = 0;
     std::string method;
     std::string target;
+    /// Set if the attempt takes up a stream: the attempt that began it, and the last event that the
+    /// client has received.
+    std::string resumes;
+    int after = 0;
     std::uint64_t bodyHash = 0;
     Moment sent;
     Moment ended;
@@ -41,6 +45,9 @@
     std::string echoedId;
     bool hasRetryAfter = false;
     std::string body;
+
+    /// The attempt that began the stream.
+    [[nodiscard]] const std::string &stream() const { return resumes.empty() ? id : resumes; }
 };
 
 } // namespace snipestall::soak
--- a/tests/soak/client.cpp
+++ b/tests/soak/client.cpp
@@ -3,10 +3,12 @@
 #include "soak/deployment.hpp"
 
 #include "snipestall/base/rendezvous.hpp"
+#include "snipestall/wire/event_stream_parser.hpp"
 #include "snipestall/wire/http_stream.hpp"
 #include "snipestall/wire/signal.hpp"
 
 #include <array>
+#include <cstdlib>
 #include <utility>
 
 namespace snipestall::soak {
@@ -20,6 +22,9 @@
 constexpr milliseconds Deadline { 3500 };
 /// Longer than a request may stay unanswered, which is its route's timeout and half a second.
 constexpr milliseconds AnswerTimeout { 6000 };
+/// A client that has lost a stream comes back within this time, a few times at most.
+constexpr std::uint64_t LongestTakeUpPauseMs = 400;
+constexpr int MaxTakeUps = 3;
 /// Share of the requests that are sent on a connection of their own, in percent.
 constexpr std::uint64_t FreshConnectionPercent = 15;
 
@@ -39,6 +44,16 @@
     { RequestKind::AddedRoute, "GET", "/new", "/x" },
 } };
 
+/// Id of the last whole event that the client has received of a stream.
+int lastEventOf(const Attempt &attempt)
+{
+    wire::EventStreamParser parser;
+    int last = attempt.after;
+    for (const wire::StreamEvent &event : parser.feed(attempt.body))
+        last = std::atoi(event.id.c_str());
+    return last;
+}
+
 } // namespace
 
 Client::Client(boost::asio::io_context &io, const Deployment &deployment, std::size_t number,
@@ -79,12 +94,16 @@
     request.method = attempt.method;
     request.target = attempt.target;
     if (attempt.method == "POST")
-        request.body = "body of " + attempt.id;
+        request.body = "body of " + attempt.stream();
     attempt.bodyHash = stableHash(request.body);
     request.fields.set("Host", "a.example");
     request.fields.set("X-Attempt-Id", attempt.id);
     request.fields.set("X-Deadline-Ms", std::to_string(Deadline.count()));
     request.fields.set("Authorization", "Bearer secret");
+    if (!attempt.resumes.empty()) {
+        request.fields.set("Resumes", attempt.resumes);
+        request.fields.set("Last-Event-Id", std::to_string(attempt.after));
+    }
     if (attempt.kind == RequestKind::ResumableStream
         || attempt.kind == RequestKind::NonResumableStream) {
         request.fields.set("X-Token-Count", "1000,100");
@@ -117,17 +136,45 @@
     attempt.complete = true;
 }
 
+wire::Task<void> Client::record(Attempt &attempt)
+{
+    attempt.sent = std::chrono::steady_clock::now();
+    co_await send(attempt);
+    attempt.ended = std::chrono::steady_clock::now();
+    // The next connection goes to another instance, as with the platform's load balancer.
+    if (!attempt.complete || attempt.status == 503 || m_random.below(30) == 0)
+        ++m_gateway;
+    m_attempts.push_back(attempt);
+}
+
+wire::Task<void> Client::takeUp(Attempt broken)
+{
+    for (int i = 0; i < MaxTakeUps && !m_stopped; ++i) {
+        const int last = lastEventOf(broken);
+        const bool isBroken = !broken.complete || broken.status == 503;
+        if (!isBroken || last == 0)
+            co_return;
+        co_await wire::sleepFor(milliseconds(1 + m_random.below(LongestTakeUpPauseMs)));
+        Attempt next;
+        next.id = m_name + "-" + std::to_string(m_attempts.size());
+        next.kind = broken.kind;
+        next.method = broken.method;
+        next.target = broken.target;
+        next.resumes = broken.stream();
+        next.after = last;
+        next.gateway = m_gateway % m_deployment.gateways();
+        co_await record(next);
+        broken = next;
+    }
+}
+
 wire::Task<void> Client::run()
 {
     while (!m_stopped) {
         Attempt attempt = nextAttempt();
-        attempt.sent = std::chrono::steady_clock::now();
-        co_await send(attempt);
-        attempt.ended = std::chrono::steady_clock::now();
-        // The next connection goes to another instance, as with the platform's load balancer.
-        if (!attempt.complete || attempt.status == 503 || m_random.below(30) == 0)
-            ++m_gateway;
-        m_attempts.push_back(std::move(attempt));
+        co_await record(attempt);
+        if (attempt.kind == RequestKind::ResumableStream)
+            co_await takeUp(attempt);
         co_await wire::sleepFor(
             milliseconds(1 + static_cast<std::int64_t>(m_random.exponential(MeanPauseMs))));
     }
--- a/tests/soak/client.hpp
+++ b/tests/soak/client.hpp
@@ -29,6 +29,10 @@
 
 private:
     Attempt nextAttempt();
+    /// Takes up a stream that has broken off, at one instance after the other.
+    wire::Task<void> takeUp(Attempt broken);
+    /// Sends an attempt and records it.
+    wire::Task<void> record(Attempt &attempt);
     wire::Task<void> send(Attempt &attempt);
 
     const Deployment &m_deployment;
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -22,6 +22,9 @@
     std::size_t gateways = 3;
     /// Backend servers of each of the two services.
     std::size_t backends = 3;
+    /// Software versions of the backend servers, which serve side by side. A server that starts
+    /// again has the next one.
+    std::size_t versions = 1;
 };
 
 /// The processes of one run: the stand-in store, backend servers and gateways, with a proxy in
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -119,6 +119,7 @@
         if (!known)
             m_findings.push_back("a server ran what no client sent: " + attempt);
     }
+    judgeVersions();
     judgeRecovery();
     judgeDuties();
     judgeRepeats();
@@ -188,20 +189,39 @@
 void Judge::judgeStream(const Attempt &attempt)
 {
     wire::EventStreamParser parser;
-    int last = 0;
+    int last = attempt.after;
     bool done = false;
     for (const wire::StreamEvent &event : parser.feed(attempt.body)) {
         if (std::atoi(event.id.c_str()) != last + 1)
             addFinding(attempt, "has event " + event.id + " after " + std::to_string(last));
         last = std::atoi(event.id.c_str());
-        done = event.data == "done " + attempt.id;
-        if (!done && event.data != "piece " + attempt.id)
+        std::istringstream words(event.data);
+        std::string word;
+        std::string stream;
+        std::string version;
+        words >> word >> stream >> version;
+        done = word == "done";
+        if ((!done && word != "piece") || stream != attempt.stream())
             addFinding(attempt, "has an event of another answer");
+        m_streamVersions[attempt.stream()].insert(version);
     }
     if (attempt.complete && !done)
         addFinding(attempt, "ended as complete before its last event");
 }
 
+void Judge::judgeVersions()
+{
+    for (const auto &[stream, versions] : m_streamVersions) {
+        if (versions.size() <= 1)
+            continue;
+        std::string names;
+        for (const std::string &version : versions)
+            names += " " + version;
+        m_findings.push_back("the stream that " + stream + " began holds events of versions"
+                             + names);
+    }
+}
+
 void Judge::judgeLoss(const Attempt &attempt, const std::vector<Run> &runs)
 {
     if (unplannedFaultWithin(attempt.sent, attempt.ended, ContactMargin))
--- a/tests/soak/judge.hpp
+++ b/tests/soak/judge.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <iosfwd>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,6 +69,8 @@
     void judgeRuns(const Attempt &attempt, const std::vector<Run> &runs);
     void judgeAnswer(const Attempt &attempt, const std::vector<Run> &runs);
     void judgeStream(const Attempt &attempt);
+    /// Finds streams of which servers of several software versions wrote events.
+    void judgeVersions();
     void judgeLoss(const Attempt &attempt, const std::vector<Run> &runs);
     void judgeRecovery();
     void judgeDuties();
@@ -88,6 +91,8 @@
     std::map<std::string, std::vector<Run>> m_runs;
     std::vector<Arrival> m_arrivals;
     std::vector<LimitChange> m_limitChanges;
+    /// Versions that wrote events of each stream, by the attempt that began it.
+    std::map<std::string, std::set<std::string>> m_streamVersions;
     std::vector<std::string> m_findings;
 };
 
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -114,16 +114,39 @@
 {
     Attempt &stream = attempt(RequestKind::ResumableStream, "/stream/plain/events");
     ran("b1", "/stream/plain/events");
-    stream.body = "id: 1\ndata: piece c1-0\n\nid: 2\ndata: done c1-0\n\n";
+    stream.body = "id: 1\ndata: piece c1-0 v1\n\nid: 2\ndata: done c1-0 v1\n\n";
     EXPECT_EQ(findings(), "");
-    stream.body = "id: 1\ndata: piece c1-0\n\nid: 3\ndata: done c1-0\n\n";
+    stream.body = "id: 1\ndata: piece c1-0 v1\n\nid: 3\ndata: done c1-0 v1\n\n";
     EXPECT_TRUE(finds("has event 3 after 1"));
-    stream.body = "id: 1\ndata: piece c1-0\n\n";
+    stream.body = "id: 1\ndata: piece c1-0 v1\n\n";
     EXPECT_TRUE(finds("complete before its last event"));
     stream.body = "id: 1\ndata: done c1-7\n\n";
     EXPECT_TRUE(finds("event of another answer"));
 }
 
+TEST_F(JudgeTest, FindsStreamsOfTwoVersions)
+{
+    Attempt &first = attempt(RequestKind::ResumableStream, "/stream/plain/events");
+    first.complete = false;
+    first.body = "id: 1\ndata: piece c1-0 v1\n\n";
+    ran("b1", "/stream/plain/events");
+    Attempt rest = first;
+    rest.id = "c1-1";
+    rest.resumes = "c1-0";
+    rest.after = 1;
+    rest.complete = true;
+    rest.seal = "b1.c1-1";
+    rest.echoedId = "c1-1";
+    rest.body = "id: 2\ndata: done c1-0 v1\n\n";
+    m_record.attempts.push_back(rest);
+    m_record.runLog += "run c1-1 b1 POST /stream/plain/events harbour no-key 5\n";
+    EXPECT_FALSE(finds("of versions"));
+    m_record.attempts.back().body = "id: 2\ndata: done c1-0 v2\n\n";
+    EXPECT_TRUE(finds("holds events of versions v1 v2"));
+    m_record.attempts.back().body = "id: 3\ndata: done c1-0 v1\n\n";
+    EXPECT_TRUE(finds("has event 3 after 1"));
+}
+
 TEST_F(JudgeTest, FindsAnAnswerLostToPlannedWorkOnly)
 {
     Attempt &cut = attempt(RequestKind::NonIdempotent, "/once/plain/x");
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -24,6 +24,8 @@
 DEFINE_int32(seconds, 30, "length of the run in seconds; no fault is in force in the last 12");
 DEFINE_uint64(gateways, 3, "number of gateway processes");
 DEFINE_uint64(backends, 3, "number of backend servers of each of the two services");
+DEFINE_uint64(versions, 0,
+              "number of software versions of the backend servers; 0: 1 to 3, by the seed");
 DEFINE_uint64(clients, 16, "number of clients; each sends one request at a time");
 
 using namespace snipestall;
@@ -123,17 +125,26 @@
 {
     gflags::SetUsageMessage("randomized soak of snipestall-gateway");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    Deployment deployment({ FLAGS_gateways, FLAGS_backends });
+    constexpr std::uint64_t MostVersions = 3;
+    const std::uint64_t versions =
+        FLAGS_versions == 0 ? 1 + FLAGS_seed % MostVersions : FLAGS_versions;
+    Deployment deployment({ FLAGS_gateways, FLAGS_backends, versions });
     deployment.waitUntilReady();
     const RunRecord record = runSoak(deployment);
     std::size_t served = 0;
-    for (const Attempt &attempt : record.attempts)
+    std::size_t takenUp = 0;
+    std::size_t goneOn = 0;
+    for (const Attempt &attempt : record.attempts) {
         served += attempt.status == 200 && attempt.complete ? 1 : 0;
+        takenUp += attempt.resumes.empty() ? 0 : 1;
+        goneOn += !attempt.resumes.empty() && attempt.status == 200 ? 1 : 0;
+    }
     const std::vector<std::string> findings = Judge(record).findings();
     for (const std::string &finding : findings)
         std::cout << "BROKEN " << finding << '\n';
     std::cout << "seed " << FLAGS_seed << ": " << record.attempts.size() << " requests, " << served
-              << " served whole, " << record.faults.size() << " faults, " << findings.size()
+              << " served whole, " << takenUp << " streams of " << versions
+              << " versions taken up, " << goneOn << " went on, " << record.faults.size() << " faults, " << findings.size()
               << " findings\n";
     if (findings.empty())
         return 0;
