A forwarded rest of a stream passes a server's failure on

Callers would see: 502 instead of the 500 of the server that failed, when a stream that they take up is served by another instance. Cause: an answer was dropped if it did not name the version that began the stream; only event streams name one. Change: the origin is compared for event streams alone. Result: ForwardedStreamTest.AFailureOfTheRestIsPassedOn failed before (502), passes; CutOffTest and ForwardedStreamTest pass.

--- a/src/snipestall/gateway/request_relay_forward.cpp
+++ b/src/snipestall/gateway/request_relay_forward.cpp
@@ -137,14 +137,16 @@
     }
     m_maybeRan = true;
     ++m_runs;
-    const std::optional<serving::StreamOrigin> origin = forwardedOrigin(head);
-    if (!m_answer.canContinueWith(head) || (m_answer.origin() && m_answer.origin() != origin))
+    if (!m_answer.canContinueWith(head))
         co_return co_await dropAnswer(*instance);
     const unsigned status = head.result_int();
     const auto parsed = platform::readServerResponse(status, head);
-    if (status < FirstNonSuccessStatus && m_route->isStream() && parsed.mayBeEventStream)
-        co_return co_await relayStream(instance, origin);
-    co_return co_await relayWhole(instance);
+    if (status >= FirstNonSuccessStatus || !m_route->isStream() || !parsed.mayBeEventStream)
+        co_return co_await relayWhole(instance);
+    const std::optional<serving::StreamOrigin> origin = forwardedOrigin(head);
+    if (m_answer.origin() && m_answer.origin() != origin)
+        co_return co_await dropAnswer(*instance);
+    co_return co_await relayStream(instance, origin);
 }
 
 } // namespace snipestall::gateway
--- a/tests/gateway/stream_origin_test.cpp
+++ b/tests/gateway/stream_origin_test.cpp
@@ -655,6 +655,23 @@
     });
 }
 
+// Guards against a server's failure that is replaced by one of the instance, because it does not
+// say which version wrote it.
+TEST_F(ForwardedStreamTest, AFailureOfTheRestIsPassedOn)
+{
+    run([this]() -> Task<void> {
+        co_await untilServing(m_metrics, 4);
+        co_await untilServing(m_cut.metrics, 4);
+        co_await wire::sleepFor(2s);
+        co_await untilForwarding();
+        const StreamPart begun = co_await call(m_cut.callers, m_fresh);
+        for (TestBackend *backend : all())
+            backend->behaveWhenResumed(Behaviour::Fail);
+        const StreamPart rest = co_await resume(begun, m_cut.callers);
+        EXPECT_EQ(rest.status, 500U);
+    });
+}
+
 // Guards against servers and callers that see what instances tell each other of a stream.
 TEST_F(ForwardedStreamTest, TheOriginStaysBetweenInstances)
 {
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -168,13 +168,12 @@
     const std::string service = *(ServiceNames.begin() + index / m_size.backends);
     const std::size_t version =
         1 + (index + static_cast<std::size_t>(managed.starts)) % m_size.versions;
-    managed.process = start("backend-" + std::to_string(index), "standin-backend",
-                            { "--id=" + id, "--service=" + service,
-                              "--software=v" + std::to_string(version),
-                              "--data_centre=dc-" + std::to_string(index % 2),
-                              "--listen=" + managed.address.toString(),
-                              "--advertised=" + managed.link.endpoint.toString(),
-                              "--store=" + m_storeAddress.toString(), "--log=" + runLog() });
+    managed.process = start(
+        "backend-" + std::to_string(index), "standin-backend",
+        { "--id=" + id, "--service=" + service, "--software=v" + std::to_string(version),
+          "--data_centre=dc-" + std::to_string(index % 2), "--listen=" + managed.address.toString(),
+          "--advertised=" + managed.link.endpoint.toString(),
+          "--store=" + m_storeAddress.toString(), "--log=" + runLog() });
 }
 
 bool Deployment::publish()
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -144,8 +144,8 @@
         std::cout << "BROKEN " << finding << '\n';
     std::cout << "seed " << FLAGS_seed << ": " << record.attempts.size() << " requests, " << served
               << " served whole, " << takenUp << " streams of " << versions
-              << " versions taken up, " << goneOn << " went on, " << record.faults.size() << " faults, " << findings.size()
-              << " findings\n";
+              << " versions taken up, " << goneOn << " went on, " << record.faults.size()
+              << " faults, " << findings.size() << " findings\n";
     if (findings.empty())
         return 0;
     deployment.keepFiles();
