--- a/src/snipestall/gateway/version_registrar.cpp
+++ b/src/snipestall/gateway/version_registrar.cpp
@@ -79,10 +79,12 @@
         m_updateAt = m_hooks.readsList() ? now : now + milliseconds(spread);
     }
     const bool maintains = m_hooks.holdsLease() && now >= m_maintainAt;
-    if (maintains || (m_updateAt && now >= *m_updateAt))
+    if (maintains || (m_updateAt && now >= *m_updateAt)) {
         co_await update(maintains);
-    else if (now >= m_refreshAt)
+    } else if (now >= m_refreshAt) {
+        m_refreshAt = now + RetryPause;
         co_await read(StoreTimeout);
+    }
 }
 
 Task<void> VersionRegistrar::update(bool maintains)
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -131,8 +131,8 @@
         || request.tried.contains(server.key))
         return false;
     if (request.origin)
-        return *request.origin == StreamOrigin { info.service, info.version }
-        && m_rollouts.maySend(info.service, info.version, now);
+        return request.origin->service == info.service && request.origin->version == info.version
+            && m_rollouts.maySend(info.service, info.version, now);
     return m_rollouts.allows(info.service, info.version, versions)
         && (!request.beginsResumable
             || m_streamVersions.mayBegin({ info.service, info.version }, now));
--- a/src/snipestall/serving/placement_test.cpp
+++ b/src/snipestall/serving/placement_test.cpp
@@ -44,6 +44,17 @@
         m_servers.put(server, Start);
     }
 
+    void addVersion(const std::string &service, const std::string &id, const std::string &version)
+    {
+        BackendServer server;
+        server.id = id;
+        server.dataCentre = "east";
+        server.service = service;
+        server.slots = 64;
+        server.version = version;
+        m_servers.put(server, Start);
+    }
+
     PlacementRequest generation(std::uint64_t sharedPart, std::uint32_t tokens)
     {
         PlacementRequest request;
@@ -251,5 +262,38 @@
     EXPECT_FALSE(m_placement.choose(request, Start).has_value());
 }
 
+// Guards against the rest of a stream that a server of another version writes.
+TEST_F(PlacementTest, ARestGoesToTheVersionThatBeganIt)
+{
+    for (int i = 0; i < 4; ++i)
+        addVersion("lm", "new-" + std::to_string(i), "v2");
+    PlacementRequest request = generation(42, 6000);
+    request.origin = StreamOrigin { "lm", "v2" };
+    for (int i = 0; i < 4; ++i) {
+        const auto placed = m_placement.choose(request, Start);
+        ASSERT_TRUE(placed);
+        EXPECT_EQ(placed->server->info.version, "v2");
+        request.tried.insert(placed->server->key);
+    }
+    EXPECT_FALSE(m_placement.choose(request, Start));
+    request.tried.clear();
+    request.origin = StreamOrigin { "ledger", "v2" };
+    EXPECT_FALSE(m_placement.choose(request, Start));
+}
+
+// Guards against streams of a version that other instances can't know of yet.
+TEST_F(PlacementTest, OnlyRegisteredVersionsBeginStreams)
+{
+    addVersion("lm", "new-0", "v2");
+    m_streamVersions.read({ { { "lm", "v2" }, true, {} } }, Start, Start);
+    PlacementRequest request = generation(42, 6000);
+    request.beginsResumable = true;
+    const auto placed = m_placement.choose(request, Start);
+    ASSERT_TRUE(placed);
+    EXPECT_EQ(placed->server->info.id, "new-0");
+    request.tried.insert(placed->server->key);
+    EXPECT_FALSE(m_placement.choose(request, Start));
+}
+
 } // namespace
 } // namespace snipestall::serving
