--- a/tests/soak/operations_test.cpp
+++ b/tests/soak/operations_test.cpp
@@ -44,7 +44,8 @@
         m_io.run();
     }
 
-    Task<Result<std::unique_ptr<wire::HttpStream>>> open(std::string target, std::string attempt)
+    Task<Result<std::unique_ptr<wire::HttpStream>>> open(std::string target, std::string attempt,
+                                                         std::string resumes = {})
     {
         wire::HttpRequest request;
         request.method = "POST";
@@ -55,6 +56,10 @@
         request.fields.set("X-Deadline-Ms", "20000");
         request.fields.set("X-Token-Count", "1000,100");
         request.fields.set("Authorization", "Bearer secret");
+        if (!resumes.empty()) {
+            request.fields.set("Resumes", std::move(resumes));
+            request.fields.set("Last-Event-Id", "1");
+        }
         const wire::Endpoint gateway = m_deployment.callerEndpoint(0);
         co_return co_await m_http.open(gateway, std::move(request));
     }
@@ -105,7 +110,8 @@
         return "\"" + name + "\":\"" + value + "\"";
     }
 
-    Deployment m_deployment { { 1, BackendsPerService } };
+    /// The servers of each service are of two software versions.
+    Deployment m_deployment { { 1, BackendsPerService, 2 } };
     boost::asio::io_context m_io { 1 };
     wire::HttpClient m_http { m_io };
 };
@@ -166,6 +172,36 @@
     EXPECT_TRUE(logHolds({ field("name", "server-listed"), field("server", server) }));
 }
 
+// A caller takes up a stream. The log must say at which version it goes on and where that is known
+// from, or why it can't go on.
+TEST_F(OperationsTest, FromAStreamThatIsTakenUpToWhoBeganIt)
+{
+    const std::string target = "/stream/plain/events";
+    int known = 0;
+    int unknown = 0;
+    run([&]() -> Task<void> {
+        co_await untilServed(target);
+        const std::string begun = "begun-1";
+        const std::string rest = "rest-1";
+        const std::string lost = "rest-2";
+        const std::string nobody = "begun-by-nobody";
+        const auto first = co_await open(target, begun);
+        // The first event is passed on soon after the head.
+        co_await wire::sleepFor(200ms);
+        known = (*co_await open(target, rest, begun))->head().status;
+        unknown = (*co_await open(target, lost, nobody))->head().status;
+    });
+    EXPECT_EQ(known, 200);
+    EXPECT_EQ(unknown, 503);
+    EXPECT_TRUE(logHolds({ field("name", "stream-resumed"), field("attempt", "rest-1"),
+                           field("resumes", "begun-1"), field("source", "own-record") }));
+    EXPECT_TRUE(logHolds({ field("name", "stream-not-resumed"), field("attempt", "rest-2"),
+                           field("reason", "unknown") }));
+    EXPECT_TRUE(logHolds({ field("name", "gateway-request-ended"), field("attempt", "rest-2"),
+                           field("resumes", "begun-by-nobody"),
+                           field("reason", "unknown-origin") }));
+}
+
 // A caller gets a 500 that the servers themselves gave. The request's log line must count two runs,
 // and the log must have a line for each of the two attempts.
 TEST_F(OperationsTest, FromAFailureToTheServersThatGaveIt)
