Tests with an instance that is cut off share its setup

CutOffTest and ForwardedStreamTest set up the second instance, its links and its store with the same lines.

--- a/tests/gateway/cut_off_test.cpp
+++ b/tests/gateway/cut_off_test.cpp
@@ -1,11 +1,6 @@
 // Tests of an instance that is cut off from all backend servers, over the whole path on loopback.
 
-#include "gateway_fixture.hpp"
-#include "test_link.hpp"
-
-#include "snipestall/gateway/instance_row.hpp"
-
-#include <boost/algorithm/string/replace.hpp>
+#include "cut_instance.hpp"
 
 #include <algorithm>
 #include <array>
@@ -25,37 +20,13 @@
 constexpr std::chrono::seconds ContactTime { 3 };
 constexpr int Requests = 60;
 
-/// Two instances. The second one reaches the servers through links that can be cut, so it has a
-/// store of its own, with the same rows but for the addresses of the servers.
-class CutOffTest : public GatewayPathTest
+class CutOffTest : public WithCutInstance<GatewayPathTest>
 {
 protected:
     CutOffTest()
     {
         publish();
-        m_cutStore.put({ "op", "", "config" }, GatewayTestConfig);
-        for (const TestBackend *backend : { &m_first, &m_second }) {
-            const wire::Endpoint server = *wire::Endpoint::parse(backend->address());
-            m_links.push_back(std::make_unique<TestLink>(m_io, server));
-            std::string entry = backend->entry();
-            boost::algorithm::replace_first(entry, backend->address(),
-                                            m_links.back()->endpoint().toString());
-            m_cutStore.put({ "servers", "", backend->id() }, entry);
-        }
-        GatewaySettings settings = settingsOf("edge-2");
-        settings.store = m_cutStore.endpoint();
-        settings.duties = m_cutStore.endpoint();
-        m_cut = startInstance(settings);
-        introduce(m_store, m_cut.settings);
-        introduce(m_cutStore, m_settings);
-    }
-
-    static void introduce(platform::StandinStore &store, const GatewaySettings &instance)
-    {
-        const InstanceRow row { instance.dataCentre,
-                                instance.address + ":" + std::to_string(instance.peerPort), 0,
-                                instance.forwardPort };
-        store.put({ "instances", "", instance.instance }, encodeInstance(row));
+        startCut({ &m_first, &m_second });
     }
 
     /// Waits until both instances serve, and have exchanged reports for a while.
@@ -66,12 +37,6 @@
         co_await wire::sleepFor(2s);
     }
 
-    void cut(TestLink::Cut kind)
-    {
-        for (const auto &link : m_links)
-            link->cut(kind);
-    }
-
     /// Returns the line of a metric of the instance that may be cut off.
     Task<std::string> metric(std::string name)
     {
@@ -79,11 +44,6 @@
         const std::size_t at = page.body.find("\n" + name + " ");
         co_return page.body.substr(at + 1, page.body.find('\n', at + 1) - at - 1);
     }
-    Task<bool> hasMetric(std::string line)
-    {
-        const wire::HttpResponse page = co_await fetch(m_cut.metrics, "/metrics");
-        co_return page.body.find("\n" + line + "\n") != std::string::npos;
-    }
 
     /// Sends requests to the instance one after the other. Returns how many of them were served.
     Task<int> served(std::string path, std::string method)
@@ -132,10 +92,6 @@
             }
         }
     }
-
-    platform::StandinStore m_cutStore { m_io };
-    std::vector<std::unique_ptr<TestLink>> m_links;
-    Instance m_cut;
 };
 
 // Guards against callers of an instance that are refused for as long as the network path from this
--- a/tests/gateway/stream_origin_test.cpp
+++ b/tests/gateway/stream_origin_test.cpp
@@ -1,10 +1,8 @@
 // Tests of streams that are continued while servers of several software versions serve, over the
 // whole path on loopback.
 
-#include "gateway_fixture.hpp"
-#include "test_link.hpp"
+#include "cut_instance.hpp"
 
-#include "snipestall/gateway/instance_row.hpp"
 #include "snipestall/wire/event_stream_parser.hpp"
 #include "snipestall/wire/http_stream.hpp"
 
@@ -585,55 +583,26 @@
     });
 }
 
-/// The second instance reaches the servers through links that can be cut, so it has a store of its
-/// own, with the same rows but for the addresses of the servers.
-class ForwardedStreamTest : public StreamOriginTest
+class ForwardedStreamTest : public WithCutInstance<StreamOriginTest>
 {
 protected:
     ForwardedStreamTest()
     {
         publishAll();
-        m_cutStore.put({ "op", "", "config" }, GatewayTestConfig);
-        for (const TestBackend *backend : all()) {
-            const wire::Endpoint server = *wire::Endpoint::parse(backend->address());
-            m_links.push_back(std::make_unique<TestLink>(m_io, server));
-            std::string entry = backend->entry();
-            boost::algorithm::replace_first(entry, backend->address(),
-                                            m_links.back()->endpoint().toString());
-            m_cutStore.put({ "servers", "", backend->id() }, entry);
-        }
-        GatewaySettings settings = settingsOf("edge-2");
-        settings.store = m_cutStore.endpoint();
-        settings.duties = m_cutStore.endpoint();
-        m_cut = startInstance(settings);
-        introduce(m_store, m_cut.settings);
-        introduce(m_cutStore, m_settings);
-    }
-
-    static void introduce(platform::StandinStore &store, const GatewaySettings &instance)
-    {
-        const InstanceRow row { instance.dataCentre,
-                                instance.address + ":" + std::to_string(instance.peerPort), 0,
-                                instance.forwardPort };
-        store.put({ "instances", "", instance.instance }, encodeInstance(row));
+        startCut({ &m_first, &m_second, &m_third, &m_fourth });
     }
 
     Task<void> untilForwarding()
     {
-        for (const auto &link : m_links)
-            link->cut(TestLink::Cut::Refuse);
-        while (true) {
-            const wire::HttpResponse page = co_await fetch(m_cut.metrics, "/metrics");
-            if (page.body.find("\nsnipestall_gateway_cut_off 1\n") != std::string::npos)
-                co_return;
+        cut(TestLink::Cut::Refuse);
+        const std::string line = "snipestall_gateway_cut_off 1";
+        bool forwards = false;
+        while (!forwards) {
             co_await call(m_cut.callers, m_fresh);
             co_await wire::sleepFor(5ms);
+            forwards = co_await hasMetric(line);
         }
     }
-
-    platform::StandinStore m_cutStore { m_io };
-    std::vector<std::unique_ptr<TestLink>> m_links;
-    Instance m_cut;
 };
 
 // Guards against a stream of two versions whose instance reaches no server, so that others serve
--- a/tests/soak/operations_test.cpp
+++ b/tests/soak/operations_test.cpp
@@ -197,9 +197,9 @@
                            field("resumes", "begun-1"), field("source", "own-record") }));
     EXPECT_TRUE(logHolds({ field("name", "stream-not-resumed"), field("attempt", "rest-2"),
                            field("reason", "unknown") }));
-    EXPECT_TRUE(logHolds({ field("name", "gateway-request-ended"), field("attempt", "rest-2"),
-                           field("resumes", "begun-by-nobody"),
-                           field("reason", "unknown-origin") }));
+    EXPECT_TRUE(
+        logHolds({ field("name", "gateway-request-ended"), field("attempt", "rest-2"),
+                   field("resumes", "begun-by-nobody"), field("reason", "unknown-origin") }));
 }
 
 // A caller gets a 500 that the servers themselves gave. The request's log line must count two runs,
