--- a/include/snipestall/serving/stream_records.hpp
+++ b/include/snipestall/serving/stream_records.hpp
@@ -74,7 +74,7 @@
     /// Bounds the memory: 60 seconds at 5,000 streams a second.
     static constexpr std::size_t MaxEntries = 300000;
     static constexpr std::size_t MaxOrigins = 1000;
-    /// Some 20 KB, a few reports' worth at most.
+    /// Bounds the records of one report to some 20 KB.
     static constexpr std::size_t MaxBatch = 2000;
     static constexpr std::chrono::milliseconds PruneInterval { 1000 };
 
