--- a/src/snipestall/gateway/table_fleet_test.cpp
+++ b/src/snipestall/gateway/table_fleet_test.cpp
@@ -95,7 +95,8 @@
     // A segment takes the receiver's link only once it has left the sender's, so that one that
     // waits there holds up no other sender's.
     Direction *const in = message.in;
-    at(carry(*message.out, bytes), [this, in, bytes, message = std::move(message)] {
+    const SteadyTime left = carry(*message.out, bytes);
+    at(left, [this, in, bytes, message = std::move(message)] {
         at(carry(*in, bytes) + Delay, [this, message] {
             if (*message.ended)
                 return;
