Soak: versions are ordered among the changes

Change: runs with one software version get an order for one of the two services, between 1.5 and 4.5 s. Its servers start beside the old ones; half of the versions fail 40%. At completed the old servers are killed at once, at rolled_back the new ones leave 2 s later. The judge finds a bad version over its limit, completed, or asked later; losses and streams of two versions it found already. 32 clients, so that there is enough to judge a version by. Three tests of the judge, each failing without its check.

--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -5,13 +5,16 @@
 #include "harness/proxy_control.hpp"
 #include "harness/temp_dir.hpp"
 #include "soak/fault_plan.hpp"
+#include "soak/version_order.hpp"
 
 #include "snipestall/wire/endpoint.hpp"
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace snipestall::soak {
@@ -25,6 +28,8 @@
     /// Software versions of the backend servers, which serve side by side. A server that starts
     /// again has the next one.
     std::size_t versions = 1;
+    /// The operators may order another version, so there are places for its servers.
+    bool ordersVersions = false;
 };
 
 /// The processes of one run: the stand-in store, backend servers and gateways, with a proxy in
@@ -60,6 +65,7 @@
     {
         return m_addedRoutes;
     }
+    [[nodiscard]] const std::vector<VersionOrder> &versionOrders() const { return m_orders; }
 
 private:
     /// A fault-injecting proxy in front of a process.
@@ -79,6 +85,10 @@
         int starts = 0;
         /// The next start uses the id of the last one.
         bool keepsId = false;
+        /// Backend server of a version that is not in service yet, or not any more.
+        bool outOfService = false;
+        /// Part of its requests that a backend server fails.
+        double failShare = 0;
         /// Number of pauses in force. Pauses may overlap; the process resumes when the last one
         /// ends.
         int pauses = 0;
@@ -121,10 +131,11 @@
     {
         return m_gateways[fault.target % m_gateways.size()];
     }
-    ManagedProcess &backend(const Fault &fault)
-    {
-        return m_backends[fault.target % m_backends.size()];
-    }
+    /// The same server at the beginning and at the end of a fault, whatever was started meanwhile.
+    ManagedProcess &backend(const Fault &fault);
+    /// Number of places for backend servers of the version at the start.
+    [[nodiscard]] std::size_t oldBackends() const;
+    [[nodiscard]] std::string serviceOf(std::size_t backend) const;
 
     void killGateway(const Fault &fault);
     void restoreGateway(const Fault &fault);
@@ -163,6 +174,12 @@
     static void setNeed(const ManagedProcess &managed, const std::string &query);
     void writeJunk(const Fault &fault);
     void changeConfiguration(const Fault &fault);
+    void orderVersion(const Fault &fault);
+    /// Writes orders that the store has not accepted yet, and does what the platform does at the
+    /// end of an order.
+    void followOrders();
+    /// Takes the servers of a service out of service: those of the new version, or the others.
+    void takeOutOfService(const std::string &service, bool isNew, void (harness::Process::*end)());
     void noAction(const Fault &fault);
 
     harness::TempDir m_directory;
@@ -173,6 +190,10 @@
     ManagedProcess m_store;
     std::vector<ManagedProcess> m_gateways;
     std::vector<ManagedProcess> m_backends;
+    /// Indexes in m_backends, by the beginning and the target of a fault.
+    std::map<std::pair<std::chrono::milliseconds, std::size_t>, std::size_t> m_targets;
+    std::vector<VersionOrder> m_orders;
+    std::chrono::steady_clock::time_point m_ordersReadAt;
     std::vector<std::string> m_unexpectedEnds;
     std::size_t m_extraRoutes = 0;
     std::vector<std::chrono::steady_clock::time_point> m_addedRoutes;
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -21,7 +21,7 @@
     milliseconds longest;
 };
 
-constexpr std::array<KindEntry, 24> Kinds { {
+constexpr std::array<KindEntry, 25> Kinds { {
     { FaultKind::GatewayKilled, "gateway-killed", false, milliseconds(200), milliseconds(1500) },
     { FaultKind::AllGatewaysKilled, "all-gateways-killed", false, milliseconds(200),
       milliseconds(900) },
@@ -57,6 +57,7 @@
     { FaultKind::BackendsRefuse, "backends-refuse", true, milliseconds(1000), milliseconds(6000) },
     { FaultKind::BackendNamesLimit, "backend-names-limit", true, milliseconds(11000),
       milliseconds(11000) },
+    { FaultKind::VersionOrdered, "version-ordered", true, milliseconds(50), milliseconds(50) },
 } };
 
 const KindEntry &entryOf(FaultKind kind)
@@ -131,9 +132,23 @@
                            quietFrom + entryOf(FaultKind::BackendNamesLimit).longest });
 }
 
+Fault drawVersionOrder(std::uint64_t seed)
+{
+    constexpr std::uint64_t SeedOffset = 104729;
+    /// The order is given this long after the first fault at the latest, so that it ends in a run
+    /// of 20 s.
+    constexpr std::uint64_t RangeMs = 3000;
+    Random random(seed + SeedOffset);
+    const milliseconds begin =
+        FirstFault + milliseconds(static_cast<std::int64_t>(random.below(RangeMs)));
+    const std::uint64_t target = random.below(1000);
+    return { FaultKind::VersionOrdered, target, begin,
+             begin + entryOf(FaultKind::VersionOrdered).longest };
+}
+
 } // namespace
 
-std::vector<Fault> drawFaults(std::uint64_t seed, milliseconds quietFrom)
+std::vector<Fault> drawFaults(std::uint64_t seed, milliseconds quietFrom, bool ordersVersion)
 {
     Random random(seed);
     std::vector<Fault> faults;
@@ -151,6 +166,8 @@
         at += milliseconds(static_cast<std::int64_t>(random.exponential(MeanIntervalMs)));
     }
     addNeeds(seed, quietFrom, faults);
+    if (ordersVersion)
+        faults.push_back(drawVersionOrder(seed));
     return faults;
 }
 
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -40,6 +40,9 @@
     BackendsRefuse,
     /// The backend server names a limit of one request per second.
     BackendNamesLimit,
+    /// The operators order another software version of a service, whose servers start beside the
+    /// old ones. Half of the versions fail requests. The order runs on after the end of the fault.
+    VersionOrdered,
 };
 
 /// A fault of a process or link; its beginning and end are relative to the start of the run.
@@ -59,7 +62,8 @@
 
 /// Draws the faults of a run from the seed. Faults may follow one another or overlap. None lasts
 /// beyond `quietFrom` but the naming of a limit, which begins then, and none begins in the
-/// first 1.5 s, while the processes start.
-std::vector<Fault> drawFaults(std::uint64_t seed, std::chrono::milliseconds quietFrom);
+/// first 1.5 s, while the processes start. With `ordersVersion`, one version is ordered.
+std::vector<Fault> drawFaults(std::uint64_t seed, std::chrono::milliseconds quietFrom,
+                              bool ordersVersion);
 
 } // namespace snipestall::soak
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -37,6 +37,10 @@
 constexpr milliseconds LimitWindow { 4000 };
 constexpr std::size_t MaxArrivalsAtLimit = 11;
 
+/// Requests that a bad version may get, in the settings of the gateways.
+constexpr double ExposureShare = 0.3;
+constexpr double ExposureTolerance = 100;
+
 std::size_t countWithin(const std::vector<Moment> &times, Moment begin, milliseconds length)
 {
     return static_cast<std::size_t>(std::ranges::count_if(
@@ -124,6 +128,7 @@
     judgeDuties();
     judgeRepeats();
     judgeLimits();
+    judgeOrders();
     for (const std::string &end : m_record.unexpectedEnds)
         m_findings.push_back(end);
     return m_findings;
@@ -327,6 +332,39 @@
     }
 }
 
+std::size_t Judge::sentToNewVersion(const VersionOrder &order, Moment from, Moment to) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_arrivals, [&](const Arrival &arrival) {
+        return arrival.service == order.service && arrival.server.starts_with(NewServerPrefix)
+            && arrival.time >= from && arrival.time < to;
+    }));
+}
+
+void Judge::judgeOrders()
+{
+    for (const VersionOrder &order : m_record.versionOrders) {
+        if (order.isBad && order.state == "completed")
+            m_findings.push_back("a bad version of " + order.service + " was completed");
+        const std::size_t sent = sentToNewVersion(order, order.orderedAt, order.deadline());
+        const auto all = std::ranges::count_if(m_arrivals, [&order](const Arrival &arrival) {
+            return arrival.service == order.service && arrival.time >= order.orderedAt
+                && arrival.time < order.deadline();
+        });
+        const double allowed = ExposureShare * static_cast<double>(all) + ExposureTolerance;
+        if (order.isBad && static_cast<double>(sent) > allowed)
+            m_findings.push_back("a bad version of " + order.service + " got "
+                                 + std::to_string(sent) + " of " + std::to_string(all)
+                                 + " requests");
+        if (order.state != "rolled_back")
+            continue;
+        const std::size_t late =
+            sentToNewVersion(order, order.endedAt + ContactMargin, Moment::max());
+        if (late > 0)
+            m_findings.push_back("a version of " + order.service + " that was turned away got "
+                                 + std::to_string(late) + " requests later");
+    }
+}
+
 void Judge::judgeRecovery()
 {
     std::size_t asked = 0;
--- a/tests/soak/judge.hpp
+++ b/tests/soak/judge.hpp
@@ -2,6 +2,7 @@
 
 #include "soak/attempt.hpp"
 #include "soak/fault_plan.hpp"
+#include "soak/version_order.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -22,6 +23,7 @@
     std::chrono::milliseconds quietFrom { 0 };
     std::vector<Attempt> attempts;
     std::vector<Moment> addedRoutes;
+    std::vector<VersionOrder> versionOrders;
     std::string runLog;
     std::string dutyLog;
     std::vector<std::string> unexpectedEnds;
@@ -79,6 +81,10 @@
     /// Compares what a server with a limit got with that limit.
     void judgeLimits();
     void judgeLimit(const std::string &server, Moment from, Moment to);
+    /// Compares what a version got that was ordered with what a bad one may get, and its end.
+    void judgeOrders();
+    [[nodiscard]] std::size_t sentToNewVersion(const VersionOrder &order, Moment from,
+                                               Moment to) const;
     /// Whether an unplanned fault was in force between `from` and `to`, or had ended less than
     /// `margin` before `from`.
     [[nodiscard]] bool unplannedFaultWithin(Moment from, Moment to,
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -209,8 +209,8 @@
 
 TEST(FaultPlan, TheSameSeedDrawsTheSameFaultsAndNoneInTheQuietEnd)
 {
-    const auto first = drawFaults(11, 18s);
-    const auto second = drawFaults(11, 18s);
+    const auto first = drawFaults(11, 18s, true);
+    const auto second = drawFaults(11, 18s, true);
     ASSERT_EQ(first.size(), second.size());
     ASSERT_FALSE(first.empty());
     for (std::size_t i = 0; i < first.size(); ++i) {
@@ -252,5 +252,62 @@
     EXPECT_FALSE(finds("had named a limit"));
 }
 
+class VersionOrderJudgeTest : public JudgeTest
+{
+protected:
+    VersionOrderJudgeTest()
+    {
+        VersionOrder order;
+        order.service = "lm";
+        order.isBad = true;
+        order.accepted = true;
+        order.orderedAt = m_record.startedAt;
+        order.state = "rolled_back";
+        order.endedAt = m_record.startedAt + 2s;
+        m_record.versionOrders = { order };
+    }
+
+    /// `count` requests of the service reach `server`, the first one `after` the start of the run.
+    void arrive(const std::string &server, int count, std::chrono::milliseconds after)
+    {
+        const auto begin = std::chrono::duration_cast<std::chrono::milliseconds>(
+                               m_record.startedAt.time_since_epoch() + after)
+                               .count();
+        for (int i = 0; i < count; ++i)
+            m_record.runLog += "arrive " + server + std::to_string(i) + " " + server + " lm "
+                + std::to_string(begin + i) + "\n";
+    }
+};
+
+// Guards against a run in which a bad version gets more requests than allowed and nobody notices.
+TEST_F(VersionOrderJudgeTest, RequestsBeyondTheLimitOfABadVersionAreFound)
+{
+    arrive("b4-1", 100, 1s);
+    arrive("new-9-1", 170, 1s);
+    EXPECT_FALSE(finds("a bad version of lm got"));
+    arrive("new-9-2", 20, 1s);
+    EXPECT_TRUE(finds("a bad version of lm got 190 of 290"));
+    m_record.versionOrders[0].isBad = false;
+    EXPECT_FALSE(finds("a bad version of lm got"));
+}
+
+// Guards against a run in which a version goes on getting requests after it was turned away.
+TEST_F(VersionOrderJudgeTest, RequestsAfterTheRollBackAreFound)
+{
+    arrive("new-9-1", 1, 4900ms);
+    EXPECT_EQ(findings(), "");
+    arrive("new-9-2", 1, 5000ms);
+    EXPECT_TRUE(finds("that was turned away got 1 requests later"));
+}
+
+// Guards against a run in which a bad version takes all requests and nobody notices.
+TEST_F(VersionOrderJudgeTest, ACompletedBadVersionIsFound)
+{
+    m_record.versionOrders[0].state = "completed";
+    EXPECT_TRUE(finds("a bad version of lm was completed"));
+    m_record.versionOrders[0].isBad = false;
+    EXPECT_FALSE(finds("was completed"));
+}
+
 } // namespace
 } // namespace snipestall::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -26,7 +26,7 @@
 DEFINE_uint64(backends, 3, "number of backend servers of each of the two services");
 DEFINE_uint64(versions, 0,
               "number of software versions of the backend servers; 0: 1 to 3, by the seed");
-DEFINE_uint64(clients, 16, "number of clients; each sends one request at a time");
+DEFINE_uint64(clients, 32, "number of clients; each sends one request at a time");
 
 using namespace snipestall;
 using namespace snipestall::soak;
@@ -88,13 +88,19 @@
     --runningClients;
 }
 
+std::uint64_t versions()
+{
+    constexpr std::uint64_t MostVersions = 3;
+    return FLAGS_versions == 0 ? 1 + FLAGS_seed % MostVersions : FLAGS_versions;
+}
+
 RunRecord runSoak(Deployment &deployment)
 {
     boost::asio::io_context io(1);
     RunRecord record;
     const milliseconds length = std::chrono::seconds(FLAGS_seconds);
     record.quietFrom = length - QuietPeriod;
-    record.faults = drawFaults(FLAGS_seed, record.quietFrom);
+    record.faults = drawFaults(FLAGS_seed, record.quietFrom, versions() == 1);
     std::vector<std::unique_ptr<Client>> clients;
     for (std::size_t i = 0; i < FLAGS_clients; ++i)
         clients.push_back(std::make_unique<Client>(io, deployment, i, FLAGS_seed * 1000 + i));
@@ -113,6 +119,7 @@
         record.attempts.insert(record.attempts.end(), client->attempts().begin(),
                                client->attempts().end());
     record.addedRoutes = deployment.addedRoutes();
+    record.versionOrders = deployment.versionOrders();
     record.unexpectedEnds = deployment.unexpectedEnds();
     record.runLog = harness::readFile(deployment.runLog());
     record.dutyLog = harness::readFile(deployment.dutyLog());
@@ -125,10 +132,8 @@
 {
     gflags::SetUsageMessage("randomized soak of snipestall-gateway");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    constexpr std::uint64_t MostVersions = 3;
-    const std::uint64_t versions =
-        FLAGS_versions == 0 ? 1 + FLAGS_seed % MostVersions : FLAGS_versions;
-    Deployment deployment({ FLAGS_gateways, FLAGS_backends, versions });
+    // Where versions serve side by side, an order for one of them has no meaning.
+    Deployment deployment({ FLAGS_gateways, FLAGS_backends, versions(), versions() == 1 });
     deployment.waitUntilReady();
     const RunRecord record = runSoak(deployment);
     std::size_t served = 0;
@@ -143,9 +148,15 @@
     for (const std::string &finding : findings)
         std::cout << "BROKEN " << finding << '\n';
     std::cout << "seed " << FLAGS_seed << ": " << record.attempts.size() << " requests, " << served
-              << " served whole, " << takenUp << " streams of " << versions
+              << " served whole, " << takenUp << " streams of " << versions()
               << " versions taken up, " << goneOn << " went on, " << record.faults.size()
               << " faults, " << findings.size() << " findings\n";
+    for (const VersionOrder &order : record.versionOrders)
+        std::cout
+            << "seed " << FLAGS_seed << ": a " << (order.isBad ? "bad" : "good") << " version of "
+            << order.service << ": " << order.state << " after "
+            << std::chrono::duration_cast<milliseconds>(order.endedAt - order.orderedAt).count()
+            << " ms\n";
     if (findings.empty())
         return 0;
     deployment.keepFiles();
