A rollout's growth is bounded by requests and by the limit, not by time alone

What operators would see: a bad version gets more requests than exposure_share and exposure_tolerance allow when the load falls while it grows. Cause: growth lasted a second whatever came in it, so a fault that had just begun had shown in a few answers when all requests were given over; and once found good, a version grew at 30% without regard to the limit, which is smaller if fewer requests arrive than before. Change: growth lasts until 60 answers to requests of that time have begun (all sent before count as answered first), and keeps to the limit until the switch. Ruled out: more evidence for the verdict alone, as answers to requests sent before the fault began still come in (counting those had no effect).

--- a/include/snipestall/serving/rollout_plan.hpp
+++ b/include/snipestall/serving/rollout_plan.hpp
@@ -101,7 +101,7 @@
     /// Largest part of a route's requests during a trial.
     static constexpr double MaxTrialShare = 0.5;
     static constexpr double GrowingShare = 0.3;
-    /// Part of the limit that a version may use up before it is found good.
+    /// Part of the limit that a version may use up before it gets all requests.
     static constexpr double UsedWhileGrowing = 0.95;
     /// A holder that has fewer answers than this knows less than the one before it stored.
     static constexpr double FewAnswers = 20;
@@ -114,6 +114,9 @@
     /// Time with a larger part before the new version gets all requests, so that a fault that comes
     /// under load shows.
     static constexpr std::chrono::milliseconds ShortestGrowth { 1000 };
+    /// Answers that must have begun to requests of that time. With fewer requests it lasts longer:
+    /// a fault that has just begun shows by answers, not by time.
+    static constexpr double FewestGrowthAnswers = 60;
     /// An order that looks good is continued for this many times its duration.
     static constexpr int LatestEnd = 2;
     /// The new version takes all requests only with this part of the servers that the old one has.
@@ -174,6 +177,10 @@
     SteadyTime m_countedAt;
     SteadyTime m_storedAt;
     SteadyTime m_growingSince;
+    double m_sentBeforeGrowing = 0;
+    /// Requests sent to the new version and answers that it has begun, as this holder knows them.
+    double m_sent = 0;
+    double m_begun = 0;
     /// Requests per second that the last stage sends to the new version.
     double m_sentPerSecond = 0;
 };
--- a/src/snipestall/serving/rollout_model.hpp
+++ b/src/snipestall/serving/rollout_model.hpp
@@ -52,6 +52,14 @@
     std::chrono::milliseconds length { 0 };
 };
 
+/// For a time, callers send this many times their usual requests.
+struct LoadChange
+{
+    double factor = 1;
+    std::chrono::milliseconds from { 0 };
+    std::chrono::milliseconds until { 0 };
+};
+
 /// One rollout in simulated time, without sockets: many instances that send requests, reports and
 /// stages that are under way, a store, and servers of two versions.
 class RolloutModel
@@ -65,6 +73,7 @@
         int oldServers = 60;
         int newServers = 60;
         double requestsPerSecond = 320;
+        LoadChange load;
         std::chrono::milliseconds duration { 12000 };
         /// Time after the order at which the new servers are listed.
         std::chrono::milliseconds listedAfter { 1000 };
--- a/src/snipestall/serving/rollout_model_simulation_test.cpp
+++ b/src/snipestall/serving/rollout_model_simulation_test.cpp
@@ -143,8 +143,10 @@
 
 void RolloutModel::arrive()
 {
+    const LoadChange &load = m_options.load;
+    const double factor = elapsed() >= load.from && elapsed() < load.until ? load.factor : 1;
     const double perTick =
-        m_options.requestsPerSecond * std::chrono::duration<double>(Tick).count();
+        factor * m_options.requestsPerSecond * std::chrono::duration<double>(Tick).count();
     for (double left = perTick; left > 0; left -= 1) {
         if (m_random.uniform() >= left)
             continue;
--- a/src/snipestall/serving/rollout_model_test.cpp
+++ b/src/snipestall/serving/rollout_model_test.cpp
@@ -108,13 +108,15 @@
     milliseconds lastEnd { 0 };
 };
 
-Summary play(const Case &each, std::size_t instances, double rate, const RolloutTrouble &trouble)
+Summary play(const Case &each, std::size_t instances, double rate, const RolloutTrouble &trouble,
+             const LoadChange &load = {})
 {
     Summary summary;
     for (int seed = 1; seed <= plays(); ++seed) {
         RolloutModel::Options options;
         options.instances = instances;
         options.requestsPerSecond = rate;
+        options.load = load;
         options.newFault = each.newFault;
         options.oldFault = each.oldFault;
         options.trouble = trouble;
@@ -162,9 +164,10 @@
         EXPECT_EQ(summary.goodTurnedAway, 0) << each.name;
         EXPECT_EQ(summary.cutOff, 0) << each.name;
     }
-    void checkBad(const Case &each, const RolloutTrouble &trouble) const
+    void checkBad(const Case &each, const RolloutTrouble &trouble,
+                  const LoadChange &load = {}) const
     {
-        const Summary summary = play(each, GetParam(), 320, trouble);
+        const Summary summary = play(each, GetParam(), 320, trouble, load);
         print(each.name, GetParam(), trouble, summary);
         EXPECT_EQ(summary.badLetThrough, 0) << each.name;
         EXPECT_EQ(summary.overExposed, 0) << each.name;
@@ -210,6 +213,18 @@
     }
 }
 
+// Failure: a bad version gets more than its limit, because requests that were expected do not come.
+TEST_P(RolloutModelTest, KeepsTheLimitWhenTheLoadFalls)
+{
+    constexpr std::array<LoadChange, 4> Loads {
+        { { 3, 0s, 2s }, { 0.25, 2s, 1h }, { 0.25, 4s, 1h }, { 0, 3s, 8s } }
+    };
+    for (const LoadChange &load : Loads) {
+        for (const Case &each : badVersions())
+            checkBad(each, {}, load);
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Fleets, RolloutModelTest, testing::Values(9, 60, 300));
 
 } // namespace
--- a/src/snipestall/serving/rollout_plan.cpp
+++ b/src/snipestall/serving/rollout_plan.cpp
@@ -42,11 +42,13 @@
 void RolloutPlan::count(const RolloutCounts &counts, SteadyTime now)
 {
     RouteCounts sum;
+    double begun = 0;
     const double seconds = Seconds(now - m_countedAt).count();
     const bool first = !m_base;
     for (const auto &[route, each] : counts) {
         sum.arrived += each.arrived;
         sum.exposed += each.exposed;
+        begun += std::max(each.newVersion.answers, each.newVersion.latency.total());
         Rate &rate = m_rates[route];
         if (!first && seconds > 0)
             rate.perSecond +=
@@ -54,6 +56,8 @@
         rate.last = each.arrived;
     }
     m_countedAt = now;
+    m_sent = sum.exposed;
+    m_begun = begun;
     if (first)
         m_base = sum;
     m_arrived = std::max(sum.arrived, m_arrivedBefore + sum.arrived - m_base->arrived);
@@ -98,6 +102,7 @@
     if (giveUpWhenLate(state) || verdict == RolloutVerdict::Undecided || !passed(state, TrialPart))
         return;
     m_growingSince = state.now;
+    m_sentBeforeGrowing = m_sent;
     enter(RolloutStep::Growing, "promising");
 }
 
@@ -111,8 +116,9 @@
         return;
     }
     const bool enough = state.newServers >= MinServersPart * state.oldServers;
-    if (verdict == RolloutVerdict::Good && enough && passed(state, SwitchPart)
-        && state.now - m_growingSince >= ShortestGrowth)
+    const bool tried = state.now - m_growingSince >= ShortestGrowth
+        && m_begun >= m_sentBeforeGrowing + FewestGrowthAnswers;
+    if (verdict == RolloutVerdict::Good && enough && tried && passed(state, SwitchPart))
         enter(RolloutStep::Switched, "good");
 }
 
@@ -176,8 +182,6 @@
 
 double RolloutPlan::growingShare() const
 {
-    if (m_judge.verdict() == RolloutVerdict::Good)
-        return GrowingShare;
     const double spendable = spendablePerSecond(UsedWhileGrowing, UsedWhileGrowing);
     return std::min(GrowingShare, spendable / std::max(arrivingPerSecond(), 1.0));
 }
