lint_one: a changed header under platform/ or generated code ends a pass, too

Cause: the cache's key held only the headers that INCLUDE_ROOTS finds; 18 headers of 106 sources (all of platform/include, the stand-ins' and the generated ones) were passed over without a word, so a source kept its pass when one of them changed. Change: the roots are complete, and an include that is in none of them is an error that says so.

--- a/scripts/lint_one.py
+++ b/scripts/lint_one.py
@@ -13,7 +13,9 @@
 import sys
 
 INCLUDE = re.compile(r'^\s*#include "([^"]+)"', re.M)
-INCLUDE_ROOTS = [pathlib.Path(p) for p in ("include", "src", "apps", "standins", "tests", "bench", ".")]
+INCLUDE_ROOTS = [pathlib.Path(p) for p in (
+    "include", "src", "src/generated", "platform/include", "platform/standin", "apps", "apps/snipestall_load",
+    "apps/snipestallctl", "standins", "tests", "bench", ".")]
 TIDY_VERSION = "14"
 
 
@@ -26,6 +28,8 @@
             if (root / name).is_file():
                 collect_includes((root / name), collected)
                 break
+        else:
+            sys.exit(f"{path} includes {name}, which is in none of INCLUDE_ROOTS; add its directory")
 
 
 source = pathlib.Path(sys.argv[1])
