--- a/tests/gateway/stream_origin_test.cpp
+++ b/tests/gateway/stream_origin_test.cpp
@@ -32,6 +32,8 @@
 constexpr double MinContinued = 0.95;
 /// Longer than the reports between instances need.
 constexpr auto ReportTime = 1s;
+/// Longer than a version needs to be registered and used.
+constexpr auto RegisterTime = 2s;
 
 /// What one attempt of a caller asks for.
 struct StreamCall
@@ -515,7 +517,7 @@
         m_store.refuseWrites(true);
         list(m_second);
         co_await untilMetric(m_metrics, "snipestall_gateway_servers", 2);
-        co_await wire::sleepFor(2s);
+        co_await wire::sleepFor(RegisterTime);
         for (const StreamPart &part : co_await begin(m_callers))
             EXPECT_EQ(part.versions, std::set<std::string> { "v1" });
         m_store.refuseWrites(false);
@@ -592,8 +594,12 @@
         startCut({ &m_first, &m_second, &m_third, &m_fourth });
     }
 
+    /// Cuts one instance off when both instances serve, and waits until it forwards its requests.
     Task<void> untilForwarding()
     {
+        co_await untilServing(m_metrics, 4);
+        co_await untilServing(m_cut.metrics, 4);
+        co_await wire::sleepFor(RegisterTime);
         cut(TestLink::Cut::Refuse);
         const std::string line = "snipestall_gateway_cut_off 1";
         bool forwards = false;
@@ -610,9 +616,6 @@
 TEST_F(ForwardedStreamTest, AForwardedStreamGoesOnAtItsVersion)
 {
     run([this]() -> Task<void> {
-        co_await untilServing(m_metrics, 4);
-        co_await untilServing(m_cut.metrics, 4);
-        co_await wire::sleepFor(2s);
         co_await untilForwarding();
         co_await untilBothVersionsBegin(m_cut.callers);
         const auto begun = co_await begin(m_cut.callers);
@@ -629,9 +632,6 @@
 TEST_F(ForwardedStreamTest, AFailureOfTheRestIsPassedOn)
 {
     run([this]() -> Task<void> {
-        co_await untilServing(m_metrics, 4);
-        co_await untilServing(m_cut.metrics, 4);
-        co_await wire::sleepFor(2s);
         co_await untilForwarding();
         const StreamPart begun = co_await call(m_cut.callers, m_fresh);
         for (TestBackend *backend : all())
@@ -645,9 +645,6 @@
 TEST_F(ForwardedStreamTest, TheOriginStaysBetweenInstances)
 {
     run([this]() -> Task<void> {
-        co_await untilServing(m_metrics, 4);
-        co_await untilServing(m_cut.metrics, 4);
-        co_await wire::sleepFor(2s);
         co_await untilForwarding();
         const StreamPart begun = co_await call(m_cut.callers, m_fresh);
         EXPECT_FALSE(begun.hasOrigin);
