Lines of attempts say how often their request has run there, and whether it was forwarded

The lines 901 and 913 could not tell them apart: 901 did not say which run of its request it was, nor whether another instance had sent it; 913 not what the request had used before.

Change: 901 has forwarded, runs and sends; 900 has forwarded; 913 has runs and sends, as counted by the instance of the line. No logic is changed.

--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -303,6 +303,9 @@
                { "unread_tokens", integerText(placed.unreadTokens) },
                { "tokens_ahead", integerText(placed.tokensAhead) },
                { "in_flight", std::to_string(placed.inFlight) },
+               { "forwarded", wasForwarded() ? "yes" : "no" },
+               { "runs", std::to_string(m_runs) },
+               { "sends", std::to_string(m_sends) },
                { "first_byte_ms", std::to_string(toMillis(firstByte)) },
                { "start", std::to_string(static_cast<int>(start)) },
                { "end", std::to_string(static_cast<int>(end)) } });
--- a/src/snipestall/gateway/request_relay_end.cpp
+++ b/src/snipestall/gateway/request_relay_end.cpp
@@ -76,6 +76,7 @@
                { "after_event",
                  m_header.resumeAfter ? std::to_string(*m_header.resumeAfter) : std::string() },
                { "config", m_catalogue ? std::to_string(m_catalogue->version()) : "none" },
+               { "forwarded", wasForwarded() ? "yes" : "no" },
                { "runs", std::to_string(m_runs) },
                { "sends", std::to_string(m_sends) },
                { "ms", std::to_string(toMillis(passed)) } });
--- a/src/snipestall/gateway/request_relay_forward.cpp
+++ b/src/snipestall/gateway/request_relay_forward.cpp
@@ -121,6 +121,8 @@
     logEvent(events::RequestForwarded,
              { { "attempt", m_header.attemptId },
                { "instance", target.name },
+               { "runs", std::to_string(m_runs) },
+               { "sends", std::to_string(m_sends) },
                { "start", std::to_string(static_cast<int>(start)) },
                { "end", std::to_string(static_cast<int>(end)) } });
     co_return end;
