--- a/tests/gateway/cut_instance.hpp
+++ b/tests/gateway/cut_instance.hpp
@@ -51,11 +51,7 @@
         co_return page.body.find("\n" + line + "\n") != std::string::npos;
     }
 
-    platform::StandinStore m_cutStore { this->m_io };
-    std::vector<std::unique_ptr<TestLink>> m_links;
-    typename Fixture::Instance m_cut;
-
-private:
+    /// Writes the row of an instance into a store, as the instance does at its start.
     static void introduce(platform::StandinStore &store, const GatewaySettings &instance)
     {
         const InstanceRow row { instance.dataCentre,
@@ -63,6 +59,10 @@
                                 instance.forwardPort };
         store.put({ "instances", "", instance.instance }, encodeInstance(row));
     }
+
+    platform::StandinStore m_cutStore { this->m_io };
+    std::vector<std::unique_ptr<TestLink>> m_links;
+    typename Fixture::Instance m_cut;
 };
 
 } // namespace snipestall::gateway
