Runs are counted by the request: an instance that serves for another gets what is left

Cause: RequestRelay counted runs and sends from 0 at each instance, and took all that another instance did for one run. So a request that fails everywhere ran as often as allowed at the first instance, at the second, and at the third.

Evidence: ForwardedRunsTest, runs counted at the servers, routes with 2 attempts: 4 runs before for answers 500, lost answers and broken streams; each such attempt has a line 913 between its lines 901.

Change: AttemptBudget, a decision without I/O. The instance that took the request grants what is left and is told what was used; where that is lost, or an answer breaks off in mid-way, all that was granted counts as used. Fields that are missing or can't be read grant one run.

Why it works: the account is with one instance, which never grants more than is left and never gets anything back; so the sum of all runs is bounded whatever is lost between instances.

--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -10,6 +10,7 @@
 #include "snipestall/gateway/stream_move.hpp"
 #include "snipestall/gateway/stream_watch.hpp"
 #include "snipestall/gateway/version_recorder.hpp"
+#include "snipestall/serving/attempt_budget.hpp"
 #include "snipestall/serving/forward_targets.hpp"
 #include "snipestall/serving/placement.hpp"
 #include "snipestall/wire/event_splitter.hpp"
@@ -90,7 +91,10 @@
     [[nodiscard]] std::optional<serving::ForwardTarget> shareHolder();
     /// Attempts the request through another instance, which chooses the server.
     wire::Task<AttemptEnd> forward(serving::ForwardTarget target);
-    wire::Task<AttemptEnd> handleForwardedAnswer(const serving::ServerStatePtr &instance);
+    /// `granted`: what the instance was allowed to use of the attempts.
+    wire::Task<AttemptEnd> handleForwardedAnswer(const serving::ServerStatePtr &instance,
+                                                 serving::AttemptCounts granted);
+    wire::Task<AttemptEnd> relayForwardedAnswer(const serving::ServerStatePtr &instance);
     [[nodiscard]] BackendCall::Request forwardedRequest() const;
     [[nodiscard]] bool wasForwarded() const { return m_origin == RequestOrigin::Instance; }
     wire::Task<AttemptEnd> handleAnswer(const serving::ServerStatePtr &server);
@@ -195,10 +199,7 @@
     std::string m_lastLostServer;
     /// Whether the last server refused or reset the connection.
     bool m_connectionRejected = false;
-    /// Number of attempts that a server may have run.
-    int m_runs = 0;
-    /// Number of attempts that were begun, including those that no server ran.
-    int m_sends = 0;
+    serving::AttemptBudget m_budget;
     /// Set while an attempt waits for its first byte.
     LoadGuard *m_loadGuard = nullptr;
     /// Names of the instances to which the request was forwarded, and whether it is at one now.
--- a/src/snipestall/gateway/forward_header.hpp
+++ b/src/snipestall/gateway/forward_header.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipestall/serving/attempt_budget.hpp"
 #include "snipestall/serving/stream_origin.hpp"
 
 #include <boost/beast/http/fields.hpp>
@@ -31,10 +32,16 @@
 inline constexpr const char *ForwardServiceField = "Snipestall-Stream-Service";
 inline constexpr const char *ForwardVersionField = "Snipestall-Stream-Version";
 
+/// Attempts: in a request, those that are left to it; in an answer, those that were used. An answer
+/// that is passed on as it arrives does not state them, because more may follow.
+inline constexpr const char *ForwardRunsField = "Snipestall-Runs";
+inline constexpr const char *ForwardSendsField = "Snipestall-Sends";
+
 inline void eraseForwardFields(boost::beast::http::fields &fields)
 {
-    for (const char *name : { ForwardConfigField, ForwardCountedField, ForwardNotRunField,
-                              ForwardServiceField, ForwardVersionField })
+    for (const char *name :
+         { ForwardConfigField, ForwardCountedField, ForwardNotRunField, ForwardServiceField,
+           ForwardVersionField, ForwardRunsField, ForwardSendsField })
         fields.erase(name);
 }
 
@@ -58,6 +65,40 @@
     return serving::StreamOrigin { std::string(service->value()), std::string(version->value()) };
 }
 
+inline void setForwardedAttempts(const serving::AttemptCounts &attempts,
+                                 boost::beast::http::fields &fields)
+{
+    fields.set(ForwardRunsField, std::to_string(attempts.runs));
+    fields.set(ForwardSendsField, std::to_string(attempts.sends));
+}
+
+/// Returns the number in a field; nothing if it is missing, negative, too large or not a number.
+inline std::optional<int> forwardedCount(const boost::beast::http::fields &fields, const char *name)
+{
+    const auto found = fields.find(name);
+    if (found == fields.end())
+        return std::nullopt;
+    const std::string_view text(found->value().data(), found->value().size());
+    const char *end = text.data() + text.size();
+    int count = -1;
+    const auto parsed = std::from_chars(text.data(), end, count);
+    if (parsed.ec != std::errc() || parsed.ptr != end || count < 0)
+        return std::nullopt;
+    return count;
+}
+
+/// Returns the attempts that a forwarded request or its answer states; nothing if it does not state
+/// them readably, as instances of earlier versions do not.
+inline std::optional<serving::AttemptCounts>
+forwardedAttempts(const boost::beast::http::fields &fields)
+{
+    const auto runs = forwardedCount(fields, ForwardRunsField);
+    const auto sends = forwardedCount(fields, ForwardSendsField);
+    if (!runs || !sends)
+        return std::nullopt;
+    return serving::AttemptCounts { *runs, *sends };
+}
+
 /// Returns the version of the configuration that a forwarded request states; 0 if it states none.
 inline std::int64_t forwardedConfigVersion(const boost::beast::http::fields &fields)
 {
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -24,9 +24,6 @@
 
 namespace {
 
-/// Sends allowed beyond the attempt limit of a route. A server that reports that it did not run a
-/// request, or that can't be reached, uses up no attempt, but the search for a server must end.
-constexpr int MaxRejections = 3;
 /// A server of the same region accepts a connection within a few round trips. The kernel repeats a
 /// lost opening packet after one second.
 constexpr milliseconds ConnectTimeout { 400 };
@@ -113,11 +110,11 @@
     // The rest of a body that is passed on as it arrives can only come from its own run.
     if (m_answer.state() == CallerAnswer::State::ForwardingBody || !m_answer.mayChangeServer())
         return false;
-    if (m_sends >= m_route->attemptLimit + MaxRejections)
+    if (m_budget.sendsLeft() == 0)
         return false;
     if (m_state.crashes.isBlocked(m_fingerprint, m_state.clock.steadyNow()))
         return false;
-    if (m_maybeRan && (!m_route->mayRepeat() || m_runs >= m_route->attemptLimit))
+    if (m_maybeRan && (!m_route->mayRepeat() || m_budget.runsLeft() == 0))
         return false;
     // A request that did not reach the other instance has reached no server either.
     return m_forwardUnsent || takeRepeat();
@@ -134,7 +131,7 @@
     logEvent(events::RepeatRefused,
              { { "attempt", m_header.attemptId },
                { "service", service },
-               { "sends", std::to_string(m_sends) } });
+               { "sends", std::to_string(m_budget.used().sends) } });
     return false;
 }
 
@@ -152,9 +149,9 @@
             continue;
         }
         m_forwardUnsent = false;
-        m_placementRequest.versions =
-            m_state.rollouts.choose(m_placementRequest.service->name, m_route->name, m_sends == 0,
-                                    m_state.random, m_state.clock.steadyNow());
+        m_placementRequest.versions = m_state.rollouts.choose(
+            m_placementRequest.service->name, m_route->name, m_budget.used().sends == 0,
+            m_state.random, m_state.clock.steadyNow());
         const auto placed = m_state.placement.choose(m_placementRequest, m_state.clock.steadyNow());
         if (!placed) {
             const auto holder = shareHolder();
@@ -237,7 +234,7 @@
 {
     const serving::ServerStatePtr server = placed.server;
     m_placementRequest.tried.insert(server->key);
-    ++m_sends;
+    m_budget.sent();
     // A run that was moved was counted when its server was chosen.
     if (m_kvCacheSource.empty())
         m_state.limits.requestSent(*server, m_state.clock.steadyNow());
@@ -281,7 +278,7 @@
         end = AttemptEnd::NotRun;
     } else {
         m_maybeRan = true;
-        ++m_runs;
+        m_budget.ran();
         if (start == CallStart::Lost)
             handleConnectionLoss(server);
         end = start == CallStart::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Failed;
@@ -304,8 +301,8 @@
                { "tokens_ahead", integerText(placed.tokensAhead) },
                { "in_flight", std::to_string(placed.inFlight) },
                { "forwarded", wasForwarded() ? "yes" : "no" },
-               { "runs", std::to_string(m_runs) },
-               { "sends", std::to_string(m_sends) },
+               { "runs", std::to_string(m_budget.used().runs) },
+               { "sends", std::to_string(m_budget.used().sends) },
                { "first_byte_ms", std::to_string(toMillis(firstByte)) },
                { "start", std::to_string(static_cast<int>(start)) },
                { "end", std::to_string(static_cast<int>(end)) } });
@@ -346,7 +343,7 @@
         co_return AttemptEnd::NotRun;
     }
     m_maybeRan = true;
-    ++m_runs;
+    m_budget.ran();
     if (!m_answer.canContinueWith(m_call->head()))
         co_return co_await dropAnswer(*server);
     const serving::StreamOrigin origin { server->info.service, server->info.version };
@@ -395,7 +392,7 @@
 
 void RequestRelay::watchForStall(const serving::ServerStatePtr &server)
 {
-    if (!m_route->mayRepeat() || m_runs + 1 >= m_route->attemptLimit || m_answer.begun())
+    if (!m_route->mayRepeat() || m_budget.runsLeft() <= 1 || m_answer.begun())
         return;
     const double rate = m_state.demand.readRate(m_placementRequest.service->name);
     std::chrono::duration<double> predicted { 0 };
--- a/src/snipestall/gateway/request_relay_admission.cpp
+++ b/src/snipestall/gateway/request_relay_admission.cpp
@@ -135,8 +135,13 @@
     if (m_state.crashes.isBlocked(m_fingerprint, m_received))
         co_return co_await refuse(refusal(503, RetryAfterCrashes), "ends-servers");
     m_versions.setRequest(m_placementRequest.service->name, m_route->name);
+    m_budget = serving::AttemptBudget(m_route->attemptLimit);
     // What a request takes of limits is counted by the instance that its caller has sent it to.
     if (wasForwarded()) {
+        // An instance that states no attempts, or none that can be read, may have used all but one.
+        m_budget.restrictTo(forwardedAttempts(request).value_or(serving::AttemptBudget(1).grant()));
+        if (m_budget.exhausted())
+            co_return co_await refuse(refusal(503, RetryAfterNoServer), "no-attempts-left");
         m_usageCounted = request.find(ForwardCountedField) != request.end();
         co_return true;
     }
--- a/src/snipestall/gateway/request_relay_end.cpp
+++ b/src/snipestall/gateway/request_relay_end.cpp
@@ -47,7 +47,7 @@
     CallerConnection::Answer answer = ownAnswer(status);
     answer.set(http::field::retry_after, secondsText(retryAfter));
     if (wasForwarded())
-        answer.set(ForwardNotRunField, m_sends > 0 ? ForwardRejected : ForwardUnsent);
+        answer.set(ForwardNotRunField, m_budget.used().sends > 0 ? ForwardRejected : ForwardUnsent);
     return answer;
 }
 
@@ -56,6 +56,8 @@
     const unsigned status = answer.result_int();
     if (m_state.draining())
         m_keepAlive = false;
+    if (wasForwarded())
+        setForwardedAttempts(m_budget.used(), answer);
     answer.keep_alive(m_keepAlive);
     m_keepAlive = co_await m_answer.writeWhole(std::move(answer)) && m_keepAlive;
     logEnd(status, reason);
@@ -77,8 +79,8 @@
                  m_header.resumeAfter ? std::to_string(*m_header.resumeAfter) : std::string() },
                { "config", m_catalogue ? std::to_string(m_catalogue->version()) : "none" },
                { "forwarded", wasForwarded() ? "yes" : "no" },
-               { "runs", std::to_string(m_runs) },
-               { "sends", std::to_string(m_sends) },
+               { "runs", std::to_string(m_budget.used().runs) },
+               { "sends", std::to_string(m_budget.used().sends) },
                { "ms", std::to_string(toMillis(passed)) } });
 }
 
@@ -87,8 +89,8 @@
     logEvent(events::RequestCut,
              { { "attempt", m_header.attemptId },
                { "route", m_route == nullptr ? "" : m_route->name },
-               { "runs", std::to_string(m_runs) },
-               { "sends", std::to_string(m_sends) },
+               { "runs", std::to_string(m_budget.used().runs) },
+               { "sends", std::to_string(m_budget.used().sends) },
                { "answer_begun", m_answer.begun() ? "yes" : "no" },
                { "ms", std::to_string(toMillis(m_state.clock.steadyNow() - m_received)) } });
 }
--- a/src/snipestall/gateway/request_relay_forward.cpp
+++ b/src/snipestall/gateway/request_relay_forward.cpp
@@ -69,6 +69,7 @@
                                  request);
     eraseForwardFields(request);
     request.set(ForwardConfigField, std::to_string(m_catalogue->version()));
+    setForwardedAttempts(m_budget.grant(), request);
     setForwardedOrigin(m_answer.origin(), request);
     if (m_usageCounted)
         request.set(ForwardCountedField, "1");
@@ -80,7 +81,7 @@
 Task<RequestRelay::AttemptEnd> RequestRelay::forward(serving::ForwardTarget target)
 {
     m_forwardedTo.insert(target.name);
-    ++m_sends;
+    const serving::AttemptCounts granted = m_budget.grant();
     ++m_state.counters.forwarded;
     m_connectionRejected = false;
     m_answerLost = false;
@@ -109,36 +110,55 @@
     if (unreachable && !m_callerGone && !m_cancelled)
         m_state.forwardTargets.failed(target.name, m_state.clock.steadyNow());
     if (start == CallStart::Answered) {
-        end = co_await handleForwardedAnswer(instance);
+        end = co_await handleForwardedAnswer(instance, granted);
     } else if (start == CallStart::Lost || start == CallStart::TimedOut) {
         m_maybeRan = true;
-        ++m_runs;
+        m_budget.usedElsewhere(granted);
         end = start == CallStart::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Failed;
     }
-    m_forwardUnsent = start == CallStart::Unreachable || m_forwardUnsent;
+    if (start == CallStart::Unreachable) {
+        m_budget.sent();
+        m_forwardUnsent = true;
+    }
     m_atInstance = false;
     m_call.reset();
     logEvent(events::RequestForwarded,
              { { "attempt", m_header.attemptId },
                { "instance", target.name },
-               { "runs", std::to_string(m_runs) },
-               { "sends", std::to_string(m_sends) },
+               { "granted_runs", std::to_string(granted.runs) },
+               { "runs", std::to_string(m_budget.used().runs) },
+               { "sends", std::to_string(m_budget.used().sends) },
                { "start", std::to_string(static_cast<int>(start)) },
                { "end", std::to_string(static_cast<int>(end)) } });
     co_return end;
 }
 
 Task<RequestRelay::AttemptEnd>
-RequestRelay::handleForwardedAnswer(const serving::ServerStatePtr &instance)
+RequestRelay::handleForwardedAnswer(const serving::ServerStatePtr &instance,
+                                    serving::AttemptCounts granted)
 {
     const BackendCall::Head &head = m_call->head();
+    const auto stated = forwardedAttempts(head);
     if (const auto notRun = head.find(ForwardNotRunField); notRun != head.end()) {
         m_forwardUnsent = notRun->value() == ForwardUnsent;
+        m_budget.usedElsewhere({ 0, m_forwardUnsent ? 1 : stated.value_or(granted).sends });
         co_await readRejection();
         co_return AttemptEnd::NotRun;
     }
     m_maybeRan = true;
-    ++m_runs;
+    const serving::AttemptCounts used = stated.value_or(serving::AttemptCounts());
+    m_budget.usedElsewhere({ std::max(used.runs, 1), std::max(used.sends, 1) });
+    const AttemptEnd end = co_await relayForwardedAnswer(instance);
+    // The other instance may have gone on after the head of an answer that then broke off.
+    if (end != AttemptEnd::Final && !stated)
+        m_budget.usedElsewhere(granted);
+    co_return end;
+}
+
+Task<RequestRelay::AttemptEnd>
+RequestRelay::relayForwardedAnswer(const serving::ServerStatePtr &instance)
+{
+    const BackendCall::Head &head = m_call->head();
     if (!m_answer.canContinueWith(head))
         co_return co_await dropAnswer(*instance);
     const unsigned status = head.result_int();
--- a/tests/gateway/cut_off_test.cpp
+++ b/tests/gateway/cut_off_test.cpp
@@ -89,6 +89,8 @@
                             || attempts.insert(attempt).second)
                     << attempt << " has run twice";
                 EXPECT_FALSE(request.fields.find("Snipestall-Config-Version"));
+                EXPECT_FALSE(request.fields.find("Snipestall-Runs"));
+                EXPECT_FALSE(request.fields.find("Snipestall-Sends"));
             }
         }
     }
@@ -164,8 +166,11 @@
         EXPECT_EQ(unknown->status, 401);
         request.fields.set("Authorization", "Bearer secret");
         request.fields.set("Snipestall-Config-Version", "999");
+        request.fields.set("Snipestall-Runs", "0");
+        request.fields.set("Snipestall-Sends", "0");
         const auto known = co_await m_client.fetch(m_callers, request);
         EXPECT_EQ(known->status, 200);
+        EXPECT_FALSE(known->fields.find("Snipestall-Runs"));
         expectEachRunOnce();
     });
 }
--- a/tests/gateway/forwarded_runs_test.cpp
+++ b/tests/gateway/forwarded_runs_test.cpp
@@ -8,6 +8,7 @@
 #include <initializer_list>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace snipestall::gateway {
 namespace {
@@ -100,5 +101,83 @@
     EXPECT_EQ(mostRuns({ &m_first, &m_second }), AttemptLimit);
 }
 
+class GrantedRunsTest : public GatewayPathTest
+{
+protected:
+    GrantedRunsTest()
+    {
+        publish();
+        for (TestBackend *backend : { &m_first, &m_second })
+            backend->behave(TestBackend::Behaviour::Fail);
+    }
+
+    /// Sends a request to the port for instances that grants these attempts; empty: not stated.
+    Task<wire::HttpResponse> forward(std::string runs, std::string sends)
+    {
+        wire::HttpRequest request;
+        request.target = "/safe/x";
+        request.fields.set("Host", "a.example");
+        request.fields.set("X-Attempt-Id", "granted-" + runs + "-" + sends);
+        request.fields.set("Authorization", "Bearer secret");
+        request.fields.set("Snipestall-Config-Version", "3");
+        if (!runs.empty())
+            request.fields.set("Snipestall-Runs", runs);
+        if (!sends.empty())
+            request.fields.set("Snipestall-Sends", sends);
+        const wire::Endpoint instances { "127.0.0.1", m_settings.forwardPort };
+        co_return *co_await m_client.fetch(instances, request);
+    }
+};
+
+// Guards against an instance that serves a forwarded request more often than is left to it. One
+// that states nothing, or nothing that can be read, may have used all attempts but one.
+TEST_F(GrantedRunsTest, AForwardedRequestRunsAsOftenAsIsLeftToIt)
+{
+    struct Case
+    {
+        std::string runs;
+        std::string sends;
+        std::size_t expected;
+    };
+    run([this]() -> Task<void> {
+        co_await untilServing();
+        for (const Case &each : std::vector<Case> {
+                 { "2", "5", 2 },
+                 { "1", "5", 1 },
+                 { "2", "1", 1 },
+                 { "1000", "1000", 2 },
+                 { "", "", 1 },
+                 { "2", "", 1 },
+                 { "", "5", 1 },
+                 { "two", "5", 1 },
+                 { "2x", "5", 1 },
+                 { "-1", "5", 1 },
+                 { "99999999999999999999", "5", 1 },
+             }) {
+            const std::size_t before = m_first.ran().size() + m_second.ran().size();
+            const wire::HttpResponse response = co_await forward(each.runs, each.sends);
+            EXPECT_EQ(response.status, 500);
+            const std::size_t ran = m_first.ran().size() + m_second.ran().size() - before;
+            EXPECT_EQ(ran, each.expected) << "runs " << each.runs << ", sends " << each.sends;
+            EXPECT_EQ(response.fields.find("Snipestall-Runs"), std::to_string(ran));
+        }
+    });
+}
+
+// A request to which nothing is left has not run here, and says so.
+TEST_F(GrantedRunsTest, AForwardedRequestToWhichNothingIsLeftIsRefusedAsNotRun)
+{
+    run([this]() -> Task<void> {
+        co_await untilServing();
+        for (const char *runs : { "0", "2" }) {
+            const wire::HttpResponse response =
+                co_await forward(runs, runs == std::string("0") ? "5" : "0");
+            EXPECT_EQ(response.status, 503);
+            EXPECT_EQ(response.fields.find("Snipestall-Not-Run"), "unsent");
+        }
+        EXPECT_TRUE(m_first.ran().empty() && m_second.ran().empty());
+    });
+}
+
 } // namespace
 } // namespace snipestall::gateway
