Lines of failed attempts name the parts of their prompts

Change: 901 has parts, where an attempt did not end with an answer: the ids of all parts but the last, 16 at most. No logic is changed.

--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace snipestall::gateway {
@@ -44,6 +45,17 @@
     return request.prompt ? FixedTokens + placed.unreadTokens + placed.tokensAhead : 1;
 }
 
+/// The parts of a prompt that other requests may have as well; a limited number.
+std::string partsText(const std::optional<serving::Prompt> &prompt)
+{
+    constexpr std::size_t MaxShown = 16;
+    std::ostringstream text;
+    const std::size_t shared = prompt && !prompt->parts.empty() ? prompt->parts.size() - 1 : 0;
+    for (std::size_t i = 0; i < std::min(shared, MaxShown); ++i)
+        text << (i == 0 ? "" : ",") << std::hex << prompt->parts[i].id;
+    return text.str();
+}
+
 } // namespace
 
 RequestRelay::RequestRelay(GatewayState &state, std::shared_ptr<CallerConnection> caller,
@@ -304,6 +316,7 @@
                { "runs", std::to_string(m_budget.used().runs) },
                { "sends", std::to_string(m_budget.used().sends) },
                { "first_byte_ms", std::to_string(toMillis(firstByte)) },
+               { "parts", end == AttemptEnd::Final ? std::string() : partsText(m_header.prompt) },
                { "start", std::to_string(static_cast<int>(start)) },
                { "end", std::to_string(static_cast<int>(end)) } });
     co_return end;
