Failing test: one part of prompts crashes server after server

What callers see: streams break off on servers that end one after the other, because requests with one part in their prompts crash each server that begins to answer them. The requests differ in body and last part, so CrashWatch, which knows a request by the whole of it, takes each for a new one.

--- a/tests/gateway/test_backend.cpp
+++ b/tests/gateway/test_backend.cpp
@@ -99,6 +99,12 @@
     if (m_limit)
         response.fields.set("Server-Limit", *m_limit);
     response.body = "answer of " + m_id;
+    const std::string parts = request.fields.find("X-Prompt-Prefix").value_or("");
+    if (!m_endingPart.empty() && parts.find(m_endingPart + ":") != std::string::npos) {
+        co_await streamUpTo(0, exchange, std::move(response));
+        end(exchange);
+        co_return;
+    }
     switch (behaviour) {
     case Behaviour::LoseAnswer:
         exchange.abort();
--- a/tests/gateway/test_backend.hpp
+++ b/tests/gateway/test_backend.hpp
@@ -84,6 +84,9 @@
     void behave(Behaviour behaviour) { m_behaviour = behaviour; }
     /// Sets the behaviour for requests that resume a stream after an event.
     void behaveWhenResumed(Behaviour behaviour) { m_whenResumed = behaviour; }
+    /// Ends like a process that crashes as it begins to write the answer to a request whose prompt
+    /// has this part.
+    void endOnPart(std::string part) { m_endingPart = std::move(part); }
     /// Names this limit in every answer; nothing lifts it.
     void nameLimit(std::optional<std::string> requestsPerSecond)
     {
@@ -135,6 +138,7 @@
     bool m_ended = false;
     Behaviour m_behaviour = Behaviour::Serve;
     std::optional<Behaviour> m_whenResumed;
+    std::string m_endingPart;
     std::optional<std::string> m_limit;
     std::vector<std::chrono::steady_clock::time_point> m_arrivals;
     std::vector<wire::HttpRequest> m_ran;
