A part of prompts that crashes servers is found and blocked, over all instances and restarts

Cause: CrashWatch knows a request by the whole of it (method, target, customer, body). Each request is new, so nothing adds up; what was known of crashing requests was in memory alone, too.

Evidence: in the record each ended server has exactly one attempt whose answer had begun and had no event; these attempts differ and share a part (901, 905).

Change: PartCrashWatch, a decision without I/O. A part is blocked that three ends are left with once all whole answers that any instance has had with it are taken off; its ends explain those of other parts. Requests with a suspected part wait for a second at most, until all have told what they know. Blocked parts are in all reports between instances and in a row of the store, which a process reads before it sends prompts. They are allowed again by a whole answer: of one trial, which the row gives out once, or because an operator removes the entry. A whole request is no longer held for ends that a part explains.

--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -106,7 +106,7 @@
     [[nodiscard]] bool canServe() const
     {
         return catalogue && serverListKnown && instancesKnown && rolloutsKnown
-            && streamVersions.known();
+            && streamVersions.known() && crashes.parts().known();
     }
     /// Software versions of the listed servers, and those that orders move traffic to, of services
     /// that serve streams which may be continued elsewhere.
--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -122,6 +122,7 @@
     void addRollouts(exchange::v1::LoadReport &report) const;
     void applyRollouts(const exchange::v1::LoadReport &report);
     void addCrashes(const Peer &receiver, exchange::v1::LoadReport &report) const;
+    void applyCrashes(const exchange::v1::LoadReport &report);
     void addRetryLevels(exchange::v1::LoadReport &report) const;
     /// Hands over credits for repeats to a peer that has few.
     void addRetryGrants(const Peer &receiver, exchange::v1::LoadReport &report);
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -13,6 +13,7 @@
 #include "snipestall/serving/attempt_budget.hpp"
 #include "snipestall/serving/forward_targets.hpp"
 #include "snipestall/serving/placement.hpp"
+#include "snipestall/serving/prompt_parts.hpp"
 #include "snipestall/wire/event_splitter.hpp"
 #include "snipestall/wire/task.hpp"
 
@@ -124,6 +125,17 @@
     [[nodiscard]] bool takeRepeat();
     /// Handles an answer that was cut off. The server may have crashed because of this request.
     void handleConnectionLoss(const serving::ServerStatePtr &server);
+    /// The parts of the prompt that other requests may have as well; none without a prompt.
+    [[nodiscard]] serving::PromptParts promptParts() const;
+    /// The same if the answer of the current attempt has not or has just begun; none otherwise.
+    [[nodiscard]] serving::PromptParts suspectParts() const;
+    /// Returns whether a part of the prompt is blocked because it crashes servers.
+    [[nodiscard]] bool partBlocked() const;
+    /// Waits until it is decided whether suspected parts of the prompt are blocked.
+    wire::Task<void> awaitPartVerdict();
+    /// Refuses the request if a part of its prompt crashes servers. Returns true if it is admitted.
+    wire::Task<bool> admitParts();
+    wire::Task<void> refuseParts(std::chrono::milliseconds retryAfter, const char *reason);
     /// Waits, for a short time at most, until this instance knows whether the last server has ended
     /// and which servers copies of the request have ended elsewhere.
     wire::Task<void> awaitCrashEvidence();
--- a/include/snipestall/serving/crash_watch.hpp
+++ b/include/snipestall/serving/crash_watch.hpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/base/clock.hpp"
 #include "snipestall/base/recent_hashes.hpp"
+#include "snipestall/serving/part_crash_watch.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -31,14 +32,17 @@
 /// reached across a network partition. A request that was in flight at three servers when they
 /// crashed is refused. Other requests that run beside it are rarely in flight at three such
 /// servers, and a request that a server has answered is known to be harmless. The instances
-/// exchange their reports.
+/// exchange their reports. Ends that are explained by a part of other requests' prompts do not
+/// count.
 class CrashWatch
 {
 public:
     /// The connection to `server` broke before the end of the answer. Returns true if it now has to
     /// be checked whether the server has crashed, with the result reported by foundRunning() or
     /// connectionRefused(); false if such a check is already under way.
-    bool connectionBroke(std::uint64_t fingerprint, const std::string &server, SteadyTime now);
+    /// `suspects`: the parts of the request's prompt, if its answer had not or had just begun.
+    bool connectionBroke(std::uint64_t fingerprint, const std::string &server, SteadyTime now,
+                         PromptParts suspects = {});
     /// Whether the check of a server whose connection broke is still under way.
     [[nodiscard]] bool isBeingChecked(const std::string &server) const;
     /// The check found that the server accepts connections.
@@ -62,6 +66,9 @@
     /// started; a limited number.
     [[nodiscard]] std::vector<CrashReport> allReports(SteadyTime now) const;
 
+    [[nodiscard]] PartCrashWatch &parts() { return m_parts; }
+    [[nodiscard]] const PartCrashWatch &parts() const { return m_parts; }
+
 private:
     static constexpr std::size_t BlockThreshold = 3;
     /// A crashed server refuses connections well within this time.
@@ -77,6 +84,7 @@
     struct BrokenRequest
     {
         std::uint64_t fingerprint = 0;
+        PromptParts suspects;
         SteadyTime time;
     };
     struct CrashedServers
@@ -96,6 +104,7 @@
 
     std::map<std::string, std::vector<BrokenRequest>> m_brokenRequests;
     std::set<std::string> m_checking;
+    PartCrashWatch m_parts;
     RecentHashes m_answered;
     std::map<std::uint64_t, CrashedServers> m_crashedServers;
     std::vector<RecentReport> m_recentReports;
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -241,6 +241,24 @@
     916, Severity::Info, "stream-versions-stored",
     "The row of the store changed that says which software versions may begin streams.", "None."
 };
+const EventInfo PartBlocked {
+    917, Severity::Warning, "part-blocked",
+    "Requests with this part in their prompts are refused, because the servers in the line ended "
+    "while such requests were in flight there and none of them was answered in full since.",
+    "Inform the customer, and look why the part crashes the servers. To allow it, remove its entry "
+    "from the row of the store that 919 names."
+};
+const EventInfo PartAllowed {
+    918, Severity::Info, "part-allowed",
+    "A part of prompts that was blocked is allowed again: a request with it was answered in full, "
+    "or its entry was removed.",
+    "None."
+};
+const EventInfo BlockedPartsStored {
+    919, Severity::Info, "blocked-parts-stored",
+    "The row blocked-parts/parts of the store, which lists the blocked parts of prompts, changed.",
+    "None."
+};
 const EventInfo StoreLost {
     910, Severity::Warning, "store-lost",
     "The platform's store does not respond; the last known data stays in force.",
@@ -414,6 +432,9 @@
     &ShutdownRefuses,
     &RepeatRefused,
     &RequestForwarded,
+    &PartBlocked,
+    &PartAllowed,
+    &BlockedPartsStored,
     &StreamResumed,
     &StreamNotResumed,
     &StreamVersionsStored,
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "relay_text.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
+#include "snipestall/gateway/blocked_part_registrar.hpp"
 #include "snipestall/gateway/caller_listener.hpp"
 #include "snipestall/gateway/duty_runner.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
@@ -37,6 +38,7 @@
 /// Much shorter than any target latency.
 constexpr milliseconds AttemptCheckInterval { 50 };
 constexpr milliseconds VersionsTick { 50 };
+constexpr milliseconds BlockedPartsTick { 50 };
 constexpr milliseconds DrainTick { 50 };
 constexpr milliseconds EndTick { 10 };
 
@@ -64,6 +66,7 @@
         , versions(
               state, store,
               { [this] { return follower.readsList(); }, [this] { return duties.holdsLease(); } })
+        , blockedParts(state, store, [this] { return follower.readsList(); })
         , loopWatch(state)
         , reachProber(state)
     { }
@@ -97,6 +100,7 @@
     Task<void> probeReach();
     Task<void> runRollouts();
     Task<void> registerVersions();
+    Task<void> registerBlockedParts();
     Task<void> drain();
     /// Removes this instance from the store and stores its counts.
     Task<void> leaveFleet();
@@ -109,6 +113,7 @@
     DutyRunner duties;
     RolloutRunner rollouts;
     VersionRegistrar versions;
+    BlockedPartRegistrar blockedParts;
     LoopWatch loopWatch;
     ReachProber reachProber;
     std::unique_ptr<LoadExchange> exchange;
@@ -188,6 +193,7 @@
     if (m_parts->state.rollouts.enabled())
         asio::co_spawn(m_parts->state.io, m_parts->runRollouts(), asio::detached);
     asio::co_spawn(m_parts->state.io, m_parts->registerVersions(), asio::detached);
+    asio::co_spawn(m_parts->state.io, m_parts->registerBlockedParts(), asio::detached);
     for (CallerListener *listener : m_parts->listeners())
         listener->start();
     m_parts->loopWatch.start();
@@ -231,6 +237,14 @@
     }
 }
 
+Task<void> Gateway::Parts::registerBlockedParts()
+{
+    while (true) {
+        co_await blockedParts.tick();
+        co_await wire::sleepFor(BlockedPartsTick);
+    }
+}
+
 Task<void> Gateway::Parts::housekeeping()
 {
     bool wasReady = false;
--- a/src/snipestall/gateway/gateway_metrics.cpp
+++ b/src/snipestall/gateway/gateway_metrics.cpp
@@ -46,7 +46,7 @@
 }
 
 /// Help texts are part of the exported metrics and stay stable.
-constexpr std::array<Gauge, 22> Gauges { {
+constexpr std::array<Gauge, 23> Gauges { {
     { "snipestall_gateway_requests", "Requests read since the start.",
       [](const GatewayState &s) { return double(s.counters.requests); } },
     { "snipestall_gateway_answered", "Requests answered by a backend server since the start.",
@@ -85,6 +85,9 @@
       "Listed software versions whose servers may not begin streams yet.", versionsPending },
     { "snipestall_gateway_stream_records", "Streams whose origin is known here.",
       [](const GatewayState &s) { return double(s.streamRecords.size()); } },
+    { "snipestall_gateway_blocked_parts",
+      "Parts of prompts that are refused because they crash servers.",
+      [](const GatewayState &s) { return double(s.crashes.parts().blockedParts()); } },
     { "snipestall_gateway_repeats_refused",
       "Sends beyond the first that the limit on repeats refused since the start.",
       [](const GatewayState &s) { return double(s.counters.repeatsRefused); } },
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -372,9 +372,7 @@
     applyRollouts(report);
     applyTables(report);
     m_streams.reportReceived(report, now);
-    for (const v1::Crash &crash : report.crashes())
-        m_state.crashes.addReport(
-            { crash.fingerprint(), crash.server(), milliseconds(crash.age_ms()) }, now);
+    applyCrashes(report);
     if (report.holds_lease())
         m_hooks.holderReported();
 }
--- a/src/snipestall/gateway/load_exchange_reports.cpp
+++ b/src/snipestall/gateway/load_exchange_reports.cpp
@@ -24,6 +24,35 @@
 /// Several intervals of reports, within which a new process of a peer gets what older reports were
 /// about.
 constexpr milliseconds NewProcessFor { 1500 };
+
+void encodePart(const serving::PartReport &part, v1::SuspectPart &entry)
+{
+    entry.set_service(part.name.service);
+    entry.set_model(part.name.model);
+    entry.set_id(part.name.id);
+    entry.set_blocked(part.blocked);
+    entry.set_stored(part.stored);
+    if (part.answered)
+        entry.set_answered_age_ms(static_cast<std::uint32_t>(part.answered->count()));
+    for (const serving::ServerEnd &each : part.ends) {
+        v1::ServerEnd *end = entry.add_ends();
+        end->set_server(each.server);
+        end->set_age_ms(static_cast<std::uint32_t>(each.age.count()));
+    }
+}
+
+serving::PartReport decodePart(const v1::SuspectPart &entry)
+{
+    serving::PartReport part;
+    part.name = { entry.service(), entry.model(), entry.id() };
+    part.blocked = entry.blocked();
+    part.stored = entry.stored();
+    if (entry.has_answered_age_ms())
+        part.answered = milliseconds(entry.answered_age_ms());
+    for (const v1::ServerEnd &each : entry.ends())
+        part.ends.push_back({ each.server(), milliseconds(each.age_ms()) });
+    return part;
+}
 /// Two intervals of reports. Credits are handed over only to peers that have reported within this
 /// time, because they are lost with a report that does not arrive.
 constexpr milliseconds GrantsAfterReport { 400 };
@@ -122,6 +151,21 @@
         entry->set_server(crash.server);
         entry->set_age_ms(static_cast<std::uint32_t>(crash.age.count()));
     }
+    report.set_suspect_parts_known(m_state.crashes.parts().known());
+    for (const serving::PartReport &part : m_state.crashes.parts().reports(isNew, now))
+        encodePart(part, *report.add_suspect_parts());
+}
+
+void LoadExchange::applyCrashes(const v1::LoadReport &report)
+{
+    const SteadyTime now = m_state.clock.steadyNow();
+    for (const v1::Crash &crash : report.crashes())
+        m_state.crashes.addReport(
+            { crash.fingerprint(), crash.server(), milliseconds(crash.age_ms()) }, now);
+    for (const v1::SuspectPart &part : report.suspect_parts())
+        m_state.crashes.parts().receive(decodePart(part), now);
+    if (report.suspect_parts_known())
+        m_state.crashes.parts().learned();
 }
 
 void LoadExchange::addRollouts(v1::LoadReport &report) const
--- a/src/snipestall/gateway/relay_text.hpp
+++ b/src/snipestall/gateway/relay_text.hpp
@@ -15,6 +15,10 @@
 /// the caller's new connection at once.
 inline constexpr std::chrono::milliseconds RetryAfterShutdown { 50 };
 
+/// Retry time for a request that crashes servers. It is longer than any caller waits, because the
+/// request should not be repeated.
+inline constexpr std::chrono::seconds RetryAfterCrashes { 60 };
+
 inline std::int64_t toMillis(SteadyTime::duration time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -124,7 +124,7 @@
         return false;
     if (m_budget.sendsLeft() == 0)
         return false;
-    if (m_state.crashes.isBlocked(m_fingerprint, m_state.clock.steadyNow()))
+    if (m_state.crashes.isBlocked(m_fingerprint, m_state.clock.steadyNow()) || partBlocked())
         return false;
     if (m_maybeRan && (!m_route->mayRepeat() || m_budget.runsLeft() == 0))
         return false;
@@ -177,6 +177,8 @@
         while (last == AttemptEnd::Moved)
             last = co_await attempt(finishMove());
         co_await awaitCrashEvidence();
+        if (last != AttemptEnd::Final)
+            co_await awaitPartVerdict();
     } while (mayRetry(last));
     if (last == AttemptEnd::Final || m_answer.ended())
         co_return;
@@ -196,7 +198,7 @@
     if (server->info.leaving)
         return;
     m_lastLostServer = server->key;
-    if (m_state.crashes.connectionBroke(m_fingerprint, server->key, now))
+    if (m_state.crashes.connectionBroke(m_fingerprint, server->key, now, suspectParts()))
         boost::asio::co_spawn(m_state.io, probeServerEnd(m_state, server), boost::asio::detached);
 }
 
--- a/src/snipestall/gateway/request_relay_admission.cpp
+++ b/src/snipestall/gateway/request_relay_admission.cpp
@@ -31,9 +31,6 @@
 /// Retry time for a stream whose origin is not known: the reports of other instances arrive within
 /// this time.
 constexpr milliseconds RetryAfterUnknownOrigin { 500 };
-/// Retry time for a request that ends servers. It is longer than any caller waits, because the
-/// request should not be repeated.
-constexpr std::chrono::seconds RetryAfterCrashes { 60 };
 
 std::string hostOf(const CallerConnection::Request &request)
 {
@@ -134,6 +131,8 @@
         m_placementRequest.unansweredFingerprint = m_fingerprint;
     if (m_state.crashes.isBlocked(m_fingerprint, m_received))
         co_return co_await refuse(refusal(503, RetryAfterCrashes), "ends-servers");
+    if (!co_await admitParts())
+        co_return false;
     m_versions.setRequest(m_placementRequest.service->name, m_route->name);
     m_budget = serving::AttemptBudget(m_route->attemptLimit);
     // What a request takes of limits is counted by the instance that its caller has sent it to.
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -21,6 +21,7 @@
 /// Size in bytes up to which bodies of plain answers are buffered, so that an answer that is cut
 /// off can still be repeated or replaced by a proper error.
 constexpr std::size_t MaxBufferedBytes = 512 * 1024;
+constexpr unsigned FirstNonSuccessStatus = 300;
 constexpr unsigned FirstServerErrorStatus = 500;
 
 } // namespace
@@ -65,6 +66,9 @@
     if (!m_atInstance)
         m_state.servers.answered(server);
     m_state.crashes.requestAnswered(m_fingerprint, m_state.clock.steadyNow());
+    // A server may have turned down a part without reading it.
+    if (m_call->head().result_int() < FirstNonSuccessStatus)
+        m_state.crashes.parts().answered(promptParts(), m_state.clock.steadyNow());
 }
 
 Task<RequestRelay::AttemptEnd> RequestRelay::relayWhole(const serving::ServerStatePtr &server)
--- a/src/snipestall/gateway/request_relay_end.cpp
+++ b/src/snipestall/gateway/request_relay_end.cpp
@@ -133,6 +133,7 @@
     const char *reason = late ? "timeout"
         : m_cancelled         ? "shutting-down"
         : blocked             ? "ends-servers"
+        : partBlocked()       ? "part-ends-servers"
                               : "answer-lost";
     co_await answer(ownAnswer(late ? 504 : 502), reason);
 }
--- a/src/snipestall/serving/crash_watch.cpp
+++ b/src/snipestall/serving/crash_watch.cpp
@@ -6,12 +6,12 @@
 namespace snipestall::serving {
 
 bool CrashWatch::connectionBroke(std::uint64_t fingerprint, const std::string &server,
-                                 SteadyTime now)
+                                 SteadyTime now, PromptParts suspects)
 {
     auto &requests = m_brokenRequests[server];
     std::erase_if(requests,
                   [now](const BrokenRequest &each) { return now - each.time > SuspectPeriod; });
-    requests.push_back({ fingerprint, now });
+    requests.push_back({ fingerprint, std::move(suspects), now });
     return m_checking.insert(server).second;
 }
 
@@ -34,8 +34,10 @@
     const auto requests = std::exchange(found->second, {});
     m_brokenRequests.erase(found);
     for (const BrokenRequest &request : requests) {
-        if (now - request.time <= SuspectPeriod)
-            addReport({ request.fingerprint, server }, now);
+        if (now - request.time > SuspectPeriod)
+            continue;
+        addReport({ request.fingerprint, server }, now);
+        m_parts.serverEnded(request.suspects, server, request.time, now);
     }
 }
 
@@ -80,8 +82,13 @@
     if (wasAnswered(fingerprint))
         return false;
     const auto found = m_crashedServers.find(fingerprint);
-    return found != m_crashedServers.end() && found->second.servers.size() >= BlockThreshold
-        && now - found->second.last <= BlockPeriod;
+    if (found == m_crashedServers.end() || now - found->second.last > BlockPeriod)
+        return false;
+    const auto ended =
+        std::ranges::count_if(found->second.servers, [this](const std::string &server) {
+            return !m_parts.explains(server);
+        });
+    return static_cast<std::size_t>(ended) >= BlockThreshold;
 }
 
 std::vector<CrashReport> CrashWatch::recentReports(SteadyTime now) const
