Bytes of servers that are no answer are given up after a bounded number

Callers would see requests that hang until their deadline, and the memory of an instance grow: a faulty server writes bytes without end. Nothing bounded one event of a stream (EventSplitter kept it all, and searched it anew with each piece), an answer to another request that is skipped, and interim responses. Heads were bounded already.

Change: 16 interim responses, 512 KB of an answer to another request, 256 KB of one event; then the attempt counts as lost: the server is marked, and the request goes on elsewhere where its route allows.

--- a/src/snipestall/gateway/backend_call.cpp
+++ b/src/snipestall/gateway/backend_call.cpp
@@ -34,6 +34,10 @@
 /// A connection is dropped this long before the server would close it, so that no request is sent
 /// while the server closes the connection.
 constexpr milliseconds IdleMargin { 700 };
+/// Interim responses and bytes of an answer to another request that are read before the answer. A
+/// faulty server may send them without end.
+constexpr int MaxInterimResponses = 16;
+constexpr std::size_t MaxDiscardedBytes = 512 * 1024;
 /// First status code that is not an interim response.
 constexpr unsigned FirstFinalStatus = 200;
 
@@ -113,7 +117,8 @@
 
 Task<boost::system::error_code> BackendCall::readHead(SteadyTime deadline)
 {
-    while (true) {
+    int interim = 0;
+    while (interim <= MaxInterimResponses) {
         resetParser();
         setDeadline(deadline);
         auto [error, bytes] = co_await http::async_read_header(
@@ -121,8 +126,10 @@
         if (error)
             co_return error;
         m_lastReceivedAt = m_clock.steadyNow();
-        if (m_parser->get().result_int() < FirstFinalStatus)
+        if (m_parser->get().result_int() < FirstFinalStatus) {
+            ++interim;
             continue;
+        }
         const auto answer =
             platform::readServerResponse(m_parser->get().result_int(), m_parser->get());
         if (answer.attemptId == m_attemptId)
@@ -134,17 +141,21 @@
         if (const auto broken = co_await discardBody(deadline))
             co_return broken;
     }
+    co_return http::make_error_code(http::error::bad_status);
 }
 
 Task<boost::system::error_code> BackendCall::discardBody(SteadyTime deadline)
 {
-    while (true) {
+    std::size_t discarded = 0;
+    while (discarded <= MaxDiscardedBytes) {
         const BodyRead piece = co_await readBody(deadline);
         if (piece.kind == BodyRead::Kind::End)
             co_return beast::error_code();
         if (piece.kind != BodyRead::Kind::Bytes)
             co_return http::make_error_code(http::error::partial_message);
+        discarded += piece.bytes.size();
     }
+    co_return http::make_error_code(http::error::body_limit);
 }
 
 Task<CallStart> BackendCall::start(Request request, std::string attemptId,
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -21,6 +21,9 @@
 /// Size in bytes up to which bodies of plain answers are buffered, so that an answer that is cut
 /// off can still be repeated or replaced by a proper error.
 constexpr std::size_t MaxBufferedBytes = 512 * 1024;
+/// Size in bytes of the longest event that is passed on. Bytes of a faulty server that never end an
+/// event would fill the memory.
+constexpr std::size_t MaxEventBytes = 256 * 1024;
 constexpr unsigned FirstNonSuccessStatus = 300;
 constexpr unsigned FirstServerErrorStatus = 500;
 
@@ -160,8 +163,12 @@
         if (piece.kind == BodyRead::Kind::Bytes) {
             server->lastByteAt = m_state.clock.steadyNow();
             pace.event(server->lastByteAt);
-            if (co_await forwardEvents(splitter.feed(piece.bytes), origin))
-                continue;
+            if (co_await forwardEvents(splitter.feed(piece.bytes), origin)) {
+                if (splitter.incompleteEvent().size() <= MaxEventBytes)
+                    continue;
+                m_call->abort();
+                co_return handleIncompleteAnswer({ BodyRead::Kind::Broken, {} }, server);
+            }
             m_call->abort();
             m_keepAlive = false;
             m_answer.abort();
--- /dev/null
+++ b/tests/gateway/raw_backend.cpp
@@ -0,0 +1,85 @@
+#include "raw_backend.hpp"
+
+#include <boost/algorithm/string/replace.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+namespace snipestall::gateway {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+
+std::string attemptOf(const std::string &request)
+{
+    constexpr std::string_view Field = "X-Attempt-Id: ";
+    const std::size_t at = request.find(Field);
+    if (at == std::string::npos)
+        return {};
+    const std::size_t from = at + Field.size();
+    return request.substr(from, request.find('\r', from) - from);
+}
+
+} // namespace
+
+RawBackend::RawBackend(asio::io_context &io, std::string id)
+    : m_id(std::move(id))
+    , m_acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+{
+    asio::co_spawn(io, accept(), asio::detached);
+}
+
+std::string RawBackend::entry() const
+{
+    return R"({"service":"ledger","zone":"east","slotCount":4,"born":1,"state":"ready","address":)"
+           "\"127.0.0.1:"
+        + std::to_string(m_acceptor.local_endpoint().port()) + "\"}";
+}
+
+asio::awaitable<void> RawBackend::accept()
+{
+    while (true) {
+        auto [error, socket] = co_await m_acceptor.async_accept(UseTuple);
+        if (error)
+            co_return;
+        const auto executor = socket.get_executor();
+        asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> RawBackend::serve(tcp::socket socket)
+{
+    std::string request;
+    const auto [readError, size] = co_await asio::async_read_until(
+        socket, asio::dynamic_buffer(request), "\r\n\r\n", UseTuple);
+    if (readError)
+        co_return;
+    ++m_requests;
+    const Script script = m_script;
+    std::string bytes = script.bytes;
+    boost::algorithm::replace_all(bytes, "@ID", attemptOf(request));
+    co_await asio::async_write(socket, asio::buffer(bytes), UseTuple);
+    while (script.end == End::Endless) {
+        const auto [error, written] =
+            co_await asio::async_write(socket, asio::buffer(script.filler), UseTuple);
+        m_filler += written;
+        if (error)
+            break;
+    }
+    boost::system::error_code ignored;
+    if (script.end == End::Reset)
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+} // namespace snipestall::gateway
