Soak: a part of prompts ends servers

Now every other run with unplanned faults has some seconds in which a tenth of the streams has a part that ends each stand-in server as it begins to answer (SIGKILL by itself); the judge counts at the servers, over all gateways: at most 3 arrivals later than 3 s after the fifth, but for times within 3 s of a gateway that was killed, stopped or paused, which the stated rule excuses. In such runs servers advertise their own address: a proxy goes on accepting connections for a server that has ended, which is not what the platform does. JudgeTest shows the judge a run that breaks the promise (4 later arrivals found, 3 not).

--- a/tests/soak/attempt.hpp
+++ b/tests/soak/attempt.hpp
@@ -44,6 +44,8 @@
     std::string seal;
     std::string echoedId;
     bool hasRetryAfter = false;
+    /// Its prompt has the part that ends servers.
+    bool crashing = false;
     std::string body;
 
     /// The attempt that began the stream.
--- a/tests/soak/client.cpp
+++ b/tests/soak/client.cpp
@@ -28,6 +28,9 @@
 /// Share of the requests that are sent on a connection of their own, in percent.
 constexpr std::uint64_t FreshConnectionPercent = 15;
 
+/// Share of the streams with the part that ends servers, in percent.
+constexpr std::uint64_t CrashingPartPercent = 10;
+
 struct KindEntry
 {
     RequestKind kind;
@@ -107,8 +110,12 @@
     if (attempt.kind == RequestKind::ResumableStream
         || attempt.kind == RequestKind::NonResumableStream) {
         request.fields.set("X-Token-Count", "1000,100");
+        attempt.crashing =
+            !m_deployment.crashingPart().empty() && m_random.below(100) < CrashingPartPercent;
+        const std::string crashing =
+            attempt.crashing ? m_deployment.crashingPart() + ":200," : std::string();
         request.fields.set("X-Prompt-Prefix",
-                           "a1:600,b" + std::to_string(m_random.below(9)) + ":400");
+                           "a1:600," + crashing + "b" + std::to_string(m_random.below(9)) + ":400");
     }
     wire::HttpCallOptions options;
     options.connectTimeout = 1s;
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -18,6 +18,9 @@
 
 namespace {
 
+/// A backend server that has ended is back after this time, if its end can be found out at all.
+constexpr std::chrono::milliseconds RestartTime { 1000 };
+
 constexpr auto Host = "127.0.0.1";
 constexpr std::size_t Services = 2;
 constexpr auto ServiceNames = { "ledger", "lm" };
@@ -164,9 +167,11 @@
         "backend-" + std::to_string(index), "standin-backend",
         { "--id=" + id, "--service=" + serviceOf(index), "--software=v" + std::to_string(version),
           "--data_centre=dc-" + std::to_string(index % 2), "--listen=" + managed.address.toString(),
-          "--advertised=" + managed.link.endpoint.toString(),
+          "--advertised="
+              + (m_size.partCrashesBackends ? managed.address : managed.link.endpoint).toString(),
           "--store=" + m_storeAddress.toString(), "--log=" + runLog(),
-          "--fail_share=" + std::to_string(managed.failShare) });
+          "--fail_share=" + std::to_string(managed.failShare),
+          std::string("--ending_part=") + CrashingPart });
 }
 
 std::size_t Deployment::oldBackends() const
@@ -217,8 +222,13 @@
                                    + std::to_string(*status));
         managed.endRequested = true;
     }
-    if (!managed.down)
-        (this->*restart)(index);
+    const auto now = std::chrono::steady_clock::now();
+    if (m_size.partCrashesBackends && !managed.endedAt)
+        managed.endedAt = now;
+    if (managed.down || (managed.endedAt && now - *managed.endedAt < RestartTime))
+        return;
+    managed.endedAt.reset();
+    (this->*restart)(index);
 }
 
 void Deployment::restartEnded()
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -19,6 +19,9 @@
 
 namespace snipestall::soak {
 
+/// Id of the part of prompts that ends backend servers.
+inline constexpr auto CrashingPart = "bad0bad0";
+
 /// Number of processes of a run.
 struct DeploymentSize
 {
@@ -30,6 +33,9 @@
     std::size_t versions = 1;
     /// The operators may order another version, so there are places for its servers.
     bool ordersVersions = false;
+    /// A part of prompts ends backend servers. No proxies are in front of these then, since a proxy
+    /// accepts connections for a server that has ended.
+    bool partCrashesBackends = false;
 };
 
 /// The processes of one run: the stand-in store, backend servers and gateways, with a proxy in
@@ -61,6 +67,8 @@
         return m_unexpectedEnds;
     }
     /// Times at which the store acknowledged each added route.
+    /// Part of prompts that ends backend servers at present; empty if none does.
+    [[nodiscard]] const std::string &crashingPart() const { return m_crashingPart; }
     [[nodiscard]] const std::vector<std::chrono::steady_clock::time_point> &addedRoutes() const
     {
         return m_addedRoutes;
@@ -92,6 +100,8 @@
         /// Number of pauses in force. Pauses may overlap; the process resumes when the last one
         /// ends.
         int pauses = 0;
+        /// When the process was found to have ended by its own.
+        std::optional<std::chrono::steady_clock::time_point> endedAt;
         wire::Endpoint address;
         Link link;
         /// Path of the settings file, and its content but for what changes after the first start.
@@ -144,6 +154,8 @@
     void stopGateway(const Fault &fault);
     void pauseGateway(const Fault &fault);
     void resumeGateway(const Fault &fault);
+    void beginCrashingPart(const Fault &fault);
+    void endCrashingPart(const Fault &fault);
     void killBackend(const Fault &fault);
     void killBackendThatKeepsItsId(const Fault &fault);
     void restoreBackend(const Fault &fault);
@@ -195,6 +207,7 @@
     std::vector<VersionOrder> m_orders;
     std::chrono::steady_clock::time_point m_ordersReadAt;
     std::vector<std::string> m_unexpectedEnds;
+    std::string m_crashingPart;
     std::size_t m_extraRoutes = 0;
     std::vector<std::chrono::steady_clock::time_point> m_addedRoutes;
     int m_version = 1;
--- a/tests/soak/deployment_faults.cpp
+++ b/tests/soak/deployment_faults.cpp
@@ -61,6 +61,7 @@
         { Kind::BackendsRefuse, &Deployment::makeBackendsRefuse, &Deployment::endRefusals },
         { Kind::BackendNamesLimit, &Deployment::makeBackendNameLimit, &Deployment::endLimit },
         { Kind::VersionOrdered, &Deployment::orderVersion, &Deployment::noAction },
+        { Kind::PartCrashesBackends, &Deployment::beginCrashingPart, &Deployment::endCrashingPart },
     };
     return entries;
 }
@@ -136,6 +137,16 @@
     resume(gateway(fault));
 }
 
+void Deployment::beginCrashingPart(const Fault &)
+{
+    m_crashingPart = CrashingPart;
+}
+
+void Deployment::endCrashingPart(const Fault &)
+{
+    m_crashingPart.clear();
+}
+
 void Deployment::killBackend(const Fault &fault)
 {
     backend(fault).down = true;
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -21,7 +21,7 @@
     milliseconds longest;
 };
 
-constexpr std::array<KindEntry, 25> Kinds { {
+constexpr std::array<KindEntry, 26> Kinds { {
     { FaultKind::GatewayKilled, "gateway-killed", false, milliseconds(200), milliseconds(1500) },
     { FaultKind::AllGatewaysKilled, "all-gateways-killed", false, milliseconds(200),
       milliseconds(900) },
@@ -58,6 +58,8 @@
     { FaultKind::BackendNamesLimit, "backend-names-limit", true, milliseconds(11000),
       milliseconds(11000) },
     { FaultKind::VersionOrdered, "version-ordered", true, milliseconds(50), milliseconds(50) },
+    { FaultKind::PartCrashesBackends, "part-crashes-backends", false, milliseconds(6000),
+      milliseconds(6000) },
 } };
 
 const KindEntry &entryOf(FaultKind kind)
@@ -96,6 +98,11 @@
 
 } // namespace
 
+bool hasKind(const std::vector<Fault> &faults, FaultKind kind)
+{
+    return std::ranges::find(faults, kind, &Fault::kind) != faults.end();
+}
+
 std::string nameOf(FaultKind kind)
 {
     return entryOf(kind).name;
@@ -132,6 +139,21 @@
                            quietFrom + entryOf(FaultKind::BackendNamesLimit).longest });
 }
 
+/// Every other run with unplanned faults has it. It lasts up to the quiet end, so that the time is long enough in which
+/// no more requests with the part may reach servers.
+void addCrashingPart(std::uint64_t seed, milliseconds quietFrom, std::vector<Fault> &faults)
+{
+    constexpr std::uint64_t SeedOffset = 15485863;
+    Random random(seed + SeedOffset);
+    const milliseconds latest = quietFrom - entryOf(FaultKind::PartCrashesBackends).shortest;
+    if (random.below(2) != 0 || latest < FirstFault)
+        return;
+    const auto range = static_cast<std::uint64_t>((latest - FirstFault).count());
+    const milliseconds begin =
+        FirstFault + milliseconds(static_cast<std::int64_t>(random.below(range + 1)));
+    faults.push_back({ FaultKind::PartCrashesBackends, 0, begin, quietFrom });
+}
+
 Fault drawVersionOrder(std::uint64_t seed)
 {
     constexpr std::uint64_t SeedOffset = 104729;
@@ -166,6 +188,8 @@
         at += milliseconds(static_cast<std::int64_t>(random.exponential(MeanIntervalMs)));
     }
     addNeeds(seed, quietFrom, faults);
+    if (!plannedOnly)
+        addCrashingPart(seed, quietFrom, faults);
     if (ordersVersion)
         faults.push_back(drawVersionOrder(seed));
     return faults;
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -43,6 +43,9 @@
     /// The operators order another software version of a service, whose servers start beside the
     /// old ones. Half of the versions fail requests. The order runs on after the end of the fault.
     VersionOrdered,
+    /// Some requests for streams have a part in their prompts that ends each backend server which
+    /// begins to answer them.
+    PartCrashesBackends,
 };
 
 /// A fault of a process or link; its beginning and end are relative to the start of the run.
@@ -55,6 +58,8 @@
     std::chrono::milliseconds end { 0 };
 };
 
+/// Whether a fault of this kind is among them.
+bool hasKind(const std::vector<Fault> &faults, FaultKind kind);
 std::string nameOf(FaultKind kind);
 /// Whether operators plan this work, or servers only refuse requests; no caller may lose an answer
 /// because of it.
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -128,6 +128,7 @@
     judgeDuties();
     judgeRepeats();
     judgeLimits();
+    judgeCrashingPart();
     judgeOrders();
     for (const std::string &end : m_record.unexpectedEnds)
         m_findings.push_back(end);
@@ -365,13 +366,39 @@
     }
 }
 
+void Judge::judgeCrashingPart()
+{
+    constexpr std::size_t EnoughEnds = 5;
+    constexpr std::size_t MostLater = 3;
+    std::set<std::string> crashing;
+    for (const Attempt &attempt : m_record.attempts) {
+        if (attempt.crashing)
+            crashing.insert(attempt.id);
+    }
+    std::vector<Moment> times;
+    for (const Arrival &arrival : m_arrivals) {
+        if (crashing.contains(arrival.attempt))
+            times.push_back(arrival.time);
+    }
+    std::ranges::sort(times);
+    if (times.size() < EnoughEnds)
+        return;
+    const Moment bound = times[EnoughEnds - 1] + ContactMargin;
+    const auto later = std::ranges::count_if(times, [this, bound](Moment time) {
+        return time > bound && !gatewayFaultWithin(time, time);
+    });
+    if (static_cast<std::size_t>(later) > MostLater)
+        m_findings.push_back(std::to_string(later)
+                             + " requests with a part that ends servers reached servers too late");
+}
+
 void Judge::judgeRecovery()
 {
     std::size_t asked = 0;
     std::size_t served = 0;
     for (const Attempt &attempt : m_record.attempts) {
         const bool late = attempt.sent >= m_record.startedAt + m_record.quietFrom + RecoveryTime;
-        if (!late || attempt.target.find("plain") == std::string::npos)
+        if (!late || attempt.crashing || attempt.target.find("plain") == std::string::npos)
             continue;
         ++asked;
         served += attempt.status == 200 && attempt.complete ? 1 : 0;
--- a/tests/soak/judge.hpp
+++ b/tests/soak/judge.hpp
@@ -80,6 +80,9 @@
     void judgeRepeats();
     /// Compares what a server with a limit got with that limit.
     void judgeLimits();
+    /// Counts the requests with a part that ends servers which reach servers although enough of
+    /// these have ended.
+    void judgeCrashingPart();
     void judgeLimit(const std::string &server, Moment from, Moment to);
     /// Compares what a version got that was ordered with what a bad one may get, and its end.
     void judgeOrders();
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -224,6 +224,21 @@
     }
 }
 
+// Guards against a run in which a part of prompts ends server after server and nobody notices.
+TEST_F(JudgeTest, RequestsWithACrashingPartThatComeTooLateAreFound)
+{
+    constexpr int Ends = 5;
+    for (int i = 0; i < Ends + 4; ++i) {
+        Attempt attempt;
+        attempt.id = "crash-" + std::to_string(i);
+        attempt.crashing = true;
+        m_record.attempts.push_back(attempt);
+        const int millis = 1000000 + i * 100 + (i < Ends ? 0 : 4000);
+        m_record.runLog += "arrive " + attempt.id + " b1 lm " + std::to_string(millis) + "\n";
+        EXPECT_EQ(finds("part that ends servers"), i == Ends + 3);
+    }
+}
+
 // Guards against a run in which servers get more repeats than allowed and nobody notices, because
 // each instance keeps to its own part.
 TEST_F(JudgeTest, RepeatsBeyondTheLimitAreFound)
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <iostream>
 #include <memory>
+#include <utility>
 #include <vector>
 
 DEFINE_uint64(seed, 1, "seed of the faults and the requests");
@@ -94,13 +95,13 @@
     return FLAGS_versions == 0 ? 1 + FLAGS_seed % MostVersions : FLAGS_versions;
 }
 
-RunRecord runSoak(Deployment &deployment)
+RunRecord runSoak(Deployment &deployment, std::vector<Fault> faults)
 {
     boost::asio::io_context io(1);
     RunRecord record;
     const milliseconds length = std::chrono::seconds(FLAGS_seconds);
     record.quietFrom = length - QuietPeriod;
-    record.faults = drawFaults(FLAGS_seed, record.quietFrom, versions() == 1);
+    record.faults = std::move(faults);
     std::vector<std::unique_ptr<Client>> clients;
     for (std::size_t i = 0; i < FLAGS_clients; ++i)
         clients.push_back(std::make_unique<Client>(io, deployment, i, FLAGS_seed * 1000 + i));
@@ -133,9 +134,12 @@
     gflags::SetUsageMessage("randomized soak of snipestall-gateway");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     // Where versions serve side by side, an order for one of them has no meaning.
-    Deployment deployment({ FLAGS_gateways, FLAGS_backends, versions(), versions() == 1 });
+    std::vector<Fault> faults =
+        drawFaults(FLAGS_seed, std::chrono::seconds(FLAGS_seconds) - QuietPeriod, versions() == 1);
+    Deployment deployment({ FLAGS_gateways, FLAGS_backends, versions(), versions() == 1,
+                            hasKind(faults, FaultKind::PartCrashesBackends) });
     deployment.waitUntilReady();
-    const RunRecord record = runSoak(deployment);
+    const RunRecord record = runSoak(deployment, std::move(faults));
     std::size_t served = 0;
     std::size_t takenUp = 0;
     std::size_t goneOn = 0;
