Reports of suspected parts are bounded; a full row of blocked parts settles

Found by reading the change: a rack that ends leaves up to 64 suspects with 32 ends each, and all of that went with each report for three seconds (up to 64 KB a report, five times a second to each peer), which instances with small links can't carry. And with more than 64 blocked parts the one that had to yield was blocked again a second later, so the row was read and written again and again.

Change: a report has 32 suspects at most beside the blocked parts, with their 4 last ends (three are enough to block); a part that yields loses its ends.

Measured: TheNumberOfBlockedPartsIsBounded is new; ItsSizeIsBounded counts ends as well.

--- a/include/snipestall/serving/part_crash_watch.hpp
+++ b/include/snipestall/serving/part_crash_watch.hpp
@@ -102,7 +102,9 @@
     static constexpr std::size_t MaxEnds = 32;
     /// Bounds the row and the reports.
     static constexpr std::size_t MaxBlocked = 64;
-    static constexpr std::size_t MaxReports = 64;
+    /// Bound what a report takes: a rack that ends has many suspects, of which few matter.
+    static constexpr std::size_t MaxSuspectsTold = 32;
+    static constexpr std::size_t MaxEndsTold = 4;
     /// Each change is included in several exchanges with the peers.
     static constexpr std::chrono::seconds ReportPeriod { 3 };
     /// A part that was in an answer is kept so long, so that reports that are under way meet it.
--- a/src/snipestall/serving/part_crash_model_test.cpp
+++ b/src/snipestall/serving/part_crash_model_test.cpp
@@ -124,7 +124,10 @@
         bool crashes = false;
     };
 
-    static PromptParts partsOf(std::vector<std::uint64_t> ids) { return { "pool", "m", ids }; }
+    static PromptParts partsOf(std::vector<std::uint64_t> ids)
+    {
+        return { "pool", "m", std::move(ids) };
+    }
 
     std::unique_ptr<PartCrashWatch> started() const
     {
--- a/src/snipestall/serving/part_crash_watch.cpp
+++ b/src/snipestall/serving/part_crash_watch.cpp
@@ -151,6 +151,7 @@
         if (older)
             oldest = it;
     }
+    oldest->second.ends.clear();
     allow(oldest->second);
 }
 
@@ -281,12 +282,12 @@
         if (all || each.blocked || now - each.changedAt <= ReportPeriod)
             told.push_back(&each);
     }
-    // The strongest first, because a report has room for a limited number.
+    // The strongest first, because a report has room for a limited number beside the blocked ones.
     std::ranges::sort(told, [](const Suspect *left, const Suspect *right) {
         return std::tuple(left->blocked, left->count, left->changedAt)
             > std::tuple(right->blocked, right->count, right->changedAt);
     });
-    told.resize(std::min(told.size(), MaxReports));
+    told.resize(std::min(told.size(), blockedParts() + MaxSuspectsTold));
     std::vector<PartReport> reports;
     reports.reserve(told.size());
     for (const Suspect *each : told)
@@ -299,12 +300,11 @@
     PartReport report { suspect.name, {}, std::nullopt, suspect.blocked, suspect.stored };
     if (suspect.answered != SteadyTime::min())
         report.answered = ageOf(suspect.answered, now);
-    const SteadyTime last = suspect.lastEnd();
-    for (const auto &[server, at] : suspect.ends) {
-        // The last end says which answers are later than the block.
-        if (whole || at == last)
-            report.ends.push_back({ server, ageOf(at, now) });
-    }
+    for (const auto &[server, at] : suspect.ends)
+        report.ends.push_back({ server, ageOf(at, now) });
+    std::ranges::sort(report.ends, {}, &ServerEnd::age);
+    // The last end says which answers are later than the block.
+    report.ends.resize(std::min(report.ends.size(), whole ? MaxEndsTold : 1));
     return report;
 }
 
--- a/src/snipestall/serving/part_crash_watch_test.cpp
+++ b/src/snipestall/serving/part_crash_watch_test.cpp
@@ -22,6 +22,12 @@
     return { "pool", "m", std::move(ids) };
 }
 
+void tell(const PartCrashWatch &from, PartCrashWatch &to, SteadyTime now)
+{
+    for (const PartReport &report : from.reports(false, now))
+        to.receive(report, now);
+}
+
 /// Servers end one after the other, a tenth of a second apart, under requests with these parts.
 void crash(PartCrashWatch &watch, const PromptParts &parts, int count, SteadyTime at,
            const std::string &prefix = "s")
@@ -113,11 +119,9 @@
     crash(cutOff, partsOf({ Shared }), 3, Start);
     EXPECT_EQ(cutOff.verdict(partsOf({ Shared }), Start + 2s), Verdict::Blocked);
     other.answered(partsOf({ Shared }), Start + 1s);
-    for (const PartReport &report : cutOff.reports(false, Start + 2s))
-        other.receive(report, Start + 2s);
+    tell(cutOff, other, Start + 2s);
     EXPECT_EQ(other.verdict(partsOf({ Shared }), Start + 2s), Verdict::Allowed);
-    for (const PartReport &report : other.reports(false, Start + 2200ms))
-        cutOff.receive(report, Start + 2200ms);
+    tell(other, cutOff, Start + 2200ms);
     EXPECT_EQ(cutOff.verdict(partsOf({ Shared }), Start + 3s), Verdict::Allowed);
 }
 
@@ -129,8 +133,7 @@
     crash(watch, partsOf({ Crashing }), 3, Start);
     watch.update(Start + 200ms);
     watch.update(Start + 2s);
-    for (const PartReport &report : watch.reports(false, Start + 10min))
-        late.receive(report, Start + 10min);
+    tell(watch, late, Start + 10min);
     EXPECT_EQ(late.verdict(partsOf({ Crashing }), Start + 10min), Verdict::Blocked);
 }
 
@@ -143,10 +146,8 @@
     crash(left, partsOf({ Crashing }), 2, Start);
     for (int i = 1; i <= 20; ++i) {
         const SteadyTime now = Start + i * 500ms;
-        for (const PartReport &report : left.reports(false, now))
-            right.receive(report, now);
-        for (const PartReport &report : right.reports(false, now))
-            left.receive(report, now);
+        tell(left, right, now);
+        tell(right, left, now);
     }
     EXPECT_TRUE(left.reports(false, Start + 11s).empty());
     EXPECT_FALSE(left.reports(true, Start + 11s).empty());
@@ -222,10 +223,34 @@
         watch.answered(parts, Start + 300ms);
         watch.serverEnded(parts, "x" + std::to_string(i), Start + 400ms, Start + 400ms);
     }
-    EXPECT_LE(watch.reports(true, Start + 1s).size(), 64U);
+    EXPECT_LE(watch.reports(true, Start + 1s).size(), 32U);
+    std::size_t ends = 0;
+    for (const PartReport &report : watch.reports(true, Start + 1s))
+        ends += report.ends.size();
+    EXPECT_LE(ends, 4 * 32U);
     EXPECT_EQ(watch.verdict(partsOf({ Crashing }), Start + 2s), Verdict::Blocked);
 }
 
+// Guards against a row of the store that is full, and is read again and again for what has no room
+// in it.
+TEST(PartCrashWatch, TheNumberOfBlockedPartsIsBounded)
+{
+    constexpr std::uint64_t Parts = 80;
+    constexpr std::size_t MostBlocked = 64;
+    PartCrashWatch watch;
+    for (std::uint64_t i = 1; i <= Parts; ++i)
+        crash(watch, partsOf({ i }), 3, Start, std::to_string(i) + "-");
+    watch.update(Start + 200ms);
+    watch.update(Start + 2s);
+    EXPECT_EQ(watch.blockedParts(), MostBlocked);
+    std::vector<StoredPart> row = watch.updated({}, "p1", Start + 2s);
+    watch.rowRead(row, Start + 2s);
+    EXPECT_FALSE(watch.mustStore());
+    watch.update(Start + 10s);
+    EXPECT_EQ(watch.blockedParts(), MostBlocked);
+    EXPECT_FALSE(watch.mustStore());
+}
+
 TEST(PromptParts, LeaveOutTheLastPart)
 {
     Prompt prompt;
--- a/tests/gateway/forwarded_runs_test.cpp
+++ b/tests/gateway/forwarded_runs_test.cpp
@@ -54,7 +54,7 @@
 
     /// Cuts the instance off once all are serving, and sends requests to it until some have been
     /// forwarded and `count` have been sent.
-    void sendWhileCut(std::string path, std::string method, int count)
+    void sendWhileCut(const std::string &path, const std::string &method, int count)
     {
         run([this, path, method, count]() -> Task<void> {
             co_await untilServing();
--- a/tests/gateway/raw_answer_test.cpp
+++ b/tests/gateway/raw_answer_test.cpp
@@ -49,7 +49,8 @@
     }
 
     /// Has the raw server write bytes without end, and expects that the other one answers soon.
-    void expectServedElsewhere(RawBackend::Script script, std::string target, std::string method)
+    void expectServedElsewhere(RawBackend::Script script, const std::string &target,
+                               const std::string &method)
     {
         m_raw.play(std::move(script));
         run([this, target, method]() -> Task<void> {
