Soak: the empty rest of a stream is right after its last event

Traced: c25-15 was the stream of 5 events; its client had event 5, the last one, when its gateway was killed, before the end of the body. The client took the stream up after event 5 (914: source own-record), the server had no event left and ended at once, which is right. The judge asked each answer by itself for the last event.

Change: an answer without events is whole if it takes a stream up after its last event, which an earlier attempt of the same client has received. A false end elsewhere is found as before: TheEmptyRestOfAStreamIsRightOnlyAfterItsLastEvent shows the judge both.

--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -211,7 +211,14 @@
             addFinding(attempt, "has an event of another answer");
         m_streamVersions[attempt.stream()].insert(version);
     }
-    if (attempt.complete && !done)
+    if (done)
+        m_lastEvents[attempt.stream()] = last;
+    // The client may have received the last event before the stream broke off; the rest that it
+    // takes up has no events then.
+    const auto known = m_lastEvents.find(attempt.stream());
+    const bool hadAll =
+        last == attempt.after && known != m_lastEvents.end() && known->second == attempt.after;
+    if (attempt.complete && !done && !hadAll)
         addFinding(attempt, "ended as complete before its last event");
 }
 
--- a/tests/soak/judge.hpp
+++ b/tests/soak/judge.hpp
@@ -100,6 +100,8 @@
     std::map<std::string, std::vector<Run>> m_runs;
     std::vector<Arrival> m_arrivals;
     std::vector<LimitChange> m_limitChanges;
+    /// Id of the last event of each stream that a client has received.
+    std::map<std::string, int> m_lastEvents;
     /// Versions that wrote events of each stream, by the attempt that began it.
     std::map<std::string, std::set<std::string>> m_streamVersions;
     std::vector<std::string> m_findings;
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -147,6 +147,27 @@
     EXPECT_TRUE(finds("has event 3 after 1"));
 }
 
+// A stream broke off after its last event: the rest that its client takes up has no events. The
+// same is a false end where the client lacks the last event.
+TEST_F(JudgeTest, TheEmptyRestOfAStreamIsRightOnlyAfterItsLastEvent)
+{
+    for (const bool hadAll : { true, false }) {
+        m_record.attempts.clear();
+        Attempt &begun = attempt(RequestKind::ResumableStream, "/stream/plain/events");
+        begun.complete = false;
+        begun.body = "id: 1\ndata: piece c1-0 v1\n\nid: 2\ndata: "
+            + std::string(hadAll ? "done" : "piece") + " c1-0 v1\n\n";
+        Attempt &rest = attempt(RequestKind::ResumableStream, "/stream/plain/events");
+        rest.id = "c1-1";
+        rest.echoedId = "c1-1";
+        rest.seal = "b1.c1-1";
+        rest.resumes = "c1-0";
+        rest.after = 2;
+        rest.body.clear();
+        EXPECT_EQ(finds("ended as complete before its last event"), !hadAll);
+    }
+}
+
 TEST_F(JudgeTest, FindsAnAnswerLostToPlannedWorkOnly)
 {
     Attempt &cut = attempt(RequestKind::NonIdempotent, "/once/plain/x");
