--- a/tests/gateway/raw_answer_test.cpp
+++ b/tests/gateway/raw_answer_test.cpp
@@ -79,6 +79,35 @@
     });
 }
 
+// The same at the port for instances that forward requests. What they get says where it ends.
+TEST_F(RawAnswerTest, AnAnswerThatEndsWithItsConnectionIsPassedOnToAnInstance)
+{
+    for (const End end : { End::Close, End::Reset }) {
+        const int before = m_raw.requests();
+        m_raw.play({ std::string(PlainHead) + "the body", end, "" });
+        run([this, end, before]() -> Task<void> {
+            co_await untilServing();
+            wire::HttpRequest request;
+            request.target = "/safe/x";
+            request.fields.set("Host", "a.example");
+            request.fields.set("X-Attempt-Id", "forwarded-" + std::to_string(before));
+            request.fields.set("Authorization", "Bearer secret");
+            request.fields.set("Snipestall-Config-Version", "3");
+            request.fields.set("Snipestall-Runs", "2");
+            request.fields.set("Snipestall-Sends", "5");
+            const wire::Endpoint instances { "127.0.0.1", m_settings.forwardPort };
+            wire::HttpResponse response;
+            do {
+                response = *co_await m_client.fetch(instances, request);
+            } while (m_raw.requests() == before);
+            EXPECT_EQ(response.status, 200);
+            EXPECT_EQ(response.body == "the body", end == End::Close);
+            EXPECT_EQ(response.fields.find("Content-Length"), std::to_string(response.body.size()));
+            EXPECT_EQ(response.fields.find("Snipestall-Runs"), end == End::Close ? "1" : "2");
+        });
+    }
+}
+
 // Guards against half a body that is passed on as a whole one: the connection was reset.
 TEST_F(RawAnswerTest, AnAnswerWhoseConnectionIsResetIsNotComplete)
 {
