--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -139,8 +139,8 @@
                            quietFrom + entryOf(FaultKind::BackendNamesLimit).longest });
 }
 
-/// Every other run with unplanned faults has it. It lasts up to the quiet end, so that the time is long enough in which
-/// no more requests with the part may reach servers.
+/// Every other run with unplanned faults has it. It lasts up to the quiet end, so that the time is
+/// long enough in which no more requests with the part may reach servers.
 void addCrashingPart(std::uint64_t seed, milliseconds quietFrom, std::vector<Fault> &faults)
 {
     constexpr std::uint64_t SeedOffset = 15485863;
