Of parts that were never answered the rarer one is blocked

Cause: a missing answer was taken for evidence where nothing could be answered.

Change: of parts with as many ends that have as long not been in an answer, those are blocked that fewest requests have asked for since. Each request with the cause has the shared part as well, not the other way round.

--- a/include/snipestall/serving/part_crash_watch.hpp
+++ b/include/snipestall/serving/part_crash_watch.hpp
@@ -25,7 +25,8 @@
 /// Evidence against a part is that it was in a request at a server that ended before the answer had
 /// really begun. Evidence for it is a whole answer to any request with it, which makes all earlier
 /// ends irrelevant. A part that is left with three ends is the cause, unless other parts have as
-/// many: those are taken that have longest not been in an answer. Ends that a blocked part explains
+/// many: those are taken that have longest not been in an answer, and of these the ones that fewest
+/// requests have. Ends that a blocked part explains
 /// no longer count against other parts. Instances exchange ends and answers, and a part with three
 /// ends is suspected, and requests with it wait, until all have had time to say what they know.
 class PartCrashWatch
@@ -119,6 +120,8 @@
         std::map<std::string, SteadyTime> ends;
         /// Time of the last whole answer; the beginning of time if none is known.
         SteadyTime answered = SteadyTime::min();
+        /// How often requests with the part asked for a verdict.
+        std::uint64_t asked = 0;
         /// Ends that count.
         std::size_t count = 0;
         /// Time since which enough ends count.
--- a/src/snipestall/serving/part_crash_watch.cpp
+++ b/src/snipestall/serving/part_crash_watch.cpp
@@ -219,8 +219,15 @@
     SteadyTime longestAgo = SteadyTime::max();
     for (const Suspect *each : strongest)
         longestAgo = std::min(longestAgo, each->answered);
+    std::erase_if(strongest,
+                  [longestAgo](const Suspect *each) { return each->answered != longestAgo; });
+    // All servers may have ended before anything was answered. Every request with the cause has its
+    // other parts as well, and other requests have these without the cause.
+    std::uint64_t fewest = strongest.front()->asked;
+    for (const Suspect *each : strongest)
+        fewest = std::min(fewest, each->asked);
     for (Suspect *each : strongest) {
-        if (each->answered == longestAgo)
+        if (each->asked == fewest)
             block(*each, now);
     }
     return true;
@@ -240,6 +247,7 @@
             found->second.lastAsked = now;
             return Verdict::Blocked;
         }
+        ++found->second.asked;
         if (found->second.reachedAt)
             verdict = Verdict::Suspected;
     }
--- a/src/snipestall/serving/part_crash_watch_test.cpp
+++ b/src/snipestall/serving/part_crash_watch_test.cpp
@@ -87,6 +87,19 @@
     EXPECT_EQ(watch.verdict(partsOf({ Shared }), Start + 2s), Verdict::Allowed);
 }
 
+// Guards against refusing all requests of a service whose servers have all ended before anything
+// was answered: the part that all requests have has as many ends as the cause, and no answer
+// either.
+TEST(PartCrashWatch, OfPartsThatWereNeverAnsweredTheRarerOneIsBlocked)
+{
+    PartCrashWatch watch;
+    crash(watch, partsOf({ Shared, Crashing }), 3, Start);
+    EXPECT_EQ(watch.verdict(partsOf({ Shared, Crashing }), Start + 300ms), Verdict::Suspected);
+    EXPECT_EQ(watch.verdict(partsOf({ Shared, Own }), Start + 300ms), Verdict::Suspected);
+    EXPECT_EQ(watch.verdict(partsOf({ Crashing }), Start + 2s), Verdict::Blocked);
+    EXPECT_EQ(watch.verdict(partsOf({ Shared, Own }), Start + 2s), Verdict::Allowed);
+}
+
 // Guards against blocking a rare part of sound requests that were beside crashing ones three times.
 TEST(PartCrashWatch, EndsThatABlockedPartExplainsDoNotCountAgainstOthers)
 {
