Demand counts slots of engines; ranks at engines keep the route's priority

Cause: the fleet was planned by prompt tokens read alone, and an engine with 16 slots is full long before it reads all the time. Where a customer has a priority, it replaced the route's at the engine, so all requests of one customer ranked alike. Change: the work of engines is the greater of reading and time in slots (without the time in the engine's queue, which would make the same requests look like more work on an overloaded fleet); ranks follow the customer's priority first and the route's among equals, and only where some customer has one. The fields of the exchange that the components need are added at once. The choice among servers for a prompt is a list of candidates with their costs.

--- a/include/snipestall/gateway/report_book.hpp
+++ b/include/snipestall/gateway/report_book.hpp
@@ -61,8 +61,8 @@
 
     using Totals = std::map<std::string, double>;
     /// Totals that reports carry: used quota units, units asked for, work, counts of rollouts.
-    enum Kind { Used, Asked, Work, Rollout };
-    static constexpr std::size_t KindsOfTotals = 4;
+    enum Kind { Used, Asked, Work, SlotWork, Rollout };
+    static constexpr std::size_t KindsOfTotals = 5;
     using AllTotals = std::array<Totals, KindsOfTotals>;
     static AllTotals totalsOf(const exchange::v1::LoadReport &report);
     /// Totals of one source and their growth since its first report.
--- a/include/snipestall/serving/catalogue.hpp
+++ b/include/snipestall/serving/catalogue.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipestall/serving/customer.hpp"
+#include "snipestall/serving/engine_ranks.hpp"
 #include "snipestall/serving/route.hpp"
 #include "snipestall/serving/service.hpp"
 #include "snipestall/serving/traffic_limits.hpp"
@@ -27,6 +28,7 @@
     [[nodiscard]] const std::vector<Route> &routes() const { return m_routes; }
     [[nodiscard]] const std::vector<Customer> &customers() const { return m_customers; }
     [[nodiscard]] const std::map<std::string, Service> &services() const { return m_services; }
+    [[nodiscard]] const EngineRanks &engineRanks() const { return m_engineRanks; }
 
     /// Returns the route of `host` with the longest prefix that matches the beginning of `path`;
     /// null if there is none.
@@ -43,6 +45,7 @@
     std::map<std::string, Service> m_services;
     std::vector<Customer> m_customers;
     TrafficLimits m_limits;
+    EngineRanks m_engineRanks;
     /// Indices into m_routes by host, then by prefix.
     std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>> m_byHost;
     std::unordered_map<std::string, std::size_t> m_byKey;
--- a/include/snipestall/serving/demand_meter.hpp
+++ b/include/snipestall/serving/demand_meter.hpp
@@ -17,10 +17,12 @@
 
 /// Measures how many fully used servers each service would need.
 ///
-/// The work of a model engine is the number of prompt tokens that it has to read, divided by the
-/// rate at which engines have been observed to read. The work of a plain server is the duration of
-/// a request divided by the number of requests that the server runs concurrently. The read rate is
-/// measured on requests that had no other prompt waiting ahead of them.
+/// The work of a model engine is measured in two ways, and the greater one counts: the number of
+/// prompt tokens that it has to read, divided by the rate at which engines have been observed to
+/// read, and the time in which its requests take slots. Engines with few slots are full long before
+/// they read all the time. The work of a plain server is the duration of a request divided by the
+/// number of requests that the server runs concurrently. The read rate is measured on requests that
+/// had no other prompt waiting ahead of them.
 class DemandMeter
 {
 public:
@@ -29,13 +31,21 @@
     void promptRead(const std::string &service, double tokens, std::chrono::duration<double> took);
     /// A prompt of which `tokens` are not cached was sent to an engine.
     void promptSent(const std::string &service, double tokens);
+    /// A stream has taken one of the `slots` of an engine for `running`, after its prompt of which
+    /// `unreadTokens` were not cached had been read. The time in the engine's queue takes no slot:
+    /// if it counted, the same requests would look like more work on an overloaded fleet.
+    void streamEnded(const std::string &service, std::chrono::duration<double> running,
+                     double unreadTokens, int slots);
     /// A request to a plain server with `slots` concurrent requests ended after `took`.
     void callEnded(const std::string &service, std::chrono::duration<double> took, int slots);
     [[nodiscard]] const ServiceWork &ownWork() const { return m_ownWork; }
+    /// The part of the own work that is measured by slots of engines.
+    [[nodiscard]] const ServiceWork &ownSlotWork() const { return m_ownSlotWork; }
 
     /// Adds what a peer's totals have grown by. Totals of another `series` cannot be compared with
     /// earlier ones, so they only set a new base.
-    void updatePeerWork(const std::string &peer, std::uint64_t series, const ServiceWork &work);
+    void updatePeerWork(const std::string &peer, std::uint64_t series, const ServiceWork &work,
+                        const ServiceWork &slotWork = {});
     /// Drops the totals of a peer whose work another peer also reports.
     void forgetPeer(const std::string &peer) { m_peers.erase(peer); }
 
@@ -67,16 +77,20 @@
     static constexpr double BestRateDecay = 0.9993;
 
     [[nodiscard]] static double upperRate(const std::deque<double> &rates);
+    /// Adds the number of fully used servers that a service needs at `now`.
+    void addDemand(const std::string &service, double servers, SteadyTime now);
 
     struct Peer
     {
         std::uint64_t series = 0;
         ServiceWork work;
+        ServiceWork slotWork;
     };
     struct WorkSample
     {
         SteadyTime time;
         ServiceWork work;
+        ServiceWork slotWork;
     };
     struct DemandSample
     {
@@ -88,10 +102,13 @@
     std::unordered_map<std::string, std::deque<double>> m_rates;
     std::unordered_map<std::string, double> m_bestRate;
     ServiceWork m_ownWork;
+    ServiceWork m_ownSlotWork;
     std::map<std::string, Peer> m_peers;
     /// Work of all instances together; it only grows.
     ServiceWork m_total;
+    ServiceWork m_slotTotal;
     ServiceWork m_ownWorkInTotal;
+    ServiceWork m_ownSlotWorkInTotal;
     std::deque<WorkSample> m_workSamples;
     std::map<std::string, std::deque<DemandSample>> m_demandSamples;
 };
--- a/include/snipestall/serving/placement.hpp
+++ b/include/snipestall/serving/placement.hpp
@@ -103,6 +103,18 @@
     candidatesOf(const PlacementRequest &request, VersionChoice versions, SteadyTime now) const;
     /// Servers of the new version that are on trial.
     [[nodiscard]] std::vector<std::string> serversOnTrial(const Service &service) const;
+    /// A server that may get a prompt, and what that would cost in prompt tokens.
+    struct Candidate
+    {
+        ServerStatePtr server;
+        /// Load of all instances.
+        ServerLoad load;
+        double unreadTokens = 0;
+        double cost = 0;
+    };
+    [[nodiscard]] Candidate promptCandidate(const PlacementRequest &request,
+                                            const ServerStatePtr &server,
+                                            const std::string &preferred, SteadyTime now) const;
     [[nodiscard]] ServerChoice chooseForPrompt(const PlacementRequest &request,
                                                const std::vector<ServerStatePtr> &servers,
                                                SteadyTime now) const;
--- a/src/snipestall/gateway/load_exchange_reports.cpp
+++ b/src/snipestall/gateway/load_exchange_reports.cpp
@@ -116,10 +116,13 @@
         use->set_units(totals.taken);
         use->set_asked(totals.asked);
     }
+    const serving::ServiceWork &slotWork = m_state.demand.ownSlotWork();
     for (const auto &[service, seconds] : m_state.demand.ownWork()) {
         v1::ServiceWork *work = report.add_services();
         work->set_service(service);
         work->set_seconds(seconds);
+        if (const auto slots = slotWork.find(service); slots != slotWork.end())
+            work->set_slot_seconds(slots->second);
     }
     addRollouts(report);
     addRetryLevels(report);
@@ -361,9 +364,12 @@
         { report.series(), report.instances(), report.heard_instances(), report.for_member() },
         ReportBook::quotaUse(report), now);
     serving::ServiceWork services;
-    for (const v1::ServiceWork &each : report.services())
+    serving::ServiceWork slotWork;
+    for (const v1::ServiceWork &each : report.services()) {
         services[each.service()] = each.seconds();
-    m_state.demand.updatePeerWork(report.instance(), report.series(), services);
+        slotWork[each.service()] = each.slot_seconds();
+    }
+    m_state.demand.updatePeerWork(report.instance(), report.series(), services, slotWork);
     if (m_state.rollouts.activeOrders().empty())
         return;
     serving::Totals rollouts;
--- a/src/snipestall/gateway/report_book.cpp
+++ b/src/snipestall/gateway/report_book.cpp
@@ -36,8 +36,10 @@
         totals[Used][use.customer()] = use.units();
         totals[Asked][use.customer()] = use.asked();
     }
-    for (const v1::ServiceWork &work : report.services())
+    for (const v1::ServiceWork &work : report.services()) {
         totals[Work][work.service()] = work.seconds();
+        totals[SlotWork][work.service()] = work.slot_seconds();
+    }
     for (const v1::RolloutTotal &total : report.rollout_totals())
         totals[Rollout][total.name()] = total.value();
     return totals;
@@ -233,6 +235,9 @@
         v1::ServiceWork *entry = report.add_services();
         entry->set_service(service);
         entry->set_seconds(seconds);
+        if (const auto slots = sums.totals[SlotWork].find(service);
+            slots != sums.totals[SlotWork].end())
+            entry->set_slot_seconds(slots->second);
     }
     for (const auto &[name, value] : sums.totals[Rollout]) {
         v1::RolloutTotal *entry = report.add_rollout_totals();
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -35,7 +35,6 @@
 /// Two intervals of the exchange, within which the observations of other instances reach this one.
 constexpr milliseconds PeerReportWait { 400 };
 constexpr unsigned FirstNonSuccessStatus = 300;
-constexpr int LowestPriority = 9;
 
 /// What the time to the first byte of an attempt grows with: for generations, the prompt tokens
 /// that are read before it, with those that take as long as the engine's fixed delays.
@@ -229,11 +228,10 @@
     const auto left = m_callerDeadline - m_state.clock.steadyNow();
     call.deadline = std::max(std::chrono::duration_cast<milliseconds>(left), milliseconds(1));
     if (m_placementRequest.prompt) {
-        const int priority = m_customer != nullptr && m_customer->priority ? *m_customer->priority
-                                                                           : m_route->priority;
+        const int rank = m_catalogue->engineRanks().rank(m_customer, *m_route);
         // The rest of a stream goes before new requests of its kind.
         const int ahead = m_answer.origin() ? 1 : 0;
-        call.priority = std::clamp(priority - ahead, 0, LowestPriority);
+        call.priority = std::max(rank - ahead, serving::EngineRanks::MostUrgent);
     }
     call.resumeAfter = m_answer.lastEvent();
     call.kvCacheSource = m_kvCacheSource;
@@ -306,6 +304,10 @@
     if (!m_placementRequest.prompt && start != CallStart::Unwanted)
         m_state.demand.callEnded(m_placementRequest.service->name,
                                  m_state.clock.steadyNow() - m_sentAt, server->info.slots);
+    else if (m_firstByteAt && end != AttemptEnd::NotRun)
+        m_state.demand.streamEnded(m_placementRequest.service->name,
+                                   m_state.clock.steadyNow() - *m_firstByteAt, m_unreadTokens,
+                                   server->info.slots);
     const auto firstByte = m_firstByteAt ? *m_firstByteAt - m_sentAt : SteadyTime::duration::zero();
     logEvent(events::GatewayAttemptEnded,
              { { "attempt", m_header.attemptId },
--- a/src/snipestall/serving/catalogue.cpp
+++ b/src/snipestall/serving/catalogue.cpp
@@ -10,6 +10,7 @@
     , m_routes(std::move(routes))
     , m_customers(std::move(customers))
     , m_limits(limits)
+    , m_engineRanks(m_routes, m_customers)
 {
     for (std::size_t i = 0; i < m_routes.size(); ++i)
         m_byHost[m_routes[i].host][m_routes[i].prefix] = i;
--- a/src/snipestall/serving/demand_meter.cpp
+++ b/src/snipestall/serving/demand_meter.cpp
@@ -18,6 +18,14 @@
     }
 }
 
+double growthSince(const ServiceWork &before, const ServiceWork &now, const std::string &service)
+{
+    const auto current = now.find(service);
+    const auto earlier = before.find(service);
+    return (current == now.end() ? 0 : current->second)
+        - (earlier == before.end() ? 0 : earlier->second);
+}
+
 } // namespace
 
 void DemandMeter::promptRead(const std::string &service, double tokens, Seconds took)
@@ -59,27 +67,46 @@
         m_ownWork[service] += tokens / rate;
 }
 
+void DemandMeter::streamEnded(const std::string &service, Seconds running, double unreadTokens,
+                              int slots)
+{
+    const double rate = readRate(service);
+    // Before the rate is known, slots alone would pass for the whole demand.
+    if (rate > 0)
+        m_ownSlotWork[service] += (running.count() + unreadTokens / rate) / std::max(slots, 1);
+}
+
 void DemandMeter::callEnded(const std::string &service, Seconds took, int slots)
 {
     m_ownWork[service] += took.count() / std::max(slots, 1);
 }
 
 void DemandMeter::updatePeerWork(const std::string &peer, std::uint64_t series,
-                                 const ServiceWork &work)
+                                 const ServiceWork &work, const ServiceWork &slotWork)
 {
     Peer &known = m_peers[peer];
     if (known.series != series) {
         // Work that the peer did before its first report is not new work.
-        known = { series, work };
+        known = { series, work, slotWork };
         return;
     }
     addGrowth(work, known.work, m_total);
+    addGrowth(slotWork, known.slotWork, m_slotTotal);
+}
+
+void DemandMeter::addDemand(const std::string &service, double servers, SteadyTime now)
+{
+    auto &samples = m_demandSamples[service];
+    samples.push_back({ now, servers });
+    while (now - samples.front().time > PeakWindow)
+        samples.pop_front();
 }
 
 void DemandMeter::sample(SteadyTime now)
 {
     addGrowth(m_ownWork, m_ownWorkInTotal, m_total);
-    m_workSamples.push_back({ now, m_total });
+    addGrowth(m_ownSlotWork, m_ownSlotWorkInTotal, m_slotTotal);
+    m_workSamples.push_back({ now, m_total, m_slotTotal });
     while (m_workSamples.size() > 1 && now - m_workSamples[1].time >= RateWindow)
         m_workSamples.pop_front();
     const WorkSample &before = m_workSamples.front();
@@ -87,12 +114,9 @@
     if (seconds < Seconds(RateWindow).count() / 2)
         return;
     for (const auto &[service, work] : m_total) {
-        const auto earlier = before.work.find(service);
-        const double since = earlier == before.work.end() ? 0 : earlier->second;
-        auto &samples = m_demandSamples[service];
-        samples.push_back({ now, (work - since) / seconds });
-        while (now - samples.front().time > PeakWindow)
-            samples.pop_front();
+        const double grown = std::max(growthSince(before.work, m_total, service),
+                                      growthSince(before.slotWork, m_slotTotal, service));
+        addDemand(service, grown / seconds, now);
     }
 }
 
--- a/src/snipestall/serving/demand_meter_test.cpp
+++ b/src/snipestall/serving/demand_meter_test.cpp
@@ -62,5 +62,58 @@
     EXPECT_LE(meter.needed("lm"), 1.1);
 }
 
+// Guards against a fleet that is planned by prompts read while the slots of its engines are full:
+// long answers to short prompts take all slots and hardly any reading.
+TEST(DemandMeter, CountsSlotsWhereTheyAreScarcerThanReading)
+{
+    DemandMeter meter;
+    for (int i = 0; i < 8; ++i)
+        meter.promptRead("lm", 10000, 100ms);
+    SteadyTime now = Start;
+    meter.sample(now);
+    for (int i = 0; i < 60; ++i) {
+        now += 100ms;
+        meter.promptSent("lm", 1000);
+        for (int stream = 0; stream < 24; ++stream)
+            meter.streamEnded("lm", 2s, 0, 16);
+        meter.sample(now);
+    }
+    EXPECT_NEAR(meter.needed("lm"), 24 * 10 * 2 / 16., 1.5);
+}
+
+// Guards against two counts of the same work: a request takes a slot while its prompt is read.
+TEST(DemandMeter, ReadingAndSlotsAreNotAddedUp)
+{
+    DemandMeter meter;
+    for (int i = 0; i < 8; ++i)
+        meter.promptRead("lm", 10000, 100ms);
+    SteadyTime now = Start;
+    meter.sample(now);
+    for (int i = 0; i < 60; ++i) {
+        now += 100ms;
+        meter.promptSent("lm", 20000);
+        meter.streamEnded("lm", 1s, 20000, 16);
+        meter.sample(now);
+    }
+    EXPECT_NEAR(meter.needed("lm"), 2, 0.1);
+}
+
+// Guards against slot time that is lost where an instance sees few streams itself: a peer's count
+// is part of the demand, and one that restarts begins anew.
+TEST(DemandMeter, AddsUpTheSlotTimeOfPeers)
+{
+    DemandMeter meter;
+    SteadyTime now = Start;
+    meter.updatePeerWork("other", 1, { { "lm", 0 } }, { { "lm", 70 } });
+    meter.sample(now);
+    for (int i = 1; i <= 60; ++i) {
+        now += 100ms;
+        meter.updatePeerWork("other", i < 30 ? 1 : 2, { { "lm", 0 } },
+                             { { "lm", (i < 30 ? 70 : 0) + i * 0.3 } });
+        meter.sample(now);
+    }
+    EXPECT_NEAR(meter.neededNow("lm"), 3, 0.2);
+}
+
 } // namespace
 } // namespace snipestall::serving
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -216,31 +216,40 @@
     return std::max(0.0, prompt.promptTokens - cachedTokens);
 }
 
+Placement::Candidate Placement::promptCandidate(const PlacementRequest &request,
+                                                const ServerStatePtr &server,
+                                                const std::string &preferred, SteadyTime now) const
+{
+    const Prompt &prompt = *request.prompt;
+    Candidate candidate;
+    candidate.server = server;
+    candidate.load = m_peers.at(server->key, now);
+    candidate.load += server->own;
+    candidate.unreadTokens = uncached(prompt, *server, preferred, now);
+    const bool remote = server->info.dataCentre != m_dataCentre;
+    const double remoteTokens =
+        request.mayRepeat ? RemoteRepeatableTokens : RemoteUnrepeatableTokens;
+    candidate.cost = (candidate.load.pendingTokens + candidate.unreadTokens)
+            * server->speed.slowness()
+        + (remote ? remoteTokens : 0)
+        + runningCost(*server, candidate.load, *request.service->engine,
+                      prompt.promptTokens + prompt.maxOutputTokens);
+    return candidate;
+}
+
 ServerChoice Placement::chooseForPrompt(const PlacementRequest &request,
                                         const std::vector<ServerStatePtr> &servers,
                                         SteadyTime now) const
 {
-    const Prompt &prompt = *request.prompt;
-    const std::string preferred = preferredServer(prompt, servers);
-    ServerChoice best;
-    double bestCost = std::numeric_limits<double>::infinity();
-    for (const ServerStatePtr &server : servers) {
-        ServerLoad load = m_peers.at(server->key, now);
-        load += server->own;
-        const double toRead = uncached(prompt, *server, preferred, now);
-        const bool remote = server->info.dataCentre != m_dataCentre;
-        const double remoteTokens =
-            request.mayRepeat ? RemoteRepeatableTokens : RemoteUnrepeatableTokens;
-        const double cost = (load.pendingTokens + toRead) * server->speed.slowness()
-            + (remote ? remoteTokens : 0)
-            + runningCost(*server, load, *request.service->engine,
-                          prompt.promptTokens + prompt.maxOutputTokens);
-        if (cost >= bestCost)
-            continue;
-        bestCost = cost;
-        best = { server, toRead, load.pendingTokens, load.inFlight };
-    }
-    return best;
+    const std::string preferred = preferredServer(*request.prompt, servers);
+    std::vector<Candidate> candidates;
+    candidates.reserve(servers.size());
+    for (const ServerStatePtr &server : servers)
+        candidates.push_back(promptCandidate(request, server, preferred, now));
+    const auto best = std::min_element(
+        candidates.begin(), candidates.end(),
+        [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
+    return { best->server, best->unreadTokens, best->load.pendingTokens, best->load.inFlight };
 }
 
 // Load: instances with the same information choose at the same moment. Harm: all choose the same
