Instances share what they see of servers; servers that fail far more than others are avoided

Cause: an engine that fails at once looks idle and attracts requests, its failure rate did not count for prompts, and each of 68 instances had to learn it by itself. Change: decaying counts of answers, failures and paces are part of the load that instances report, hubs add them up; a server whose rate is 0.2 and three times the median is avoided, a third of a service at most; speeds are compared by the shared paces.

--- a/include/snipestall/gateway/report_book.hpp
+++ b/include/snipestall/gateway/report_book.hpp
@@ -102,6 +102,10 @@
         std::int64_t inFlight = 0;
         std::int64_t pendingTokens = 0;
         std::int64_t heldTokens = 0;
+        std::int64_t answered = 0;
+        std::int64_t failed = 0;
+        std::int64_t pauses = 0;
+        std::int64_t pauseMicros = 0;
 
         bool operator==(const ServerSum &other) const = default;
     };
--- a/include/snipestall/serving/server_load.hpp
+++ b/include/snipestall/serving/server_load.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "snipestall/serving/server_outcomes.hpp"
+
 #include <cstdint>
 
 namespace snipestall::serving {
@@ -12,12 +14,15 @@
     double pendingTokens = 0;
     /// Prompt tokens of all requests in flight, which is what they occupy of the KV cache.
     double heldTokens = 0;
+    /// What the requests say that have ended there.
+    ServerOutcomes outcomes;
 
     ServerLoad &operator+=(const ServerLoad &other)
     {
         inFlight += other.inFlight;
         pendingTokens += other.pendingTokens;
         heldTokens += other.heldTokens;
+        outcomes += other.outcomes;
         return *this;
     }
 };
--- a/include/snipestall/serving/server_speed.hpp
+++ b/include/snipestall/serving/server_speed.hpp
@@ -15,8 +15,9 @@
 class ServerSpeed
 {
 public:
-    /// Adds the median pause between the events of a stream that has just ended on this server.
-    void addStreamPause(std::chrono::duration<double> pause);
+    /// Sets the pause between two events, as an average over the streams that ended recently at any
+    /// instance.
+    void setPause(std::chrono::duration<double> pause) { m_pause = pause; }
     /// Average pause between two events; nothing before the first stream has ended.
     [[nodiscard]] std::optional<std::chrono::duration<double>> pause() const { return m_pause; }
     /// Updates slowness() by the median pause of all servers of the service.
@@ -25,8 +26,6 @@
     [[nodiscard]] double slowness() const { return m_slowness; }
 
 private:
-    /// Weight of the newest stream; the average covers about the last five streams.
-    static constexpr double Smoothing = 0.2;
     /// A server that is slower than `MaxSlowness` is overloaded or failing, which other rules
     /// handle.
     static constexpr double MinSlowness = 0.6;
--- a/include/snipestall/serving/server_table.hpp
+++ b/include/snipestall/serving/server_table.hpp
@@ -5,6 +5,7 @@
 #include "snipestall/serving/data_centre_health.hpp"
 #include "snipestall/serving/server_health.hpp"
 #include "snipestall/serving/server_load.hpp"
+#include "snipestall/serving/server_outcomes.hpp"
 #include "snipestall/serving/server_speed.hpp"
 
 #include <map>
@@ -16,6 +17,8 @@
 
 namespace snipestall::serving {
 
+class PeerLoads;
+
 /// One incarnation of a backend server and what this instance knows about it. All of this, and
 /// everything that is stored elsewhere under `key`, belongs to the incarnation only: a server that
 /// starts again under the same id has no cached prompts, runs nothing and has not failed any
@@ -29,6 +32,12 @@
     ServerLoad own;
     ServerHealth health;
     ServerSpeed speed;
+    /// What this instance has seen end there.
+    OutcomeCounter ended;
+    /// Failure rate by the outcomes of all instances, and whether it is so much higher than that of
+    /// the other servers that this one is to be avoided.
+    double sharedFailureRate = 0;
+    bool failing = false;
     /// When this instance last received a byte from the server.
     SteadyTime lastByteAt;
     /// Set while the server is being reclaimed: until when it certainly serves, on the clock of
@@ -105,12 +114,15 @@
     /// list still contains.
     static void markReplaced(ServerState &server) { server.departed = true; }
     /// A server sent a complete answer.
-    void answered(ServerState &server);
+    void answered(ServerState &server, SteadyTime now);
+    /// A server sent a complete answer with the status of a failure.
+    static void failed(ServerState &server, SteadyTime now);
     /// False while the server or its whole data centre should be avoided.
     [[nodiscard]] bool usable(const ServerState &server, SteadyTime now) const;
 
-    /// Compares the speeds of the servers of each service; to be called periodically.
-    void compareSpeeds();
+    /// Compares the servers of each service by what all instances have seen of them, of which
+    /// `peers` holds what the others have; to be called periodically.
+    void compareServers(const PeerLoads &peers, SteadyTime now);
 
     /// The current incarnation of a server; null if none is listed.
     [[nodiscard]] ServerStatePtr find(const std::string &id) const;
@@ -125,6 +137,8 @@
         SteadyTime readmitAt;
     };
 
+    void compareSpeeds();
+    void compareFailures();
     /// Removes the current incarnation of a server and returns it; null if none is listed.
     ServerStatePtr drop(const std::string &id);
     /// Handles an entry of an incarnation that had left the list.
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -250,7 +250,7 @@
     bool wasReady = false;
     while (true) {
         follower.updateExpiredServers();
-        state.servers.compareSpeeds();
+        state.servers.compareServers(state.peerLoads, state.clock.steadyNow());
         state.backends.prune(state.clock.steadyNow());
         if (ready() != wasReady) {
             wasReady = !wasReady;
--- a/src/snipestall/gateway/load_exchange_reports.cpp
+++ b/src/snipestall/gateway/load_exchange_reports.cpp
@@ -12,6 +12,7 @@
 #include "exchange.pb.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace snipestall::gateway {
@@ -25,6 +26,40 @@
 /// about.
 constexpr milliseconds NewProcessFor { 1500 };
 
+/// Counts that decay are sent in hundredths.
+constexpr double CountUnit = 100;
+
+std::uint32_t encodeCount(double count)
+{
+    return static_cast<std::uint32_t>(std::lround(count * CountUnit));
+}
+
+void encodeLoad(const std::string &server, const serving::ServerLoad &load, v1::ServerWork &work)
+{
+    using std::chrono::microseconds;
+    work.set_server(server);
+    work.set_in_flight(load.inFlight);
+    work.set_pending_tokens(static_cast<std::uint32_t>(load.pendingTokens));
+    work.set_held_tokens(static_cast<std::uint64_t>(load.heldTokens));
+    const serving::ServerOutcomes &outcomes = load.outcomes;
+    work.set_answered_c(encodeCount(outcomes.answered));
+    work.set_failed_c(encodeCount(outcomes.failed));
+    work.set_pauses_c(encodeCount(outcomes.streams));
+    work.set_pause_us(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<microseconds>(outcomes.pauses).count()));
+}
+
+serving::ServerLoad decodeLoad(const v1::ServerWork &work)
+{
+    serving::ServerLoad load;
+    load.inFlight = work.in_flight();
+    load.pendingTokens = work.pending_tokens();
+    load.heldTokens = static_cast<double>(work.held_tokens());
+    load.outcomes = { work.answered_c() / CountUnit, work.failed_c() / CountUnit,
+                      work.pauses_c() / CountUnit, std::chrono::microseconds(work.pause_us()) };
+    return load;
+}
+
 void encodePart(const serving::PartReport &part, v1::SuspectPart &entry)
 {
     entry.set_service(part.name.service);
@@ -102,13 +137,10 @@
         report.set_time_offset_ms(offset->count());
     report.set_holds_lease(m_hooks.holdsLease());
     for (const auto &[id, server] : m_state.servers.all()) {
-        if (server->own.inFlight == 0)
-            continue;
-        v1::ServerWork *work = report.add_servers();
-        work->set_server(server->key);
-        work->set_in_flight(server->own.inFlight);
-        work->set_pending_tokens(static_cast<std::uint32_t>(server->own.pendingTokens));
-        work->set_held_tokens(static_cast<std::uint64_t>(server->own.heldTokens));
+        serving::ServerLoad load = server->own;
+        load.outcomes = server->ended.at(m_state.clock.steadyNow());
+        if (load.inFlight > 0 || !load.outcomes.isNegligible())
+            encodeLoad(server->key, load, *report.add_servers());
     }
     for (const auto &[customer, totals] : m_state.quotas.ownUse()) {
         v1::CustomerUse *use = report.add_customers();
@@ -356,8 +388,7 @@
     }
     serving::PeerLoads::Loads loads;
     for (const v1::ServerWork &work : report.servers())
-        loads[work.server()] = { work.in_flight(), static_cast<double>(work.pending_tokens()),
-                                 static_cast<double>(work.held_tokens()) };
+        loads[work.server()] = decodeLoad(work);
     m_state.peerLoads.update(report.instance(), std::move(loads), now);
     m_state.quotas.updatePeerUse(
         report.instance(),
--- a/src/snipestall/gateway/report_book.cpp
+++ b/src/snipestall/gateway/report_book.cpp
@@ -125,6 +125,10 @@
         sum.inFlight += factor * static_cast<std::int64_t>(work.in_flight());
         sum.pendingTokens += factor * static_cast<std::int64_t>(work.pending_tokens());
         sum.heldTokens += factor * static_cast<std::int64_t>(work.held_tokens());
+        sum.answered += factor * static_cast<std::int64_t>(work.answered_c());
+        sum.failed += factor * static_cast<std::int64_t>(work.failed_c());
+        sum.pauses += factor * static_cast<std::int64_t>(work.pauses_c());
+        sum.pauseMicros += factor * static_cast<std::int64_t>(work.pause_us());
         if (sum == ServerSum())
             sums.servers.erase(work.server());
     }
@@ -219,6 +223,10 @@
         work->set_in_flight(static_cast<std::uint32_t>(sum.inFlight));
         work->set_pending_tokens(static_cast<std::uint32_t>(sum.pendingTokens));
         work->set_held_tokens(static_cast<std::uint64_t>(sum.heldTokens));
+        work->set_answered_c(static_cast<std::uint32_t>(sum.answered));
+        work->set_failed_c(static_cast<std::uint32_t>(sum.failed));
+        work->set_pauses_c(static_cast<std::uint32_t>(sum.pauses));
+        work->set_pause_us(static_cast<std::uint64_t>(sum.pauseMicros));
     }
     for (const auto &[customer, units] : sums.totals[Used]) {
         v1::CustomerUse *entry = report.add_customers();
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -32,7 +32,7 @@
 Task<RequestRelay::AttemptEnd> RequestRelay::dropAnswer(serving::ServerState &server)
 {
     if (m_call->head().result_int() >= FirstServerErrorStatus)
-        server.health.failed();
+        serving::ServerTable::failed(server, m_state.clock.steadyNow());
     std::size_t dropped = 0;
     BodyRead piece;
     do {
@@ -67,7 +67,7 @@
 void RequestRelay::handleWholeAnswer(serving::ServerState &server)
 {
     if (!m_atInstance)
-        m_state.servers.answered(server);
+        m_state.servers.answered(server, m_state.clock.steadyNow());
     m_state.crashes.requestAnswered(m_fingerprint, m_state.clock.steadyNow());
     // A server may have turned down a part without reading it.
     if (m_call->head().result_int() < FirstNonSuccessStatus)
@@ -102,7 +102,7 @@
         co_return handleIncompleteAnswer(piece, server);
     }
     if (status >= FirstServerErrorStatus)
-        server->health.failed();
+        serving::ServerTable::failed(*server, m_state.clock.steadyNow());
     else
         handleWholeAnswer(*server);
     if (m_answer.begun()) {
@@ -182,7 +182,7 @@
     }
     handleWholeAnswer(*server);
     if (const auto pause = pace.median()) {
-        server->speed.addStreamPause(*pause);
+        server->ended.streamEnded(*pause, m_state.clock.steadyNow());
         m_versions.streamEnded(*pause);
     }
     if (!m_answer.begun() && !co_await m_answer.beginEvents(answerHead()))
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -229,8 +229,8 @@
     const bool remote = server->info.dataCentre != m_dataCentre;
     const double remoteTokens =
         request.mayRepeat ? RemoteRepeatableTokens : RemoteUnrepeatableTokens;
-    candidate.cost = (candidate.load.pendingTokens + candidate.unreadTokens)
-            * server->speed.slowness()
+    candidate.cost =
+        (candidate.load.pendingTokens + candidate.unreadTokens) * server->speed.slowness()
         + (remote ? remoteTokens : 0)
         + runningCost(*server, candidate.load, *request.service->engine,
                       prompt.promptTokens + prompt.maxOutputTokens);
@@ -246,9 +246,9 @@
     candidates.reserve(servers.size());
     for (const ServerStatePtr &server : servers)
         candidates.push_back(promptCandidate(request, server, preferred, now));
-    const auto best = std::min_element(
-        candidates.begin(), candidates.end(),
-        [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
+    const auto best =
+        std::min_element(candidates.begin(), candidates.end(),
+                         [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
     return { best->server, best->unreadTokens, best->load.pendingTokens, best->load.inFlight };
 }
 
@@ -280,7 +280,8 @@
         // A failure costs the caller a second attempt, so the failure rate of a server is added to
         // its load.
         const bool remote = server->info.dataCentre != m_dataCentre;
-        const double cost = load.inFlight / slots + server->health.failureRate()
+        const double cost = load.inFlight / slots
+            + std::max(server->health.failureRate(), server->sharedFailureRate)
             + tieBreak(request, *server) / slots + (remote ? RemoteCallCost : 0);
         if (cost >= bestCost)
             continue;
--- a/src/snipestall/serving/placement_test.cpp
+++ b/src/snipestall/serving/placement_test.cpp
@@ -129,7 +129,11 @@
 TEST_F(PlacementTest, QueuedPromptsOfPeersCountLikeOwnOnes)
 {
     const auto first = m_placement.choose(generation(42, 6000), Start);
-    m_peers.update("peer", { { first->server->key, { 1, 50000, 50000 } } }, Start);
+    ServerLoad load;
+    load.inFlight = 1;
+    load.pendingTokens = 50000;
+    load.heldTokens = 50000;
+    m_peers.update("peer", { { first->server->key, load } }, Start);
     const auto second = m_placement.choose(generation(42, 6000), Start);
     EXPECT_NE(second->server->info.id, first->server->info.id);
     const auto later = m_placement.choose(generation(42, 6000), Start + 10s);
@@ -165,9 +169,9 @@
         ServerSpeed &speed = m_servers.find("lm-" + std::to_string(i))->speed;
         const bool slow = usual->server->info.id == "lm-" + std::to_string(i);
         for (int stream = 0; stream < 10; ++stream)
-            speed.addStreamPause(slow ? 26ms : 20ms);
+            speed.setPause(slow ? 26ms : 20ms);
     }
-    m_servers.compareSpeeds();
+    m_servers.compareServers(m_peers, Start);
     EXPECT_NE(m_placement.choose(generation(42, 40000), Start)->server->info.id,
               usual->server->info.id);
     // A short prompt stays where its shared parts are cached.
@@ -246,7 +250,7 @@
     m_servers.lost(*m_servers.find("ledger-0"), Start);
     m_servers.lost(*m_servers.find("ledger-1"), Start);
     EXPECT_EQ(m_placement.choose(call(), Start)->server->info.id, "ledger-far");
-    m_servers.answered(*m_servers.find("ledger-2"));
+    m_servers.answered(*m_servers.find("ledger-2"), Start);
     EXPECT_NE(m_placement.choose(call(), Start)->server->info.id, "ledger-far");
 }
 
--- /dev/null
+++ b/src/snipestall/serving/server_outcomes.cpp
@@ -0,0 +1,76 @@
+#include "snipestall/serving/server_outcomes.hpp"
+
+#include <cmath>
+
+namespace snipestall::serving {
+
+namespace {
+
+/// Fewer answers say little about a server: of two, one may have failed by chance.
+constexpr double MinAnswers = 3;
+/// A single stream that has just ended counts; one that ended several half-lives ago does not.
+constexpr double MinStreams = 0.5;
+constexpr double Negligible = 0.05;
+
+} // namespace
+
+ServerOutcomes &ServerOutcomes::operator+=(const ServerOutcomes &other)
+{
+    answered += other.answered;
+    failed += other.failed;
+    streams += other.streams;
+    pauses += other.pauses;
+    return *this;
+}
+
+double ServerOutcomes::failureRate() const
+{
+    const double all = answered + failed;
+    return all < MinAnswers ? 0 : failed / all;
+}
+
+std::optional<std::chrono::duration<double>> ServerOutcomes::pause() const
+{
+    if (streams < MinStreams)
+        return std::nullopt;
+    return pauses / streams;
+}
+
+bool ServerOutcomes::isNegligible() const
+{
+    return answered + failed + streams < Negligible;
+}
+
+ServerOutcomes &OutcomeCounter::decayed(SteadyTime now)
+{
+    m_counts = at(now);
+    m_countedAt = now;
+    return m_counts;
+}
+
+ServerOutcomes OutcomeCounter::at(SteadyTime now) const
+{
+    const std::chrono::duration<double> passed = now - m_countedAt;
+    const double left = std::exp2(-(passed / HalfLife));
+    return { m_counts.answered * left, m_counts.failed * left, m_counts.streams * left,
+             m_counts.pauses * left };
+}
+
+void OutcomeCounter::answered(SteadyTime now)
+{
+    ++decayed(now).answered;
+}
+
+void OutcomeCounter::failed(SteadyTime now)
+{
+    ++decayed(now).failed;
+}
+
+void OutcomeCounter::streamEnded(std::chrono::duration<double> pause, SteadyTime now)
+{
+    ServerOutcomes &counts = decayed(now);
+    ++counts.streams;
+    counts.pauses += pause;
+}
+
+} // namespace snipestall::serving
--- a/src/snipestall/serving/server_speed.cpp
+++ b/src/snipestall/serving/server_speed.cpp
@@ -4,14 +4,6 @@
 
 namespace snipestall::serving {
 
-void ServerSpeed::addStreamPause(std::chrono::duration<double> pause)
-{
-    if (!m_pause)
-        m_pause = pause;
-    else
-        *m_pause += (pause - *m_pause) * Smoothing;
-}
-
 void ServerSpeed::compareWith(std::chrono::duration<double> medianPause)
 {
     if (m_pause && medianPause.count() > 0)
--- a/src/snipestall/serving/server_table.cpp
+++ b/src/snipestall/serving/server_table.cpp
@@ -1,5 +1,8 @@
 #include "snipestall/serving/server_table.hpp"
 
+#include "snipestall/serving/failing_servers.hpp"
+#include "snipestall/serving/peer_loads.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -134,6 +137,35 @@
     return gone;
 }
 
+void ServerTable::compareServers(const PeerLoads &peers, SteadyTime now)
+{
+    for (const auto &[id, server] : m_servers) {
+        ServerOutcomes outcomes = server->ended.at(now);
+        outcomes += peers.at(server->key, now).outcomes;
+        server->sharedFailureRate = outcomes.failureRate();
+        if (const auto pause = outcomes.pause())
+            server->speed.setPause(*pause);
+    }
+    compareSpeeds();
+    compareFailures();
+}
+
+void ServerTable::compareFailures()
+{
+    std::map<std::string, std::vector<ServerFailures>> services;
+    for (const auto &[id, server] : m_servers) {
+        if (server->takesWork())
+            services[server->info.service].push_back({ id, server->sharedFailureRate });
+    }
+    for (auto &[service, failures] : services) {
+        const auto failing = failingServers(std::move(failures));
+        for (const auto &[id, server] : m_servers) {
+            if (server->info.service == service)
+                server->failing = failing.contains(id);
+        }
+    }
+}
+
 void ServerTable::compareSpeeds()
 {
     std::map<std::string, std::vector<std::chrono::duration<double>>> pauses;
@@ -158,15 +190,22 @@
     m_dataCentres[server.info.dataCentre].lost(server.key, now);
 }
 
-void ServerTable::answered(ServerState &server)
+void ServerTable::failed(ServerState &server, SteadyTime now)
+{
+    server.health.failed();
+    server.ended.failed(now);
+}
+
+void ServerTable::answered(ServerState &server, SteadyTime now)
 {
     server.health.answered();
+    server.ended.answered(now);
     m_dataCentres[server.info.dataCentre].answered();
 }
 
 bool ServerTable::usable(const ServerState &server, SteadyTime now) const
 {
-    if (!server.health.usable(now))
+    if (server.failing || !server.health.usable(now))
         return false;
     const auto found = m_dataCentres.find(server.info.dataCentre);
     return found == m_dataCentres.end() || found->second.usable(now);
