--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -79,6 +79,7 @@
 extern const EventInfo ServerLimitFaulty;
 extern const EventInfo ServersUnreachable;
 extern const EventInfo SlotsShared;
+extern const EventInfo OverloadRefused;
 extern const EventInfo ServersReachable;
 extern const EventInfo DutyLeaseTaken;
 extern const EventInfo DutyLeaseLost;
--- a/include/snipestall/gateway/gateway_counters.hpp
+++ b/include/snipestall/gateway/gateway_counters.hpp
@@ -11,6 +11,8 @@
     std::uint64_t answered = 0;
     /// Requests that were refused without being run.
     std::uint64_t refused = 0;
+    /// The part of these that no server would have begun in time.
+    std::uint64_t overloadRefused = 0;
     std::uint64_t failed = 0;
     std::uint64_t callersGone = 0;
     std::uint64_t attempts = 0;
--- a/include/snipestall/gateway/gateway_settings.hpp
+++ b/include/snipestall/gateway/gateway_settings.hpp
@@ -68,6 +68,8 @@
     /// the start. A caller with little time left waits longer than this before it gives up a
     /// connection.
     std::chrono::milliseconds startWait { 150 };
+    /// Whether requests that would be late at every server are refused at once.
+    bool refuseLate = true;
     Bounds bounds;
 
     /// Reads the YAML text. The error InvalidArgument lists every field that is missing or invalid.
--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -13,7 +13,9 @@
 #include "snipestall/gateway/stream_watch.hpp"
 #include "snipestall/serving/catalogue.hpp"
 #include "snipestall/serving/crash_watch.hpp"
+#include "snipestall/serving/customer_shares.hpp"
 #include "snipestall/serving/demand_meter.hpp"
+#include "snipestall/serving/first_event_estimate.hpp"
 #include "snipestall/serving/fleet_totals.hpp"
 #include "snipestall/serving/forward_targets.hpp"
 #include "snipestall/serving/latency_pressure.hpp"
@@ -32,6 +34,7 @@
 #include "snipestall/serving/slot_shares.hpp"
 #include "snipestall/serving/stream_records.hpp"
 #include "snipestall/serving/stream_versions.hpp"
+#include "snipestall/serving/unseen_work.hpp"
 #include "snipestall/serving/usage_ledger.hpp"
 #include "snipestall/serving/usage_windows.hpp"
 
@@ -74,8 +77,11 @@
     serving::ForwardTargets forwardTargets;
     serving::StreamRecords streamRecords;
     serving::StreamVersions streamVersions;
+    serving::FirstEventEstimate firstEvents;
+    serving::UnseenWork unseen;
     serving::Placement placement;
     serving::QuotaKeeper quotas;
+    serving::CustomerShares shares;
     serving::RetryAllowance retries;
     serving::UsageWindows usage;
     serving::LatencyPressure latency;
@@ -111,6 +117,11 @@
     /// Software versions of the listed servers, and those that orders move traffic to, of services
     /// that serve streams which may be continued elsewhere.
     [[nodiscard]] std::set<serving::StreamOrigin> listedStreamVersions() const;
+    /// Determines anew which customers ask for more than their share.
+    void updateShares();
+    /// Work that other instances have sent to a service since their last reports, in the unit of
+    /// its placement: prompt tokens for engines, fully used servers otherwise.
+    [[nodiscard]] double unseenWork(const serving::Service &service) const;
     /// Finds out who began a stream that a caller takes up; set before the first request.
     OriginResolver *originResolver = nullptr;
     /// Time at which a new backend server was last listed.
--- a/include/snipestall/gateway/report_book.hpp
+++ b/include/snipestall/gateway/report_book.hpp
@@ -3,6 +3,7 @@
 #include "snipestall/base/clock.hpp"
 #include "snipestall/serving/decaying_rate.hpp"
 #include "snipestall/serving/quota_keeper.hpp"
+#include "snipestall/serving/server_load.hpp"
 
 #include "exchange.pb.h"
 
@@ -106,6 +107,8 @@
         std::int64_t failed = 0;
         std::int64_t pauses = 0;
         std::int64_t pauseMicros = 0;
+        std::array<std::int64_t, serving::ServerLoad::Bands> waiting {};
+        std::array<std::int64_t, serving::ServerLoad::Bands> bandTokens {};
 
         bool operator==(const ServerSum &other) const = default;
     };
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -12,6 +12,7 @@
 #include "snipestall/gateway/version_recorder.hpp"
 #include "snipestall/serving/attempt_budget.hpp"
 #include "snipestall/serving/forward_targets.hpp"
+#include "snipestall/serving/overload_rule.hpp"
 #include "snipestall/serving/placement.hpp"
 #include "snipestall/serving/prompt_parts.hpp"
 #include "snipestall/wire/event_splitter.hpp"
@@ -85,6 +86,10 @@
     void logNotResumed(const std::string &reason) const;
     wire::Task<void> serve();
     wire::Task<AttemptEnd> attempt(serving::ServerChoice placed);
+    /// Returns why the request is refused if it would be late at every server.
+    [[nodiscard]] std::optional<serving::OverloadRefusal>
+    overloadAt(const serving::ServerChoice &placed) const;
+    wire::Task<void> refuseByLoad();
     /// Returns the instance that is to serve the request, if this one reaches no server. A request
     /// that was forwarded here is not forwarded again.
     [[nodiscard]] std::optional<serving::ForwardTarget> forwardTarget();
@@ -157,7 +162,12 @@
                       const platform::ServerResponse &answer) const;
     void handleFirstByte();
     void recordLatency();
+    void recordPromptSent();
     void recordPromptRead();
+    /// A stream has left its slot at the engine.
+    void recordSlotTime(const serving::ServerState &server);
+    /// The predicted time to the first event, in milliseconds; empty if there is none.
+    [[nodiscard]] std::string predictedText() const;
     void watchForStall(const serving::ServerStatePtr &server);
     void stopStallWatch();
     void watchForReclaim(const serving::ServerStatePtr &server);
@@ -198,6 +208,7 @@
     std::optional<SteadyTime> m_firstByteAt;
     double m_unreadTokens = 0;
     double m_tokensAhead = 0;
+    std::optional<serving::FirstEvent> m_predicted;
     std::optional<AttemptWatch::Handle> m_stallHandle;
     std::optional<StreamWatch::Handle> m_streamHandle;
     std::shared_ptr<StreamMove> m_move;
@@ -221,6 +232,8 @@
     bool m_forwardUnsent = false;
     /// Whether the last search for a server found none.
     bool m_serverMissing = false;
+    /// Set if the request is refused because it would be late at every server.
+    std::optional<serving::OverloadRefusal> m_overload;
     bool m_quotaTaken = false;
     bool m_maybeRan = false;
     bool m_usageCounted = false;
--- a/include/snipestall/serving/demand_meter.hpp
+++ b/include/snipestall/serving/demand_meter.hpp
@@ -56,6 +56,9 @@
     [[nodiscard]] double needed(const std::string &service) const;
     /// The number needed at the last sample; 0 if unknown.
     [[nodiscard]] double neededNow(const std::string &service) const;
+    /// The part of neededNow() that prompts or calls make: fully used servers that read or serve
+    /// what was sent in the last seconds.
+    [[nodiscard]] double workNow(const std::string &service) const;
     /// Prompt tokens per second that an engine reads when it does nothing else; 0 until enough
     /// prompts have been observed.
     [[nodiscard]] double readRate(const std::string &service) const;
@@ -110,6 +113,7 @@
     ServiceWork m_ownWorkInTotal;
     ServiceWork m_ownSlotWorkInTotal;
     std::deque<WorkSample> m_workSamples;
+    std::map<std::string, double> m_workNow;
     std::map<std::string, std::deque<DemandSample>> m_demandSamples;
 };
 
--- a/include/snipestall/serving/placement.hpp
+++ b/include/snipestall/serving/placement.hpp
@@ -2,6 +2,8 @@
 
 #include "snipestall/base/clock.hpp"
 #include "snipestall/base/random.hpp"
+#include "snipestall/serving/first_event_estimate.hpp"
+#include "snipestall/serving/load_spread.hpp"
 #include "snipestall/serving/prompt.hpp"
 #include "snipestall/serving/prompt_cache_map.hpp"
 #include "snipestall/serving/rollout_view.hpp"
@@ -40,6 +42,11 @@
     std::optional<StreamOrigin> origin;
     /// Whether the answer is a stream that other instances may have to continue.
     bool beginsResumable = false;
+    /// Band of urgency of a prompt; see EngineRanks.
+    std::size_t band = 0;
+    /// Work that other instances have sent to the service since their reports: prompt tokens, or
+    /// fully used servers.
+    double unseenWork = 0;
     /// Keys of the servers that this request has already been sent to.
     std::unordered_set<std::string> tried;
 };
@@ -54,6 +61,13 @@
     double tokensAhead = 0;
     /// Requests of all instances in flight at this server, as far as is known.
     std::uint32_t inFlight = 0;
+    /// For prompts: when the first event comes from this server; nothing if that can't be
+    /// predicted.
+    std::optional<FirstEvent> firstEvent;
+    /// When the first event or the answer comes from the server where it comes first.
+    std::optional<FirstEvent> earliest;
+    /// Whether some server can begin with the request at once, or may, as far as is known.
+    bool hasFreeSlot = false;
 };
 
 /// Chooses the backend server of a request. Every instance sends to every server and bases its
@@ -72,7 +86,8 @@
     /// `dataCentre`: the data centre of this instance; `seed`: seed of the random tie-breaks.
     Placement(const ServerTable &servers, const PeerLoads &peers, const RolloutView &rollouts,
               const ServerLimits &limits, const SlotShares &shares,
-              const StreamVersions &streamVersions, std::string dataCentre, std::uint64_t seed);
+              const StreamVersions &streamVersions, const FirstEventEstimate &estimate,
+              std::string dataCentre, std::uint64_t seed);
 
     /// Returns nothing if no server of the service accepts requests, or if all that do have named a
     /// limit that is used up.
@@ -103,26 +118,35 @@
     candidatesOf(const PlacementRequest &request, VersionChoice versions, SteadyTime now) const;
     /// Servers of the new version that are on trial.
     [[nodiscard]] std::vector<std::string> serversOnTrial(const Service &service) const;
-    /// A server that may get a prompt, and what that would cost in prompt tokens.
+    /// A server that may get a prompt.
     struct Candidate
     {
         ServerStatePtr server;
         /// Load of all instances.
         ServerLoad load;
         double unreadTokens = 0;
-        double cost = 0;
+        /// What it costs, in prompt tokens.
+        SpreadCandidate spread;
     };
     [[nodiscard]] Candidate promptCandidate(const PlacementRequest &request,
                                             const ServerStatePtr &server,
                                             const std::string &preferred, SteadyTime now) const;
     [[nodiscard]] ServerChoice chooseForPrompt(const PlacementRequest &request,
                                                const std::vector<ServerStatePtr> &servers,
-                                               SteadyTime now) const;
+                                               SteadyTime now);
     [[nodiscard]] ServerChoice chooseForCall(const PlacementRequest &request,
-                                             const std::vector<ServerStatePtr> &servers,
-                                             SteadyTime now);
-    /// Cost between 0 and 1 that decides between servers with the same load.
-    [[nodiscard]] double tieBreak(const PlacementRequest &request, const ServerState &server);
+                                             const std::vector<ServerStatePtr> &servers);
+    [[nodiscard]] std::optional<FirstEvent> predict(const PlacementRequest &request,
+                                                    const Candidate &candidate) const;
+    /// The same for plain calls, from the average duration of those that ended there.
+    [[nodiscard]] std::optional<FirstEvent> predictCall(const ServerState &server) const;
+    /// Load of all instances.
+    [[nodiscard]] ServerLoad loadAt(const ServerState &server) const;
+    /// By the answers that this instance or the whole fleet has seen, whichever is worse.
+    [[nodiscard]] static double failureRate(const ServerState &server);
+    /// Number from 0 up to 1 that decides between servers that are equally good; another one for
+    /// each `server` if that is given.
+    [[nodiscard]] double drawFor(const PlacementRequest &request, const std::string &server);
     /// Prompt tokens that `server` has to read. `preferred`: id of the server that caches the
     /// shared part.
     [[nodiscard]] double uncached(const Prompt &prompt, const ServerState &server,
@@ -134,6 +158,7 @@
     const ServerLimits &m_limits;
     const SlotShares &m_shares;
     const StreamVersions &m_streamVersions;
+    const FirstEventEstimate &m_estimate;
     std::string m_dataCentre;
     PromptCacheMap m_cached;
     Random m_random;
--- a/include/snipestall/serving/quota_keeper.hpp
+++ b/include/snipestall/serving/quota_keeper.hpp
@@ -107,6 +107,11 @@
     void refund(const std::string &customer, double units);
     /// The totals of this process.
     [[nodiscard]] const QuotaUse &ownUse() const { return m_ownUse; }
+    /// Units per second that `customer` asks of all instances, including refused requests.
+    [[nodiscard]] double asked(const std::string &customer, SteadyTime now) const
+    {
+        return demand(customer, 0, now);
+    }
 
     /// Applies the totals that a peer reports, for itself or for all instances that it covers.
     void updatePeerUse(const std::string &peer, QuotaPeer info, const QuotaUse &use,
--- a/include/snipestall/serving/server_outcomes.hpp
+++ b/include/snipestall/serving/server_outcomes.hpp
@@ -14,15 +14,17 @@
     /// Whole answers, and answers with the status of a failure.
     double answered = 0;
     double failed = 0;
-    /// Streams whose pauses between events were measured, and the sum of their median pauses.
-    double streams = 0;
-    std::chrono::duration<double> pauses { 0 };
+    /// Requests whose pace was measured, and the sum of it: the median pause between two events of
+    /// a stream, or the duration of a plain call.
+    double paced = 0;
+    std::chrono::duration<double> pace { 0 };
 
     ServerOutcomes &operator+=(const ServerOutcomes &other);
+    ServerOutcomes &operator-=(const ServerOutcomes &other);
     /// Part of the answers that were failures; 0 if there are too few answers to tell.
     [[nodiscard]] double failureRate() const;
-    /// The average pause of the streams; nothing if there are too few.
-    [[nodiscard]] std::optional<std::chrono::duration<double>> pause() const;
+    /// The average pace; nothing if too few were measured.
+    [[nodiscard]] std::optional<std::chrono::duration<double>> averagePace() const;
     /// Whether so little is left of the counts that it need not be reported.
     [[nodiscard]] bool isNegligible() const;
 };
@@ -33,8 +35,8 @@
 public:
     void answered(SteadyTime now);
     void failed(SteadyTime now);
-    /// A stream with this median pause between its events has ended.
-    void streamEnded(std::chrono::duration<double> pause, SteadyTime now);
+    /// A stream or a call with this pace has ended.
+    void ended(std::chrono::duration<double> pace, SteadyTime now);
     [[nodiscard]] ServerOutcomes at(SteadyTime now) const;
 
 private:
--- a/include/snipestall/serving/server_speed.hpp
+++ b/include/snipestall/serving/server_speed.hpp
@@ -15,10 +15,10 @@
 class ServerSpeed
 {
 public:
-    /// Sets the pause between two events, as an average over the streams that ended recently at any
-    /// instance.
+    /// Sets the average pause between two events of the streams that ended recently at any
+    /// instance, or the average duration of plain calls.
     void setPause(std::chrono::duration<double> pause) { m_pause = pause; }
-    /// Average pause between two events; nothing before the first stream has ended.
+    /// The average set last; nothing before the first request has ended.
     [[nodiscard]] std::optional<std::chrono::duration<double>> pause() const { return m_pause; }
     /// Updates slowness() by the median pause of all servers of the service.
     void compareWith(std::chrono::duration<double> medianPause);
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -307,6 +307,14 @@
     "to one instance from now on; requests without a free slot are refused.",
     "Look why the servers are in need; give the service more of them."
 };
+const EventInfo OverloadRefused {
+    928, Severity::Info, "overload-refused",
+    "A request was refused at once, because it would have been late at every server; the line has "
+    "the predicted time to its first event, its target, and whether its customer asks for more "
+    "than its share.",
+    "If this lasts, give the service more servers; with over_share, see which customer sends more "
+    "than usual."
+};
 const EventInfo DutyLeaseTaken {
     930, Severity::Info, "duty-lease-taken",
     "This instance took the lease and now acts on behalf of all instances.", "None."
@@ -449,6 +457,7 @@
     &ServersUnreachable,
     &ServersReachable,
     &SlotsShared,
+    &OverloadRefused,
     &DutyLeaseTaken,
     &DutyLeaseLost,
     &UsageReported,
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -250,7 +250,9 @@
     bool wasReady = false;
     while (true) {
         follower.updateExpiredServers();
+        state.peerLoads.expire(state.clock.steadyNow());
         state.servers.compareServers(state.peerLoads, state.clock.steadyNow());
+        state.updateShares();
         state.backends.prune(state.clock.steadyNow());
         if (ready() != wasReady) {
             wasReady = !wasReady;
--- a/src/snipestall/gateway/gateway_metrics.cpp
+++ b/src/snipestall/gateway/gateway_metrics.cpp
@@ -21,6 +21,9 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.2, 1.5, 2.0, 4.0, 10.0
 };
 
+/// Bucket bounds of ratios, dense around a prediction that is right.
+const prometheus::Histogram::BucketBoundaries RatioBounds { 0.25, 0.5, 0.7, 0.9, 1.1, 1.4, 2, 4 };
+
 struct Gauge
 {
     const char *name;
@@ -46,13 +49,16 @@
 }
 
 /// Help texts are part of the exported metrics and stay stable.
-constexpr std::array<Gauge, 23> Gauges { {
+constexpr std::array<Gauge, 24> Gauges { {
     { "snipestall_gateway_requests", "Requests read since the start.",
       [](const GatewayState &s) { return double(s.counters.requests); } },
     { "snipestall_gateway_answered", "Requests answered by a backend server since the start.",
       [](const GatewayState &s) { return double(s.counters.answered); } },
     { "snipestall_gateway_refused", "Requests refused as not run since the start.",
       [](const GatewayState &s) { return double(s.counters.refused); } },
+    { "snipestall_gateway_overload_refused",
+      "Requests refused since the start because they would have been late at every server.",
+      [](const GatewayState &s) { return double(s.counters.overloadRefused); } },
     { "snipestall_gateway_failed", "Requests that ended in a failure since the start.",
       [](const GatewayState &s) { return double(s.counters.failed); } },
     { "snipestall_gateway_callers_gone", "Callers that left before their answer.",
@@ -117,6 +123,7 @@
     prometheus::Registry registry;
     prometheus::Family<prometheus::Histogram> *firstByte = nullptr;
     prometheus::Family<prometheus::Histogram> *duration = nullptr;
+    prometheus::Family<prometheus::Histogram> *prediction = nullptr;
     prometheus::Histogram *loopDelay = nullptr;
 };
 
@@ -131,6 +138,11 @@
                                 .Name("snipestall_gateway_request_seconds")
                                 .Help("From a request's arrival to its end, by status.")
                                 .Register(m_families->registry);
+    m_families->prediction =
+        &prometheus::BuildHistogram()
+             .Name("snipestall_gateway_first_event_ratio")
+             .Help("Time to the first event of a prompt, seen by predicted, by service.")
+             .Register(m_families->registry);
     m_families->loopDelay = &prometheus::BuildHistogram()
                                  .Name("snipestall_gateway_loop_delay_seconds")
                                  .Help("How late the process came to its events.")
@@ -146,6 +158,11 @@
         .Observe(secondsOf(waited));
 }
 
+void GatewayMetrics::recordPrediction(const std::string &service, double ratio)
+{
+    m_families->prediction->Add({ { "service", service } }, RatioBounds).Observe(ratio);
+}
+
 void GatewayMetrics::recordRequestEnd(unsigned status, std::chrono::nanoseconds took)
 {
     m_families->duration->Add({ { "status", std::to_string(status) } }, LatencyBounds)
--- a/src/snipestall/gateway/gateway_settings.cpp
+++ b/src/snipestall/gateway/gateway_settings.cpp
@@ -152,6 +152,8 @@
     const double cores = reader.optional(limits, "processor_share", 0.0)
         * reader.optional(limits, "processor_cores", 1.0);
     settings.milliCores = static_cast<std::uint32_t>(std::lround(cores * MilliCoresPerCore));
+    settings.refuseLate =
+        reader.optional(Reader::section(*root, "overload"), "refuse_late", settings.refuseLate);
     settings.bounds = readBounds(reader, Reader::section(*root, "bounds"));
     if (!reader.faults().empty())
         return fail(ErrorKind::InvalidArgument,
--- a/src/snipestall/gateway/gateway_state.cpp
+++ b/src/snipestall/gateway/gateway_state.cpp
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace snipestall::gateway {
 
@@ -15,7 +16,7 @@
     , slotShares(settings.instance)
     , forwardTargets(settings.dataCentre, seed)
     , streamRecords(random.next())
-    , placement(servers, peerLoads, rollouts, limits, slotShares, streamVersions,
+    , placement(servers, peerLoads, rollouts, limits, slotShares, streamVersions, firstEvents,
                 settings.dataCentre, seed)
     , quotas({ settings.bounds.quotaWindow, settings.bounds.quotaOverrun,
                settings.bounds.quotaTolerance },
@@ -58,4 +59,22 @@
     return versions;
 }
 
+void GatewayState::updateShares()
+{
+    if (!catalogue)
+        return;
+    std::vector<serving::CustomerDemand> demands;
+    for (const serving::Customer &customer : catalogue->customers())
+        demands.push_back({ customer.name, quotas.asked(customer.name, clock.steadyNow()),
+                            customer.ratePerSecond });
+    shares.update(demands);
+}
+
+double GatewayState::unseenWork(const serving::Service &service) const
+{
+    const double servers = demand.workNow(service.name);
+    const double perSecond = service.engine ? servers * demand.readRate(service.name) : servers;
+    return unseen.at(service.name, perSecond, clock.steadyNow());
+}
+
 } // namespace snipestall::gateway
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -291,6 +291,7 @@
     if (!m_instances.empty())
         m_state.retries.setInstances(std::max(m_instances.size(), instances()),
                                      m_state.clock.steadyNow());
+    m_state.unseen.setInstances(instances());
 }
 
 std::uint64_t LoadExchange::rolloutFollowedByAll(const std::string &service) const
--- a/src/snipestall/gateway/load_exchange_reports.cpp
+++ b/src/snipestall/gateway/load_exchange_reports.cpp
@@ -41,12 +41,16 @@
     work.set_in_flight(load.inFlight);
     work.set_pending_tokens(static_cast<std::uint32_t>(load.pendingTokens));
     work.set_held_tokens(static_cast<std::uint64_t>(load.heldTokens));
+    for (const serving::WaitingRequests &each : load.waiting) {
+        work.add_waiting(each.count);
+        work.add_band_tokens(static_cast<std::uint32_t>(each.tokens));
+    }
     const serving::ServerOutcomes &outcomes = load.outcomes;
     work.set_answered_c(encodeCount(outcomes.answered));
     work.set_failed_c(encodeCount(outcomes.failed));
-    work.set_pauses_c(encodeCount(outcomes.streams));
+    work.set_pauses_c(encodeCount(outcomes.paced));
     work.set_pause_us(static_cast<std::uint64_t>(
-        std::chrono::duration_cast<microseconds>(outcomes.pauses).count()));
+        std::chrono::duration_cast<microseconds>(outcomes.pace).count()));
 }
 
 serving::ServerLoad decodeLoad(const v1::ServerWork &work)
@@ -55,6 +59,13 @@
     load.inFlight = work.in_flight();
     load.pendingTokens = work.pending_tokens();
     load.heldTokens = static_cast<double>(work.held_tokens());
+    for (std::size_t i = 0; i < serving::ServerLoad::Bands; ++i) {
+        const int field = static_cast<int>(i);
+        if (field < work.waiting_size())
+            load.waiting.at(i).count = work.waiting(field);
+        if (field < work.band_tokens_size())
+            load.waiting.at(i).tokens = work.band_tokens(field);
+    }
     load.outcomes = { work.answered_c() / CountUnit, work.failed_c() / CountUnit,
                       work.pauses_c() / CountUnit, std::chrono::microseconds(work.pause_us()) };
     return load;
--- a/src/snipestall/gateway/load_guard.hpp
+++ b/src/snipestall/gateway/load_guard.hpp
@@ -2,22 +2,35 @@
 
 #include "snipestall/serving/server_table.hpp"
 
+#include <cstddef>
 #include <utility>
 
 namespace snipestall::gateway {
 
+/// What one request adds to the load of a backend server.
+struct RequestLoad
+{
+    /// Prompt tokens that the engine has to read; 0 for other requests.
+    double unreadTokens = 0;
+    double heldTokens = 0;
+    /// Band of urgency of a prompt.
+    std::size_t band = 0;
+};
+
 /// Counts one request in the load of a backend server for as long as the guard exists.
 class LoadGuard
 {
 public:
-    LoadGuard(serving::ServerStatePtr server, double pendingTokens, double heldTokens)
+    LoadGuard(serving::ServerStatePtr server, RequestLoad load)
         : m_server(std::move(server))
-        , m_pendingTokens(pendingTokens)
-        , m_heldTokens(heldTokens)
+        , m_load(load)
     {
-        ++m_server->own.inFlight;
-        m_server->own.pendingTokens += m_pendingTokens;
-        m_server->own.heldTokens += m_heldTokens;
+        serving::ServerLoad &own = m_server->own;
+        ++own.inFlight;
+        own.pendingTokens += m_load.unreadTokens;
+        own.heldTokens += m_load.heldTokens;
+        ++own.waiting.at(m_load.band).count;
+        own.waiting.at(m_load.band).tokens += m_load.unreadTokens;
     }
 
     LoadGuard(const LoadGuard &) = delete;
@@ -26,17 +39,25 @@
     ~LoadGuard()
     {
         --m_server->own.inFlight;
-        m_server->own.heldTokens -= m_heldTokens;
+        m_server->own.heldTokens -= m_load.heldTokens;
         promptRead();
     }
 
-    /// Removes the prompt from the pending tokens when the first token has arrived.
-    void promptRead() { m_server->own.pendingTokens -= std::exchange(m_pendingTokens, 0); }
+    /// The first event has arrived: the request waits no longer.
+    void promptRead()
+    {
+        if (!std::exchange(m_waiting, false))
+            return;
+        serving::ServerLoad &own = m_server->own;
+        own.pendingTokens -= m_load.unreadTokens;
+        --own.waiting.at(m_load.band).count;
+        own.waiting.at(m_load.band).tokens -= m_load.unreadTokens;
+    }
 
 private:
     serving::ServerStatePtr m_server;
-    double m_pendingTokens;
-    double m_heldTokens;
+    RequestLoad m_load;
+    bool m_waiting = true;
 };
 
 } // namespace snipestall::gateway
--- a/src/snipestall/gateway/report_book.cpp
+++ b/src/snipestall/gateway/report_book.cpp
@@ -27,6 +27,14 @@
         sum[name] += factor * value;
 }
 
+template<typename Field, typename Sums>
+void addBands(const Field &field, int factor, Sums &sums)
+{
+    const std::size_t count = std::min(sums.size(), static_cast<std::size_t>(field.size()));
+    for (std::size_t i = 0; i < count; ++i)
+        sums.at(i) += factor * static_cast<std::int64_t>(field[static_cast<int>(i)]);
+}
+
 } // namespace
 
 ReportBook::AllTotals ReportBook::totalsOf(const v1::LoadReport &report)
@@ -129,6 +137,8 @@
         sum.failed += factor * static_cast<std::int64_t>(work.failed_c());
         sum.pauses += factor * static_cast<std::int64_t>(work.pauses_c());
         sum.pauseMicros += factor * static_cast<std::int64_t>(work.pause_us());
+        addBands(work.waiting(), factor, sum.waiting);
+        addBands(work.band_tokens(), factor, sum.bandTokens);
         if (sum == ServerSum())
             sums.servers.erase(work.server());
     }
@@ -227,6 +237,10 @@
         work->set_failed_c(static_cast<std::uint32_t>(sum.failed));
         work->set_pauses_c(static_cast<std::uint32_t>(sum.pauses));
         work->set_pause_us(static_cast<std::uint64_t>(sum.pauseMicros));
+        for (const std::int64_t waiting : sum.waiting)
+            work->add_waiting(static_cast<std::uint32_t>(waiting));
+        for (const std::int64_t tokens : sum.bandTokens)
+            work->add_band_tokens(static_cast<std::uint32_t>(tokens));
     }
     for (const auto &[customer, units] : sums.totals[Used]) {
         v1::CustomerUse *entry = report.add_customers();
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -163,6 +163,7 @@
         m_placementRequest.versions = m_state.rollouts.choose(
             m_placementRequest.service->name, m_route->name, m_budget.used().sends == 0,
             m_state.random, m_state.clock.steadyNow());
+        m_placementRequest.unseenWork = m_state.unseenWork(*m_placementRequest.service);
         const auto placed = m_state.placement.choose(m_placementRequest, m_state.clock.steadyNow());
         if (!placed) {
             const auto holder = shareHolder();
@@ -172,6 +173,9 @@
             last = co_await forward(*holder);
             continue;
         }
+        m_overload = overloadAt(*placed);
+        if (m_overload)
+            break;
         last = co_await attempt(*placed);
         while (last == AttemptEnd::Moved)
             last = co_await attempt(finishMove());
@@ -184,6 +188,19 @@
     co_await finishUnserved(last);
 }
 
+std::optional<serving::OverloadRefusal>
+RequestRelay::overloadAt(const serving::ServerChoice &placed) const
+{
+    // A request that may have run can't be refused, and the rest of a stream has its place already.
+    if (!m_state.settings.refuseLate || m_maybeRan || m_answer.begun() || m_answer.origin()
+        || wasForwarded())
+        return std::nullopt;
+    const bool overShare = m_customer != nullptr && m_state.shares.isOver(m_customer->name);
+    return serving::refusedByLoad({ placed.earliest, placed.hasFreeSlot, m_route->targetLatency,
+                                    m_route->timeout, overShare },
+                                  m_state.random.uniform());
+}
+
 void RequestRelay::handleConnectionLoss(const serving::ServerStatePtr &server)
 {
     if (m_callerGone || m_cancelled)
@@ -254,14 +271,15 @@
     m_answerLost = false;
     ++m_state.counters.attempts;
     const double held = m_placementRequest.prompt ? m_placementRequest.prompt->promptTokens : 0;
-    LoadGuard load(server, placed.unreadTokens, held);
+    LoadGuard load(server, { placed.unreadTokens, held, m_placementRequest.band });
     m_loadGuard = &load;
     m_sentAt = m_state.clock.steadyNow();
     m_firstByteAt.reset();
     m_unreadTokens = placed.unreadTokens;
     m_tokensAhead = placed.tokensAhead;
+    m_predicted = placed.firstEvent;
     if (m_unreadTokens > 0)
-        m_state.demand.promptSent(m_placementRequest.service->name, m_unreadTokens);
+        recordPromptSent();
     m_state.placement.requestSent(m_placementRequest, server->key, m_state.clock.steadyNow());
     m_call = std::make_shared<BackendCall>(m_state.io, m_state.backends, m_state.clock, server->key,
                                            server->info.address);
@@ -305,9 +323,7 @@
         m_state.demand.callEnded(m_placementRequest.service->name,
                                  m_state.clock.steadyNow() - m_sentAt, server->info.slots);
     else if (m_firstByteAt && end != AttemptEnd::NotRun)
-        m_state.demand.streamEnded(m_placementRequest.service->name,
-                                   m_state.clock.steadyNow() - *m_firstByteAt, m_unreadTokens,
-                                   server->info.slots);
+        recordSlotTime(*server);
     const auto firstByte = m_firstByteAt ? *m_firstByteAt - m_sentAt : SteadyTime::duration::zero();
     logEvent(events::GatewayAttemptEnded,
              { { "attempt", m_header.attemptId },
@@ -319,6 +335,7 @@
                { "forwarded", wasForwarded() ? "yes" : "no" },
                { "runs", std::to_string(m_budget.used().runs) },
                { "sends", std::to_string(m_budget.used().sends) },
+               { "predicted_ms", predictedText() },
                { "first_byte_ms", std::to_string(toMillis(firstByte)) },
                { "parts", end == AttemptEnd::Final ? std::string() : partsText(m_header.prompt) },
                { "start", std::to_string(static_cast<int>(start)) },
@@ -326,6 +343,14 @@
     co_return end;
 }
 
+std::string RequestRelay::predictedText() const
+{
+    if (!m_predicted)
+        return {};
+    return std::to_string(
+        toMillis(std::chrono::duration_cast<SteadyTime::duration>(m_predicted->total)));
+}
+
 void RequestRelay::recordReach(CallStart start, const serving::ServerState &server)
 {
     // Whether a path that was cut is back is found out by ReachProber.
@@ -424,13 +449,35 @@
         m_state.attempts.remove(*std::exchange(m_stallHandle, std::nullopt));
 }
 
+void RequestRelay::recordSlotTime(const serving::ServerState &server)
+{
+    const std::string &service = m_placementRequest.service->name;
+    const auto running = m_state.clock.steadyNow() - *m_firstByteAt;
+    m_state.demand.streamEnded(service, running, m_unreadTokens, server.info.slots);
+    m_state.firstEvents.streamEnded(service, running);
+}
+
+void RequestRelay::recordPromptSent()
+{
+    const std::string &service = m_placementRequest.service->name;
+    m_state.demand.promptSent(service, m_unreadTokens);
+    const double cachedTokens = m_placementRequest.prompt->promptTokens - m_unreadTokens;
+    m_state.unseen.promptSent(service, m_unreadTokens, cachedTokens, m_state.clock.steadyNow());
+}
+
 void RequestRelay::recordPromptRead()
 {
+    const std::string &service = m_placementRequest.service->name;
+    const auto took = m_state.clock.steadyNow() - m_sentAt;
+    if (m_predicted) {
+        m_state.firstEvents.observed(service, *m_predicted, took);
+        m_state.metrics.recordPrediction(service, took / m_predicted->total);
+    }
     // The read rate of the engine can be measured only if no other prompt was ahead.
     if (m_unreadTokens <= 0 || m_tokensAhead > 0)
         return;
-    m_state.demand.promptRead(m_placementRequest.service->name, m_unreadTokens,
-                              m_state.clock.steadyNow() - m_sentAt);
+    m_state.demand.promptRead(service, m_unreadTokens, took);
+    m_state.firstEvents.setReadRate(service, m_state.demand.readRate(service));
 }
 
 void RequestRelay::recordLatency()
--- a/src/snipestall/gateway/request_relay_admission.cpp
+++ b/src/snipestall/gateway/request_relay_admission.cpp
@@ -116,6 +116,8 @@
     if (m_placementRequest.service == nullptr)
         co_return co_await refuse(refusal(503, RetryAfterNoServer), "unknown-service");
     m_placementRequest.prompt = m_header.prompt;
+    m_placementRequest.band =
+        static_cast<std::size_t>(m_catalogue->engineRanks().band(m_customer, *m_route));
     m_placementRequest.mayRepeat = m_route->mayRepeat();
     m_placementRequest.beginsResumable = m_route->isStream() && m_route->mayRepeat();
     if (m_placementRequest.beginsResumable && m_header.resumeFaulty)
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -101,10 +101,13 @@
             break;
         co_return handleIncompleteAnswer(piece, server);
     }
+    const SteadyTime now = m_state.clock.steadyNow();
     if (status >= FirstServerErrorStatus)
-        serving::ServerTable::failed(*server, m_state.clock.steadyNow());
+        serving::ServerTable::failed(*server, now);
     else
         handleWholeAnswer(*server);
+    if (status < FirstServerErrorStatus && !m_placementRequest.prompt)
+        server->ended.ended(now - m_sentAt, now);
     if (m_answer.begun()) {
         m_keepAlive = co_await m_answer.writePiece(std::move(whole.body()))
             && co_await m_answer.completeBody() && m_keepAlive;
@@ -182,7 +185,7 @@
     }
     handleWholeAnswer(*server);
     if (const auto pause = pace.median()) {
-        server->ended.streamEnded(*pause, m_state.clock.steadyNow());
+        server->ended.ended(*pause, m_state.clock.steadyNow());
         m_versions.streamEnded(*pause);
     }
     if (!m_answer.begun() && !co_await m_answer.beginEvents(answerHead()))
--- a/src/snipestall/gateway/request_relay_end.cpp
+++ b/src/snipestall/gateway/request_relay_end.cpp
@@ -118,6 +118,8 @@
         ++m_state.counters.refused;
         if (m_cancelled)
             co_await answer(refusal(503, RetryAfterShutdown), "shutting-down");
+        else if (m_overload)
+            co_await refuseByLoad();
         else if (const auto wait =
                      m_state.placement.waitForLimits(m_placementRequest, m_state.clock.steadyNow()))
             co_await answer(refusal(503, *wait), "server-limit");
@@ -138,6 +140,21 @@
     co_await answer(ownAnswer(late ? 504 : 502), reason);
 }
 
+Task<void> RequestRelay::refuseByLoad()
+{
+    ++m_state.counters.overloadRefused;
+    const bool overShare = m_customer != nullptr && m_state.shares.isOver(m_customer->name);
+    logEvent(events::OverloadRefused,
+             { { "attempt", m_header.attemptId },
+               { "customer", m_customer == nullptr ? "" : m_customer->name },
+               { "route", m_route->name },
+               { "predicted_ms", std::to_string(m_overload->predicted.count()) },
+               { "target_ms", std::to_string(m_route->targetLatency.count()) },
+               { "over_share", overShare ? "yes" : "no" },
+               { "retry_after_ms", std::to_string(m_overload->retryAfter.count()) } });
+    co_await answer(refusal(503, m_overload->retryAfter), "overload");
+}
+
 void RequestRelay::recordCallerLeft()
 {
     ++m_state.counters.callersGone;
--- a/src/snipestall/gateway/rollout_runner.cpp
+++ b/src/snipestall/gateway/rollout_runner.cpp
@@ -173,8 +173,7 @@
         if (server->takesWork())
             ++(isNew ? state.newServers : state.oldServers);
         if (!isNew)
-            state.runningOnOld +=
-                server->own.inFlight + m_state.peerLoads.at(server->key, now).inFlight;
+            state.runningOnOld += server->own.inFlight + m_state.peerLoads.at(server->key).inFlight;
     }
     return state;
 }
--- a/src/snipestall/serving/demand_meter.cpp
+++ b/src/snipestall/serving/demand_meter.cpp
@@ -114,12 +114,19 @@
     if (seconds < Seconds(RateWindow).count() / 2)
         return;
     for (const auto &[service, work] : m_total) {
-        const double grown = std::max(growthSince(before.work, m_total, service),
-                                      growthSince(before.slotWork, m_slotTotal, service));
-        addDemand(service, grown / seconds, now);
+        const double grown = growthSince(before.work, m_total, service);
+        const double slots = growthSince(before.slotWork, m_slotTotal, service);
+        m_workNow[service] = grown / seconds;
+        addDemand(service, std::max(grown, slots) / seconds, now);
     }
 }
 
+double DemandMeter::workNow(const std::string &service) const
+{
+    const auto found = m_workNow.find(service);
+    return found == m_workNow.end() ? 0 : found->second;
+}
+
 double DemandMeter::needed(const std::string &service) const
 {
     const auto found = m_demandSamples.find(service);
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -1,6 +1,7 @@
 #include "snipestall/serving/placement.hpp"
 
 #include "snipestall/base/rendezvous.hpp"
+#include "snipestall/serving/first_event_estimate.hpp"
 #include "snipestall/serving/peer_loads.hpp"
 #include "snipestall/serving/server_limits.hpp"
 #include "snipestall/serving/service.hpp"
@@ -9,6 +10,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <unordered_map>
 #include <utility>
 
 namespace snipestall::serving {
@@ -20,11 +22,19 @@
 /// as much as a prompt of some thousand tokens.
 constexpr double TokensPerRunningRequest = 60;
 /// A server with all slots in use only queues: each further request waits for another to end, which
-/// takes about as long as reading this many tokens.
+/// takes at least as long as reading this many tokens, because a full batch slows the engine down.
 constexpr double TokensPerQueuedRequest = 4000;
 /// A call stays in its own data centre unless the servers of another one are less loaded by this
 /// part of their slots, because the path there takes longer and may be cut.
 constexpr double RemoteCallCost = 0.35;
+/// What a call itself takes of a server of the usual speed. On a slow server it takes longer even
+/// if nothing else runs there.
+constexpr double OwnCallCost = 0.5;
+/// A failed prompt costs its caller the request, or another attempt that starts late: more than
+/// several places in a queue.
+constexpr double TokensPerFailure = 20000;
+/// Draws are below 1.
+constexpr double MaxDraw = 1 - 1e-9;
 /// A stream that cannot be resumed breaks when the path to its server does, which is far more
 /// likely between data centres. It goes to another data centre only where that saves this many
 /// prompt tokens: about as many as the queue of a busy server holds.
@@ -63,32 +73,52 @@
 }
 
 /// Cost of the running and queued requests at a server, in prompt tokens, including what does not
-/// fit into its KV cache.
+/// fit into its KV cache. `queuedRequest`: cost of one that waits for a slot.
 double runningCost(const ServerState &server, const ServerLoad &load, const EngineProfile &engine,
-                   double neededTokens)
+                   double neededTokens, double queuedRequest)
 {
     double cost = load.inFlight * TokensPerRunningRequest;
     const int slots = std::max(server.info.slots, 1);
     if (load.inFlight >= static_cast<std::uint32_t>(slots))
-        cost += (load.inFlight - slots + 1) * TokensPerQueuedRequest;
+        cost += (load.inFlight - slots + 1) * queuedRequest;
     const double freeTokens = engine.cacheTokens * UsableCacheFraction - load.heldTokens;
     if (neededTokens > freeTokens)
         cost += neededTokens - freeTokens;
     return cost;
 }
 
+/// Numbers the data centres of the servers in the order in which they come.
+class DataCentreNumbers
+{
+public:
+    std::size_t numberOf(const std::string &dataCentre)
+    {
+        return m_numbers.try_emplace(dataCentre, m_numbers.size()).first->second;
+    }
+
+private:
+    std::unordered_map<std::string, std::size_t> m_numbers;
+};
+
+bool hasFreeSlot(const ServerState &server, const ServerLoad &load)
+{
+    return load.pendingTokens <= 0
+        && load.inFlight < static_cast<std::uint32_t>(std::max(server.info.slots, 1));
+}
+
 } // namespace
 
 Placement::Placement(const ServerTable &servers, const PeerLoads &peers,
                      const RolloutView &rollouts, const ServerLimits &limits,
                      const SlotShares &shares, const StreamVersions &streamVersions,
-                     std::string dataCentre, std::uint64_t seed)
+                     const FirstEventEstimate &estimate, std::string dataCentre, std::uint64_t seed)
     : m_servers(servers)
     , m_peers(peers)
     , m_rollouts(rollouts)
     , m_limits(limits)
     , m_shares(shares)
     , m_streamVersions(streamVersions)
+    , m_estimate(estimate)
     , m_dataCentre(std::move(dataCentre))
     , m_random(seed)
 { }
@@ -199,7 +229,7 @@
         return std::nullopt;
     if (request.prompt && request.service->engine)
         return chooseForPrompt(request, servers, now);
-    return chooseForCall(request, servers, now);
+    return chooseForCall(request, servers);
 }
 
 double Placement::uncached(const Prompt &prompt, const ServerState &server,
@@ -221,35 +251,75 @@
                                                 const std::string &preferred, SteadyTime now) const
 {
     const Prompt &prompt = *request.prompt;
+    const Service &service = *request.service;
     Candidate candidate;
     candidate.server = server;
-    candidate.load = m_peers.at(server->key, now);
-    candidate.load += server->own;
+    candidate.load = loadAt(*server);
     candidate.unreadTokens = uncached(prompt, *server, preferred, now);
+    const double slowness = server->speed.slowness();
+    const double queuedRequest = std::max(
+        TokensPerQueuedRequest, m_estimate.tokensPerSlotWait(service.name, server->info.slots));
+    candidate.spread.load = slowness
+        * (candidate.load.pendingTokens
+           + runningCost(*server, candidate.load, *service.engine,
+                         prompt.promptTokens + prompt.maxOutputTokens, queuedRequest));
     const bool remote = server->info.dataCentre != m_dataCentre;
     const double remoteTokens =
         request.mayRepeat ? RemoteRepeatableTokens : RemoteUnrepeatableTokens;
-    candidate.cost =
-        (candidate.load.pendingTokens + candidate.unreadTokens) * server->speed.slowness()
-        + (remote ? remoteTokens : 0)
-        + runningCost(*server, candidate.load, *request.service->engine,
-                      prompt.promptTokens + prompt.maxOutputTokens);
+    candidate.spread.own = candidate.unreadTokens * slowness + (remote ? remoteTokens : 0)
+        + failureRate(*server) * TokensPerFailure;
     return candidate;
 }
 
 ServerChoice Placement::chooseForPrompt(const PlacementRequest &request,
-                                        const std::vector<ServerStatePtr> &servers,
-                                        SteadyTime now) const
+                                        const std::vector<ServerStatePtr> &servers, SteadyTime now)
 {
     const std::string preferred = preferredServer(*request.prompt, servers);
     std::vector<Candidate> candidates;
-    candidates.reserve(servers.size());
-    for (const ServerStatePtr &server : servers)
+    std::vector<SpreadCandidate> spread;
+    DataCentreNumbers dataCentres;
+    for (const ServerStatePtr &server : servers) {
         candidates.push_back(promptCandidate(request, server, preferred, now));
-    const auto best =
-        std::min_element(candidates.begin(), candidates.end(),
-                         [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
-    return { best->server, best->unreadTokens, best->load.pendingTokens, best->load.inFlight };
+        spread.push_back(candidates.back().spread);
+        spread.back().group = dataCentres.numberOf(server->info.dataCentre);
+    }
+    const LoadSpread choice(std::move(spread), request.unseenWork);
+    const Candidate &chosen = candidates[choice.choose(drawFor(request, {}))];
+    ServerChoice placed;
+    placed.server = chosen.server;
+    placed.unreadTokens = chosen.unreadTokens;
+    placed.tokensAhead = chosen.load.pendingTokens;
+    placed.inFlight = chosen.load.inFlight;
+    placed.firstEvent = predict(request, chosen);
+    placed.earliest = placed.firstEvent;
+    for (const Candidate &each : candidates) {
+        placed.hasFreeSlot = placed.hasFreeSlot || hasFreeSlot(*each.server, each.load);
+        const auto firstEvent = predict(request, each);
+        if (firstEvent && firstEvent->total < placed.earliest->total)
+            placed.earliest = firstEvent;
+    }
+    return placed;
+}
+
+std::optional<FirstEvent> Placement::predict(const PlacementRequest &request,
+                                             const Candidate &candidate) const
+{
+    const ServerState &server = *candidate.server;
+    return m_estimate.predict(request.service->name,
+                              { candidate.load, server.info.slots, server.speed.slowness(),
+                                request.band, candidate.unreadTokens });
+}
+
+ServerLoad Placement::loadAt(const ServerState &server) const
+{
+    ServerLoad load = m_peers.at(server.key);
+    load += server.own;
+    return load;
+}
+
+double Placement::failureRate(const ServerState &server)
+{
+    return std::max(server.health.failureRate(), server.sharedFailureRate);
 }
 
 // Load: instances with the same information choose at the same moment. Harm: all choose the same
@@ -258,37 +328,57 @@
 // to have crashed. For a request that no server has answered yet, the random number is therefore
 // derived from the request itself, so that its copies go to one server while other requests are
 // still spread. A request that has been answered may be sent by thousands of callers.
-double Placement::tieBreak(const PlacementRequest &request, const ServerState &server)
+double Placement::drawFor(const PlacementRequest &request, const std::string &server)
 {
     if (!request.unansweredFingerprint)
         return m_random.uniform();
-    const std::uint64_t hash =
-        stableHash(std::to_string(*request.unansweredFingerprint) + server.key);
-    return static_cast<double>(hash)
-        / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    const std::uint64_t hash = stableHash(std::to_string(*request.unansweredFingerprint) + server);
+    // The hash may round up to 1.
+    return std::min(static_cast<double>(hash)
+                        / static_cast<double>(std::numeric_limits<std::uint64_t>::max()),
+                    MaxDraw);
 }
 
 ServerChoice Placement::chooseForCall(const PlacementRequest &request,
-                                      const std::vector<ServerStatePtr> &servers, SteadyTime now)
+                                      const std::vector<ServerStatePtr> &servers)
 {
-    ServerChoice best;
-    double bestCost = std::numeric_limits<double>::infinity();
+    std::vector<SpreadCandidate> spread;
+    DataCentreNumbers dataCentres;
     for (const ServerStatePtr &server : servers) {
-        ServerLoad load = m_peers.at(server->key, now);
-        load += server->own;
+        const ServerLoad load = loadAt(*server);
         const double slots = std::max(server->info.slots, 1);
+        const double slowness = server->speed.slowness();
+        const bool remote = server->info.dataCentre != m_dataCentre;
         // A failure costs the caller a second attempt, so the failure rate of a server is added to
         // its load.
-        const bool remote = server->info.dataCentre != m_dataCentre;
-        const double cost = load.inFlight / slots
-            + std::max(server->health.failureRate(), server->sharedFailureRate)
-            + tieBreak(request, *server) / slots + (remote ? RemoteCallCost : 0);
-        if (cost >= bestCost)
-            continue;
-        bestCost = cost;
-        best = { server, 0, 0, load.inFlight };
+        spread.push_back({ slowness * load.inFlight / slots,
+                           slowness * OwnCallCost + failureRate(*server)
+                               + drawFor(request, server->key) / slots
+                               + (remote ? RemoteCallCost : 0),
+                           dataCentres.numberOf(server->info.dataCentre) });
     }
-    return best;
+    const LoadSpread choice(std::move(spread), request.unseenWork);
+    ServerChoice placed;
+    placed.server = servers[choice.choose(drawFor(request, {}))];
+    placed.inFlight = loadAt(*placed.server).inFlight;
+    for (const ServerStatePtr &server : servers) {
+        const auto first = predictCall(*server);
+        placed.hasFreeSlot = placed.hasFreeSlot || !first || first->wait.count() <= 0;
+        if (first && (!placed.earliest || first->total < placed.earliest->total))
+            placed.earliest = first;
+    }
+    return placed;
+}
+
+std::optional<FirstEvent> Placement::predictCall(const ServerState &server) const
+{
+    const auto duration = server.speed.pause();
+    if (!duration)
+        return std::nullopt;
+    const int slots = std::max(server.info.slots, 1);
+    const double waiting = static_cast<double>(loadAt(server).inFlight) + 1 - slots;
+    const std::chrono::duration<double> wait = *duration * (std::max(waiting, 0.0) / slots);
+    return FirstEvent { wait, wait + *duration };
 }
 
 void Placement::requestSent(const PlacementRequest &request, const std::string &server,
--- a/src/snipestall/serving/placement_test.cpp
+++ b/src/snipestall/serving/placement_test.cpp
@@ -82,15 +82,16 @@
     ServerLimits m_limits { "edge-1" };
     SlotShares m_shares { "edge-1" };
     StreamVersions m_streamVersions;
-    Placement m_placement { m_servers, m_peers,          m_rollouts, m_limits,
-                            m_shares,  m_streamVersions, "east",     Seed };
+    FirstEventEstimate m_estimate;
+    Placement m_placement { m_servers,        m_peers,    m_rollouts, m_limits, m_shares,
+                            m_streamVersions, m_estimate, "east",     Seed };
     std::uint64_t m_ownPart = 1000000;
 };
 
 TEST_F(PlacementTest, InstancesAgreeOnTheServerOfASharedPartWithoutAMessage)
 {
-    Placement other(m_servers, m_peers, m_rollouts, m_limits, m_shares, m_streamVersions, "west",
-                    Seed + 1);
+    Placement other(m_servers, m_peers, m_rollouts, m_limits, m_shares, m_streamVersions,
+                    m_estimate, "west", Seed + 1);
     for (std::uint64_t part = 10; part < 60; ++part) {
         const auto mine = m_placement.choose(generation(part, 8000), Start);
         const auto theirs = other.choose(generation(part, 8000), Start);
@@ -136,6 +137,7 @@
     m_peers.update("peer", { { first->server->key, load } }, Start);
     const auto second = m_placement.choose(generation(42, 6000), Start);
     EXPECT_NE(second->server->info.id, first->server->info.id);
+    m_peers.expire(Start + 10s);
     const auto later = m_placement.choose(generation(42, 6000), Start + 10s);
     EXPECT_EQ(later->server->info.id, first->server->info.id);
 }
@@ -198,8 +200,8 @@
 // copy would crash another server. Different calls are still spread at random.
 TEST_F(PlacementTest, CopiesOfAnUnansweredCallGoToOneServer)
 {
-    Placement other(m_servers, m_peers, m_rollouts, m_limits, m_shares, m_streamVersions, "east",
-                    Seed + 1);
+    Placement other(m_servers, m_peers, m_rollouts, m_limits, m_shares, m_streamVersions,
+                    m_estimate, "east", Seed + 1);
     std::set<std::string> used;
     for (std::uint64_t fingerprint = 1; fingerprint <= 40; ++fingerprint) {
         PlacementRequest request = call();
--- a/src/snipestall/serving/quota_keeper.cpp
+++ b/src/snipestall/serving/quota_keeper.cpp
@@ -241,13 +241,13 @@
 
 QuotaDecision QuotaKeeper::take(const std::string &customer, double units, SteadyTime now)
 {
+    recordDemand(customer, units, now);
     const auto found = m_buckets.find(customer);
     if (found == m_buckets.end())
         return {};
     Bucket &bucket = found->second;
     refill(bucket, now);
     chargeOverdueHub(now);
-    recordDemand(customer, units, now);
     const double free = bucket.level - estimatedPeerUse(customer, now);
     const double probability = admissionProbability(customer, bucket, units, free, now);
     if (m_random.uniform() >= probability)
--- a/src/snipestall/serving/server_outcomes.cpp
+++ b/src/snipestall/serving/server_outcomes.cpp
@@ -8,8 +8,8 @@
 
 /// Fewer answers say little about a server: of two, one may have failed by chance.
 constexpr double MinAnswers = 3;
-/// A single stream that has just ended counts; one that ended several half-lives ago does not.
-constexpr double MinStreams = 0.5;
+/// A single request that has just ended counts; one that ended several half-lives ago does not.
+constexpr double MinPaced = 0.5;
 constexpr double Negligible = 0.05;
 
 } // namespace
@@ -18,8 +18,17 @@
 {
     answered += other.answered;
     failed += other.failed;
-    streams += other.streams;
-    pauses += other.pauses;
+    paced += other.paced;
+    pace += other.pace;
+    return *this;
+}
+
+ServerOutcomes &ServerOutcomes::operator-=(const ServerOutcomes &other)
+{
+    answered -= other.answered;
+    failed -= other.failed;
+    paced -= other.paced;
+    pace -= other.pace;
     return *this;
 }
 
@@ -29,16 +38,16 @@
     return all < MinAnswers ? 0 : failed / all;
 }
 
-std::optional<std::chrono::duration<double>> ServerOutcomes::pause() const
+std::optional<std::chrono::duration<double>> ServerOutcomes::averagePace() const
 {
-    if (streams < MinStreams)
+    if (paced < MinPaced)
         return std::nullopt;
-    return pauses / streams;
+    return pace / paced;
 }
 
 bool ServerOutcomes::isNegligible() const
 {
-    return answered + failed + streams < Negligible;
+    return answered + failed + paced < Negligible;
 }
 
 ServerOutcomes &OutcomeCounter::decayed(SteadyTime now)
@@ -52,8 +61,8 @@
 {
     const std::chrono::duration<double> passed = now - m_countedAt;
     const double left = std::exp2(-(passed / HalfLife));
-    return { m_counts.answered * left, m_counts.failed * left, m_counts.streams * left,
-             m_counts.pauses * left };
+    return { m_counts.answered * left, m_counts.failed * left, m_counts.paced * left,
+             m_counts.pace * left };
 }
 
 void OutcomeCounter::answered(SteadyTime now)
@@ -66,11 +75,11 @@
     ++decayed(now).failed;
 }
 
-void OutcomeCounter::streamEnded(std::chrono::duration<double> pause, SteadyTime now)
+void OutcomeCounter::ended(std::chrono::duration<double> pace, SteadyTime now)
 {
     ServerOutcomes &counts = decayed(now);
-    ++counts.streams;
-    counts.pauses += pause;
+    ++counts.paced;
+    counts.pace += pace;
 }
 
 } // namespace snipestall::serving
--- a/src/snipestall/serving/server_outcomes_test.cpp
+++ b/src/snipestall/serving/server_outcomes_test.cpp
@@ -36,17 +36,17 @@
 }
 
 // Guards against a slow server that is taken for a usual one by instances without streams there.
-TEST(ServerOutcomes, PausesOfSeveralInstancesAreAveraged)
+TEST(ServerOutcomes, ThePaceIsAveragedOverInstances)
 {
     OutcomeCounter one;
     OutcomeCounter other;
-    one.streamEnded(20ms, Start);
-    other.streamEnded(40ms, Start);
+    one.ended(20ms, Start);
+    other.ended(40ms, Start);
     ServerOutcomes sum = one.at(Start);
     sum += other.at(Start);
-    ASSERT_TRUE(sum.pause());
-    EXPECT_NEAR(sum.pause()->count(), 0.03, 1e-6);
-    EXPECT_FALSE(ServerOutcomes().pause());
+    ASSERT_TRUE(sum.averagePace());
+    EXPECT_NEAR(sum.averagePace()->count(), 0.03, 1e-6);
+    EXPECT_FALSE(ServerOutcomes().averagePace());
 }
 
 } // namespace
--- a/src/snipestall/serving/server_table.cpp
+++ b/src/snipestall/serving/server_table.cpp
@@ -141,9 +141,9 @@
 {
     for (const auto &[id, server] : m_servers) {
         ServerOutcomes outcomes = server->ended.at(now);
-        outcomes += peers.at(server->key, now).outcomes;
+        outcomes += peers.at(server->key).outcomes;
         server->sharedFailureRate = outcomes.failureRate();
-        if (const auto pause = outcomes.pause())
+        if (const auto pause = outcomes.averagePace())
             server->speed.setPause(*pause);
     }
     compareSpeeds();
