A successor of the duty lease keeps the servers; late callers return when the load may be over

Cause: which reclaimable servers are not to be had is known to the holder of the lease alone. Change: a planner that follows another one orders fewer servers than present only after a server's start time and a retry, by when the missing ones have been asked for; a refused caller that can't be in time any more comes back as late as it waits.

--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -153,6 +153,8 @@
     [[nodiscard]] VersionRecorder::Outcome outcomeOf(CallStart start, AttemptEnd end) const;
     [[nodiscard]] bool deadlinePassed() const;
     [[nodiscard]] double quotaUnits() const;
+    /// When the caller of a refused request comes back; `roomAfter`: time until there may be room.
+    [[nodiscard]] std::chrono::milliseconds returnAfter(std::chrono::milliseconds roomAfter) const;
     [[nodiscard]] CallerConnection::Answer ownAnswer(unsigned status) const;
     [[nodiscard]] CallerConnection::Answer refusal(unsigned status,
                                                    std::chrono::milliseconds retryAfter) const;
--- a/include/snipestall/serving/fleet_planner.hpp
+++ b/include/snipestall/serving/fleet_planner.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -76,6 +77,10 @@
 public:
     /// `initial`: number of servers that the operators started with, by data centre.
     FleetPlanner(ScalingPolicy policy, const std::map<std::string, int> &initial);
+    /// The planner follows another one at `now`, whose orders and refusals are not known. Fewer
+    /// servers than present are ordered only after these have been asked for anew: the servers may
+    /// be there because no others were available, and without them the next loss would leave none.
+    void succeed(SteadyTime now) { m_succeededAt = now; }
 
     /// Reports which part of the target latency the slowest tenth of requests waits for its first
     /// byte, as a measure of how close the fleet is to being too small. To be called a few times
@@ -165,6 +170,7 @@
     ScalingPolicy m_policy;
     std::map<std::string, DataCentreState> m_dataCentres;
     double m_scale = 1;
+    std::optional<SteadyTime> m_succeededAt;
     SteadyTime m_scaledAt;
     SteadyTime m_lowPressureSince;
     FleetEstimate m_estimate = FleetEstimate::Usual;
--- a/src/snipestall/gateway/duty_runner_fleet.cpp
+++ b/src/snipestall/gateway/duty_runner_fleet.cpp
@@ -81,9 +81,10 @@
             co_return false;
         initialFleet = decodeNumbers<int>(row->value);
     }
-    m_planners.insert_or_assign(
-        service,
-        serving::FleetPlanner(*m_state.catalogue->service(service)->scaling, initialFleet));
+    serving::FleetPlanner planner(*m_state.catalogue->service(service)->scaling, initialFleet);
+    if (!done)
+        planner.succeed(m_state.clock.steadyNow());
+    m_planners.insert_or_assign(service, std::move(planner));
     co_return true;
 }
 
--- a/src/snipestall/gateway/request_relay_admission.cpp
+++ b/src/snipestall/gateway/request_relay_admission.cpp
@@ -8,6 +8,7 @@
 #include "snipestall/base/log.hpp"
 #include "snipestall/base/rendezvous.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
+#include "snipestall/serving/return_time.hpp"
 #include "snipestall/wire/signal.hpp"
 
 #include <boost/beast/http/field.hpp>
@@ -153,14 +154,23 @@
     m_quotaTaken = decision.admitted;
     if (decision.admitted)
         co_return true;
+    const milliseconds retryAfter = returnAfter(decision.retryAfter);
     logEvent(events::QuotaRefused,
              { { "attempt", m_header.attemptId },
                { "customer", m_customer->name },
                { "units", integerText(quotaUnits()) },
                { "free", integerText(decision.free) },
                { "rate", integerText(decision.rate) },
-               { "retry_after_ms", std::to_string(decision.retryAfter.count()) } });
-    co_return co_await refuse(refusal(429, decision.retryAfter), "over-quota");
+               { "retry_after_ms", std::to_string(retryAfter.count()) } });
+    co_return co_await refuse(refusal(429, retryAfter), "over-quota");
+}
+
+milliseconds RequestRelay::returnAfter(milliseconds roomAfter) const
+{
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(m_callerDeadline - m_state.clock.steadyNow());
+    return serving::returnTime({ roomAfter, m_route->targetLatency, left },
+                               m_state.random.uniform());
 }
 
 double RequestRelay::quotaUnits() const
--- a/src/snipestall/gateway/request_relay_end.cpp
+++ b/src/snipestall/gateway/request_relay_end.cpp
@@ -143,6 +143,7 @@
 Task<void> RequestRelay::refuseByLoad()
 {
     ++m_state.counters.overloadRefused;
+    const milliseconds retryAfter = returnAfter(m_overload->retryAfter);
     const bool overShare = m_customer != nullptr && m_state.shares.isOver(m_customer->name);
     logEvent(events::OverloadRefused,
              { { "attempt", m_header.attemptId },
@@ -151,8 +152,8 @@
                { "predicted_ms", std::to_string(m_overload->predicted.count()) },
                { "target_ms", std::to_string(m_route->targetLatency.count()) },
                { "over_share", overShare ? "yes" : "no" },
-               { "retry_after_ms", std::to_string(m_overload->retryAfter.count()) } });
-    co_await answer(refusal(503, m_overload->retryAfter), "overload");
+               { "retry_after_ms", std::to_string(retryAfter.count()) } });
+    co_await answer(refusal(503, retryAfter), "overload");
 }
 
 void RequestRelay::recordCallerLeft()
--- a/src/snipestall/serving/fleet_planner.cpp
+++ b/src/snipestall/serving/fleet_planner.cpp
@@ -147,6 +147,8 @@
     const auto waited = now - state.lastOrderAt;
     if (state.refused)
         return waited >= RetryPause;
+    if (state.ordered < 0 && wanted < present && m_succeededAt)
+        return now - *m_succeededAt >= m_policy.bootTime + RetryPause;
     if (wanted > state.ordered || state.ordered < 0)
         return true;
     // Fewer servers are ordered only after the lower number has lasted, because each change costs a
--- a/src/snipestall/serving/fleet_planner_test.cpp
+++ b/src/snipestall/serving/fleet_planner_test.cpp
@@ -205,6 +205,38 @@
     EXPECT_EQ(m_planner.estimate(), FleetEstimate::Insurance);
 }
 
+// Guards against on-demand servers that are given back a second before the last reclaimable ones
+// are lost: the instance that had ordered them as an insurance lost the lease, and its successor
+// knew of no shortage.
+TEST_F(ReclaimWaveTest, ASuccessorKeepsTheInsurance)
+{
+    plan(Start);
+    reclaim("a", Start + 20s);
+    reclaim("b", Start + 26s);
+    reclaim("c", Start + 32s);
+    const int insured = onDemand();
+    for (auto &[dataCentre, count] : m_counts)
+        count.onDemand = m_onDemand[dataCentre];
+    m_planner = FleetPlanner(policy(), { { "a", 4 }, { "b", 4 }, { "c", 4 }, { "d", 4 } });
+    m_planner.succeed(Start + 38s);
+    for (int i = 0; i < 40; ++i) {
+        plan(Start + 38s + i * 300ms);
+        EXPECT_GE(onDemand(), insured) << i;
+    }
+}
+
+// Guards against on-demand servers that a successor keeps for good.
+TEST_F(ReclaimWaveTest, ASuccessorGivesBackWhatNothingNeeds)
+{
+    for (auto &[dataCentre, count] : m_counts)
+        count.onDemand = m_onDemand[dataCentre] = 4;
+    m_planner.succeed(Start);
+    plan(Start);
+    EXPECT_EQ(onDemand(), 16);
+    plan(Start + 7s);
+    EXPECT_EQ(onDemand(), 0);
+}
+
 TEST_F(ReclaimWaveTest, TheInsuranceEndsWithTheShortage)
 {
     plan(Start);
