--- a/src/snipestall/serving/customer_shares.cpp
+++ b/src/snipestall/serving/customer_shares.cpp
@@ -33,12 +33,19 @@
     }
     if (weights <= 0)
         return;
+    double overWeights = 0;
     for (const CustomerDemand &demand : demands) {
-        const double share = (byQuota ? demand.quotaRate : 1) * used / weights;
-        if (demand.asked > share * MinRatioToShare
-            && demand.asked - share > total * MinExcessFraction)
-            m_over.insert(demand.customer);
+        const double weight = byQuota ? demand.quotaRate : 1;
+        const double share = weight * used / weights;
+        if (demand.asked <= share * MinRatioToShare
+            || demand.asked - share <= total * MinExcessFraction)
+            continue;
+        m_over.insert(demand.customer);
+        overWeights += weight;
     }
+    // If most ask for more, the load is general, and nobody's neighbours have to be protected.
+    if (overWeights > weights / 2)
+        m_over.clear();
 }
 
 } // namespace snipestall::serving
