Servers copy shared parts of prompts from the server that has them

Change: CacheHolders tells the server that is to get a part from the one that most likely has it (the best one of those that run for 20 s, also one that stops soon); a prompt that goes elsewhere carries the address to copy from, where the service's configuration says that engines copy, and the cost of copying counts in place of reading.

--- a/include/snipestall/base/rendezvous.hpp
+++ b/include/snipestall/base/rendezvous.hpp
@@ -12,6 +12,9 @@
 /// Returns a 64-bit hash of bytes (FNV-1a with a final mix) that is the same on every instance.
 std::uint64_t stableHash(std::string_view bytes);
 
+/// Weight of a node for a key: the node with the greatest one is chosen.
+std::uint64_t rendezvousWeight(std::string_view key, std::string_view node);
+
 /// Chooses a node for a key by rendezvous hashing (Thaler and Ravishankar, 1998): removing a node
 /// moves only the keys that it held. Returns nothing if there are no nodes.
 std::optional<std::string> rendezvousPick(std::string_view key, std::span<const std::string> nodes);
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -211,6 +211,8 @@
     double m_unreadTokens = 0;
     double m_tokensAhead = 0;
     std::optional<serving::FirstEvent> m_predicted;
+    /// Server from which the current one copies shared parts of the prompt.
+    std::optional<wire::Endpoint> m_copyFrom;
     std::optional<AttemptWatch::Handle> m_stallHandle;
     std::optional<StreamWatch::Handle> m_streamHandle;
     std::shared_ptr<StreamMove> m_move;
--- a/include/snipestall/serving/first_event_estimate.hpp
+++ b/include/snipestall/serving/first_event_estimate.hpp
@@ -47,6 +47,8 @@
 public:
     /// Tokens per second that an idle engine reads.
     void setReadRate(const std::string &service, double tokensPerSecond);
+    /// The rate set last; 0 if unknown.
+    [[nodiscard]] double readRate(const std::string &service) const;
     /// A stream has kept its slot for this long.
     void streamEnded(const std::string &service, std::chrono::duration<double> inSlot);
     /// A prompt got its first event after `seen`.
--- a/include/snipestall/serving/placement.hpp
+++ b/include/snipestall/serving/placement.hpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/base/clock.hpp"
 #include "snipestall/base/random.hpp"
+#include "snipestall/serving/cache_holders.hpp"
 #include "snipestall/serving/first_event_estimate.hpp"
 #include "snipestall/serving/load_spread.hpp"
 #include "snipestall/serving/prompt.hpp"
@@ -47,6 +48,8 @@
     /// Work that other instances have sent to the service since their reports: prompt tokens, or
     /// fully used servers.
     double unseenWork = 0;
+    /// The common time of day, if it is known.
+    std::optional<WallTime> time;
     /// Keys of the servers that this request has already been sent to.
     std::unordered_set<std::string> tried;
 };
@@ -68,6 +71,8 @@
     std::optional<FirstEvent> earliest;
     /// Whether some server can begin with the request at once, or may, as far as is known.
     bool hasFreeSlot = false;
+    /// The server from which the chosen one copies shared parts that it lacks.
+    std::optional<wire::Endpoint> copyFrom;
 };
 
 /// Chooses the backend server of a request. Every instance sends to every server and bases its
@@ -125,12 +130,14 @@
         /// Load of all instances.
         ServerLoad load;
         double unreadTokens = 0;
+        /// Whether it copies missing parts from the server that has them.
+        bool copiesFromHolder = false;
         /// What it costs, in prompt tokens.
         SpreadCandidate spread;
     };
     [[nodiscard]] Candidate promptCandidate(const PlacementRequest &request,
                                             const ServerStatePtr &server,
-                                            const std::string &preferred, SteadyTime now) const;
+                                            const CacheHolders &holders, SteadyTime now) const;
     [[nodiscard]] ServerChoice chooseForPrompt(const PlacementRequest &request,
                                                const std::vector<ServerStatePtr> &servers,
                                                SteadyTime now);
@@ -147,10 +154,20 @@
     /// Number from 0 up to 1 that decides between servers that are equally good; another one for
     /// each `server` if that is given.
     [[nodiscard]] double drawFor(const PlacementRequest &request, const std::string &server);
-    /// Prompt tokens that `server` has to read. `preferred`: id of the server that caches the
-    /// shared part.
-    [[nodiscard]] double uncached(const Prompt &prompt, const ServerState &server,
-                                  const std::string &preferred, SteadyTime now) const;
+    /// Tokens of the shared parts of a prompt.
+    struct CachedParts
+    {
+        double cachedTokens = 0;
+        double missingTokens = 0;
+    };
+    /// What `server` has of the shared parts, of which `holder` has all.
+    [[nodiscard]] CachedParts cachedParts(const Prompt &prompt, const ServerState &server,
+                                          const ServerState *holder, SteadyTime now) const;
+    [[nodiscard]] CacheHolders holdersOf(const PlacementRequest &request,
+                                         const std::vector<ServerStatePtr> &servers) const;
+    /// Time of copying a token, in tokens that are read meanwhile.
+    [[nodiscard]] double copyCost(const PlacementRequest &request, const ServerState &from,
+                                  const ServerState &to) const;
 
     const ServerTable &m_servers;
     const PeerLoads &m_peers;
--- a/include/snipestall/serving/service.hpp
+++ b/include/snipestall/serving/service.hpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/serving/scaling_policy.hpp"
 
+#include <chrono>
 #include <optional>
 #include <string>
 
@@ -15,6 +16,9 @@
     double cacheTokens = 0;
     /// Whether an engine can hand a running request over to another engine.
     bool movesRuns = false;
+    /// Time in which an engine copies the KV cache of one token from another engine of its data
+    /// centre; 0 if engines can't.
+    std::chrono::duration<double> copyPerToken { 0 };
 };
 
 /// A group of interchangeable backend servers.
--- a/src/snipestall/base/rendezvous.cpp
+++ b/src/snipestall/base/rendezvous.cpp
@@ -5,20 +5,6 @@
 
 namespace snipestall {
 
-namespace {
-
-std::uint64_t weight(std::string_view key, std::string_view node)
-{
-    std::string joined;
-    joined.reserve(key.size() + node.size() + 1);
-    joined.append(key);
-    joined.push_back('\n');
-    joined.append(node);
-    return stableHash(joined);
-}
-
-} // namespace
-
 std::uint64_t stableHash(std::string_view bytes)
 {
     std::uint64_t hash = 0xcbf29ce484222325ULL;
@@ -32,12 +18,22 @@
     return hash;
 }
 
+std::uint64_t rendezvousWeight(std::string_view key, std::string_view node)
+{
+    std::string joined;
+    joined.reserve(key.size() + node.size() + 1);
+    joined.append(key);
+    joined.push_back('\n');
+    joined.append(node);
+    return stableHash(joined);
+}
+
 std::optional<std::string> rendezvousPick(std::string_view key, std::span<const std::string> nodes)
 {
     const std::string *best = nullptr;
     std::uint64_t bestWeight = 0;
     for (const std::string &node : nodes) {
-        const std::uint64_t candidate = weight(key, node);
+        const std::uint64_t candidate = rendezvousWeight(key, node);
         const bool wins =
             best == nullptr || candidate > bestWeight || (candidate == bestWeight && node < *best);
         if (wins) {
@@ -53,7 +49,7 @@
     std::vector<std::pair<std::uint64_t, std::string>> weighted;
     weighted.reserve(nodes.size());
     for (const std::string &node : nodes)
-        weighted.emplace_back(weight(key, node), node);
+        weighted.emplace_back(rendezvousWeight(key, node), node);
     std::sort(weighted.begin(), weighted.end(), [](const auto &a, const auto &b) {
         return a.first != b.first ? a.first > b.first : a.second < b.second;
     });
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -163,6 +163,8 @@
         m_placementRequest.versions = m_state.rollouts.choose(
             m_placementRequest.service->name, m_route->name, m_budget.used().sends == 0,
             m_state.random, m_state.clock.steadyNow());
+        if (m_state.commonTime.known())
+            m_placementRequest.time = m_state.commonTime.at(m_state.clock.steadyNow());
         m_placementRequest.unseenWork = m_state.unseenWork(*m_placementRequest.service);
         const auto placed = m_state.placement.choose(m_placementRequest, m_state.clock.steadyNow());
         if (!placed) {
@@ -252,6 +254,8 @@
     }
     call.resumeAfter = m_answer.lastEvent();
     call.kvCacheSource = m_kvCacheSource;
+    if (m_copyFrom)
+        call.kvCacheCopy = m_copyFrom->toString();
     platform::writeServerHeader(from, call, request);
     eraseForwardFields(request);
     request.body() = from.body();
@@ -278,6 +282,7 @@
     m_unreadTokens = placed.unreadTokens;
     m_tokensAhead = placed.tokensAhead;
     m_predicted = placed.firstEvent;
+    m_copyFrom = placed.copyFrom;
     if (m_unreadTokens > 0)
         recordPromptSent();
     m_state.placement.requestSent(m_placementRequest, server->key, m_state.clock.steadyNow());
@@ -335,6 +340,7 @@
                { "forwarded", wasForwarded() ? "yes" : "no" },
                { "runs", std::to_string(m_budget.used().runs) },
                { "sends", std::to_string(m_budget.used().sends) },
+               { "copied_from", m_copyFrom ? m_copyFrom->toString() : std::string() },
                { "predicted_ms", predictedText() },
                { "first_byte_ms", std::to_string(toMillis(firstByte)) },
                { "parts", end == AttemptEnd::Final ? std::string() : partsText(m_header.prompt) },
--- a/src/snipestall/serving/first_event_estimate.cpp
+++ b/src/snipestall/serving/first_event_estimate.cpp
@@ -45,6 +45,12 @@
     m_services[service].tokensPerSecond = tokensPerSecond;
 }
 
+double FirstEventEstimate::readRate(const std::string &service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? 0 : found->second.tokensPerSecond;
+}
+
 void FirstEventEstimate::streamEnded(const std::string &service, Seconds inSlot)
 {
     double &mean = m_services[service].secondsInSlot;
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -33,6 +33,11 @@
 /// A failed prompt costs its caller the request, or another attempt that starts late: more than
 /// several places in a queue.
 constexpr double TokensPerFailure = 20000;
+/// Copying takes a few milliseconds to begin with, in which some hundred tokens are read.
+constexpr double MinCopiedTokens = 1000;
+/// Each further copy of a part takes memory that other parts lose, so a part goes to a server
+/// without it and without need only if that saves a tenth of its tokens.
+constexpr double FurtherCopyCost = 0.1;
 /// Draws are below 1.
 constexpr double MaxDraw = 1 - 1e-9;
 /// A stream that cannot be resumed breaks when the path to its server does, which is far more
@@ -58,20 +63,6 @@
     return prompt.parts[prompt.parts.size() - 2].id;
 }
 
-/// The id of the server that all instances agree on for a shared part; empty if the prompt has
-/// none.
-std::string preferredServer(const Prompt &prompt, const std::vector<ServerStatePtr> &servers)
-{
-    const std::uint64_t part = affinityPart(prompt);
-    if (part == 0)
-        return {};
-    std::vector<std::string> ids;
-    ids.reserve(servers.size());
-    for (const ServerStatePtr &server : servers)
-        ids.push_back(server->info.id);
-    return rendezvousPick(std::to_string(part), ids).value_or(std::string());
-}
-
 /// Cost of the running and queued requests at a server, in prompt tokens, including what does not
 /// fit into its KV cache. `queuedRequest`: cost of one that waits for a slot.
 double runningCost(const ServerState &server, const ServerLoad &load, const EngineProfile &engine,
@@ -232,30 +223,65 @@
     return chooseForCall(request, servers);
 }
 
-double Placement::uncached(const Prompt &prompt, const ServerState &server,
-                           const std::string &preferred, SteadyTime now) const
+Placement::CachedParts Placement::cachedParts(const Prompt &prompt, const ServerState &server,
+                                              const ServerState *holder, SteadyTime now) const
 {
-    double cachedTokens = 0;
+    CachedParts parts;
+    bool cached = true;
     for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
         const PromptPart &part = prompt.parts[i];
         // A part counts only if all parts before it are cached as well.
-        if (server.info.id != preferred && !m_cached.holds(part.id, server.key, now))
-            break;
-        cachedTokens += part.tokens;
+        cached = cached && (&server == holder || m_cached.holds(part.id, server.key, now));
+        (cached ? parts.cachedTokens : parts.missingTokens) += part.tokens;
     }
-    return std::max(0.0, prompt.promptTokens - cachedTokens);
+    return parts;
+}
+
+CacheHolders Placement::holdersOf(const PlacementRequest &request,
+                                  const std::vector<ServerStatePtr> &servers) const
+{
+    const std::uint64_t part = affinityPart(*request.prompt);
+    if (part == 0)
+        return { 0, {}, {}, std::nullopt };
+    const bool copies = request.service->engine->copyPerToken.count() > 0;
+    return { part, servers, m_servers.ofService(request.service->name),
+             copies ? request.time : std::nullopt };
+}
+
+double Placement::copyCost(const PlacementRequest &request, const ServerState &from,
+                           const ServerState &to) const
+{
+    constexpr double BetweenDataCentres = 2;
+    const double rate = m_estimate.readRate(request.service->name);
+    const double distance = from.info.dataCentre == to.info.dataCentre ? 1 : BetweenDataCentres;
+    const double cost = request.service->engine->copyPerToken.count() * rate * distance;
+    // Where the rate is not known yet, copying a token counts like reading it.
+    return rate > 0 ? std::min(cost, 1.0) : 1;
 }
 
 Placement::Candidate Placement::promptCandidate(const PlacementRequest &request,
                                                 const ServerStatePtr &server,
-                                                const std::string &preferred, SteadyTime now) const
+                                                const CacheHolders &holders, SteadyTime now) const
 {
     const Prompt &prompt = *request.prompt;
     const Service &service = *request.service;
     Candidate candidate;
     candidate.server = server;
     candidate.load = loadAt(*server);
-    candidate.unreadTokens = uncached(prompt, *server, preferred, now);
+    const ServerState *holder = holders.holder().get();
+    const CachedParts parts = cachedParts(prompt, *server, holder, now);
+    candidate.unreadTokens =
+        std::max(0.0, prompt.promptTokens - parts.cachedTokens - parts.missingTokens);
+    double spreadingTokens = 0;
+    if (service.engine->copyPerToken.count() > 0 && holder != nullptr && holder != server.get()
+        && parts.missingTokens >= MinCopiedTokens) {
+        candidate.copiesFromHolder = true;
+        candidate.unreadTokens += parts.missingTokens * copyCost(request, *holder, *server);
+        if (server != holders.preferred())
+            spreadingTokens = parts.missingTokens * FurtherCopyCost;
+    } else {
+        candidate.unreadTokens += parts.missingTokens;
+    }
     const double slowness = server->speed.slowness();
     const double queuedRequest = std::max(
         TokensPerQueuedRequest, m_estimate.tokensPerSlotWait(service.name, server->info.slots));
@@ -266,20 +292,20 @@
     const bool remote = server->info.dataCentre != m_dataCentre;
     const double remoteTokens =
         request.mayRepeat ? RemoteRepeatableTokens : RemoteUnrepeatableTokens;
-    candidate.spread.own = candidate.unreadTokens * slowness + (remote ? remoteTokens : 0)
-        + failureRate(*server) * TokensPerFailure;
+    candidate.spread.own = candidate.unreadTokens * slowness + spreadingTokens
+        + (remote ? remoteTokens : 0) + failureRate(*server) * TokensPerFailure;
     return candidate;
 }
 
 ServerChoice Placement::chooseForPrompt(const PlacementRequest &request,
                                         const std::vector<ServerStatePtr> &servers, SteadyTime now)
 {
-    const std::string preferred = preferredServer(*request.prompt, servers);
+    const CacheHolders holders = holdersOf(request, servers);
     std::vector<Candidate> candidates;
     std::vector<SpreadCandidate> spread;
     DataCentreNumbers dataCentres;
     for (const ServerStatePtr &server : servers) {
-        candidates.push_back(promptCandidate(request, server, preferred, now));
+        candidates.push_back(promptCandidate(request, server, holders, now));
         spread.push_back(candidates.back().spread);
         spread.back().group = dataCentres.numberOf(server->info.dataCentre);
     }
@@ -290,6 +316,8 @@
     placed.unreadTokens = chosen.unreadTokens;
     placed.tokensAhead = chosen.load.pendingTokens;
     placed.inFlight = chosen.load.inFlight;
+    if (chosen.copiesFromHolder)
+        placed.copyFrom = holders.holder()->info.address;
     placed.firstEvent = predict(request, chosen);
     placed.earliest = placed.firstEvent;
     for (const Candidate &each : candidates) {
