--- a/src/snipestall/serving/customer_shares_test.cpp
+++ b/src/snipestall/serving/customer_shares_test.cpp
@@ -42,5 +42,25 @@
     EXPECT_FALSE(shares.isOver("small"));
 }
 
+// Guards against a customer that is refused first because it has no quota while others have one.
+TEST(CustomerShares, ACustomerWithoutAQuotaHasAShare)
+{
+    CustomerShares shares;
+    shares.update({ { "a", 100, 300 }, { "b", 100, 300 }, { "open", 100, 0 } });
+    EXPECT_FALSE(shares.isOver("open"));
+    shares.update({ { "a", 100, 300 }, { "b", 100, 300 }, { "open", 900, 0 } });
+    EXPECT_TRUE(shares.isOver("open"));
+}
+
+// Guards against a flood of a customer with most of the quota that raises the average so far that
+// its share covers the flood.
+TEST(CustomerShares, AFloodDoesNotRaiseItsOwnShare)
+{
+    CustomerShares shares;
+    shares.update({ { "large", 3000, 1000 }, { "small", 90, 90 } });
+    EXPECT_TRUE(shares.isOver("large"));
+    EXPECT_FALSE(shares.isOver("small"));
+}
+
 } // namespace
 } // namespace snipestall::serving
