A long prompt is not refused because of a short wait

Cause: a prompt whose reading alone takes more than 1.5 of its target was refused as soon as it would wait at all, if only for a prompt of a few tokens at each server with most slots free. It would have been refused at every later time too. Change: requests are refused only if others delay them by at least a quarter of their target. Measured: the new test failed before; OverloadRule* passes.

--- a/src/snipestall/serving/overload_rule.cpp
+++ b/src/snipestall/serving/overload_rule.cpp
@@ -14,6 +14,9 @@
 constexpr double RefusedFrom = 1.5;
 /// Part of the usual limit that applies to customers over their share.
 constexpr double OverShareFraction = 0.5;
+/// A request that others delay by less than this part of its target is late, if at all, because of
+/// its own length, and would be as late at any other time.
+constexpr double MinWaitFraction = 0.25;
 constexpr milliseconds MinRetryAfter { 100 };
 /// Callers come back while they have time left for the answer.
 constexpr int RetryWithinFraction = 4;
@@ -27,7 +30,7 @@
     const FirstEvent &first = *input.earliest;
     const Seconds limit =
         Seconds(input.target) * RefusedFrom * (input.overShare ? OverShareFraction : 1);
-    if (first.wait.count() <= 0 || first.total <= limit)
+    if (first.wait <= Seconds(input.target) * MinWaitFraction || first.total <= limit)
         return std::nullopt;
     const milliseconds most = std::max(input.timeout / RetryWithinFraction, MinRetryAfter);
     // Until the load that is known now has gone down to the limit.
--- a/src/snipestall/serving/overload_rule_test.cpp
+++ b/src/snipestall/serving/overload_rule_test.cpp
@@ -41,6 +41,18 @@
     EXPECT_FALSE(refusedByLoad(input, 0));
 }
 
+// Guards against long prompts that are never sent while servers are free: somewhere at each server
+// a short prompt is just being read, which delays them by a few milliseconds.
+TEST(OverloadRule, AShortWaitDoesNotRefuseALongPrompt)
+{
+    OverloadInput input = inputOf(20ms, 3s);
+    EXPECT_FALSE(refusedByLoad(input, 0));
+    input.overShare = true;
+    EXPECT_FALSE(refusedByLoad(input, 0));
+    input.earliest->wait = 300ms;
+    EXPECT_TRUE(refusedByLoad(input, 0));
+}
+
 // Guards against a flood that uses up the room of the others.
 TEST(OverloadRule, CustomersOverTheirShareAreRefusedFirst)
 {
