Servers that are equal are drawn where nothing is unseen

Cause: before any rate is known, as in a fleet that has just started, all instances chose the first of equally idle servers. InstancesWithTheSameReportsUseAllServers failed with 9 requests of 8 at one server: 9 of 400 fleets with other seeds do, as many as independent draws have (mean of the busiest 6.2), so a limit for one seed tests chance. It asserts the average of 50 fleets now, with lower limits: 4, 6.5 and 6.5 in place of 6, 8 and 8. Change: with nothing unseen, servers of exactly the lowest cost have equal chances. Measured: the new test failed before; LoadSpread* passes.

--- a/src/snipestall/serving/load_spread.cpp
+++ b/src/snipestall/serving/load_spread.cpp
@@ -61,7 +61,9 @@
     const auto weight = [this, most](std::size_t i) {
         if (loadAt(i) + m_candidates[i].own > most)
             return 0.0;
-        return loadAt(i) - m_candidates[i].load + m_tolerance;
+        // Servers that are equal have the same chance where nothing is unseen: a process that has
+        // just started knows no rates yet, like all that started with it.
+        return m_tolerance <= 0 ? 1.0 : loadAt(i) - m_candidates[i].load + m_tolerance;
     };
     double total = 0;
     for (std::size_t i = 0; i < m_candidates.size(); ++i)
--- a/src/snipestall/serving/load_spread_test.cpp
+++ b/src/snipestall/serving/load_spread_test.cpp
@@ -17,12 +17,12 @@
 
 // Many instances choose servers by the same reports before the next one tells of each other's
 // requests. Returns the requests of the busiest server.
-int busiest(std::size_t instances, std::size_t servers, int requestsEach)
+int busiest(std::size_t instances, std::size_t servers, int requestsEach, std::uint64_t seed)
 {
     std::vector<int> requests(servers);
     const double unseen = static_cast<double>(instances - 1) * requestsEach;
     for (std::size_t instance = 0; instance < instances; ++instance) {
-        Random random(instance);
+        Random random(seed + instance);
         auto candidates = idleServers(servers);
         for (int i = 0; i < requestsEach; ++i) {
             const std::size_t chosen = LoadSpread(candidates, unseen).choose(random.uniform());
@@ -33,12 +33,23 @@
     return *std::max_element(requests.begin(), requests.end());
 }
 
+// The average over fleets with different random numbers: a single one has a busier server in one
+// case of forty.
+double usuallyBusiest(std::size_t instances, std::size_t servers, int requestsEach)
+{
+    constexpr std::uint64_t Fleets = 50;
+    int sum = 0;
+    for (std::uint64_t fleet = 0; fleet < Fleets; ++fleet)
+        sum += busiest(instances, servers, requestsEach, fleet * 1000);
+    return static_cast<double>(sum) / Fleets;
+}
+
 // Guards against a herd: instances with the same reports choose the same idle server.
 TEST(LoadSpread, InstancesWithTheSameReportsUseAllServers)
 {
-    EXPECT_LE(busiest(9, 18, 2), 6);
-    EXPECT_LE(busiest(60, 90, 3), 8);
-    EXPECT_LE(busiest(300, 900, 3), 8);
+    EXPECT_LE(usuallyBusiest(9, 18, 2), 4);
+    EXPECT_LE(usuallyBusiest(60, 90, 3), 6.5);
+    EXPECT_LE(usuallyBusiest(300, 900, 3), 6.5);
 }
 
 // Guards against chance where none is needed: a single instance knows all loads.
@@ -49,6 +60,21 @@
         EXPECT_EQ(LoadSpread(candidates, 0).choose(random), 1U);
 }
 
+// Guards against a fleet that has just started: no rate is known yet, and all instances send their
+// first requests to the same idle server.
+TEST(LoadSpread, EqualServersAreDrawnWhenNothingIsKnown)
+{
+    Random random(1);
+    std::vector<int> chosen(4);
+    auto candidates = idleServers(4);
+    candidates[3].own = 1;
+    for (int i = 0; i < 300; ++i)
+        ++chosen[LoadSpread(candidates, 0).choose(random.uniform())];
+    for (std::size_t i = 0; i < 3; ++i)
+        EXPECT_GE(chosen[i], 70);
+    EXPECT_EQ(chosen[3], 0);
+}
+
 // Guards against shared parts of prompts that are read again: the server that has them cached stays
 // the best one, whatever the others send to idle servers.
 TEST(LoadSpread, AServerThatSavesWorkStaysTheBest)
