--- a/include/snipestall/serving/overload_rule.hpp
+++ b/include/snipestall/serving/overload_rule.hpp
@@ -3,6 +3,7 @@
 #include "snipestall/serving/first_event_estimate.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 
 namespace snipestall::serving {
@@ -18,6 +19,10 @@
     std::chrono::milliseconds timeout { 0 };
     /// Whether its customer asks for more than its share.
     bool overShare = false;
+    /// Band of urgency; see EngineRanks.
+    std::size_t band = 0;
+    /// Requests in flight by slots, of the server where that is least.
+    double leastUse = 0;
 };
 
 struct OverloadRefusal
@@ -33,7 +38,9 @@
 /// request that can't be in time is refused at once, so that those after it can be. A customer over
 /// its share is refused while the others still have room, so that its flood does not use it up. As
 /// the prediction counts only what a server would admit before the request, patient requests are
-/// refused long before urgent ones. With a free server nothing is refused, however long the prompt.
+/// refused long before urgent ones. They also leave places in the servers' queues, because a server
+/// whose queue is full rejects urgent requests as well. With a free server nothing is refused,
+/// however long the prompt.
 ///
 /// Returns nothing if the request is to be sent. `random`, from 0 up to 1, spreads the callers that
 /// are told to come back.
--- a/include/snipestall/serving/placement.hpp
+++ b/include/snipestall/serving/placement.hpp
@@ -71,6 +71,8 @@
     std::optional<FirstEvent> earliest;
     /// Whether some server can begin with the request at once, or may, as far as is known.
     bool hasFreeSlot = false;
+    /// Requests in flight by slots, of the server where that is least.
+    double leastUse = 0;
     /// The server from which the chosen one copies shared parts that it lacks.
     std::optional<wire::Endpoint> copyFrom;
 };
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -199,7 +199,8 @@
         return std::nullopt;
     const bool overShare = m_customer != nullptr && m_state.shares.isOver(m_customer->name);
     return serving::refusedByLoad({ placed.earliest, placed.hasFreeSlot, m_route->targetLatency,
-                                    m_route->timeout, overShare },
+                                    m_route->timeout, overShare, m_placementRequest.band,
+                                    placed.leastUse },
                                   m_state.random.uniform());
 }
 
--- a/src/snipestall/serving/overload_rule.cpp
+++ b/src/snipestall/serving/overload_rule.cpp
@@ -1,6 +1,8 @@
 #include "snipestall/serving/overload_rule.hpp"
 
 #include <algorithm>
+#include <array>
+#include <limits>
 
 namespace snipestall::serving {
 
@@ -20,6 +22,21 @@
 constexpr milliseconds MinRetryAfter { 100 };
 /// Callers come back while they have time left for the answer.
 constexpr int RetryWithinFraction = 4;
+/// Requests in flight by slots up to which requests of a band are sent. The places of the queue
+/// beyond are kept for more urgent ones; an engine queues at least as many requests as it has
+/// slots.
+constexpr std::array<double, 3> MostUse { std::numeric_limits<double>::infinity(), 1.5, 1.25 };
+
+OverloadRefusal refusal(const FirstEvent &first, Seconds roomAfter, const OverloadInput &input,
+                        double random)
+{
+    const milliseconds most = std::max(input.timeout / RetryWithinFraction, MinRetryAfter);
+    const milliseconds least =
+        std::clamp(std::chrono::duration_cast<milliseconds>(roomAfter), MinRetryAfter, most);
+    const auto jitter = std::chrono::duration_cast<milliseconds>(Seconds(least) * random);
+    return { std::chrono::duration_cast<milliseconds>(first.total),
+             std::min(least + jitter, most) };
+}
 
 } // namespace
 
@@ -30,15 +47,13 @@
     const FirstEvent &first = *input.earliest;
     const Seconds limit =
         Seconds(input.target) * RefusedFrom * (input.overShare ? OverShareFraction : 1);
+    const bool placesKept = input.leastUse >= MostUse.at(std::min(input.band, MostUse.size() - 1));
+    if (placesKept)
+        return refusal(first, first.wait, input, random);
     if (first.wait <= Seconds(input.target) * MinWaitFraction || first.total <= limit)
         return std::nullopt;
-    const milliseconds most = std::max(input.timeout / RetryWithinFraction, MinRetryAfter);
     // Until the load that is known now has gone down to the limit.
-    const auto excess = std::chrono::duration_cast<milliseconds>(first.total - limit);
-    const milliseconds least = std::clamp(excess, MinRetryAfter, most);
-    const auto jitter = std::chrono::duration_cast<milliseconds>(Seconds(least) * random);
-    return OverloadRefusal { std::chrono::duration_cast<milliseconds>(first.total),
-                             std::min(least + jitter, most) };
+    return refusal(first, first.total - limit, input, random);
 }
 
 } // namespace snipestall::serving
--- a/src/snipestall/serving/overload_rule_test.cpp
+++ b/src/snipestall/serving/overload_rule_test.cpp
@@ -62,6 +62,20 @@
     EXPECT_TRUE(refusedByLoad(input, 0));
 }
 
+// Guards against urgent requests that full queues reject: patient ones have filled them.
+TEST(OverloadRule, LessUrgentRequestsLeavePlacesInTheQueues)
+{
+    OverloadInput input = inputOf(300ms, 400ms);
+    input.leastUse = 1.6;
+    EXPECT_FALSE(refusedByLoad(input, 0));
+    input.band = 1;
+    EXPECT_TRUE(refusedByLoad(input, 0));
+    input.leastUse = 1.3;
+    EXPECT_FALSE(refusedByLoad(input, 0));
+    input.band = 2;
+    EXPECT_TRUE(refusedByLoad(input, 0));
+}
+
 // Guards against callers that return together and meet the same queue, and against those that are
 // told to come back when they have left.
 TEST(OverloadRule, CallersReturnSpreadAndWhileTheyHaveTime)
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -319,8 +319,13 @@
     if (chosen.copiesFromHolder)
         placed.copyFrom = holders.holder()->info.address;
     placed.firstEvent = predict(request, chosen);
-    for (const Candidate &each : candidates)
+    placed.leastUse = std::numeric_limits<double>::infinity();
+    for (const Candidate &each : candidates) {
         placed.hasFreeSlot = placed.hasFreeSlot || hasFreeSlot(*each.server, each.load);
+        placed.leastUse = std::min(placed.leastUse,
+                                   static_cast<double>(each.load.inFlight)
+                                       / std::max(each.server->info.slots, 1));
+    }
     placed.earliest = earliest(request, candidates);
     return placed;
 }
