--- a/include/snipestall/gateway/gateway_counters.hpp
+++ b/include/snipestall/gateway/gateway_counters.hpp
@@ -11,7 +11,7 @@
     std::uint64_t answered = 0;
     /// Requests that were refused without being run.
     std::uint64_t refused = 0;
-    /// The part of these that no server would have begun in time.
+    /// Those of the refused requests that would have been late at every server.
     std::uint64_t overloadRefused = 0;
     std::uint64_t failed = 0;
     std::uint64_t callersGone = 0;
--- a/include/snipestall/gateway/gateway_metrics.hpp
+++ b/include/snipestall/gateway/gateway_metrics.hpp
@@ -18,7 +18,7 @@
     /// Records the time from the arrival of a request to the first byte of its answer to the
     /// caller.
     void recordFirstByte(const std::string &service, std::chrono::nanoseconds waited);
-    /// Records the time to the first event of a prompt by its prediction.
+    /// Records the observed time to the first event of a prompt divided by the predicted one.
     void recordPrediction(const std::string &service, double ratio);
     /// Records the end of a request. `status` is 0 if the caller left or the answer was cut off.
     void recordRequestEnd(unsigned status, std::chrono::nanoseconds took);
--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -117,7 +117,7 @@
     /// Software versions of the listed servers, and those that orders move traffic to, of services
     /// that serve streams which may be continued elsewhere.
     [[nodiscard]] std::set<serving::StreamOrigin> listedStreamVersions() const;
-    /// Determines anew which customers ask for more than their share.
+    /// Updates which customers request more than their share.
     void updateShares();
     /// Work that other instances have sent to a service since their last reports, in the unit of
     /// its placement: prompt tokens for engines, fully used servers otherwise.
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -86,7 +86,8 @@
     void logNotResumed(const std::string &reason) const;
     wire::Task<void> serve();
     wire::Task<AttemptEnd> attempt(serving::ServerChoice placed);
-    /// Returns why the request is refused if it would be late at every server.
+    /// Returns the refusal if the request would be late at every server; nothing if it is to be
+    /// sent.
     [[nodiscard]] std::optional<serving::OverloadRefusal>
     overloadAt(const serving::ServerChoice &placed) const;
     wire::Task<void> refuseByLoad();
@@ -164,7 +165,7 @@
     void recordLatency();
     void recordPromptSent();
     void recordPromptRead();
-    /// A stream has left its slot at the engine.
+    /// Records for how long a stream took its slot at the engine.
     void recordSlotTime(const serving::ServerState &server);
     /// The predicted time to the first event, in milliseconds; empty if there is none.
     [[nodiscard]] std::string predictedText() const;
--- a/include/snipestall/serving/customer_shares.hpp
+++ b/include/snipestall/serving/customer_shares.hpp
@@ -6,7 +6,7 @@
 
 namespace snipestall::serving {
 
-/// What one customer asks of all instances together.
+/// What one customer requests of all instances together.
 struct CustomerDemand
 {
     std::string customer;
@@ -16,12 +16,13 @@
     double quotaRate = 0;
 };
 
-/// Tells which customers ask for more than their share.
+/// Determines which customers request more than their share.
 ///
-/// Load: one customer sends several times its usual while servers are short. Harm: it takes room in
-/// proportion to what it sends, and the requests of all others are late. A customer's share is the
-/// part of its quota that the customers use on average, so that what some don't use goes to the
-/// others; without quotas all shares are equal. While there is room, shares have no effect.
+/// Load: one customer sends several times its usual load while servers are short. Harm: it gets
+/// capacity in proportion to what it sends, and the requests of all others are late. A customer's
+/// share is the part of its quota that the customers use on average, so that what some don't use
+/// goes to the others; without quotas all shares are equal. A customer without a quota has a share
+/// of 0 where others have quotas. While there is spare capacity, shares have no effect.
 class CustomerShares
 {
 public:
--- a/include/snipestall/serving/demand_meter.hpp
+++ b/include/snipestall/serving/demand_meter.hpp
@@ -56,8 +56,8 @@
     [[nodiscard]] double needed(const std::string &service) const;
     /// The number needed at the last sample; 0 if unknown.
     [[nodiscard]] double neededNow(const std::string &service) const;
-    /// The part of neededNow() that prompts or calls make: fully used servers that read or serve
-    /// what was sent in the last seconds.
+    /// Like neededNow(), but without slots of engines: the number of fully used servers that the
+    /// prompts or calls of the last seconds need for reading or serving them.
     [[nodiscard]] double workNow(const std::string &service) const;
     /// Prompt tokens per second that an engine reads when it does nothing else; 0 until enough
     /// prompts have been observed.
--- a/include/snipestall/serving/engine_ranks.hpp
+++ b/include/snipestall/serving/engine_ranks.hpp
@@ -10,10 +10,10 @@
 
 /// The order in which engines are to admit requests of different customers and routes.
 ///
-/// Load: requests wait at an engine, those of one customer for routes of different priority among
-/// them. Harm: if the customer's priority took the place of the route's, a long background task
-/// would go before a short interactive request of the same customer. The customer's priority
-/// therefore decides first, and the route's among requests of equal customers.
+/// Load: requests of one customer for routes of different priority wait at one engine. Harm: if the
+/// customer's priority replaced the route's, a long background task could go before a short
+/// interactive request of the same customer. The customer's priority therefore decides first, and
+/// the route's among requests of customers with equal priority.
 class EngineRanks
 {
 public:
--- a/include/snipestall/serving/failing_servers.hpp
+++ b/include/snipestall/serving/failing_servers.hpp
@@ -6,8 +6,7 @@
 
 namespace snipestall::serving {
 
-/// A backend server and the part of its recent answers that were failures, as seen by all
-/// instances.
+/// A backend server and the fraction of its recent answers that were failures, over all instances.
 struct ServerFailures
 {
     std::string server;
--- a/include/snipestall/serving/first_event_estimate.hpp
+++ b/include/snipestall/serving/first_event_estimate.hpp
@@ -11,7 +11,7 @@
 
 namespace snipestall::serving {
 
-/// What a prompt meets at one engine.
+/// State of one engine that determines when a prompt gets its first event there.
 struct EngineQueue
 {
     /// Load of all instances, without the prompt itself.
@@ -31,17 +31,17 @@
     /// The part that other requests cause.
     std::chrono::duration<double> wait { 0 };
     std::chrono::duration<double> total { 0 };
-    /// The correction that is part of both.
+    /// The learned correction that both have been multiplied by.
     double factor = 1;
 };
 
 /// Predicts when prompts get their first event at engines.
 ///
 /// Load: prompts queue at engines, by urgency, until the engine has read those ahead and a slot is
-/// free. Harm: without a prediction, a prompt that can't be in time is sent all the same, waits,
-/// and delays all that come after it. How the reading slows down in a full batch, and how much of
-/// the load is not known yet, depends on the engines and on the fleet; both are learned as one
-/// factor from the prompts that were sent last.
+/// free. Harm: without a prediction, a prompt that cannot be in time is sent nevertheless, waits,
+/// and delays all that come after it. How much a full batch slows down reading, and how much of the
+/// load is not known yet, depends on the engines and on the fleet; both are learned as one factor
+/// from the newest prompts.
 class FirstEventEstimate
 {
 public:
@@ -49,7 +49,7 @@
     void setReadRate(const std::string &service, double tokensPerSecond);
     /// A stream has kept its slot for this long.
     void streamEnded(const std::string &service, std::chrono::duration<double> inSlot);
-    /// A prompt got its first event after `seen`.
+    /// A prompt for which `predicted` had been returned got its first event after `seen`.
     void observed(const std::string &service, const FirstEvent &predicted,
                   std::chrono::duration<double> seen);
     /// Tokens that an idle engine with `slots` taken slots would read until one of them is free; 0
@@ -72,7 +72,7 @@
     {
         double tokensPerSecond = 0;
         double secondsInSlot = 0;
-        /// Seen by predicted without correction, oldest first.
+        /// Observed time / prediction without the correction, oldest first.
         std::deque<double> ratios;
         double factor = 1;
     };
--- a/include/snipestall/serving/placement.hpp
+++ b/include/snipestall/serving/placement.hpp
@@ -61,12 +61,11 @@
     double tokensAhead = 0;
     /// Requests of all instances in flight at this server, as far as is known.
     std::uint32_t inFlight = 0;
-    /// For prompts: when the first event comes from this server; nothing if that can't be
-    /// predicted.
+    /// For prompts: the prediction for this server; nothing if there is none.
     std::optional<FirstEvent> firstEvent;
-    /// When the first event or the answer comes from the server where it comes first.
+    /// The least of the predictions for all candidates; for plain calls of the whole answer.
     std::optional<FirstEvent> earliest;
-    /// Whether some server can begin with the request at once, or may, as far as is known.
+    /// Whether some server can begin the request at once, or this is not known.
     bool hasFreeSlot = false;
 };
 
@@ -142,10 +141,10 @@
     [[nodiscard]] std::optional<FirstEvent> predictCall(const ServerState &server) const;
     /// Load of all instances.
     [[nodiscard]] ServerLoad loadAt(const ServerState &server) const;
-    /// By the answers that this instance or the whole fleet has seen, whichever is worse.
+    /// The higher of the rates that this instance and all instances together have observed.
     [[nodiscard]] static double failureRate(const ServerState &server);
-    /// Number from 0 up to 1 that decides between servers that are equally good; another one for
-    /// each `server` if that is given.
+    /// Random number from 0 up to 1 that decides between servers that are equally good. For a
+    /// request that no server has answered yet, it depends on the request and on `server` only.
     [[nodiscard]] double drawFor(const PlacementRequest &request, const std::string &server);
     /// Prompt tokens that `server` has to read. `preferred`: id of the server that caches the
     /// shared part.
--- a/include/snipestall/serving/server_load.hpp
+++ b/include/snipestall/serving/server_load.hpp
@@ -27,7 +27,7 @@
     double pendingTokens = 0;
     /// Prompt tokens of all requests in flight, which is what they occupy of the KV cache.
     double heldTokens = 0;
-    /// What the requests say that have ended there.
+    /// Outcomes of the requests that ended there recently.
     ServerOutcomes outcomes;
     /// The requests that wait for their first event, by band. Instances of earlier versions don't
     /// report them.
--- a/include/snipestall/serving/server_outcomes.hpp
+++ b/include/snipestall/serving/server_outcomes.hpp
@@ -7,8 +7,8 @@
 
 namespace snipestall::serving {
 
-/// What the requests that ended recently say of one backend server. All are counts that decay, so
-/// those of several instances can be added up.
+/// Outcomes of the requests that ended recently at one backend server. All are decaying counts or
+/// sums, so those of several instances can be added up.
 struct ServerOutcomes
 {
     /// Whole answers, and answers with the status of a failure.
@@ -21,7 +21,7 @@
 
     ServerOutcomes &operator+=(const ServerOutcomes &other);
     ServerOutcomes &operator-=(const ServerOutcomes &other);
-    /// Part of the answers that were failures; 0 if there are too few answers to tell.
+    /// Fraction of the answers that were failures; 0 if there are too few answers to tell.
     [[nodiscard]] double failureRate() const;
     /// The average pace; nothing if too few were measured.
     [[nodiscard]] std::optional<std::chrono::duration<double>> averagePace() const;
--- a/include/snipestall/serving/server_table.hpp
+++ b/include/snipestall/serving/server_table.hpp
@@ -32,7 +32,7 @@
     ServerLoad own;
     ServerHealth health;
     ServerSpeed speed;
-    /// What this instance has seen end there.
+    /// Outcomes of the requests that this instance has relayed there.
     OutcomeCounter ended;
     /// Failure rate by the outcomes of all instances, and whether it is so much higher than that of
     /// the other servers that this one is to be avoided.
@@ -120,8 +120,8 @@
     /// False while the server or its whole data centre should be avoided.
     [[nodiscard]] bool usable(const ServerState &server, SteadyTime now) const;
 
-    /// Compares the servers of each service by what all instances have seen of them, of which
-    /// `peers` holds what the others have; to be called periodically.
+    /// Compares the speeds and failure rates of the servers of each service, by the outcomes of
+    /// this instance and of the others (`peers`); to be called periodically.
     void compareServers(const PeerLoads &peers, SteadyTime now);
 
     /// The current incarnation of a server; null if none is listed.
--- a/include/snipestall/serving/unseen_work.hpp
+++ b/include/snipestall/serving/unseen_work.hpp
@@ -12,8 +12,8 @@
 
 /// Work that other instances have sent to the servers of a service since their last reports; see
 /// LoadSpread. Prompts that go to the server that has their parts cached, whatever its load, are
-/// not part of it, because they reach all servers alike. Which part of the prompts is free to go
-/// anywhere is measured on those of this instance.
+/// not part of it, because they do not gather at the least loaded servers. The part of the prompts
+/// that may go anywhere is measured on those of this instance.
 class UnseenWork
 {
 public:
--- a/src/snipestall/serving/customer_shares.cpp
+++ b/src/snipestall/serving/customer_shares.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// Demand varies by chance. A customer is over its share only if it asks for this much more, and if
-/// the excess is a notable part of all demand: a small customer that happens to send a long prompt
-/// takes no room of others.
+/// Demand varies by chance. A customer is over its share only if it requests this many times the
+/// share, and if the excess is a notable part of all demand: a small customer that happens to send
+/// a long prompt takes no capacity from others.
 constexpr double MinRatioToShare = 1.25;
 constexpr double MinExcessFraction = 0.05;
 
@@ -27,7 +27,7 @@
             continue;
         const double weight = byQuota ? demand.quotaRate : 1;
         total += demand.asked;
-        // What is asked beyond a quota is refused by the quota already.
+        // Requests beyond a quota are refused because of it and use no servers.
         used += byQuota ? std::min(demand.asked, weight) : demand.asked;
         weights += weight;
     }
--- a/src/snipestall/serving/failing_servers.cpp
+++ b/src/snipestall/serving/failing_servers.cpp
@@ -7,11 +7,12 @@
 
 namespace {
 
-/// Below this rate, the request that a healthy server would have answered instead is rarely worth
-/// the load that the others would get.
+/// Avoiding a server that fails less often saves few requests, and moves all its load to the
+/// others.
 constexpr double MinFailureRate = 0.2;
 /// Some services fail a part of their requests by design.
 constexpr double MinRatioToMedian = 3;
+/// At most one of this many servers of a service is avoided.
 constexpr std::size_t MaxAvoidedFraction = 3;
 
 } // namespace
--- a/src/snipestall/serving/load_spread.cpp
+++ b/src/snipestall/serving/load_spread.cpp
@@ -32,7 +32,7 @@
     auto end = loads.end();
     double raised = 0;
     double sum = 0;
-    // Servers are raised in the order of their loads, as long as the level passes the next one.
+    // The least loaded servers are raised, one more as long as the level exceeds its load.
     while (end != loads.begin()) {
         const double lowest = loads.front();
         if (raised > 0 && (unseen + sum) / raised <= lowest)
--- a/src/snipestall/serving/overload_rule.cpp
+++ b/src/snipestall/serving/overload_rule.cpp
@@ -9,13 +9,15 @@
 using Seconds = std::chrono::duration<double>;
 using std::chrono::milliseconds;
 
-/// Nine of ten predictions are within a factor of two, so a request with a lower one may still be
-/// in time.
+/// A request whose prediction is below this multiple of its target may still be in time: the
+/// estimate is meant to be within a factor of two for nine of ten prompts. It is not that accurate
+/// yet, see docs/design/first-event-estimate.md.
 constexpr double RefusedFrom = 1.5;
 /// Part of the usual limit that applies to customers over their share.
 constexpr double OverShareFraction = 0.5;
 constexpr milliseconds MinRetryAfter { 100 };
-/// Callers come back while they have time left for the answer.
+/// Callers come back after at most this part of the timeout, so that there is time left for the
+/// answer.
 constexpr int RetryWithinFraction = 4;
 
 } // namespace
@@ -30,7 +32,7 @@
     if (first.wait.count() <= 0 || first.total <= limit)
         return std::nullopt;
     const milliseconds most = std::max(input.timeout / RetryWithinFraction, MinRetryAfter);
-    // Until the load that is known now has gone down to the limit.
+    // The time in which the load that is known now falls to the limit.
     const auto excess = std::chrono::duration_cast<milliseconds>(first.total - limit);
     const milliseconds least = std::clamp(excess, MinRetryAfter, most);
     const auto jitter = std::chrono::duration_cast<milliseconds>(Seconds(least) * random);
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -33,7 +33,7 @@
 /// A failed prompt costs its caller the request, or another attempt that starts late: more than
 /// several places in a queue.
 constexpr double TokensPerFailure = 20000;
-/// Draws are below 1.
+/// Upper bound of drawFor(), whose results are below 1.
 constexpr double MaxDraw = 1 - 1e-9;
 /// A stream that cannot be resumed breaks when the path to its server does, which is far more
 /// likely between data centres. It goes to another data centre only where that saves this many
--- a/src/snipestall/serving/server_outcomes.cpp
+++ b/src/snipestall/serving/server_outcomes.cpp
@@ -8,7 +8,7 @@
 
 /// Fewer answers say little about a server: of two, one may have failed by chance.
 constexpr double MinAnswers = 3;
-/// A single request that has just ended counts; one that ended several half-lives ago does not.
+/// One request counts for one half-life after its end.
 constexpr double MinPaced = 0.5;
 constexpr double Negligible = 0.05;
 
