Tests of lost hubs, reports that stop, other versions and a new process

The sums of the exchange held in all of these cases; no fault was found: outcomes count once when a member becomes a hub, expire without wrap-around, and reports without the new fields, or with more bands, are summed as far as they go.

--- a/src/snipestall/gateway/report_book_test.cpp
+++ b/src/snipestall/gateway/report_book_test.cpp
@@ -174,5 +174,80 @@
     EXPECT_EQ(inFlight(sum), 2U);
 }
 
+v1::LoadReport withOutcomes(const std::string &name, std::uint32_t failed, bool toHub)
+{
+    v1::LoadReport made = report(name, 1, 0, toHub);
+    v1::ServerWork *work = made.mutable_servers(0);
+    work->set_answered_c(100);
+    work->set_failed_c(failed);
+    work->set_pauses_c(100);
+    work->set_pause_us(20000);
+    for (std::uint32_t band = 0; band < 3; ++band) {
+        work->add_waiting(band);
+        work->add_band_tokens(1000 * band);
+    }
+    return made;
+}
+
+// Guards against outcomes that are counted twice after a member has become a hub, and against sums
+// that wrap around when its counts are taken out again.
+TEST(ReportBook, OutcomesOfAMemberThatBecomesAHubCountOnce)
+{
+    ReportBook book;
+    book.addReport(withOutcomes("member", 300, true), Start);
+    book.addReport(withOutcomes("other", 50, true), Start);
+    book.addReport(withOutcomes("member", 200, false), Start + 200ms);
+    const auto own = report("hub-a", 0, 0);
+    const auto forHub = book.reportFor("hub-b", own, false, Start + 200ms);
+    EXPECT_EQ(forHub.servers(0).failed_c(), 50U);
+    const auto forMember = book.reportFor("other", own, false, Start + 200ms);
+    EXPECT_EQ(forMember.servers(0).failed_c(), 200U);
+    EXPECT_EQ(forMember.servers(0).pause_us(), 20000U);
+    EXPECT_EQ(forMember.servers(0).waiting(2), 2U);
+    EXPECT_EQ(forMember.servers(0).band_tokens(1), 1000U);
+}
+
+// Guards against servers that are avoided for good by the outcomes of members that have ended or
+// report to another hub.
+TEST(ReportBook, OutcomesOfMembersThatStopReportingExpire)
+{
+    ReportBook book;
+    book.addReport(withOutcomes("member", 300, true), Start);
+    book.addReport(withOutcomes("other", 50, true), Start + 2s);
+    const auto own = report("hub-a", 0, 0);
+    for (const auto now : { Start + 2600ms, Start + 3s }) {
+        const auto sum = book.reportFor("hub-b", own, false, now);
+        ASSERT_EQ(sum.servers_size(), 1);
+        EXPECT_EQ(sum.servers(0).failed_c(), 50U);
+        EXPECT_EQ(sum.servers(0).answered_c(), 100U);
+        EXPECT_EQ(sum.servers(0).waiting(1), 1U);
+        // Takes the expired counts out of the sums that are kept.
+        book.addReport(withOutcomes("other", 50, true), now);
+    }
+    const auto later = book.reportFor("hub-b", report("hub-a", 0, 0), false, Start + 20s);
+    EXPECT_EQ(later.servers_size(), 0);
+}
+
+// Guards against sums that lose the fields of newer instances, or get values that nobody sent,
+// while instances are upgraded.
+TEST(ReportBook, ReportsOfOtherVersionsAreSummedAsFarAsTheyGo)
+{
+    ReportBook book;
+    book.addReport(report("earlier", 7, 0, true), Start);
+    v1::LoadReport later = withOutcomes("later", 50, true);
+    later.mutable_servers(0)->add_waiting(99);
+    book.addReport(later, Start);
+    const auto sum = book.reportFor("hub-b", report("hub-a", 0, 0), false, Start);
+    EXPECT_EQ(inFlight(sum), 8U);
+    EXPECT_EQ(sum.servers(0).failed_c(), 50U);
+    ASSERT_EQ(sum.servers(0).waiting_size(), 3);
+    EXPECT_EQ(sum.servers(0).waiting(2), 2U);
+    book.addReport(report("later", 2, 0, true), Start + 200ms);
+    const auto after = book.reportFor("hub-b", report("hub-a", 0, 0), false, Start + 200ms);
+    EXPECT_EQ(inFlight(after), 9U);
+    EXPECT_EQ(after.servers(0).failed_c(), 0U);
+    EXPECT_EQ(after.servers(0).waiting(2), 0U);
+}
+
 } // namespace
 } // namespace snipestall::gateway
--- a/src/snipestall/serving/peer_loads_test.cpp
+++ b/src/snipestall/serving/peer_loads_test.cpp
@@ -47,5 +47,28 @@
     EXPECT_EQ(peers.at("lm-1").inFlight, 0U);
 }
 
+// Guards against a fleet that knows nothing, or avoids servers for good, after a hub was lost with
+// what its members had seen: the counts are missing until the next hub reports, and then count
+// once.
+TEST(PeerLoads, TheOutcomesOfALostHubAreReplacedByThoseOfTheNext)
+{
+    PeerLoads peers;
+    ServerLoad load;
+    load.outcomes = { 2.03, 8.01, 1.07, 20ms };
+    const PeerLoads::Loads fleet { { "lm-1", load } };
+    peers.update("hub-a", fleet, Start);
+    peers.update("neighbour", fleet, Start);
+    peers.forget("hub-a");
+    EXPECT_NEAR(peers.at("lm-1").outcomes.failed, 8.01, 1e-9);
+    peers.update("hub-b", fleet, Start + 400ms);
+    EXPECT_NEAR(peers.at("lm-1").outcomes.failed, 16.02, 1e-9);
+    EXPECT_NEAR(peers.at("lm-1").outcomes.failureRate(), 0.798, 0.001);
+    peers.expire(Start + 2700ms);
+    EXPECT_NEAR(peers.at("lm-1").outcomes.failed, 8.01, 1e-9);
+    peers.expire(Start + 3s);
+    EXPECT_EQ(peers.at("lm-1").outcomes.failureRate(), 0);
+    EXPECT_FALSE(peers.at("lm-1").outcomes.averagePace());
+}
+
 } // namespace
 } // namespace snipestall::serving
--- a/src/snipestall/serving/placement_test.cpp
+++ b/src/snipestall/serving/placement_test.cpp
@@ -301,5 +301,29 @@
     EXPECT_FALSE(m_placement.choose(request, Start));
 }
 
+// Guards against refusals by a process that has just started: its peers report full engines, but it
+// knows neither how fast they read nor how long their streams take.
+TEST_F(PlacementTest, AProcessWithoutKnowledgePredictsNothing)
+{
+    ServerLoad full;
+    full.inFlight = 97;
+    full.pendingTokens = 90000;
+    full.waiting[0] = { 33, 90000 };
+    PeerLoads::Loads loads;
+    for (int i = 0; i < 6; ++i)
+        loads[m_servers.find("lm-" + std::to_string(i))->key] = full;
+    m_peers.update("peer", loads, Start);
+    EXPECT_FALSE(m_placement.choose(generation(42, 6000), Start)->earliest);
+    m_estimate.setReadRate("lm", 50000);
+    const auto placed = m_placement.choose(generation(42, 6000), Start);
+    EXPECT_FALSE(placed->earliest);
+    EXPECT_FALSE(placed->hasFreeSlot);
+    m_estimate.streamEnded("lm", 2s);
+    EXPECT_GT(m_placement.choose(generation(42, 6000), Start)->earliest->wait, 1s);
+    // Reports stop.
+    m_peers.expire(Start + 10s);
+    EXPECT_TRUE(m_placement.choose(generation(42, 6000), Start)->hasFreeSlot);
+}
+
 } // namespace
 } // namespace snipestall::serving
