Soak with few slots, a flood of one customer and refusals by load

Cause: no run of the soak had more load than its servers carry, so refusals by load (event 928) and over quota never occurred, and a refused request that may run more than once was not checked for a run. Change: in every third run the stand-in servers have 4 slots and a queue of 16, both customers have a quota, and one of them floods for 4 s. Prompts are long and uncached then, because gateways estimate nothing before they have read rates of prompts of 3,000 tokens. The judge checks that a request refused with 429 or 503 has no run, before or later, and that each event 928 goes with a 503 with its Retry-After and no run.

--- a/tests/soak/attempt.hpp
+++ b/tests/soak/attempt.hpp
@@ -7,6 +7,10 @@
 
 namespace snipestall::soak {
 
+/// Names of the customer that sends all the time and of the one that floods the servers.
+constexpr auto Customer = "harbour";
+constexpr auto FloodingCustomer = "mill";
+
 using Moment = std::chrono::steady_clock::time_point;
 
 /// Kinds of requests that the clients send.
@@ -26,6 +30,7 @@
     std::string id;
     RequestKind kind = RequestKind::NonIdempotent;
     std::size_t gateway = 0;
+    std::string customer = Customer;
     std::string method;
     std::string target;
     /// Set if the attempt takes up a stream: the attempt that began it, and the last event that the
@@ -44,6 +49,7 @@
     std::string seal;
     std::string echoedId;
     bool hasRetryAfter = false;
+    std::chrono::milliseconds retryAfter { 0 };
     /// Its prompt has the part that ends servers.
     bool crashing = false;
     std::string body;
--- a/tests/soak/client.cpp
+++ b/tests/soak/client.cpp
@@ -8,6 +8,7 @@
 #include "snipestall/wire/signal.hpp"
 
 #include <array>
+#include <cmath>
 #include <cstdlib>
 #include <utility>
 
@@ -19,6 +20,8 @@
 namespace {
 
 constexpr double MeanPauseMs = 40;
+/// A client of the flooding customer looks this often whether the flood has begun.
+constexpr milliseconds FloodPollInterval { 50 };
 constexpr milliseconds Deadline { 3500 };
 /// Longer than a request may stay unanswered, which is its route's timeout and half a second.
 constexpr milliseconds AnswerTimeout { 6000 };
@@ -60,11 +63,12 @@
 } // namespace
 
 Client::Client(boost::asio::io_context &io, const Deployment &deployment, std::size_t number,
-               std::uint64_t seed)
+               std::uint64_t seed, bool floods)
     : m_deployment(deployment)
     , m_http(io)
     , m_random(seed)
-    , m_name("c" + std::to_string(number))
+    , m_floods(floods)
+    , m_name((floods ? "f" : "c") + std::to_string(number))
     , m_gateway(number)
 { }
 
@@ -102,20 +106,24 @@
     request.fields.set("Host", "a.example");
     request.fields.set("X-Attempt-Id", attempt.id);
     request.fields.set("X-Deadline-Ms", std::to_string(Deadline.count()));
-    request.fields.set("Authorization", "Bearer secret");
+    request.fields.set("Authorization", m_floods ? "Bearer flood" : "Bearer secret");
     if (!attempt.resumes.empty()) {
         request.fields.set("Resumes", attempt.resumes);
         request.fields.set("Last-Event-Id", std::to_string(attempt.after));
     }
     if (attempt.kind == RequestKind::ResumableStream
         || attempt.kind == RequestKind::NonResumableStream) {
-        request.fields.set("X-Token-Count", "1000,100");
+        // Gateways measure the read rate of engines by long prompts that are not cached.
+        const bool longPrompt = m_deployment.hasQueues();
+        request.fields.set("X-Token-Count", longPrompt ? "4600,100" : "1000,100");
         attempt.crashing =
             !m_deployment.crashingPart().empty() && m_random.below(100) < CrashingPartPercent;
         const std::string crashing =
             attempt.crashing ? m_deployment.crashingPart() + ":200," : std::string();
         request.fields.set("X-Prompt-Prefix",
-                           "a1:600," + crashing + "b" + std::to_string(m_random.below(9)) + ":400");
+                           "a1:600," + crashing + "b"
+                               + std::to_string(m_random.below(longPrompt ? 1000 : 9))
+                               + (longPrompt ? ":4000" : ":400"));
     }
     wire::HttpCallOptions options;
     options.connectTimeout = 1s;
@@ -131,7 +139,10 @@
     attempt.status = head.status;
     attempt.seal = head.fields.find("X-Server-Seal").value_or("");
     attempt.echoedId = head.fields.find("X-Attempt-Id").value_or("");
-    attempt.hasRetryAfter = head.fields.find("Retry-After").has_value();
+    const auto retryAfter = head.fields.find("Retry-After");
+    attempt.hasRetryAfter = retryAfter.has_value();
+    attempt.retryAfter =
+        milliseconds(std::lround(std::atof(retryAfter.value_or("").c_str()) * 1000));
     while (true) {
         auto bytes = co_await (*stream)->read();
         if (!bytes)
@@ -145,6 +156,7 @@
 
 wire::Task<void> Client::record(Attempt &attempt)
 {
+    attempt.customer = m_floods ? FloodingCustomer : Customer;
     attempt.sent = std::chrono::steady_clock::now();
     co_await send(attempt);
     attempt.ended = std::chrono::steady_clock::now();
@@ -178,6 +190,10 @@
 wire::Task<void> Client::run()
 {
     while (!m_stopped) {
+        if (m_floods && !m_deployment.isFlooded()) {
+            co_await wire::sleepFor(FloodPollInterval);
+            continue;
+        }
         Attempt attempt = nextAttempt();
         co_await record(attempt);
         if (attempt.kind == RequestKind::ResumableStream)
--- a/tests/soak/client.hpp
+++ b/tests/soak/client.hpp
@@ -21,7 +21,7 @@
 {
 public:
     Client(boost::asio::io_context &io, const Deployment &deployment, std::size_t number,
-           std::uint64_t seed);
+           std::uint64_t seed, bool floods = false);
 
     wire::Task<void> run();
     void stop() { m_stopped = true; }
@@ -38,6 +38,8 @@
     const Deployment &m_deployment;
     wire::HttpClient m_http;
     Random m_random;
+    /// It belongs to the flooding customer and sends only during a flood.
+    bool m_floods;
     std::string m_name;
     std::size_t m_gateway;
     std::vector<Attempt> m_attempts;
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -169,6 +169,7 @@
           "--data_centre=dc-" + std::to_string(index % 2), "--listen=" + managed.address.toString(),
           "--advertised="
               + (m_size.partCrashesBackends ? managed.address : managed.link.endpoint).toString(),
+          "--slots=" + std::to_string(m_size.slots), "--queue=" + std::to_string(m_size.queue),
           "--store=" + m_storeAddress.toString(), "--log=" + runLog(),
           "--fail_share=" + std::to_string(managed.failShare),
           std::string("--ending_part=") + CrashingPart });
@@ -204,10 +205,13 @@
         + routeText("solo", "streaming", "lm", 1, false);
     for (std::size_t i = 0; i < m_extraRoutes; ++i)
         routes += "," + routeText("new" + std::to_string(i), "idempotent", "ledger", 2, false);
+    const std::string rate = std::to_string(m_size.quota);
+    const std::string quota = R"(,"ratePerS":)" + rate + R"(,"burstSize":)" + rate;
     const std::string config = R"({"version":)" + std::to_string(m_version) + R"(,"routes":[)"
-        + routes
-        + R"(],"services":[{"name":"ledger"},{"name":"lm","engine":{"slotCount":16,"kvCapacity":500000}}],)"
-          R"("tenants":[{"name":"harbour","apiKeys":["secret"]}]})";
+        + routes + R"(],"services":[{"name":"ledger"},{"name":"lm","engine":{"slotCount":)"
+        + std::to_string(m_size.slots) + R"(,"kvCapacity":500000}}],"tenants":[)"
+        + R"({"name":"harbour","apiKeys":["secret"])" + quota + R"(},)"
+        + R"({"name":"mill","apiKeys":["flood"])" + quota + "}]}";
     return putOperatorRow(m_storeAddress, "config", config);
 }
 
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -36,6 +36,11 @@
     /// A part of prompts ends backend servers. No proxies are in front of these then, since a proxy
     /// accepts connections for a server that has ended.
     bool partCrashesBackends = false;
+    /// Slots of each backend server, and requests that wait there for one.
+    int slots = 16;
+    int queue = 0;
+    /// Requests per second that each customer may send; 0: any number.
+    int quota = 0;
 };
 
 /// The processes of one run: the stand-in store, backend servers and gateways, with a proxy in
@@ -66,9 +71,12 @@
     {
         return m_unexpectedEnds;
     }
-    /// Times at which the store acknowledged each added route.
+    [[nodiscard]] bool hasQueues() const { return m_size.queue > 0; }
+    /// Whether the flooding customer sends at present.
+    [[nodiscard]] bool isFlooded() const { return m_flooded; }
     /// Part of prompts that ends backend servers at present; empty if none does.
     [[nodiscard]] const std::string &crashingPart() const { return m_crashingPart; }
+    /// Times at which the store acknowledged each added route.
     [[nodiscard]] const std::vector<std::chrono::steady_clock::time_point> &addedRoutes() const
     {
         return m_addedRoutes;
@@ -156,6 +164,8 @@
     void resumeGateway(const Fault &fault);
     void beginCrashingPart(const Fault &fault);
     void endCrashingPart(const Fault &fault);
+    /// Begins the flood, or ends it.
+    void toggleFlood(const Fault &fault);
     void killBackend(const Fault &fault);
     void killBackendThatKeepsItsId(const Fault &fault);
     void restoreBackend(const Fault &fault);
@@ -208,6 +218,7 @@
     std::chrono::steady_clock::time_point m_ordersReadAt;
     std::vector<std::string> m_unexpectedEnds;
     std::string m_crashingPart;
+    bool m_flooded = false;
     std::size_t m_extraRoutes = 0;
     std::vector<std::chrono::steady_clock::time_point> m_addedRoutes;
     int m_version = 1;
--- a/tests/soak/deployment_faults.cpp
+++ b/tests/soak/deployment_faults.cpp
@@ -62,6 +62,7 @@
         { Kind::BackendNamesLimit, &Deployment::makeBackendNameLimit, &Deployment::endLimit },
         { Kind::VersionOrdered, &Deployment::orderVersion, &Deployment::noAction },
         { Kind::PartCrashesBackends, &Deployment::beginCrashingPart, &Deployment::endCrashingPart },
+        { Kind::Overload, &Deployment::toggleFlood, &Deployment::toggleFlood },
     };
     return entries;
 }
@@ -147,6 +148,11 @@
     m_crashingPart.clear();
 }
 
+void Deployment::toggleFlood(const Fault &)
+{
+    m_flooded = !m_flooded;
+}
+
 void Deployment::killBackend(const Fault &fault)
 {
     backend(fault).down = true;
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -21,7 +21,7 @@
     milliseconds longest;
 };
 
-constexpr std::array<KindEntry, 26> Kinds { {
+constexpr std::array<KindEntry, 27> Kinds { {
     { FaultKind::GatewayKilled, "gateway-killed", false, milliseconds(200), milliseconds(1500) },
     { FaultKind::AllGatewaysKilled, "all-gateways-killed", false, milliseconds(200),
       milliseconds(900) },
@@ -60,6 +60,7 @@
     { FaultKind::VersionOrdered, "version-ordered", true, milliseconds(50), milliseconds(50) },
     { FaultKind::PartCrashesBackends, "part-crashes-backends", false, milliseconds(6000),
       milliseconds(6000) },
+    { FaultKind::Overload, "overload", true, milliseconds(4000), milliseconds(4000) },
 } };
 
 const KindEntry &entryOf(FaultKind kind)
@@ -154,6 +155,20 @@
     faults.push_back({ FaultKind::PartCrashesBackends, 0, begin, quietFrom });
 }
 
+/// Every third run has it.
+void addOverload(std::uint64_t seed, milliseconds quietFrom, std::vector<Fault> &faults)
+{
+    constexpr std::uint64_t SeedOffset = 1299709;
+    Random random(seed + SeedOffset);
+    const milliseconds length = entryOf(FaultKind::Overload).longest;
+    if (random.below(3) != 0 || quietFrom - length < FirstFault)
+        return;
+    const auto range = static_cast<std::uint64_t>((quietFrom - length - FirstFault).count());
+    const milliseconds begin =
+        FirstFault + milliseconds(static_cast<std::int64_t>(random.below(range + 1)));
+    faults.push_back({ FaultKind::Overload, 0, begin, begin + length });
+}
+
 Fault drawVersionOrder(std::uint64_t seed)
 {
     constexpr std::uint64_t SeedOffset = 104729;
@@ -190,6 +205,7 @@
     addNeeds(seed, quietFrom, faults);
     if (!plannedOnly)
         addCrashingPart(seed, quietFrom, faults);
+    addOverload(seed, quietFrom, faults);
     if (ordersVersion)
         faults.push_back(drawVersionOrder(seed));
     return faults;
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -46,6 +46,8 @@
     /// Some requests for streams have a part in their prompts that ends each backend server which
     /// begins to answer them.
     PartCrashesBackends,
+    /// One customer sends more than the servers carry, which have few slots in the whole run.
+    Overload,
 };
 
 /// A fault of a process or link; its beginning and end are relative to the start of the run.
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -105,8 +105,10 @@
             m_limitChanges.push_back(readLimitChange(words));
         if (word != "run")
             continue;
+        std::int64_t millis = 0;
         words >> attempt >> run.server >> run.method >> run.target >> run.customer >> run.key
-            >> run.bodyHash;
+            >> run.bodyHash >> millis;
+        run.time = Moment(milliseconds(millis));
         m_runs[attempt].push_back(std::move(run));
     }
 }
@@ -130,6 +132,7 @@
     judgeLimits();
     judgeCrashingPart();
     judgeOrders();
+    judgeOverloadRefusals();
     for (const std::string &end : m_record.unexpectedEnds)
         m_findings.push_back(end);
     return m_findings;
@@ -150,13 +153,16 @@
 {
     if (runsAtMostOnce(attempt.kind) && runs.size() > 1)
         addFinding(attempt, "ran " + std::to_string(runs.size()) + " times");
-    if (runsAtMostOnce(attempt.kind) && reportsNotRun(attempt) && !runs.empty())
+    const bool refused = attempt.seal.empty() && (attempt.status == 429 || attempt.status == 503);
+    if ((refused || (runsAtMostOnce(attempt.kind) && reportsNotRun(attempt))) && !runs.empty())
         addFinding(attempt, "was said not to have run, though it had");
     for (const Run &run : runs) {
+        if (refused && run.time > attempt.ended)
+            addFinding(attempt, "was run after it had been refused");
         if (run.method != attempt.method || run.target != attempt.target
             || run.bodyHash != attempt.bodyHash)
             addFinding(attempt, "was run with something changed");
-        if (run.customer != "harbour" || run.key != "no-key")
+        if (run.customer != attempt.customer || run.key != "no-key")
             addFinding(attempt, "was run for another customer, or with the key");
     }
 }
@@ -399,6 +405,47 @@
                              + " requests with a part that ends servers reached servers too late");
 }
 
+void Judge::judgeOverloadRefusals()
+{
+    namespace json = boost::json;
+    std::map<std::string, const Attempt *> attempts;
+    for (const Attempt &attempt : m_record.attempts)
+        attempts[attempt.id] = &attempt;
+    std::istringstream log(m_record.gatewayLog);
+    std::string line;
+    while (std::getline(log, line)) {
+        if (line.find(R"("overload-refused")") == std::string::npos)
+            continue;
+        // The end of a line is missing where its gateway was killed.
+        boost::system::error_code error;
+        const json::value event = json::parse(line, error);
+        if (error)
+            continue;
+        const std::string id(event.at("attempt").as_string());
+        const std::string retryAfter(event.at("retry_after_ms").as_string());
+        if (const auto found = attempts.find(id); found == attempts.end())
+            m_findings.push_back("a gateway refused by load what no client sent: " + id);
+        else
+            judgeOverloadRefusal(*found->second, milliseconds(std::atoll(retryAfter.c_str())));
+    }
+}
+
+void Judge::judgeOverloadRefusal(const Attempt &attempt, milliseconds retryAfter)
+{
+    // Its caller may have lost the answer, so this is not the check of what callers were told.
+    if (m_runs.contains(attempt.id))
+        addFinding(attempt, "was run, though a gateway had refused it by load");
+    if (attempt.status == 0)
+        return;
+    if (attempt.status != 503)
+        addFinding(attempt, "was refused by load with another status");
+    else if (!attempt.hasRetryAfter || attempt.retryAfter.count() <= 0
+             || attempt.retryAfter != retryAfter)
+        addFinding(attempt,
+                   "was refused by load without the Retry-After of the log, "
+                       + std::to_string(retryAfter.count()) + " ms");
+}
+
 void Judge::judgeRecovery()
 {
     std::size_t asked = 0;
--- a/tests/soak/judge.hpp
+++ b/tests/soak/judge.hpp
@@ -26,6 +26,7 @@
     std::vector<VersionOrder> versionOrders;
     std::string runLog;
     std::string dutyLog;
+    std::string gatewayLog;
     std::vector<std::string> unexpectedEnds;
 };
 
@@ -47,6 +48,7 @@
         std::string customer;
         std::string key;
         std::uint64_t bodyHash = 0;
+        Moment time;
     };
     /// A request that reached a server, whether it was run or not.
     struct Arrival
@@ -73,6 +75,9 @@
     void judgeStream(const Attempt &attempt);
     /// Finds streams of which servers of several software versions wrote events.
     void judgeVersions();
+    /// Compares the log lines of refusals by load with what callers received and servers ran.
+    void judgeOverloadRefusals();
+    void judgeOverloadRefusal(const Attempt &attempt, std::chrono::milliseconds retryAfter);
     void judgeLoss(const Attempt &attempt, const std::vector<Run> &runs);
     void judgeRecovery();
     void judgeDuties();
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -82,6 +82,71 @@
     EXPECT_TRUE(finds("was said not to have run"));
 }
 
+// Guards against a repeatable request that callers repeat although its first copy has run or still
+// waits at an engine.
+TEST_F(JudgeTest, FindsARepeatableRequestThatRunsThoughItWasRefused)
+{
+    for (const int status : { 429, 503 }) {
+        m_record.attempts.clear();
+        Attempt &refused = attempt(RequestKind::Idempotent, "/safe/plain/x");
+        refused.status = status;
+        refused.seal.clear();
+        refused.hasRetryAfter = true;
+        m_record.runLog.clear();
+        EXPECT_EQ(findings(), "");
+        ran("b1", "/safe/plain/x", "harbour no-key 5 1004040");
+        EXPECT_TRUE(finds("was said not to have run"));
+        EXPECT_FALSE(finds("after it had been refused"));
+        ran("b1", "/safe/plain/x", "harbour no-key 5 1004051");
+        EXPECT_TRUE(finds("was run after it had been refused"));
+    }
+}
+
+class OverloadJudgeTest : public JudgeTest
+{
+protected:
+    OverloadJudgeTest()
+    {
+        m_refused = &attempt(RequestKind::ResumableStream, "/stream/plain/events");
+        m_refused->status = 503;
+        m_refused->seal.clear();
+        m_refused->hasRetryAfter = true;
+        m_refused->retryAfter = 240ms;
+        m_record.gatewayLog = R"({"event":928,"name":"overload-refused","attempt":"c1-0",)"
+                              R"("retry_after_ms":"240"})"
+                              "\n"
+                              R"({"event":928,"name":"overload-refused","att)"
+                              "\n";
+    }
+
+    Attempt *m_refused = nullptr;
+};
+
+// Guards against refusals by load after which callers come back at a wrong time, or all at once.
+TEST_F(OverloadJudgeTest, FindsARefusalByLoadWithoutItsRetryAfter)
+{
+    EXPECT_EQ(findings(), "");
+    m_refused->retryAfter = 1000ms;
+    EXPECT_TRUE(finds("without the Retry-After of the log, 240 ms"));
+    m_refused->hasRetryAfter = false;
+    EXPECT_TRUE(finds("without the Retry-After of the log, 240 ms"));
+    m_refused->status = 502;
+    EXPECT_TRUE(finds("refused by load with another status"));
+}
+
+// Guards against a run of a request that a gateway has refused, where the caller lost the answer
+// and so can't tell.
+TEST_F(OverloadJudgeTest, FindsARunOfARequestRefusedByLoadWhoseAnswerWasLost)
+{
+    m_refused->status = 0;
+    m_refused->complete = false;
+    EXPECT_EQ(findings(), "");
+    ran("b1", "/stream/plain/events");
+    EXPECT_TRUE(finds("though a gateway had refused it by load"));
+    m_record.attempts.clear();
+    EXPECT_TRUE(finds("refused by load what no client sent: c1-0"));
+}
+
 TEST_F(JudgeTest, FindsChangedRequestsAndTheKey)
 {
     attempt(RequestKind::NonIdempotent, "/once/plain/x");
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -17,7 +17,9 @@
 
 #include <algorithm>
 #include <iostream>
+#include <map>
 #include <memory>
+#include <sstream>
 #include <utility>
 #include <vector>
 
@@ -37,6 +39,14 @@
 
 constexpr milliseconds PollInterval { 50 };
 constexpr milliseconds QuietPeriod { 12000 };
+/// In runs with an overload, a service has 12 slots, 8 of which are enough without the flood. A
+/// full queue takes a second, so that gateways refuse by load before engines do.
+constexpr int FewSlots = 4;
+constexpr int QueueWithFewSlots = 16;
+constexpr std::size_t ClientsWithFewSlots = 8;
+constexpr std::size_t FloodingClients = 64;
+/// Six times what the other clients send, and less than the flooding ones do.
+constexpr int QuotaInOverload = 300;
 
 /// The beginning or end of a fault.
 struct Step
@@ -103,8 +113,12 @@
     record.quietFrom = length - QuietPeriod;
     record.faults = std::move(faults);
     std::vector<std::unique_ptr<Client>> clients;
-    for (std::size_t i = 0; i < FLAGS_clients; ++i)
-        clients.push_back(std::make_unique<Client>(io, deployment, i, FLAGS_seed * 1000 + i));
+    const bool overload = hasKind(record.faults, FaultKind::Overload);
+    const std::size_t steady = overload ? ClientsWithFewSlots : FLAGS_clients;
+    const std::size_t all = steady + (overload ? FloodingClients : 0);
+    for (std::size_t i = 0; i < all; ++i)
+        clients.push_back(
+            std::make_unique<Client>(io, deployment, i, FLAGS_seed * 1000 + i, i >= steady));
     int runningClients = static_cast<int>(clients.size());
     record.startedAt = std::chrono::steady_clock::now();
     for (const auto &client : clients)
@@ -123,10 +137,28 @@
     record.versionOrders = deployment.versionOrders();
     record.unexpectedEnds = deployment.unexpectedEnds();
     record.runLog = harness::readFile(deployment.runLog());
+    for (std::size_t i = 0; i < deployment.gateways(); ++i)
+        record.gatewayLog +=
+            harness::readFile(deployment.directory() + "/gateway-" + std::to_string(i) + ".log");
     record.dutyLog = harness::readFile(deployment.dutyLog());
     return record;
 }
 
+void printOverload(const RunRecord &record)
+{
+    std::map<int, std::size_t> statuses;
+    for (const Attempt &attempt : record.attempts)
+        ++statuses[attempt.status];
+    std::istringstream log(record.gatewayLog);
+    std::size_t byLoad = 0;
+    for (std::string line; std::getline(log, line);)
+        byLoad += line.find(R"("overload-refused")") == std::string::npos ? 0 : 1;
+    std::cout << "seed " << FLAGS_seed << ": " << byLoad << " refusals by load; statuses:";
+    for (const auto &[status, count] : statuses)
+        std::cout << ' ' << status << " x " << count;
+    std::cout << '\n';
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -136,8 +168,14 @@
     // Where versions serve side by side, an order for one of them has no meaning.
     std::vector<Fault> faults =
         drawFaults(FLAGS_seed, std::chrono::seconds(FLAGS_seconds) - QuietPeriod, versions() == 1);
-    Deployment deployment({ FLAGS_gateways, FLAGS_backends, versions(), versions() == 1,
-                            hasKind(faults, FaultKind::PartCrashesBackends) });
+    DeploymentSize size { FLAGS_gateways, FLAGS_backends, versions(), versions() == 1,
+                          hasKind(faults, FaultKind::PartCrashesBackends) };
+    if (hasKind(faults, FaultKind::Overload)) {
+        size.slots = FewSlots;
+        size.queue = QueueWithFewSlots;
+        size.quota = QuotaInOverload;
+    }
+    Deployment deployment(size);
     deployment.waitUntilReady();
     const RunRecord record = runSoak(deployment, std::move(faults));
     std::size_t served = 0;
@@ -148,6 +186,8 @@
         takenUp += attempt.resumes.empty() ? 0 : 1;
         goneOn += !attempt.resumes.empty() && attempt.status == 200 ? 1 : 0;
     }
+    if (hasKind(record.faults, FaultKind::Overload))
+        printOverload(record);
     const std::vector<std::string> findings = Judge(record).findings();
     for (const std::string &finding : findings)
         std::cout << "BROKEN " << finding << '\n';
