Failed answers are no first events; names and comments of the new modules

Cause: a whole answer 5xx to a prompt counted as a first event, so engines that fail at once corrected the prediction, the slot time and the read rate (found in review). Names that a reader stumbled over: server->ended.ended(), divisors called fractions, asked().

--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -209,6 +209,8 @@
     SteadyTime m_sentAt;
     /// Time of the first byte of the current attempt's answer.
     std::optional<SteadyTime> m_firstByteAt;
+    /// Whether the current attempt's engine has read the prompt.
+    bool m_promptRead = false;
     double m_unreadTokens = 0;
     double m_tokensAhead = 0;
     std::optional<serving::FirstEvent> m_predicted;
--- a/include/snipestall/serving/overload_rule.hpp
+++ b/include/snipestall/serving/overload_rule.hpp
@@ -8,12 +8,12 @@
 
 namespace snipestall::serving {
 
-/// A request that is about to be sent, and what it would meet.
+/// A request that is about to be sent, and what is predicted for it.
 struct OverloadInput
 {
     /// Prediction for the server where the request would begin first.
     std::optional<FirstEvent> earliest;
-    /// Whether some server could begin with it at once.
+    /// Whether some server can begin the request at once, or this is not known.
     bool hasFreeSlot = false;
     std::chrono::milliseconds target { 0 };
     std::chrono::milliseconds timeout { 0 };
@@ -31,15 +31,15 @@
     std::chrono::milliseconds retryAfter { 0 };
 };
 
-/// Refuses a request that would be late wherever it went.
+/// Refuses a request that would be late at every server.
 ///
 /// Load: more requests arrive than the servers can answer in time, for some seconds. Harm: all are
-/// sent, wait at full servers, and all are late; what is admitted there last was sent first. A
-/// request that can't be in time is refused at once, so that those after it can be. A customer over
-/// its share is refused while the others still have room, so that its flood does not use it up. As
-/// the prediction counts only what a server would admit before the request, patient requests are
-/// refused long before urgent ones. They also leave places in the servers' queues, because a server
-/// whose queue is full rejects urgent requests as well. With a free server nothing is refused,
+/// sent, wait at full servers, and are late. A request that cannot be in time is refused at once,
+/// so that those after it can be. A customer over its share is refused while there is still
+/// capacity for the others, so that its flood does not use that up. The prediction counts only the
+/// requests that a server would admit before this one, so less urgent requests are refused long
+/// before urgent ones. They also leave places in the servers' queues, because a server whose queue
+/// is full rejects urgent requests as well. While a server has a free slot nothing is refused,
 /// however long the prompt.
 ///
 /// Returns nothing if the request is to be sent. `random`, from 0 up to 1, spreads the callers that
--- a/include/snipestall/serving/quota_keeper.hpp
+++ b/include/snipestall/serving/quota_keeper.hpp
@@ -108,7 +108,7 @@
     /// The totals of this process.
     [[nodiscard]] const QuotaUse &ownUse() const { return m_ownUse; }
     /// Units per second that `customer` asks of all instances, including refused requests.
-    [[nodiscard]] double asked(const std::string &customer, SteadyTime now) const
+    [[nodiscard]] double askedRate(const std::string &customer, SteadyTime now) const
     {
         return demand(customer, 0, now);
     }
--- a/include/snipestall/serving/server_outcomes.hpp
+++ b/include/snipestall/serving/server_outcomes.hpp
@@ -36,7 +36,7 @@
     void answered(SteadyTime now);
     void failed(SteadyTime now);
     /// A stream or a call with this pace has ended.
-    void ended(std::chrono::duration<double> pace, SteadyTime now);
+    void recordPace(std::chrono::duration<double> pace, SteadyTime now);
     [[nodiscard]] ServerOutcomes at(SteadyTime now) const;
 
 private:
--- a/include/snipestall/serving/server_table.hpp
+++ b/include/snipestall/serving/server_table.hpp
@@ -33,7 +33,7 @@
     ServerHealth health;
     ServerSpeed speed;
     /// Outcomes of the requests that this instance has relayed there.
-    OutcomeCounter ended;
+    OutcomeCounter outcomes;
     /// Failure rate by the outcomes of all instances, and whether it is so much higher than that of
     /// the other servers that this one is to be avoided.
     double sharedFailureRate = 0;
--- a/src/snipestall/gateway/gateway_state.cpp
+++ b/src/snipestall/gateway/gateway_state.cpp
@@ -65,7 +65,7 @@
         return;
     std::vector<serving::CustomerDemand> demands;
     for (const serving::Customer &customer : catalogue->customers())
-        demands.push_back({ customer.name, quotas.asked(customer.name, clock.steadyNow()),
+        demands.push_back({ customer.name, quotas.askedRate(customer.name, clock.steadyNow()),
                             customer.ratePerSecond });
     shares.update(demands);
 }
--- a/src/snipestall/gateway/load_exchange_reports.cpp
+++ b/src/snipestall/gateway/load_exchange_reports.cpp
@@ -149,7 +149,7 @@
     report.set_holds_lease(m_hooks.holdsLease());
     for (const auto &[id, server] : m_state.servers.all()) {
         serving::ServerLoad load = server->own;
-        load.outcomes = server->ended.at(m_state.clock.steadyNow());
+        load.outcomes = server->outcomes.at(m_state.clock.steadyNow());
         if (load.inFlight > 0 || !load.outcomes.isNegligible())
             encodeLoad(server->key, load, *report.add_servers());
     }
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -280,6 +280,7 @@
     m_loadGuard = &load;
     m_sentAt = m_state.clock.steadyNow();
     m_firstByteAt.reset();
+    m_promptRead = false;
     m_unreadTokens = placed.unreadTokens;
     m_tokensAhead = placed.tokensAhead;
     m_predicted = placed.firstEvent;
@@ -328,7 +329,7 @@
     if (!m_placementRequest.prompt && start != CallStart::Unwanted)
         m_state.demand.callEnded(m_placementRequest.service->name,
                                  m_state.clock.steadyNow() - m_sentAt, server->info.slots);
-    else if (m_firstByteAt && end != AttemptEnd::NotRun)
+    else if (m_promptRead)
         recordSlotTime(*server);
     const auto firstByte = m_firstByteAt ? *m_firstByteAt - m_sentAt : SteadyTime::duration::zero();
     logEvent(events::GatewayAttemptEnded,
@@ -476,6 +477,10 @@
 {
     const std::string &service = m_placementRequest.service->name;
     const auto took = m_state.clock.steadyNow() - m_sentAt;
+    // An engine that fails at once has neither read the prompt nor taken a slot for it.
+    m_promptRead = m_call->head().result_int() < FirstNonSuccessStatus;
+    if (!m_promptRead)
+        return;
     if (m_predicted) {
         m_state.firstEvents.observed(service, *m_predicted, took);
         m_state.metrics.recordPrediction(service, took / m_predicted->total);
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -107,7 +107,7 @@
     else
         handleWholeAnswer(*server);
     if (status < FirstServerErrorStatus && !m_placementRequest.prompt)
-        server->ended.ended(now - m_sentAt, now);
+        server->outcomes.recordPace(now - m_sentAt, now);
     if (m_answer.begun()) {
         m_keepAlive = co_await m_answer.writePiece(std::move(whole.body()))
             && co_await m_answer.completeBody() && m_keepAlive;
@@ -185,7 +185,7 @@
     }
     handleWholeAnswer(*server);
     if (const auto pause = pace.median()) {
-        server->ended.ended(*pause, m_state.clock.steadyNow());
+        server->outcomes.recordPace(*pause, m_state.clock.steadyNow());
         m_versions.streamEnded(*pause);
     }
     if (!m_answer.begun() && !co_await m_answer.beginEvents(answerHead()))
--- a/src/snipestall/serving/failing_servers.cpp
+++ b/src/snipestall/serving/failing_servers.cpp
@@ -13,7 +13,8 @@
 /// Some services fail a part of their requests by design.
 constexpr double MinRatioToMedian = 3;
 /// At most one of this many servers of a service is avoided.
-constexpr std::size_t MaxAvoidedFraction = 3;
+/// One server in so many may be avoided.
+constexpr std::size_t MinServersPerAvoided = 3;
 
 } // namespace
 
@@ -26,7 +27,7 @@
     if (servers.empty())
         return failing;
     const double median = servers[servers.size() / 2].rate;
-    const std::size_t most = servers.size() / MaxAvoidedFraction;
+    const std::size_t most = servers.size() / MinServersPerAvoided;
     for (std::size_t i = 0; i < most; ++i) {
         if (servers[i].rate < MinFailureRate || servers[i].rate < median * MinRatioToMedian)
             break;
--- a/src/snipestall/serving/load_spread.cpp
+++ b/src/snipestall/serving/load_spread.cpp
@@ -30,18 +30,18 @@
 {
     std::make_heap(loads.begin(), loads.end(), std::greater<>());
     auto end = loads.end();
-    double raised = 0;
+    double raisedCount = 0;
     double sum = 0;
-    // The least loaded servers are raised, one more as long as the level exceeds its load.
+    // The least loaded servers are raisedCount, one more as long as the level exceeds its load.
     while (end != loads.begin()) {
         const double lowest = loads.front();
-        if (raised > 0 && (unseen + sum) / raised <= lowest)
+        if (raisedCount > 0 && (unseen + sum) / raisedCount <= lowest)
             break;
         std::pop_heap(loads.begin(), end--, std::greater<>());
         sum += lowest;
-        ++raised;
+        ++raisedCount;
     }
-    return (unseen + sum) / raised;
+    return (unseen + sum) / raisedCount;
 }
 
 double LoadSpread::loadAt(std::size_t index) const
@@ -57,9 +57,9 @@
         if (loadAt(i) + m_candidates[i].own < loadAt(best) + m_candidates[best].own)
             best = i;
     }
-    const double most = loadAt(best) + m_candidates[best].own + m_tolerance;
-    const auto weight = [this, most](std::size_t i) {
-        if (loadAt(i) + m_candidates[i].own > most)
+    const double maxCost = loadAt(best) + m_candidates[best].own + m_tolerance;
+    const auto weight = [this, maxCost](std::size_t i) {
+        if (loadAt(i) + m_candidates[i].own > maxCost)
             return 0.0;
         // Servers that are equal have the same chance where nothing is unseen: a process that has
         // just started knows no rates yet, like all that started with it.
--- a/src/snipestall/serving/overload_rule.cpp
+++ b/src/snipestall/serving/overload_rule.cpp
@@ -11,17 +11,19 @@
 using Seconds = std::chrono::duration<double>;
 using std::chrono::milliseconds;
 
-/// Nine of ten predictions are within a factor of two, so a request with a lower one may still be
-/// in time.
-constexpr double RefusedFrom = 1.5;
+/// A request whose prediction is below this multiple of its target may still be in time: the
+/// estimate is meant to be within a factor of two for nine of ten prompts. It is not that accurate
+/// yet, see docs/design/first-event-estimate.md.
+constexpr double MaxPredictedToTarget = 1.5;
 /// Part of the usual limit that applies to customers over their share.
 constexpr double OverShareFraction = 0.5;
 /// A request that others delay by less than this part of its target is late, if at all, because of
 /// its own length, and would be as late at any other time.
 constexpr double MinWaitFraction = 0.25;
 constexpr milliseconds MinRetryAfter { 100 };
-/// Callers come back while they have time left for the answer.
-constexpr int RetryWithinFraction = 4;
+/// Callers come back after at most this part of the timeout, so that there is time left for the
+/// answer.
+constexpr int RetryTimeoutDivisor = 4;
 /// Requests in flight by slots up to which requests of a band are sent. The places of the queue
 /// beyond are kept for more urgent ones; an engine queues at least as many requests as it has
 /// slots.
@@ -30,7 +32,7 @@
 OverloadRefusal refusal(const FirstEvent &first, Seconds roomAfter, const OverloadInput &input,
                         double random)
 {
-    const milliseconds most = std::max(input.timeout / RetryWithinFraction, MinRetryAfter);
+    const milliseconds most = std::max(input.timeout / RetryTimeoutDivisor, MinRetryAfter);
     const milliseconds least =
         std::clamp(std::chrono::duration_cast<milliseconds>(roomAfter), MinRetryAfter, most);
     const auto jitter = std::chrono::duration_cast<milliseconds>(Seconds(least) * random);
@@ -46,9 +48,9 @@
         return std::nullopt;
     const FirstEvent &first = *input.earliest;
     const Seconds limit =
-        Seconds(input.target) * RefusedFrom * (input.overShare ? OverShareFraction : 1);
-    const bool placesKept = input.leastUse >= MostUse.at(std::min(input.band, MostUse.size() - 1));
-    if (placesKept)
+        Seconds(input.target) * MaxPredictedToTarget * (input.overShare ? OverShareFraction : 1);
+    const bool queuesKept = input.leastUse >= MostUse.at(std::min(input.band, MostUse.size() - 1));
+    if (queuesKept)
         return refusal(first, first.wait, input, random);
     if (first.wait <= Seconds(input.target) * MinWaitFraction || first.total <= limit)
         return std::nullopt;
--- a/src/snipestall/serving/return_time.cpp
+++ b/src/snipestall/serving/return_time.cpp
@@ -9,7 +9,7 @@
 using std::chrono::milliseconds;
 
 /// Callers wait at most this part of the time that they have left.
-constexpr int LongestWaitFraction = 3;
+constexpr int LongestWaitDivisor = 3;
 /// Part of the longest wait over which callers are spread.
 constexpr double Spread = 0.25;
 
@@ -21,7 +21,7 @@
     if (caller.target.count() <= 0 || caller.roomAfter <= caller.target / 2)
         return caller.roomAfter;
     const std::chrono::duration<double, std::milli> longest =
-        (caller.left / LongestWaitFraction) * (1 - Spread * random);
+        (caller.left / LongestWaitDivisor) * (1 - Spread * random);
     return std::max(caller.roomAfter, std::chrono::duration_cast<milliseconds>(longest));
 }
 
--- a/src/snipestall/serving/server_outcomes.cpp
+++ b/src/snipestall/serving/server_outcomes.cpp
@@ -75,7 +75,7 @@
     ++decayed(now).failed;
 }
 
-void OutcomeCounter::ended(std::chrono::duration<double> pace, SteadyTime now)
+void OutcomeCounter::recordPace(std::chrono::duration<double> pace, SteadyTime now)
 {
     ServerOutcomes &counts = decayed(now);
     ++counts.paced;
--- a/src/snipestall/serving/server_outcomes_test.cpp
+++ b/src/snipestall/serving/server_outcomes_test.cpp
@@ -40,8 +40,8 @@
 {
     OutcomeCounter one;
     OutcomeCounter other;
-    one.ended(20ms, Start);
-    other.ended(40ms, Start);
+    one.recordPace(20ms, Start);
+    other.recordPace(40ms, Start);
     ServerOutcomes sum = one.at(Start);
     sum += other.at(Start);
     ASSERT_TRUE(sum.averagePace());
--- a/src/snipestall/serving/server_table.cpp
+++ b/src/snipestall/serving/server_table.cpp
@@ -140,7 +140,7 @@
 void ServerTable::compareServers(const PeerLoads &peers, SteadyTime now)
 {
     for (const auto &[id, server] : m_servers) {
-        ServerOutcomes outcomes = server->ended.at(now);
+        ServerOutcomes outcomes = server->outcomes.at(now);
         outcomes += peers.at(server->key).outcomes;
         server->sharedFailureRate = outcomes.failureRate();
         if (const auto pause = outcomes.averagePace())
@@ -193,13 +193,13 @@
 void ServerTable::failed(ServerState &server, SteadyTime now)
 {
     server.health.failed();
-    server.ended.failed(now);
+    server.outcomes.failed(now);
 }
 
 void ServerTable::answered(ServerState &server, SteadyTime now)
 {
     server.health.answered();
-    server.ended.answered(now);
+    server.outcomes.answered(now);
     m_dataCentres[server.info.dataCentre].answered();
 }
 
