Hard load test: requests sent don't depend on how long answers take

Cause: one generator drew the requests and the gateways that retries go to, so each run sent other requests. Change: gateways are drawn from a generator of their own.

--- a/tests/gateway/hard_load_test.cpp
+++ b/tests/gateway/hard_load_test.cpp
@@ -303,7 +303,7 @@
         message.fields.set("X-Model-Name", "m");
         message.fields.set("X-Token-Count", tokens + "," + std::to_string(QueueingEngine::Events));
         message.fields.set("X-Prompt-Prefix", "f" + number + ":" + tokens);
-        const auto &entry = m_entries.at(m_random.below(m_entries.size()));
+        const auto &entry = m_entries.at(m_entryRandom.below(m_entries.size()));
         const Time sent = steady_clock::now();
         auto stream = co_await m_client.open(entry, std::move(message));
         Outcome outcome;
@@ -340,6 +340,8 @@
     }
 
     Random m_random { Seed };
+    /// Separate, so that how long answers take does not change which requests are sent.
+    Random m_entryRandom { Seed + 1 };
     std::vector<std::unique_ptr<QueueingEngine>> m_engines;
     std::vector<Instance> m_others;
     std::vector<wire::Endpoint> m_entries;
