Failures are not taken for first events or for time in a slot

Cause: an answer with the status of a failure was compared with the prediction, measured as read rate and counted as a stream that left its slot at once. An engine that fails at once thus made predictions for all engines far too low, the read rate far too high and the wait for a slot short. Change: only answers with a success status count for these.

--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -322,7 +322,7 @@
     if (!m_placementRequest.prompt && start != CallStart::Unwanted)
         m_state.demand.callEnded(m_placementRequest.service->name,
                                  m_state.clock.steadyNow() - m_sentAt, server->info.slots);
-    else if (m_firstByteAt && end != AttemptEnd::NotRun)
+    else if (m_firstByteAt && call->head().result_int() < FirstNonSuccessStatus)
         recordSlotTime(*server);
     const auto firstByte = m_firstByteAt ? *m_firstByteAt - m_sentAt : SteadyTime::duration::zero();
     logEvent(events::GatewayAttemptEnded,
@@ -467,6 +467,9 @@
 
 void RequestRelay::recordPromptRead()
 {
+    // An engine that fails or turns a prompt down has not read it.
+    if (m_call->head().result_int() >= FirstNonSuccessStatus)
+        return;
     const std::string &service = m_placementRequest.service->name;
     const auto took = m_state.clock.steadyNow() - m_sentAt;
     if (m_predicted) {
