Waits of calls are not part of their duration; a few first events don't set the factor

Cause: the duration of a plain call included its wait for a slot, and the prediction multiplied it by the calls ahead again: with 17 calls at 6 slots, 0.9 s instead of 0.3 s, so calls that would be in time were refused. The factor of predictions was set by the first single first event of a process. Change: the pace of a call is divided by what the wait made of it; the factor begins with 8 right predictions, which leave as others come. The two new tests were not run against the code before.

--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -208,6 +208,7 @@
     std::optional<SteadyTime> m_firstByteAt;
     double m_unreadTokens = 0;
     double m_tokensAhead = 0;
+    double m_timesOwnDuration = 1;
     std::optional<serving::FirstEvent> m_predicted;
     std::optional<AttemptWatch::Handle> m_stallHandle;
     std::optional<StreamWatch::Handle> m_streamHandle;
--- a/include/snipestall/serving/first_event_estimate.hpp
+++ b/include/snipestall/serving/first_event_estimate.hpp
@@ -72,8 +72,9 @@
     {
         double tokensPerSecond = 0;
         double secondsInSlot = 0;
-        /// Seen by predicted without correction, oldest first.
-        std::deque<double> ratios;
+        /// Seen by predicted without correction, oldest first. It begins with predictions that are
+        /// taken for right, because a single odd one must not set the factor.
+        std::deque<double> ratios = std::deque<double>(8, 1.0);
         double factor = 1;
     };
 
--- a/include/snipestall/serving/placement.hpp
+++ b/include/snipestall/serving/placement.hpp
@@ -61,6 +61,9 @@
     double tokensAhead = 0;
     /// Requests of all instances in flight at this server, as far as is known.
     std::uint32_t inFlight = 0;
+    /// For plain calls: time until the answer by the time that the call itself takes. It is above 1
+    /// if the call waits for a slot first.
+    double timesOwnDuration = 1;
     /// For prompts: when the first event comes from this server; nothing if that can't be
     /// predicted.
     std::optional<FirstEvent> firstEvent;
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -277,6 +277,7 @@
     m_firstByteAt.reset();
     m_unreadTokens = placed.unreadTokens;
     m_tokensAhead = placed.tokensAhead;
+    m_timesOwnDuration = placed.timesOwnDuration;
     m_predicted = placed.firstEvent;
     if (m_unreadTokens > 0)
         recordPromptSent();
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -107,7 +107,8 @@
     else
         handleWholeAnswer(*server);
     if (status < FirstServerErrorStatus && !m_placementRequest.prompt)
-        server->ended.ended(now - m_sentAt, now);
+        server->ended.ended(std::chrono::duration<double>(now - m_sentAt) / m_timesOwnDuration,
+                            now);
     if (m_answer.begun()) {
         m_keepAlive = co_await m_answer.writePiece(std::move(whole.body()))
             && co_await m_answer.completeBody() && m_keepAlive;
--- a/src/snipestall/serving/first_event_estimate_test.cpp
+++ b/src/snipestall/serving/first_event_estimate_test.cpp
@@ -117,5 +117,15 @@
     EXPECT_FALSE(fresh.predict("lm", queueOf(16, { { { 9, 90000 } } })));
 }
 
+// Guards against predictions of a new process that are off by ten after one odd first event.
+TEST_F(FirstEventEstimateTest, AFewFirstEventsDoNotSetTheFactor)
+{
+    const EngineQueue queue = queueOf(0, { { { 2, 20000 } } });
+    const double before = total(queue);
+    for (int i = 0; i < 3; ++i)
+        m_estimate.observed("lm", *m_estimate.predict("lm", queue), 10ms);
+    EXPECT_NEAR(total(queue), before, 1e-9);
+}
+
 } // namespace
 } // namespace snipestall::serving
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -100,6 +100,13 @@
     std::unordered_map<std::string, std::size_t> m_numbers;
 };
 
+/// Calls that have to end before another one has a slot, by the slots of the server.
+double callsAheadBySlot(const ServerState &server, std::uint32_t inFlight)
+{
+    const int slots = std::max(server.info.slots, 1);
+    return std::max(static_cast<double>(inFlight) + 1 - slots, 0.0) / slots;
+}
+
 bool hasFreeSlot(const ServerState &server, const ServerLoad &load)
 {
     return load.pendingTokens <= 0
@@ -372,6 +379,7 @@
     ServerChoice placed;
     placed.server = servers[choice.choose(drawFor(request, {}))];
     placed.inFlight = loadAt(*placed.server).inFlight;
+    placed.timesOwnDuration = 1 + callsAheadBySlot(*placed.server, placed.inFlight);
     for (const ServerStatePtr &server : servers) {
         const auto first = predictCall(*server);
         placed.hasFreeSlot = placed.hasFreeSlot || !first || first->wait.count() <= 0;
@@ -386,9 +394,8 @@
     const auto duration = server.speed.pause();
     if (!duration)
         return std::nullopt;
-    const int slots = std::max(server.info.slots, 1);
-    const double waiting = static_cast<double>(loadAt(server).inFlight) + 1 - slots;
-    const std::chrono::duration<double> wait = *duration * (std::max(waiting, 0.0) / slots);
+    const std::chrono::duration<double> wait =
+        *duration * callsAheadBySlot(server, loadAt(server).inFlight);
     return FirstEvent { wait, wait + *duration };
 }
 
--- a/src/snipestall/serving/placement_test.cpp
+++ b/src/snipestall/serving/placement_test.cpp
@@ -325,5 +325,24 @@
     EXPECT_TRUE(m_placement.choose(generation(42, 6000), Start)->hasFreeSlot);
 }
 
+// Guards against refusals of calls long after an overload: the time that calls wait for a slot was
+// taken for time that they run, by which each call that is ahead counted several times.
+TEST_F(PlacementTest, TheWaitOfCallsIsNotPartOfTheirOwnDuration)
+{
+    constexpr auto OwnDuration = 100ms;
+    for (int i = 0; i < 4; ++i)
+        m_servers.find("ledger-" + std::to_string(i))->own.inFlight = 17;
+    for (int i = 0; i < 20; ++i) {
+        const auto placed = m_placement.choose(call(), Start);
+        // 12 calls of 6 slots have to end first.
+        const std::chrono::duration<double> took = 3 * OwnDuration;
+        placed->server->ended.ended(took / placed->timesOwnDuration, Start);
+    }
+    m_servers.compareServers(m_peers, Start);
+    const auto placed = m_placement.choose(call(), Start);
+    ASSERT_TRUE(placed->earliest);
+    EXPECT_NEAR(placed->earliest->total.count(), 0.3, 1e-6);
+}
+
 } // namespace
 } // namespace snipestall::serving
