--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -213,6 +213,7 @@
     bool m_promptRead = false;
     double m_unreadTokens = 0;
     double m_tokensAhead = 0;
+    double m_timesOwnDuration = 1;
     std::optional<serving::FirstEvent> m_predicted;
     /// Server from which the current one copies shared parts of the prompt.
     std::optional<wire::Endpoint> m_copyFrom;
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -283,6 +283,7 @@
     m_promptRead = false;
     m_unreadTokens = placed.unreadTokens;
     m_tokensAhead = placed.tokensAhead;
+    m_timesOwnDuration = placed.timesOwnDuration;
     m_predicted = placed.firstEvent;
     m_copyFrom = placed.copyFrom;
     if (m_unreadTokens > 0)
