A flood leaves more places in queues; a full engine is not taken for a stalled one

Change: requests of customers over their share count as those of the next band; the predicted first event counts for stalls.

--- a/include/snipestall/serving/first_event_estimate.hpp
+++ b/include/snipestall/serving/first_event_estimate.hpp
@@ -74,8 +74,8 @@
     {
         double tokensPerSecond = 0;
         double secondsInSlot = 0;
-        /// Observed time / prediction without the correction, oldest first. It begins with predictions
-        /// that are taken for right, because a single odd one must not set the factor.
+        /// Observed time / prediction without the correction, oldest first. It begins with
+        /// predictions that are taken for right, because a single odd one must not set the factor.
         std::deque<double> ratios = std::deque<double>(8, 1.0);
         double factor = 1;
     };
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -449,6 +449,9 @@
     std::chrono::duration<double> predicted { 0 };
     if (rate > 0)
         predicted = std::chrono::duration<double>((m_tokensAhead + m_unreadTokens) / rate);
+    // At a full engine a prompt also waits for a slot.
+    if (m_predicted)
+        predicted = std::max(predicted, m_predicted->total);
     m_stallHandle = m_state.attempts.add({ m_call, server, m_sentAt, predicted });
 }
 
--- a/src/snipestall/serving/overload_rule.cpp
+++ b/src/snipestall/serving/overload_rule.cpp
@@ -27,7 +27,8 @@
 /// Requests in flight by slots up to which requests of a band are sent. The places of the queue
 /// beyond are kept for more urgent ones; an engine queues at least as many requests as it has
 /// slots.
-constexpr std::array<double, 3> MostUse { std::numeric_limits<double>::infinity(), 1.5, 1.25 };
+/// Requests of a customer over its share count as those of the next band.
+constexpr std::array<double, 4> MostUse { std::numeric_limits<double>::infinity(), 1.5, 1.25, 1 };
 
 OverloadRefusal refusal(const FirstEvent &first, Seconds roomAfter, const OverloadInput &input,
                         double random)
@@ -49,7 +50,8 @@
     const FirstEvent &first = *input.earliest;
     const Seconds limit =
         Seconds(input.target) * MaxPredictedToTarget * (input.overShare ? OverShareFraction : 1);
-    const bool queuesKept = input.leastUse >= MostUse.at(std::min(input.band, MostUse.size() - 1));
+    const std::size_t band = std::min(input.band + (input.overShare ? 1 : 0), MostUse.size() - 1);
+    const bool queuesKept = input.leastUse >= MostUse.at(band);
     if (queuesKept)
         return refusal(first, first.wait, input, random);
     if (first.wait <= Seconds(input.target) * MinWaitFraction || first.total <= limit)
--- a/src/snipestall/serving/overload_rule_test.cpp
+++ b/src/snipestall/serving/overload_rule_test.cpp
@@ -74,6 +74,10 @@
     EXPECT_FALSE(refusedByLoad(input, 0));
     input.band = 2;
     EXPECT_TRUE(refusedByLoad(input, 0));
+    // A flood leaves more places than others.
+    input.band = 1;
+    input.overShare = true;
+    EXPECT_TRUE(refusedByLoad(input, 0));
 }
 
 // Guards against callers that return together and meet the same queue, and against those that are
--- a/src/snipestall/serving/placement_test.cpp
+++ b/src/snipestall/serving/placement_test.cpp
@@ -336,7 +336,7 @@
         const auto placed = m_placement.choose(call(), Start);
         // 12 calls of 6 slots have to end first.
         const std::chrono::duration<double> took = 3 * OwnDuration;
-        placed->server->ended.ended(took / placed->timesOwnDuration, Start);
+        placed->server->outcomes.recordPace(took / placed->timesOwnDuration, Start);
     }
     m_servers.compareServers(m_peers, Start);
     const auto placed = m_placement.choose(call(), Start);
