Jitter of short calls is not taken for the speed of a server

Cause: calls that end within a millisecond took twice as long at one server by chance; its slowness of 2 kept all further calls away, so that it was never measured again. ServerLimitTest.AllInstancesTogetherKeepTheLimitUntilItIsLifted failed: 24 of 369 calls went to one of two idle servers.

--- a/src/snipestall/serving/placement_test.cpp
+++ b/src/snipestall/serving/placement_test.cpp
@@ -344,5 +344,18 @@
     EXPECT_NEAR(placed->earliest->total.count(), 0.3, 1e-6);
 }
 
+// Guards against a server that gets no calls for good: calls that end within a millisecond took
+// twice as long there by chance, and without calls its speed is not measured again.
+TEST_F(PlacementTest, TheJitterOfShortCallsIsNotTakenForSpeed)
+{
+    for (int i = 0; i < 4; ++i)
+        m_servers.find("ledger-" + std::to_string(i))->ended.ended(i == 0 ? 700us : 350us, Start);
+    m_servers.compareServers(m_peers, Start);
+    int chosen = 0;
+    for (int i = 0; i < 400; ++i)
+        chosen += m_placement.choose(call(), Start)->server->info.id == "ledger-0" ? 1 : 0;
+    EXPECT_GT(chosen, 10);
+}
+
 } // namespace
 } // namespace snipestall::serving
