--- a/src/snipestall/serving/placement_test.cpp
+++ b/src/snipestall/serving/placement_test.cpp
@@ -349,7 +349,7 @@
 TEST_F(PlacementTest, TheJitterOfShortCallsIsNotTakenForSpeed)
 {
     for (int i = 0; i < 4; ++i)
-        m_servers.find("ledger-" + std::to_string(i))->ended.ended(i == 0 ? 700us : 350us, Start);
+        m_servers.find("ledger-" + std::to_string(i))->outcomes.recordPace(i == 0 ? 700us : 350us, Start);
     m_servers.compareServers(m_peers, Start);
     int chosen = 0;
     for (int i = 0; i < 400; ++i)
