Shared parts are copied within a data centre only

Cause: an engine that copies from another data centre waits if the path is cut. Change: parts are copied only from a server of the same data centre; what is lost are copies after a data centre's servers were replaced as a whole. Measured: PartsAreCopiedWithinADataCentreOnly fails without it.

--- a/include/snipestall/serving/placement.hpp
+++ b/include/snipestall/serving/placement.hpp
@@ -174,8 +174,7 @@
     [[nodiscard]] CacheHolders holdersOf(const PlacementRequest &request,
                                          const std::vector<ServerStatePtr> &servers) const;
     /// Time of copying a token, in tokens that are read meanwhile.
-    [[nodiscard]] double copyCost(const PlacementRequest &request, const ServerState &from,
-                                  const ServerState &to) const;
+    [[nodiscard]] double copyCost(const PlacementRequest &request) const;
 
     const ServerTable &m_servers;
     const PeerLoads &m_peers;
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -255,15 +255,11 @@
              copies ? request.time : std::nullopt };
 }
 
-double Placement::copyCost(const PlacementRequest &request, const ServerState &from,
-                           const ServerState &to) const
+double Placement::copyCost(const PlacementRequest &request) const
 {
-    constexpr double BetweenDataCentres = 2;
     const double rate = m_estimate.readRate(request.service->name);
-    const double distance = from.info.dataCentre == to.info.dataCentre ? 1 : BetweenDataCentres;
-    const double cost = request.service->engine->copyPerToken.count() * rate * distance;
     // Where the rate is not known yet, copying a token counts like reading it.
-    return rate > 0 ? std::min(cost, 1.0) : 1;
+    return rate > 0 ? std::min(request.service->engine->copyPerToken.count() * rate, 1.0) : 1;
 }
 
 Placement::Candidate Placement::promptCandidate(const PlacementRequest &request,
@@ -280,10 +276,13 @@
     candidate.unreadTokens =
         std::max(0.0, prompt.promptTokens - parts.cachedTokens - parts.missingTokens);
     double spreadingTokens = 0;
-    if (service.engine->copyPerToken.count() > 0 && holder != nullptr && holder != server.get()
-        && parts.missingTokens >= MinCopiedTokens) {
+    // An engine that copies over a path that has been cut waits, and the prompts behind it as well.
+    // The path between data centres is cut far more often than that within one.
+    const bool mayCopy = service.engine->copyPerToken.count() > 0 && holder != nullptr
+        && holder != server.get() && holder->info.dataCentre == server->info.dataCentre;
+    if (mayCopy && parts.missingTokens >= MinCopiedTokens) {
         candidate.copiesFromHolder = true;
-        candidate.unreadTokens += parts.missingTokens * copyCost(request, *holder, *server);
+        candidate.unreadTokens += parts.missingTokens * copyCost(request);
         if (server != holders.preferred())
             spreadingTokens = parts.missingTokens * FurtherCopyCost;
     } else {
--- a/src/snipestall/serving/placement_test.cpp
+++ b/src/snipestall/serving/placement_test.cpp
@@ -349,7 +349,8 @@
 TEST_F(PlacementTest, TheJitterOfShortCallsIsNotTakenForSpeed)
 {
     for (int i = 0; i < 4; ++i)
-        m_servers.find("ledger-" + std::to_string(i))->outcomes.recordPace(i == 0 ? 700us : 350us, Start);
+        m_servers.find("ledger-" + std::to_string(i))
+            ->outcomes.recordPace(i == 0 ? 700us : 350us, Start);
     m_servers.compareServers(m_peers, Start);
     int chosen = 0;
     for (int i = 0; i < 400; ++i)
@@ -357,5 +358,29 @@
     EXPECT_GT(chosen, 10);
 }
 
+// Guards against prompts that wait for a copy over a path that has been cut: engines of a data
+// centre that was cut off copied from servers outside, and all its prompts were late.
+TEST_F(PlacementTest, PartsAreCopiedWithinADataCentreOnly)
+{
+    m_engines.engine->copyPerToken = std::chrono::duration<double>(1e-7);
+    m_estimate.setReadRate("lm", 50000);
+    for (std::uint64_t part = 10; part < 60; ++part) {
+        const auto first = m_placement.choose(generation(part, 8000), Start);
+        first->server->own.pendingTokens = 40000;
+        const auto second = m_placement.choose(generation(part, 8000), Start);
+        first->server->own.pendingTokens = 0;
+        ASSERT_NE(second->server, first->server);
+        EXPECT_EQ(second->copyFrom, first->server->info.address);
+    }
+    for (const auto &[id, server] : m_servers.all())
+        server->info.dataCentre = id;
+    for (std::uint64_t part = 60; part < 110; ++part) {
+        const auto first = m_placement.choose(generation(part, 8000), Start);
+        first->server->own.pendingTokens = 40000;
+        EXPECT_FALSE(m_placement.choose(generation(part, 8000), Start)->copyFrom);
+        first->server->own.pendingTokens = 0;
+    }
+}
+
 } // namespace
 } // namespace snipestall::serving
