--- a/src/snipestall/serving/overload_rule.cpp
+++ b/src/snipestall/serving/overload_rule.cpp
@@ -24,10 +24,9 @@
 /// Callers come back after at most this part of the timeout, so that there is time left for the
 /// answer.
 constexpr int RetryTimeoutDivisor = 4;
-/// Requests in flight by slots up to which requests of a band are sent. The places of the queue
-/// beyond are kept for more urgent ones; an engine queues at least as many requests as it has
-/// slots.
-/// Requests of a customer over its share count as those of the next band.
+/// Requests in flight by slots up to which requests of a band are sent; those of a customer over
+/// its share count as of the next band. The places of the queue beyond are kept for more urgent
+/// ones; an engine queues at least as many requests as it has slots.
 constexpr std::array<double, 4> MostUse { std::numeric_limits<double>::infinity(), 1.5, 1.25, 1 };
 
 OverloadRefusal refusal(const FirstEvent &first, Seconds roomAfter, const OverloadInput &input,
@@ -51,8 +50,7 @@
     const Seconds limit =
         Seconds(input.target) * MaxPredictedToTarget * (input.overShare ? OverShareFraction : 1);
     const std::size_t band = std::min(input.band + (input.overShare ? 1 : 0), MostUse.size() - 1);
-    const bool queuesKept = input.leastUse >= MostUse.at(band);
-    if (queuesKept)
+    if (input.leastUse >= MostUse.at(band))
         return refusal(first, first.wait, input, random);
     if (first.wait <= Seconds(input.target) * MinWaitFraction || first.total <= limit)
         return std::nullopt;
