--- a/src/snipestall/serving/failing_servers_test.cpp
+++ b/src/snipestall/serving/failing_servers_test.cpp
@@ -8,6 +8,7 @@
 std::vector<ServerFailures> fleet(int healthy, int bad, double rate, double usualRate = 0)
 {
     std::vector<ServerFailures> servers;
+    servers.reserve(static_cast<std::size_t>(healthy + bad));
     for (int i = 0; i < healthy; ++i)
         servers.push_back({ "healthy-" + std::to_string(i), usualRate });
     for (int i = 0; i < bad; ++i)
