Placement and reports cost less with thousands of servers

Each request predicted the first event at all servers, hashed them twice and looked up a service for each; idle servers with counts and six fields for waiting requests were in every report; all servers were compared four times a second. Change: predictions only where no server has a free slot; hashing once while no server is new or leaves; idle servers are reported only if they fail, waiting requests only where some wait; comparisons twice a second.

--- a/include/snipestall/serving/cache_holders.hpp
+++ b/include/snipestall/serving/cache_holders.hpp
@@ -28,6 +28,12 @@
     CacheHolders(std::uint64_t part, const std::vector<ServerStatePtr> &candidates,
                  const std::vector<ServerStatePtr> &all, std::optional<WallTime> time);
 
+    /// Whether a server has not been running for long enough to have the parts that it gets.
+    static bool isNew(const ServerState &server, WallTime time)
+    {
+        return time - server.info.startedAt < SettledAfter;
+    }
+
     /// The server that gets prompts with the part if nothing else matters; null without candidates.
     [[nodiscard]] const ServerStatePtr &preferred() const { return m_preferred; }
     /// The server that most likely has the part; null without candidates.
--- a/include/snipestall/serving/server_outcomes.hpp
+++ b/include/snipestall/serving/server_outcomes.hpp
@@ -19,6 +19,9 @@
     double paced = 0;
     std::chrono::duration<double> pace { 0 };
 
+    /// Counts below this need not be reported.
+    static constexpr double Negligible = 0.05;
+
     ServerOutcomes &operator+=(const ServerOutcomes &other);
     ServerOutcomes &operator-=(const ServerOutcomes &other);
     /// Fraction of the answers that were failures; 0 if there are too few answers to tell.
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -248,10 +248,14 @@
 Task<void> Gateway::Parts::housekeeping()
 {
     bool wasReady = false;
+    bool compareNow = false;
     while (true) {
         follower.updateExpiredServers();
         state.peerLoads.expire(state.clock.steadyNow());
-        state.servers.compareServers(state.peerLoads, state.clock.steadyNow());
+        // Comparing thousands of servers takes milliseconds of a small instance.
+        compareNow = !compareNow;
+        if (compareNow)
+            state.servers.compareServers(state.peerLoads, state.clock.steadyNow());
         state.updateShares();
         state.backends.prune(state.clock.steadyNow());
         if (ready() != wasReady) {
--- a/src/snipestall/gateway/load_exchange_reports.cpp
+++ b/src/snipestall/gateway/load_exchange_reports.cpp
@@ -41,7 +41,11 @@
     work.set_in_flight(load.inFlight);
     work.set_pending_tokens(static_cast<std::uint32_t>(load.pendingTokens));
     work.set_held_tokens(static_cast<std::uint64_t>(load.heldTokens));
+    const bool anyWaits = std::ranges::any_of(
+        load.waiting, [](const serving::WaitingRequests &each) { return each.count > 0; });
     for (const serving::WaitingRequests &each : load.waiting) {
+        if (!anyWaits)
+            break;
         work.add_waiting(each.count);
         work.add_band_tokens(static_cast<std::uint32_t>(each.tokens));
     }
@@ -148,10 +152,14 @@
         report.set_time_offset_ms(offset->count());
     report.set_holds_lease(m_hooks.holdsLease());
     for (const auto &[id, server] : m_state.servers.all()) {
+        const serving::ServerOutcomes outcomes = server->outcomes.at(m_state.clock.steadyNow());
+        // An idle server is reported only if it fails: with thousands of servers, reports would
+        // grow by half.
+        if (server->own.inFlight == 0 && outcomes.failed < serving::ServerOutcomes::Negligible)
+            continue;
         serving::ServerLoad load = server->own;
-        load.outcomes = server->outcomes.at(m_state.clock.steadyNow());
-        if (load.inFlight > 0 || !load.outcomes.isNegligible())
-            encodeLoad(server->key, load, *report.add_servers());
+        load.outcomes = outcomes;
+        encodeLoad(server->key, load, *report.add_servers());
     }
     for (const auto &[customer, totals] : m_state.quotas.ownUse()) {
         v1::CustomerUse *use = report.add_customers();
--- a/src/snipestall/gateway/report_book.cpp
+++ b/src/snipestall/gateway/report_book.cpp
@@ -237,6 +237,8 @@
         work->set_failed_c(static_cast<std::uint32_t>(sum.failed));
         work->set_pauses_c(static_cast<std::uint32_t>(sum.pauses));
         work->set_pause_us(static_cast<std::uint64_t>(sum.pauseMicros));
+        if (std::ranges::all_of(sum.waiting, [](std::int64_t count) { return count == 0; }))
+            continue;
         for (const std::int64_t waiting : sum.waiting)
             work->add_waiting(static_cast<std::uint32_t>(waiting));
         for (const std::int64_t tokens : sum.bandTokens)
--- a/src/snipestall/serving/cache_holders.cpp
+++ b/src/snipestall/serving/cache_holders.cpp
@@ -34,15 +34,16 @@
 {
     const std::string key = std::to_string(part);
     m_preferred = bestFor(key, candidates, [](const ServerState &) { return true; });
-    if (m_preferred == nullptr)
+    m_holder = m_preferred;
+    if (m_preferred == nullptr || !time)
         return;
     // Servers of another version may have other weights, to which a cached part does not belong.
-    m_holder = bestFor(key, all, [this, time](const ServerState &server) {
+    const ServerStatePtr holder = bestFor(key, all, [this, time](const ServerState &server) {
         return !server.departed && server.info.version == m_preferred->info.version
-            && (!time || *time - server.info.startedAt >= SettledAfter);
+            && !isNew(server, *time);
     });
-    if (m_holder == nullptr)
-        m_holder = m_preferred;
+    if (holder != nullptr)
+        m_holder = holder;
 }
 
 } // namespace snipestall::serving
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -250,9 +250,16 @@
     const std::uint64_t part = affinityPart(*request.prompt);
     if (part == 0)
         return { 0, {}, {}, std::nullopt };
-    const bool copies = request.service->engine->copyPerToken.count() > 0;
-    return { part, servers, m_servers.ofService(request.service->name),
-             copies ? request.time : std::nullopt };
+    // Hashing takes most of the time of a choice among thousands of servers; it is done once where
+    // the server that gets the prompts has the parts as well.
+    if (request.service->engine->copyPerToken.count() <= 0 || !request.time)
+        return { part, servers, servers, std::nullopt };
+    const std::vector<ServerStatePtr> all = m_servers.ofService(request.service->name);
+    const bool oneHolder = all.size() == servers.size()
+        && std::none_of(servers.begin(), servers.end(), [&request](const ServerStatePtr &server) {
+                               return CacheHolders::isNew(*server, *request.time);
+                           });
+    return { part, servers, all, oneHolder ? std::nullopt : request.time };
 }
 
 double Placement::copyCost(const PlacementRequest &request) const
@@ -289,8 +296,12 @@
         candidate.unreadTokens += parts.missingTokens;
     }
     const double slowness = server->speed.slowness();
-    const double queuedRequest = std::max(
-        TokensPerQueuedRequest, m_estimate.tokensPerSlotWait(service.name, server->info.slots));
+    const bool isFull =
+        candidate.load.inFlight >= static_cast<std::uint32_t>(std::max(server->info.slots, 1));
+    const double queuedRequest = isFull
+        ? std::max(TokensPerQueuedRequest,
+                   m_estimate.tokensPerSlotWait(service.name, server->info.slots))
+        : TokensPerQueuedRequest;
     candidate.spread.load = slowness
         * (candidate.load.pendingTokens
            + runningCost(*server, candidate.load, *service.engine,
@@ -332,7 +343,9 @@
                                    static_cast<double>(each.load.inFlight)
                                        / std::max(each.server->info.slots, 1));
     }
-    placed.earliest = earliest(request, candidates);
+    // With a free slot nothing is refused, and thousands of predictions need not be made.
+    if (!placed.hasFreeSlot)
+        placed.earliest = earliest(request, candidates);
     return placed;
 }
 
--- a/src/snipestall/serving/server_outcomes.cpp
+++ b/src/snipestall/serving/server_outcomes.cpp
@@ -10,7 +10,6 @@
 constexpr double MinAnswers = 3;
 /// One request counts for one half-life after its end.
 constexpr double MinPaced = 0.5;
-constexpr double Negligible = 0.05;
 
 } // namespace
 
