Logs: what backend servers say about themselves in their answers

Change: the adapter decodes both from every answer (seconds, and the three forms of dates by the date of the answer; anything else is faulty). The head of each answer that is read counts, also of one to another request or one that then breaks off, but not a 421, which another incarnation sends. Events 929, 937, 938 and 939, one line a rest; a gauge of servers at rest. No decision uses it yet.

Evidence: ServerNotice.* of platform_adapter_test.

--- a/include/snipestall/gateway/backend_call.hpp
+++ b/include/snipestall/gateway/backend_call.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace snipestall::gateway {
 
@@ -66,6 +67,11 @@
     /// sent.
     using IsWanted = std::function<bool()>;
 
+    /// Called with the head of each answer of the server that is read, also if the answer is to
+    /// another request or nobody waits for it any more.
+    using HeadObserver = std::function<void(const Head &)>;
+    void setHeadObserver(HeadObserver observer) { m_headObserver = std::move(observer); }
+
     /// Sends the request and reads the head of the answer.
     wire::Task<CallStart> start(Request request, std::string attemptId,
                                 std::chrono::milliseconds connectTimeout, SteadyTime deadline,
@@ -106,6 +112,7 @@
     BackendConnectionPtr m_connection;
     std::optional<Parser> m_parser;
     std::string m_attemptId;
+    HeadObserver m_headObserver;
     SteadyTime m_lastReceivedAt;
     bool m_maybeSent = false;
     bool m_refused = false;
--- a/include/snipestall/serving/server_table.hpp
+++ b/include/snipestall/serving/server_table.hpp
@@ -5,6 +5,7 @@
 #include "snipestall/serving/data_centre_health.hpp"
 #include "snipestall/serving/server_health.hpp"
 #include "snipestall/serving/server_load.hpp"
+#include "snipestall/serving/server_notices.hpp"
 #include "snipestall/serving/server_outcomes.hpp"
 #include "snipestall/serving/server_speed.hpp"
 
@@ -117,6 +118,14 @@
     void answered(ServerState &server, SteadyTime now);
     /// A server sent a complete answer with the status of a failure.
     static void failed(ServerState &server, SteadyTime now);
+    /// The server asks this instance for a rest up to `until`. Returns whether one begins.
+    bool askedForRest(const ServerState &server, SteadyTime until, SteadyTime now);
+    /// The server, given by its key, has said in an answer at `saidAt` that it leaves. Returns
+    /// whether that is new.
+    bool saidItLeaves(const std::string &server, SteadyTime saidAt);
+    /// Forgets the rests that are over, and returns the keys of their servers.
+    std::vector<std::string> endRests(SteadyTime now) { return m_notices.endRests(now); }
+    [[nodiscard]] const ServerNotices &notices() const { return m_notices; }
     /// False while the server or its whole data centre should be avoided.
     [[nodiscard]] bool usable(const ServerState &server, SteadyTime now) const;
 
@@ -162,6 +171,7 @@
     std::unordered_map<std::string, Returning> m_returning;
     std::unordered_map<std::string, SteadyTime> m_expiring;
     std::map<std::string, DataCentreHealth> m_dataCentres;
+    ServerNotices m_notices;
 };
 
 } // namespace snipestall::serving
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -315,6 +315,29 @@
     "If this lasts, give the service more servers; with over_share, see which customer sends more "
     "than usual."
 };
+const EventInfo ServerRests {
+    929, Severity::Info, "server-rests",
+    "A backend server answered 503 and asked this instance to send it nothing for the time that "
+    "the "
+    "line has; longer rests that it asks for meanwhile have no line of their own.",
+    "If this lasts, give the service more servers; requests go to its other servers meanwhile."
+};
+const EventInfo ServerRestEnded { 938, Severity::Info, "server-rest-ended",
+                                  "The rest that a backend server had asked for is over; it gets "
+                                  "single requests until it serves one.",
+                                  "None." };
+const EventInfo ServerRestFaulty {
+    939, Severity::Error, "server-rest-faulty",
+    "A backend server answered 503 and asked for a rest that is neither a number of seconds nor a "
+    "date; it is not taken as resting.",
+    "Correct the server."
+};
+const EventInfo ServerSaysItLeaves {
+    937, Severity::Info, "server-says-it-leaves",
+    "A backend server said in an answer that it leaves, before its entry in the list did; it gets "
+    "no new requests. from is the instance that got the answer.",
+    "None."
+};
 const EventInfo DutyLeaseTaken {
     930, Severity::Info, "duty-lease-taken",
     "This instance took the lease and now acts on behalf of all instances.", "None."
@@ -458,6 +481,10 @@
     &ServersReachable,
     &SlotsShared,
     &OverloadRefused,
+    &ServerRests,
+    &ServerRestEnded,
+    &ServerRestFaulty,
+    &ServerSaysItLeaves,
     &DutyLeaseTaken,
     &DutyLeaseLost,
     &UsageReported,
--- a/src/snipestall/gateway/backend_call.cpp
+++ b/src/snipestall/gateway/backend_call.cpp
@@ -130,6 +130,8 @@
             ++interim;
             continue;
         }
+        if (m_headObserver)
+            m_headObserver(m_parser->get());
         const auto answer =
             platform::readServerResponse(m_parser->get().result_int(), m_parser->get());
         if (answer.attemptId == m_attemptId)
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/gateway/load_exchange.hpp"
 #include "snipestall/gateway/loop_watch.hpp"
+#include "snipestall/gateway/notice_recorder.hpp"
 #include "snipestall/gateway/origin_resolver.hpp"
 #include "snipestall/gateway/reach_prober.hpp"
 #include "snipestall/gateway/rollout_runner.hpp"
@@ -251,6 +252,7 @@
     bool compareNow = false;
     while (true) {
         follower.updateExpiredServers();
+        endRests(state);
         state.peerLoads.expire(state.clock.steadyNow());
         // Comparing thousands of servers takes milliseconds of a small instance.
         compareNow = !compareNow;
--- a/src/snipestall/gateway/gateway_metrics.cpp
+++ b/src/snipestall/gateway/gateway_metrics.cpp
@@ -49,7 +49,7 @@
 }
 
 /// Help texts are part of the exported metrics and stay stable.
-constexpr std::array<Gauge, 24> Gauges { {
+constexpr std::array<Gauge, 25> Gauges { {
     { "snipestall_gateway_requests", "Requests read since the start.",
       [](const GatewayState &s) { return double(s.counters.requests); } },
     { "snipestall_gateway_answered", "Requests answered by a backend server since the start.",
@@ -103,6 +103,9 @@
       serversInUse },
     { "snipestall_gateway_limited_servers", "Backend servers that have named a limit.",
       [](const GatewayState &s) { return double(s.limits.size()); } },
+    { "snipestall_gateway_resting_servers",
+      "Backend servers that have asked this instance to send them nothing for a time.",
+      [](const GatewayState &s) { return double(s.servers.notices().rests()); } },
     { "snipestall_gateway_config_version", "Version of the configuration in force; 0 for none.",
       [](const GatewayState &s) { return s.catalogue ? double(s.catalogue->version()) : 0; } },
     { "snipestall_gateway_draining", "1 while a graceful shutdown runs.",
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -8,6 +8,7 @@
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
+#include "snipestall/gateway/notice_recorder.hpp"
 #include "snipestall/gateway/server_probe.hpp"
 #include "snipestall/wire/signal.hpp"
 
@@ -292,6 +293,10 @@
     m_call = std::make_shared<BackendCall>(m_state.io, m_state.backends, m_state.clock, server->key,
                                            server->info.address);
     const auto call = m_call;
+    call->setHeadObserver(
+        [&state = m_state, server, attempt = m_header.attemptId](const BackendCall::Head &head) {
+            recordNotice(state, *server, attempt, head);
+        });
     BackendCall::Request request = serverRequest(*server);
     m_versions.attemptBegins(*server, expectedWork(m_placementRequest, placed));
     watchForStall(server);
--- /dev/null
+++ b/src/snipestall/serving/server_notices.cpp
@@ -0,0 +1,80 @@
+#include "snipestall/serving/server_notices.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipestall::serving {
+
+using std::chrono::milliseconds;
+
+std::shared_ptr<ServerRest> ServerNotices::rest(const std::string &server) const
+{
+    const auto found = m_rests.find(server);
+    return found == m_rests.end() ? nullptr : found->second;
+}
+
+std::shared_ptr<ServerRest> ServerNotices::extendRest(const std::string &server, SteadyTime until,
+                                                      SteadyTime now)
+{
+    std::shared_ptr<ServerRest> &rest = m_rests[server];
+    if (!rest)
+        rest = std::make_shared<ServerRest>();
+    rest->extend(until, now);
+    return rest;
+}
+
+std::vector<std::string> ServerNotices::endRests(SteadyTime now)
+{
+    std::vector<std::string> ended;
+    for (const auto &[server, rest] : m_rests) {
+        if (!rest->inForce(now))
+            ended.push_back(server);
+    }
+    for (const std::string &server : ended)
+        m_rests.erase(server);
+    return ended;
+}
+
+bool ServerNotices::setLeaving(const std::string &server, SteadyTime saidAt)
+{
+    if (m_leaving.size() >= MaxLeaving)
+        dropOldest();
+    return m_leaving.try_emplace(server, saidAt).second;
+}
+
+void ServerNotices::dropOldest()
+{
+    std::vector<SteadyTime> times;
+    times.reserve(m_leaving.size());
+    for (const auto &[server, saidAt] : m_leaving)
+        times.push_back(saidAt);
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    std::erase_if(m_leaving,
+                  [limit = *middle](const auto &entry) { return entry.second <= limit; });
+}
+
+bool ServerNotices::isLeaving(const std::string &server) const
+{
+    return m_leaving.contains(server);
+}
+
+std::vector<LeavingReport> ServerNotices::leavingReports(SteadyTime now) const
+{
+    std::vector<LeavingReport> reports;
+    for (const auto &[server, saidAt] : m_leaving) {
+        if (now - saidAt <= ReportedFor)
+            reports.push_back({ server, std::chrono::duration_cast<milliseconds>(now - saidAt) });
+    }
+    std::ranges::sort(reports, {}, &LeavingReport::age);
+    reports.resize(std::min(reports.size(), MaxReports));
+    return reports;
+}
+
+void ServerNotices::forget(const std::string &server)
+{
+    m_rests.erase(server);
+    m_leaving.erase(server);
+}
+
+} // namespace snipestall::serving
--- a/src/snipestall/serving/server_table.cpp
+++ b/src/snipestall/serving/server_table.cpp
@@ -41,6 +41,8 @@
         return { PutResult::Kind::Changed, nullptr };
     }
     ServerStatePtr ended = drop(server.id);
+    if (ended)
+        m_notices.forget(ended->key);
     const auto state = std::make_shared<ServerState>();
     state->key = keyOf(server);
     update(*state, server, now);
@@ -203,6 +205,18 @@
     m_dataCentres[server.info.dataCentre].answered();
 }
 
+bool ServerTable::askedForRest(const ServerState &server, SteadyTime until, SteadyTime now)
+{
+    const auto known = m_notices.rest(server.key);
+    m_notices.extendRest(server.key, until, now);
+    return !known;
+}
+
+bool ServerTable::saidItLeaves(const std::string &server, SteadyTime saidAt)
+{
+    return m_notices.setLeaving(server, saidAt);
+}
+
 bool ServerTable::usable(const ServerState &server, SteadyTime now) const
 {
     if (server.failing || !server.health.usable(now))
