--- a/tests/gateway/test_backend.cpp
+++ b/tests/gateway/test_backend.cpp
@@ -30,6 +30,22 @@
         + "\n\n";
 }
 
+HttpResponse TestBackend::answerTo(const HttpRequest &request) const
+{
+    HttpResponse response;
+    response.fields.set("X-Attempt-Id", request.fields.find("X-Attempt-Id").value_or(""));
+    if (m_saysItLeaves)
+        response.fields.set("Server-Leaving", "1");
+    return response;
+}
+
+std::optional<std::string> TestBackend::drawRest()
+{
+    if (m_random.uniform() >= m_shedShare)
+        return std::nullopt;
+    return m_rests[m_random.below(m_rests.size())];
+}
+
 Task<void> TestBackend::serveMove(wire::HttpExchange &exchange)
 {
     m_moves.push_back(exchange.request());
@@ -46,6 +62,17 @@
         co_return;
     }
     m_arrivals.push_back(std::chrono::steady_clock::now());
+    const std::optional<std::string> rest = drawRest();
+    m_received.push_back({ request.fields.find("X-Attempt-Id").value_or(""),
+                           std::chrono::steady_clock::now(), rest });
+    if (rest) {
+        HttpResponse response = answerTo(request);
+        response.status = 503;
+        response.fields.set("X-Not-Executed", "1");
+        response.fields.set("Retry-After", *rest);
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
     if (m_slots) {
         co_await serveInSlot(exchange);
         co_return;
@@ -56,8 +83,7 @@
     if (behaviour == Behaviour::OtherServer)
         ++m_misdirected;
     if (behaviour == Behaviour::SayNotRun || behaviour == Behaviour::OtherServer) {
-        HttpResponse response;
-        response.fields.set("X-Attempt-Id", request.fields.find("X-Attempt-Id").value_or(""));
+        HttpResponse response = answerTo(request);
         response.status = behaviour == Behaviour::SayNotRun ? 503 : 421;
         response.fields.set("X-Not-Executed", "1");
         if (m_limit)
@@ -71,9 +97,7 @@
 
 Task<void> TestBackend::serveInSlot(wire::HttpExchange &exchange)
 {
-    HttpResponse response;
-    response.fields.set("X-Attempt-Id",
-                        exchange.request().fields.find("X-Attempt-Id").value_or(""));
+    HttpResponse response = answerTo(exchange.request());
     response.fields.set("Server-Brittle", m_rejectionLimit);
     if (m_running >= *m_slots) {
         m_rejections.push_back(std::chrono::steady_clock::now());
@@ -93,8 +117,7 @@
 Task<void> TestBackend::run(wire::HttpExchange &exchange, Behaviour behaviour)
 {
     const HttpRequest &request = exchange.request();
-    HttpResponse response;
-    response.fields.set("X-Attempt-Id", request.fields.find("X-Attempt-Id").value_or(""));
+    HttpResponse response = answerTo(request);
     response.fields.set("X-Server-Seal", "seal-" + m_id);
     if (m_limit)
         response.fields.set("Server-Limit", *m_limit);
--- a/tests/gateway/test_backend.hpp
+++ b/tests/gateway/test_backend.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipestall/base/random.hpp"
 #include "snipestall/wire/http_exchange.hpp"
 #include "snipestall/wire/http_request.hpp"
 #include "snipestall/wire/http_response.hpp"
@@ -92,6 +93,15 @@
     {
         m_limit = std::move(requestsPerSecond);
     }
+    /// Rejects this share of the requests with a request for rest, whose text is drawn from
+    /// `rests`; a share of 0 ends that.
+    void askForRest(double share, std::vector<std::string> rests = {})
+    {
+        m_shedShare = share;
+        m_rests = std::move(rests);
+    }
+    /// Says in all answers that it leaves, although its entry does not.
+    void sayItLeaves(bool leaving = true) { m_saysItLeaves = leaving; }
     /// Runs this many requests at a time, each for some time, rejects those beyond and says in all
     /// answers that it fails if it rejects more than a few in a second.
     void limitSlots(int slots, std::chrono::milliseconds work, std::string rejectionLimit)
@@ -100,6 +110,15 @@
         m_work = work;
         m_rejectionLimit = std::move(rejectionLimit);
     }
+    /// A request that arrived, whether it was run or not.
+    struct Arrival
+    {
+        std::string attempt;
+        std::chrono::steady_clock::time_point time;
+        /// The rest that the answer asked for, as its text.
+        std::optional<std::string> rest;
+    };
+    [[nodiscard]] const std::vector<Arrival> &received() const { return m_received; }
     /// Times at which requests were rejected for want of a slot.
     [[nodiscard]] const std::vector<std::chrono::steady_clock::time_point> &rejections() const
     {
@@ -115,6 +134,10 @@
 
 private:
     wire::Task<void> serve(wire::HttpExchange &exchange);
+    /// Draws the rest that the next answer asks for.
+    [[nodiscard]] std::optional<std::string> drawRest();
+    /// The header fields of any answer.
+    [[nodiscard]] wire::HttpResponse answerTo(const wire::HttpRequest &request) const;
     wire::Task<void> serveMove(wire::HttpExchange &exchange);
     /// Runs the request if a slot is free, rejects it otherwise.
     wire::Task<void> serveInSlot(wire::HttpExchange &exchange);
@@ -142,6 +165,11 @@
     std::optional<std::string> m_limit;
     std::vector<std::chrono::steady_clock::time_point> m_arrivals;
     std::vector<wire::HttpRequest> m_ran;
+    Random m_random { 7 };
+    double m_shedShare = 0;
+    std::vector<std::string> m_rests;
+    bool m_saysItLeaves = false;
+    std::vector<Arrival> m_received;
     std::optional<int> m_slots;
     int m_running = 0;
     std::chrono::milliseconds m_work { 0 };
