A server that asks for rest gets no requests until its end

What callers saw: half of the servers turned requests away with Retry-After and 12 to 40% of two kinds were refused, though the other half was free; a resting server got 17 requests from one instance in 3 s (2 are allowed).

Cause: a rejection changed nothing of what is known of its server, so the next choice was as likely to be the same one, and repeats were used up on servers that had said how long they take none. Class: what a server says about itself is a belief of its incarnation, which has to be read from every answer and to bind every way to the server.

Change: ServerRest, kept by incarnation in ServerNotices, so that it outlives the entry. It excludes the server in Placement::mayServe (first choice, repeats, fall-back to avoided servers, versions, shared slots, targets of moves) and in RequestRelay::maySend, for a rest that begins while a request waits for its connection. A longer rest extends, a shorter one changes nothing. After it the server gets single requests, one in half a second, until it accepts one. One run whose copy is already there may continue in a rest; others wait for its end. If all servers that could serve a request rest, it is refused at once as "servers-rest" (936), with the time at which the first may get a request, spread by a quarter.

Ruled out: one more reason to avoid a server. Placement falls back to avoided ones when no other is left, which is when rests matter most.

--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -83,6 +83,7 @@
 extern const EventInfo ServerRests;
 extern const EventInfo ServerRestEnded;
 extern const EventInfo ServerRestFaulty;
+extern const EventInfo RestsRefused;
 extern const EventInfo ServerSaysItLeaves;
 extern const EventInfo ServersReachable;
 extern const EventInfo DutyLeaseTaken;
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -91,6 +91,8 @@
     [[nodiscard]] std::optional<serving::OverloadRefusal>
     overloadAt(const serving::ServerChoice &placed) const;
     wire::Task<void> refuseByLoad();
+    /// Refuses a request that could only be served by servers that rest for `wait`.
+    wire::Task<void> refuseByRests(std::chrono::milliseconds wait);
     /// Returns the instance that is to serve the request, if this one reaches no server. A request
     /// that was forwarded here is not forwarded again.
     [[nodiscard]] std::optional<serving::ForwardTarget> forwardTarget();
@@ -179,6 +181,8 @@
     void beginMove(const serving::ServerStatePtr &source);
     /// Waits for a move that is in progress; returns true if the run continues at another server.
     wire::Task<bool> awaitMove();
+    /// Waits while the target of a completed move rests and has taken a moved run meanwhile.
+    wire::Task<void> awaitTargetOfMove();
     /// Returns the target of a completed move as the choice for the next attempt.
     serving::ServerChoice finishMove();
     void handleCallerLeft();
--- a/include/snipestall/serving/placement.hpp
+++ b/include/snipestall/serving/placement.hpp
@@ -110,6 +110,10 @@
     /// sent, returns when it may be sent; otherwise nothing.
     [[nodiscard]] std::optional<std::chrono::milliseconds>
     waitForLimits(const PlacementRequest &request, SteadyTime now) const;
+    /// If all servers that could serve the request rest, those that it was sent to before included,
+    /// returns the time until the first of them may get a request; otherwise nothing.
+    [[nodiscard]] std::optional<std::chrono::milliseconds>
+    waitForRests(const PlacementRequest &request, SteadyTime now) const;
     /// The request was sent, so its shared parts are cached on `server` from now on. `server` is
     /// the key of the server.
     void requestSent(const PlacementRequest &request, const std::string &server, SteadyTime now);
@@ -121,6 +125,10 @@
     /// ones if it has no server.
     [[nodiscard]] std::vector<ServerStatePtr> candidates(const PlacementRequest &request,
                                                          SteadyTime now) const;
+    /// Whether the server can serve the request, now or after a rest.
+    [[nodiscard]] bool canServe(const PlacementRequest &request, const ServerState &server,
+                                VersionChoice versions, SteadyTime now) const;
+    /// The same for a server that may get the request now and has not got it before.
     [[nodiscard]] bool mayServe(const PlacementRequest &request, const ServerState &server,
                                 VersionChoice versions, SteadyTime now) const;
     [[nodiscard]] std::vector<ServerStatePtr>
--- a/include/snipestall/serving/return_time.hpp
+++ b/include/snipestall/serving/return_time.hpp
@@ -23,4 +23,8 @@
 /// to be over. `random`, from 0 up to 1, spreads the callers.
 std::chrono::milliseconds returnTime(const RefusedCaller &caller, double random);
 
+/// Returns when the caller is told to come back if a server gets requests again after `wait`, and
+/// not before. `random` spreads the callers, so that they don't all come with the first.
+std::chrono::milliseconds returnTimeAfter(std::chrono::milliseconds wait, double random);
+
 } // namespace snipestall::serving
--- a/include/snipestall/serving/server_table.hpp
+++ b/include/snipestall/serving/server_table.hpp
@@ -47,12 +47,18 @@
     /// Answers that were cut off since the server last sent a whole one. If it sends another, it
     /// has not crashed.
     int unexplainedLosses = 0;
+    /// The last rest that the server has asked this instance for; null if there was none.
+    std::shared_ptr<ServerRest> rest;
     /// Whether the server has disappeared from the list or from its address. Requests that run
     /// there continue, but no new ones are sent.
     bool departed = false;
 
-    /// Whether new requests may be sent to the server.
+    /// Whether the server serves new requests, now or after a rest.
     [[nodiscard]] bool takesWork() const { return !departed && !info.leaving; }
+    /// Whether the server has asked this instance to send it nothing now.
+    [[nodiscard]] bool rests(SteadyTime now) const { return rest && rest->inForce(now); }
+    /// Time from which on this instance may choose the server, as far as its rest goes.
+    [[nodiscard]] SteadyTime opensAt() const { return rest ? rest->opensAt() : SteadyTime::min(); }
 };
 
 using ServerStatePtr = std::shared_ptr<ServerState>;
@@ -119,12 +125,16 @@
     /// A server sent a complete answer with the status of a failure.
     static void failed(ServerState &server, SteadyTime now);
     /// The server asks this instance for a rest up to `until`. Returns whether one begins.
-    bool askedForRest(const ServerState &server, SteadyTime until, SteadyTime now);
+    bool askedForRest(ServerState &server, SteadyTime until, SteadyTime now);
     /// The server, given by its key, has said in an answer at `saidAt` that it leaves. Returns
     /// whether that is new.
     bool saidItLeaves(const std::string &server, SteadyTime saidAt);
     /// Forgets the rests that are over, and returns the keys of their servers.
     std::vector<std::string> endRests(SteadyTime now) { return m_notices.endRests(now); }
+    /// Counts a request that is about to be sent to the server.
+    static void requestSent(ServerState &server, SteadyTime now);
+    /// The server has accepted a request that was sent at `sentAt`.
+    static void requestAccepted(ServerState &server, SteadyTime sentAt);
     [[nodiscard]] const ServerNotices &notices() const { return m_notices; }
     /// False while the server or its whole data centre should be avoided.
     [[nodiscard]] bool usable(const ServerState &server, SteadyTime now) const;
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -332,6 +332,13 @@
     "date; it is not taken as resting.",
     "Correct the server."
 };
+const EventInfo RestsRefused {
+    936, Severity::Info, "rests-refused",
+    "A request was refused at once, because all servers that could serve it have asked this "
+    "instance for rest; the line has the number of servers at rest, the time until the first may "
+    "get a request, and when the caller was told to come back.",
+    "If this lasts, give the service more servers."
+};
 const EventInfo ServerSaysItLeaves {
     937, Severity::Info, "server-says-it-leaves",
     "A backend server said in an answer that it leaves, before its entry in the list did; it gets "
@@ -484,6 +491,7 @@
     &ServerRests,
     &ServerRestEnded,
     &ServerRestFaulty,
+    &RestsRefused,
     &ServerSaysItLeaves,
     &DutyLeaseTaken,
     &DutyLeaseLost,
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -101,11 +101,11 @@
 bool RequestRelay::maySend(const serving::ServerState &server)
 {
     m_callerGone |= m_caller->hasDisconnected();
+    const SteadyTime now = m_state.clock.steadyNow();
     // A run that was moved to a server is already there.
     const bool serves = !m_kvCacheSource.empty()
-        || (server.takesWork()
-            && m_state.rollouts.maySend(server.info.service, server.info.version,
-                                        m_state.clock.steadyNow()));
+        || (server.takesWork() && !server.rests(now)
+            && m_state.rollouts.maySend(server.info.service, server.info.version, now));
     return serves && !m_callerGone && !m_cancelled;
 }
 
@@ -180,8 +180,10 @@
         if (m_overload)
             break;
         last = co_await attempt(*placed);
-        while (last == AttemptEnd::Moved)
+        while (last == AttemptEnd::Moved) {
+            co_await awaitTargetOfMove();
             last = co_await attempt(finishMove());
+        }
         co_await awaitCrashEvidence();
         if (last != AttemptEnd::Final)
             co_await awaitPartVerdict();
@@ -271,8 +273,10 @@
     m_placementRequest.tried.insert(server->key);
     m_budget.sent();
     // A run that was moved was counted when its server was chosen.
-    if (m_kvCacheSource.empty())
+    if (m_kvCacheSource.empty()) {
         m_state.limits.requestSent(*server, m_state.clock.steadyNow());
+        serving::ServerTable::requestSent(*server, m_state.clock.steadyNow());
+    }
     m_connectionRejected = false;
     m_answerLost = false;
     ++m_state.counters.attempts;
@@ -400,6 +404,7 @@
     }
     m_maybeRan = true;
     m_budget.ran();
+    serving::ServerTable::requestAccepted(*server, m_sentAt);
     if (!m_answer.canContinueWith(m_call->head()))
         co_return co_await dropAnswer(*server);
     const serving::StreamOrigin origin { server->info.service, server->info.version };
--- a/src/snipestall/gateway/request_relay_end.cpp
+++ b/src/snipestall/gateway/request_relay_end.cpp
@@ -8,6 +8,7 @@
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
+#include "snipestall/serving/return_time.hpp"
 
 #include <boost/beast/http/field.hpp>
 
@@ -120,6 +121,9 @@
             co_await answer(refusal(503, RetryAfterShutdown), "shutting-down");
         else if (m_overload)
             co_await refuseByLoad();
+        else if (const auto rest =
+                     m_state.placement.waitForRests(m_placementRequest, m_state.clock.steadyNow()))
+            co_await refuseByRests(*rest);
         else if (const auto wait =
                      m_state.placement.waitForLimits(m_placementRequest, m_state.clock.steadyNow()))
             co_await answer(refusal(503, *wait), "server-limit");
@@ -156,6 +160,19 @@
     co_await answer(refusal(503, retryAfter), "overload");
 }
 
+Task<void> RequestRelay::refuseByRests(milliseconds wait)
+{
+    const milliseconds retryAfter = serving::returnTimeAfter(wait, m_state.random.uniform());
+    logEvent(events::RestsRefused,
+             { { "attempt", m_header.attemptId },
+               { "service", m_placementRequest.service->name },
+               { "servers", std::to_string(m_state.servers.notices().rests()) },
+               { "sends", std::to_string(m_budget.used().sends) },
+               { "first_rest_ends_ms", std::to_string(wait.count()) },
+               { "retry_after_ms", std::to_string(retryAfter.count()) } });
+    co_await answer(refusal(503, retryAfter), "servers-rest");
+}
+
 void RequestRelay::recordCallerLeft()
 {
     ++m_state.counters.callersGone;
--- a/src/snipestall/gateway/request_relay_move.cpp
+++ b/src/snipestall/gateway/request_relay_move.cpp
@@ -73,6 +73,7 @@
     if (!placed)
         return;
     m_state.limits.requestSent(*placed->server, now);
+    serving::ServerTable::requestSent(*placed->server, now);
     m_move = std::make_shared<StreamMove>();
     m_move->target = placed->server;
     boost::asio::co_spawn(
@@ -87,6 +88,14 @@
     co_return m_move != nullptr && m_move->moved;
 }
 
+Task<void> RequestRelay::awaitTargetOfMove()
+{
+    const serving::ServerStatePtr target = m_move->target;
+    while (target->rest && !target->rest->admitsMovedRun(m_state.clock.steadyNow()) && !m_callerGone
+           && !m_cancelled && !deadlinePassed())
+        co_await wire::sleepFor(MoveTick);
+}
+
 serving::ServerChoice RequestRelay::finishMove()
 {
     const auto move = std::exchange(m_move, nullptr);
--- a/src/snipestall/serving/placement.cpp
+++ b/src/snipestall/serving/placement.cpp
@@ -153,10 +153,16 @@
 
 bool Placement::mayServe(const PlacementRequest &request, const ServerState &server,
                          VersionChoice versions, SteadyTime now) const
+{
+    return server.opensAt() <= now && !request.tried.contains(server.key)
+        && canServe(request, server, versions, now);
+}
+
+bool Placement::canServe(const PlacementRequest &request, const ServerState &server,
+                         VersionChoice versions, SteadyTime now) const
 {
     const BackendServer &info = server.info;
-    if (info.service != request.service->name || !server.takesWork()
-        || request.tried.contains(server.key))
+    if (info.service != request.service->name || !server.takesWork())
         return false;
     if (request.origin)
         return request.origin->service == info.service && request.origin->version == info.version
@@ -185,6 +191,22 @@
     return shortest;
 }
 
+std::optional<std::chrono::milliseconds> Placement::waitForRests(const PlacementRequest &request,
+                                                                 SteadyTime now) const
+{
+    std::optional<SteadyTime> first;
+    for (const auto &[id, server] : m_servers.all()) {
+        if (!canServe(request, *server, VersionChoice::Any, now))
+            continue;
+        if (server->opensAt() <= now)
+            return std::nullopt;
+        first = std::min(first.value_or(server->opensAt()), server->opensAt());
+    }
+    if (!first)
+        return std::nullopt;
+    return std::chrono::ceil<std::chrono::milliseconds>(*first - now);
+}
+
 std::vector<std::string> Placement::shareHolders(const PlacementRequest &request, SteadyTime now)
 {
     std::vector<ServerStatePtr> shared;
--- a/src/snipestall/serving/placement_test.cpp
+++ b/src/snipestall/serving/placement_test.cpp
@@ -256,6 +256,36 @@
     EXPECT_NE(m_placement.choose(call(), Start)->server->info.id, "ledger-far");
 }
 
+// Guards against requests to a server that has asked for rest because no other server is usable:
+// a rest is not one more reason to avoid a server.
+TEST_F(PlacementTest, AServerThatRestsGetsNothingEvenIfAllOthersAreSuspected)
+{
+    ServerState &resting = *m_servers.find("ledger-3");
+    m_servers.askedForRest(resting, Start + 2s, Start);
+    for (int i = 0; i < 3; ++i)
+        m_servers.find("ledger-" + std::to_string(i))->health.lost(Start);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_NE(m_placement.choose(call(), Start)->server->info.id, "ledger-3");
+    EXPECT_FALSE(m_placement.waitForRests(call(), Start));
+}
+
+// Guards against callers that are told to come back too early or not at all: all servers rest, some
+// of which have just rejected the request.
+TEST_F(PlacementTest, IfAllServersRestTheWaitIsThatForTheFirst)
+{
+    PlacementRequest request = call();
+    for (int i = 0; i < 4; ++i) {
+        ServerState &server = *m_servers.find("ledger-" + std::to_string(i));
+        EXPECT_FALSE(m_placement.waitForRests(request, Start)) << i;
+        m_servers.askedForRest(server, Start + (4 - i) * 1s, Start);
+        request.tried.insert(server.key);
+    }
+    EXPECT_FALSE(m_placement.choose(call(), Start));
+    EXPECT_EQ(m_placement.waitForRests(request, Start), 1s);
+    EXPECT_TRUE(m_placement.choose(call(), Start + 1s));
+    EXPECT_FALSE(m_placement.waitForRests(request, Start + 1s));
+}
+
 TEST_F(PlacementTest, LeavingAndTriedServersGetNothing)
 {
     PlacementRequest request = call();
--- a/src/snipestall/serving/return_time.cpp
+++ b/src/snipestall/serving/return_time.cpp
@@ -10,7 +10,7 @@
 
 /// Callers wait at most this part of the time that they have left.
 constexpr int LongestWaitDivisor = 3;
-/// Part of the longest wait over which callers are spread.
+/// Part of their wait over which callers are spread.
 constexpr double Spread = 0.25;
 
 } // namespace
@@ -25,4 +25,10 @@
     return std::max(caller.roomAfter, std::chrono::duration_cast<milliseconds>(longest));
 }
 
+milliseconds returnTimeAfter(milliseconds wait, double random)
+{
+    const std::chrono::duration<double, std::milli> spread = wait * (1 + Spread * random);
+    return std::chrono::ceil<milliseconds>(spread);
+}
+
 } // namespace snipestall::serving
--- a/src/snipestall/serving/return_time_test.cpp
+++ b/src/snipestall/serving/return_time_test.cpp
@@ -27,5 +27,12 @@
     EXPECT_EQ(returnTime({ 5s, 1000ms, 3s }, 0.5), 5s);
 }
 
+// Guards against callers that all come back with the first request after a rest, or before it.
+TEST(ReturnTime, CallersAreSpreadAfterARest)
+{
+    EXPECT_EQ(returnTimeAfter(2s, 0), 2s);
+    EXPECT_EQ(returnTimeAfter(2s, 0.5), 2250ms);
+}
+
 } // namespace
 } // namespace snipestall::serving
--- a/src/snipestall/serving/server_table.cpp
+++ b/src/snipestall/serving/server_table.cpp
@@ -45,6 +45,7 @@
         m_notices.forget(ended->key);
     const auto state = std::make_shared<ServerState>();
     state->key = keyOf(server);
+    state->rest = m_notices.rest(state->key);
     update(*state, server, now);
     m_servers[server.id] = state;
     return { PutResult::Kind::Added, std::move(ended) };
@@ -205,13 +206,28 @@
     m_dataCentres[server.info.dataCentre].answered();
 }
 
-bool ServerTable::askedForRest(const ServerState &server, SteadyTime until, SteadyTime now)
+bool ServerTable::askedForRest(ServerState &server, SteadyTime until, SteadyTime now)
 {
     const auto known = m_notices.rest(server.key);
-    m_notices.extendRest(server.key, until, now);
+    server.rest = m_notices.extendRest(server.key, until, now);
+    // The entry may have lapsed and come back since the request was sent.
+    if (const auto current = find(server.info.id); current && current->key == server.key)
+        current->rest = server.rest;
     return !known;
 }
 
+void ServerTable::requestSent(ServerState &server, SteadyTime now)
+{
+    if (server.rest)
+        server.rest->requestSent(now);
+}
+
+void ServerTable::requestAccepted(ServerState &server, SteadyTime sentAt)
+{
+    if (server.rest)
+        server.rest->requestAccepted(sentAt);
+}
+
 bool ServerTable::saidItLeaves(const std::string &server, SteadyTime saidAt)
 {
     return m_notices.setLeaving(server, saidAt);
