A server that says in an answer that it leaves gets no new requests

What callers would see: requests cut off by a server that has ended.

Cause: leaving was known from the list alone, and lost with the state of the server when its entry lapsed and came back as "ready", which holds for entries that had said "draining", too. Same class as the rests.

ServerNotices keeps that by incarnation, from answers and from entries; it ends with a newer incarnation, or, where the entry has no start time, with the entry. It is not taken as a reclaim: the server lets its requests end, so no stream is moved. Instances tell one another for 10 s (50 servers at most a report) as long as the entry does not say so, so that the instance that a request was forwarded by, the planner and the roll-outs know it as well.

Without the memory by incarnation ServerTable.LeavingOutlivesTheEntryOfItsServer fails for both sources.

--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -128,6 +128,8 @@
     void addRetryGrants(const Peer &receiver, exchange::v1::LoadReport &report);
     void applyRetryCredits(const exchange::v1::LoadReport &report, Peer &peer);
     void updateRetryShare();
+    void addLeavingServers(exchange::v1::LoadReport &report) const;
+    void applyLeavingServers(const exchange::v1::LoadReport &report);
     void addServerLimits(exchange::v1::LoadReport &report) const;
     void applyServerLimits(const exchange::v1::LoadReport &report);
     void addCutOffs(exchange::v1::LoadReport &report) const;
--- a/include/snipestall/serving/server_notices.hpp
+++ b/include/snipestall/serving/server_notices.hpp
@@ -39,10 +39,12 @@
     /// Number of rests that are not over.
     [[nodiscard]] std::size_t rests() const { return m_rests.size(); }
 
+    /// How it is known that a server leaves. All instances read the entry by themselves.
+    enum class LeavingSource { Answer, Entry };
     /// The server leaves, as it has said at `saidAt`. Returns whether that is new.
-    bool setLeaving(const std::string &server, SteadyTime saidAt);
+    bool setLeaving(const std::string &server, LeavingSource source, SteadyTime saidAt);
     [[nodiscard]] bool isLeaving(const std::string &server) const;
-    /// What other instances are to know, newest first; a limited number.
+    /// What other instances can't read in the list, newest first; a limited number.
     [[nodiscard]] std::vector<LeavingReport> leavingReports(SteadyTime now) const;
 
     /// The incarnation has ended.
@@ -55,13 +57,18 @@
     /// Maximum number of leaving servers that are remembered; the oldest are dropped first.
     static constexpr std::size_t MaxLeaving = 20000;
     /// Bounds the size of a message.
-    static constexpr std::size_t MaxReports = 200;
+    static constexpr std::size_t MaxReports = 50;
+
+    struct Leaving
+    {
+        LeavingSource source = LeavingSource::Answer;
+        SteadyTime saidAt;
+    };
 
     void dropOldest();
 
     std::unordered_map<std::string, std::shared_ptr<ServerRest>> m_rests;
-    /// Time at which a server said that it leaves.
-    std::unordered_map<std::string, SteadyTime> m_leaving;
+    std::unordered_map<std::string, Leaving> m_leaving;
 };
 
 } // namespace snipestall::serving
--- a/include/snipestall/serving/server_table.hpp
+++ b/include/snipestall/serving/server_table.hpp
@@ -162,7 +162,7 @@
     ServerStatePtr drop(const std::string &id);
     /// Handles an entry of an incarnation that had left the list.
     PutResult awaitRenewals(const BackendServer &server, SteadyTime now);
-    void update(ServerState &state, const BackendServer &server, SteadyTime now) const;
+    void update(ServerState &state, const BackendServer &server, SteadyTime now);
 
     /// Maximum number of ids of departed servers that are remembered; at the planned size this
     /// covers several days.
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -364,6 +364,7 @@
         applyTotals(report, now);
     applyRetryCredits(report, peer);
     applyServerLimits(report);
+    applyLeavingServers(report);
     applyCutOffs(report);
     applyRejectionReports(report);
     // The first write to the store set the offset for all, so every instance has the same.
--- a/src/snipestall/gateway/load_exchange_reports.cpp
+++ b/src/snipestall/gateway/load_exchange_reports.cpp
@@ -178,6 +178,7 @@
     addRollouts(report);
     addRetryLevels(report);
     addServerLimits(report);
+    addLeavingServers(report);
     addCutOffs(report);
     addRejectionReports(report);
     if (m_state.commonTime.known()) {
@@ -259,6 +260,28 @@
     }
 }
 
+void LoadExchange::addLeavingServers(v1::LoadReport &report) const
+{
+    for (const serving::LeavingReport &each :
+         m_state.servers.notices().leavingReports(m_state.clock.steadyNow())) {
+        v1::LeavingServer *entry = report.add_leaving_servers();
+        entry->set_server(each.server);
+        entry->set_age_ms(static_cast<std::uint32_t>(each.age.count()));
+    }
+}
+
+void LoadExchange::applyLeavingServers(const v1::LoadReport &report)
+{
+    for (const v1::LeavingServer &entry : report.leaving_servers()) {
+        const milliseconds age(entry.age_ms());
+        if (age <= serving::ServerNotices::ReportedFor
+            && m_state.servers.saidItLeaves(entry.server(), m_state.clock.steadyNow() - age))
+            logEvent(
+                events::ServerSaysItLeaves,
+                { { "server", entry.server() }, { "attempt", "" }, { "from", report.instance() } });
+    }
+}
+
 void LoadExchange::addServerLimits(v1::LoadReport &report) const
 {
     for (const serving::ServerLimitReport &limit :
--- a/src/snipestall/serving/server_notices.cpp
+++ b/src/snipestall/serving/server_notices.cpp
@@ -35,23 +35,26 @@
     return ended;
 }
 
-bool ServerNotices::setLeaving(const std::string &server, SteadyTime saidAt)
+bool ServerNotices::setLeaving(const std::string &server, LeavingSource source, SteadyTime saidAt)
 {
     if (m_leaving.size() >= MaxLeaving)
         dropOldest();
-    return m_leaving.try_emplace(server, saidAt).second;
+    const auto [found, added] = m_leaving.try_emplace(server, Leaving { source, saidAt });
+    if (source == LeavingSource::Entry)
+        found->second.source = source;
+    return added;
 }
 
 void ServerNotices::dropOldest()
 {
     std::vector<SteadyTime> times;
     times.reserve(m_leaving.size());
-    for (const auto &[server, saidAt] : m_leaving)
-        times.push_back(saidAt);
+    for (const auto &[server, leaving] : m_leaving)
+        times.push_back(leaving.saidAt);
     const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
     std::nth_element(times.begin(), middle, times.end());
     std::erase_if(m_leaving,
-                  [limit = *middle](const auto &entry) { return entry.second <= limit; });
+                  [limit = *middle](const auto &entry) { return entry.second.saidAt <= limit; });
 }
 
 bool ServerNotices::isLeaving(const std::string &server) const
@@ -62,9 +65,10 @@
 std::vector<LeavingReport> ServerNotices::leavingReports(SteadyTime now) const
 {
     std::vector<LeavingReport> reports;
-    for (const auto &[server, saidAt] : m_leaving) {
-        if (now - saidAt <= ReportedFor)
-            reports.push_back({ server, std::chrono::duration_cast<milliseconds>(now - saidAt) });
+    for (const auto &[server, leaving] : m_leaving) {
+        const auto age = now - leaving.saidAt;
+        if (leaving.source == LeavingSource::Answer && age <= ReportedFor)
+            reports.push_back({ server, std::chrono::duration_cast<milliseconds>(age) });
     }
     std::ranges::sort(reports, {}, &LeavingReport::age);
     reports.resize(std::min(reports.size(), MaxReports));
--- a/src/snipestall/serving/server_table.cpp
+++ b/src/snipestall/serving/server_table.cpp
@@ -19,6 +19,12 @@
     return server.id + "@" + std::to_string(startedAt.count());
 }
 
+/// The id in the key of an incarnation.
+std::string idOf(const std::string &key)
+{
+    return key.substr(0, key.rfind('@'));
+}
+
 } // namespace
 
 PutResult ServerTable::put(const BackendServer &server, SteadyTime now)
@@ -45,22 +51,27 @@
         m_notices.forget(ended->key);
     const auto state = std::make_shared<ServerState>();
     state->key = keyOf(server);
+    // Without a start time this may be another incarnation than the last one under the id.
+    if (server.startedAt == WallTime())
+        m_notices.forget(state->key);
     state->rest = m_notices.rest(state->key);
     update(*state, server, now);
     m_servers[server.id] = state;
     return { PutResult::Kind::Added, std::move(ended) };
 }
 
-void ServerTable::update(ServerState &state, const BackendServer &server, SteadyTime now) const
+void ServerTable::update(ServerState &state, const BackendServer &server, SteadyTime now)
 {
-    // Leaving is final for an incarnation, so an older copy of the entry does not change it.
-    const bool leaving = state.info.leaving || server.leaving;
+    // Leaving is final for an incarnation, so an older copy of the entry does not change it, nor
+    // one that comes back after it has lapsed.
+    if (server.leaving)
+        m_notices.setLeaving(state.key, ServerNotices::LeavingSource::Entry, now);
     state.info = server;
-    state.info.leaving = leaving;
+    state.info.leaving = m_notices.isLeaving(state.key);
     // A server that leaves as planned lets its requests end; a reclaimed one cannot.
     if (server.leavesIn)
         state.leavesAt = now + *server.leavesIn;
-    else if (leaving && server.reclaimable && !state.leavesAt)
+    else if (server.leaving && server.reclaimable && !state.leavesAt)
         state.leavesAt = now + m_drain;
 }
 
@@ -230,7 +241,10 @@
 
 bool ServerTable::saidItLeaves(const std::string &server, SteadyTime saidAt)
 {
-    return m_notices.setLeaving(server, saidAt);
+    const bool isNew = m_notices.setLeaving(server, ServerNotices::LeavingSource::Answer, saidAt);
+    if (const auto current = find(idOf(server)); current && current->key == server)
+        current->info.leaving = true;
+    return isNew;
 }
 
 bool ServerTable::usable(const ServerState &server, SteadyTime now) const
--- a/src/snipestall/serving/server_table_test.cpp
+++ b/src/snipestall/serving/server_table_test.cpp
@@ -174,6 +174,67 @@
     EXPECT_EQ(table.find("i-1"), nullptr);
 }
 
+// Guards against requests to a server that is about to end: it has said so in an answer or in its
+// entry, then the entry lapses and is listed again as ready.
+TEST(ServerTable, LeavingOutlivesTheEntryOfItsServer)
+{
+    for (const bool inEntry : { false, true }) {
+        ServerTable table(2000ms, 1200ms);
+        table.put(startedAt(10s, inEntry), Start);
+        if (!inEntry) {
+            EXPECT_TRUE(table.saidItLeaves(table.find("i-1")->key, Start));
+        }
+        EXPECT_FALSE(table.find("i-1")->takesWork());
+        table.markExpired("i-1", Start + 1s);
+        table.removeExpired(Start + 1s);
+        table.put(startedAt(10s), Start + 2s);
+        EXPECT_FALSE(table.find("i-1")->takesWork());
+        table.put(startedAt(11s), Start + 3s);
+        EXPECT_TRUE(table.find("i-1")->takesWork());
+    }
+}
+
+// Guards against streams that are moved away from a server without need: it has said in an answer
+// that it leaves, and lets its requests end.
+TEST(ServerTable, AServerThatSaysItLeavesIsNotTakenAsReclaimed)
+{
+    ServerTable table;
+    BackendServer reclaimable = startedAt(10s);
+    reclaimable.reclaimable = true;
+    table.put(reclaimable, Start);
+    table.saidItLeaves(table.find("i-1")->key, Start);
+    table.put(reclaimable, Start + 1s);
+    EXPECT_FALSE(table.find("i-1")->leavesAt);
+}
+
+// Guards against a server that is never used again: it reports no start time, so a new start under
+// the same id can't be told from the incarnation that left.
+TEST(ServerTable, LeavingEndsWithTheEntryOfAServerWithoutAStartTime)
+{
+    ServerTable table;
+    table.put(server("i-1", true), Start);
+    table.markExpired("i-1", Start + 1s);
+    table.removeExpired(Start + 1s);
+    table.put(server("i-1"), Start + 2s);
+    EXPECT_TRUE(table.find("i-1")->takesWork());
+}
+
+// Guards against requests that reach a server which leaves through instances that it has not told.
+TEST(ServerTable, OnlyWhatAnAnswerSaidOfLeavingIsReported)
+{
+    ServerTable table;
+    table.put(startedAt(10s), Start);
+    const std::string key = table.find("i-1")->key;
+    EXPECT_TRUE(table.saidItLeaves(key, Start));
+    EXPECT_FALSE(table.saidItLeaves(key, Start + 1s));
+    ASSERT_EQ(table.notices().leavingReports(Start + 1s).size(), 1U);
+    EXPECT_EQ(table.notices().leavingReports(Start + 1s).front().server, key);
+    EXPECT_EQ(table.notices().leavingReports(Start + 1s).front().age, 1s);
+    EXPECT_TRUE(table.notices().leavingReports(Start + 11s).empty());
+    table.put(startedAt(10s, true), Start + 2s);
+    EXPECT_TRUE(table.notices().leavingReports(Start + 2s).empty());
+}
+
 TEST(ServerTable, RunningRequestsKeepTheirServerAfterItsEntryIsRemoved)
 {
     ServerTable table;
