--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -162,9 +162,6 @@
     [[nodiscard]] CallerConnection::Answer refusal(unsigned status,
                                                    std::chrono::milliseconds retryAfter) const;
     wire::Task<void> answer(CallerConnection::Answer answer, const char *reason);
-    /// Takes over what the answer says of the requests that its server takes.
-    void recordLimits(const serving::ServerState &server,
-                      const platform::ServerResponse &answer) const;
     void handleFirstByte();
     void recordLatency();
     void recordPromptSent();
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -4,7 +4,6 @@
 #include "load_guard.hpp"
 #include "platform/server_header.hpp"
 #include "relay_text.hpp"
-#include "server_limit_log.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
@@ -396,8 +395,6 @@
     const auto parsed = platform::readServerResponse(status, m_call->head());
     if (parsed.wrongServer)
         serving::ServerTable::markReplaced(*server);
-    else
-        recordLimits(*server, parsed);
     if (parsed.notRun) {
         co_await readRejection();
         co_return AttemptEnd::NotRun;
@@ -413,24 +410,6 @@
     co_return co_await relayWhole(server);
 }
 
-void RequestRelay::recordLimits(const serving::ServerState &server,
-                                const platform::ServerResponse &answer) const
-{
-    const std::string &service = server.info.service;
-    if (answer.failsOnRejections
-        && m_state.slotShares.named({ service, milliseconds(0) }, m_state.clock.steadyNow()))
-        logEvent(events::SlotsShared,
-                 { { "service", service }, { "from", m_state.settings.instance } });
-    if (answer.limitFaulty) {
-        logEvent(events::ServerLimitFaulty,
-                 { { "attempt", m_header.attemptId }, { "server", server.key } });
-        return;
-    }
-    const auto limit = answer.requestsPerSecond;
-    if (m_state.limits.answered(server, limit, m_state.clock.steadyNow()))
-        logServerLimit({ server.key, limit, milliseconds(0) }, m_state.settings.instance);
-}
-
 void RequestRelay::handleFirstByte()
 {
     stopStallWatch();
--- a/tests/gateway/raw_answer_test.cpp
+++ b/tests/gateway/raw_answer_test.cpp
@@ -63,6 +63,7 @@
     }
 
     RawBackend m_raw { m_io, "i-1" };
+    int m_incarnation = 1;
     std::chrono::steady_clock::time_point m_sentAt;
     std::chrono::steady_clock::duration m_took {};
 };
@@ -176,5 +177,42 @@
         "POST");
 }
 
+// Guards against requests to a server that has said that it leaves in an answer that nobody waits
+// for, or in one that then breaks off.
+TEST_F(RawAnswerTest, AnyAnswerThatIsReadMaySayThatItsServerLeaves)
+{
+    const std::string other = "HTTP/1.1 200 OK\r\nX-Attempt-Id: another\r\nServer-Leaving: 1\r\n"
+                              "Content-Length: 0\r\n\r\n";
+    const std::string brokenOff = "HTTP/1.1 200 OK\r\nX-Attempt-Id: @ID\r\nServer-Leaving: 1\r\n"
+                                  "Content-Length: 100\r\n\r\npart";
+    for (const std::string &bytes : { other + PlainHead + "body", brokenOff }) {
+        SCOPED_TRACE(bytes);
+        m_raw.play({ bytes, End::Close, "" });
+        m_store.put({ "servers", "", m_raw.id() }, m_raw.entry(++m_incarnation));
+        run([this]() -> Task<void> {
+            const int before = m_raw.requests();
+            co_await untilServing();
+            while (m_raw.requests() == before)
+                co_await fetch(m_callers, "/safe/x");
+            for (int i = 0; i < 30; ++i)
+                co_await fetch(m_callers, "/safe/x");
+            EXPECT_EQ(m_raw.requests(), before + 1);
+        });
+    }
+}
+
+// Guards against a server in need that gets as many requests as before, because the answer that
+// named its limit was one that nobody waited for.
+TEST_F(RawAnswerTest, AnyAnswerThatIsReadMayNameALimit)
+{
+    m_raw.play({ "HTTP/1.1 200 OK\r\nX-Attempt-Id: another\r\nServer-Limit: 1\r\n"
+                 "Content-Length: 0\r\n\r\n",
+                 End::Close, "" });
+    run([this]() -> Task<void> {
+        co_await fetchFromRaw("/safe/x", "GET");
+        co_await untilMetric(m_metrics, "snipestall_gateway_limited_servers", 1);
+    });
+}
+
 } // namespace
 } // namespace snipestall::gateway
--- a/tests/gateway/raw_backend.cpp
+++ b/tests/gateway/raw_backend.cpp
@@ -39,10 +39,10 @@
     asio::co_spawn(io, accept(), asio::detached);
 }
 
-std::string RawBackend::entry() const
+std::string RawBackend::entry(int incarnation) const
 {
-    return R"({"service":"ledger","zone":"east","slotCount":4,"born":1,"state":"ready","address":)"
-           "\"127.0.0.1:"
+    return R"({"service":"ledger","zone":"east","slotCount":4,"state":"ready","born":)"
+        + std::to_string(incarnation) + R"(,"address":"127.0.0.1:)"
         + std::to_string(m_acceptor.local_endpoint().port()) + "\"}";
 }
 
--- a/tests/gateway/raw_backend.hpp
+++ b/tests/gateway/raw_backend.hpp
@@ -33,7 +33,7 @@
 
     void play(Script script) { m_script = std::move(script); }
     [[nodiscard]] const std::string &id() const { return m_id; }
-    [[nodiscard]] std::string entry() const;
+    [[nodiscard]] std::string entry(int incarnation = 1) const;
     /// Requests that arrived.
     [[nodiscard]] int requests() const { return m_requests; }
     /// Bytes of filler that were written.
