A forwarded request that is refused keeps its time to come back

What callers saw: an instance that is cut off from the servers forwards its requests. If the other instance refuses, it says when to come back (a server's rest, a load), and the first one told its own 0.7 s instead, so callers came back in vain.

Change: the time in the refusal of the last instance is told to the caller where this instance knows none.

Evidence: CutOffTest.CallersAreToldTheRestsOfTheInstanceThatIsForwardedTo, rests of 10 s: told 0.7 s before, 8 s and more now.

--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -239,6 +239,8 @@
     bool m_atInstance = false;
     /// Whether the last attempt could not be sent to another instance.
     bool m_forwardUnsent = false;
+    /// When the last instance that refused the request said to come back.
+    std::optional<std::chrono::milliseconds> m_peerRetryAfter;
     /// Whether the last search for a server found none.
     bool m_serverMissing = false;
     /// Set if the request is refused because it would be late at every server.
--- a/src/snipestall/gateway/request_relay_end.cpp
+++ b/src/snipestall/gateway/request_relay_end.cpp
@@ -130,7 +130,8 @@
         else if (m_answer.origin())
             co_await refuseRest();
         else
-            co_await answer(refusal(503, RetryAfterNoServer), "no-server");
+            co_await answer(refusal(503, m_peerRetryAfter.value_or(RetryAfterNoServer)),
+                            "no-server");
         co_return;
     }
     ++m_state.counters.failed;
--- a/src/snipestall/gateway/request_relay_forward.cpp
+++ b/src/snipestall/gateway/request_relay_forward.cpp
@@ -5,6 +5,7 @@
 
 #include "forward_header.hpp"
 #include "platform/server_header.hpp"
+#include "platform/server_notice.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
@@ -141,6 +142,7 @@
     const auto stated = forwardedAttempts(head);
     if (const auto notRun = head.find(ForwardNotRunField); notRun != head.end()) {
         m_forwardUnsent = notRun->value() == ForwardUnsent;
+        m_peerRetryAfter = platform::readRetryAfter(head, m_state.clock.wallNow());
         m_budget.usedElsewhere({ 0, m_forwardUnsent ? 1 : stated.value_or(granted).sends });
         co_await readRejection();
         co_return AttemptEnd::NotRun;
--- a/tests/gateway/cut_off_test.cpp
+++ b/tests/gateway/cut_off_test.cpp
@@ -96,6 +96,45 @@
     }
 };
 
+// Guards against callers that come back in vain: their request is forwarded to an instance that has
+// been asked for rest by all servers, and only that one knows when the first rest ends.
+TEST_F(CutOffTest, CallersAreToldTheRestsOfTheInstanceThatIsForwardedTo)
+{
+    run([this]() -> Task<void> {
+        co_await untilAllServing();
+        cut(TestLink::Cut::Refuse);
+        while (!co_await hasMetric("snipestall_gateway_cut_off 1"))
+            co_await fetch(m_cut.callers, "/safe/x");
+        for (TestBackend *backend : { &m_first, &m_second })
+            backend->askForRest(1, { "10" });
+        for (int i = 0; i < 3; ++i)
+            co_await fetch(m_callers, "/safe/x");
+        const auto response = co_await fetch(m_cut.callers, "/safe/x");
+        EXPECT_EQ(response.status, 503);
+        EXPECT_GE(std::stod(response.fields.find("Retry-After").value_or("0")), 8);
+    });
+}
+
+// Guards against requests to a server that leaves by an instance that has passed on its answers
+// through another instance, and reaches it by itself later.
+TEST_F(CutOffTest, AnInstanceThatForwardsLearnsWhichServersLeave)
+{
+    run([this]() -> Task<void> {
+        co_await untilAllServing();
+        cut(TestLink::Cut::Refuse);
+        while (!co_await hasMetric("snipestall_gateway_cut_off 1"))
+            co_await fetch(m_cut.callers, "/safe/x");
+        m_first.sayItLeaves();
+        co_await served("/safe/x", "GET");
+        cut(TestLink::Cut::None);
+        while (co_await hasMetric("snipestall_gateway_cut_off 1"))
+            co_await wire::sleepFor(50ms);
+        const std::size_t before = m_first.received().size();
+        EXPECT_EQ(co_await served("/safe/x", "GET"), Requests);
+        EXPECT_EQ(m_first.received().size(), before);
+    });
+}
+
 // Guards against callers of an instance that are refused for as long as the network path from this
 // instance to all backend servers is cut, although the callers and the other instances reach it.
 TEST_F(CutOffTest, CallersAreServedWhileConnectionsAreRefused)
