--- a/include/snipestall/serving/server_table.hpp
+++ b/include/snipestall/serving/server_table.hpp
@@ -156,8 +156,9 @@
         SteadyTime readmitAt;
     };
 
-    void compareSpeeds();
-    void compareFailures();
+    /// Compares the servers of one service.
+    static void compareSpeeds(const std::vector<ServerState *> &servers);
+    static void compareFailures(const std::vector<ServerState *> &servers);
     /// Removes the current incarnation of a server and returns it; null if none is listed.
     ServerStatePtr drop(const std::string &id);
     /// Handles an entry of an incarnation that had left the list.
--- a/src/snipestall/base/rendezvous.cpp
+++ b/src/snipestall/base/rendezvous.cpp
@@ -5,27 +5,38 @@
 
 namespace snipestall {
 
-std::uint64_t stableHash(std::string_view bytes)
+namespace {
+
+constexpr std::uint64_t EmptyHash = 0xcbf29ce484222325ULL;
+
+/// The hash of more bytes after those that `hash` stands for.
+std::uint64_t hashOf(std::string_view bytes, std::uint64_t hash)
 {
-    std::uint64_t hash = 0xcbf29ce484222325ULL;
     for (const char c : bytes) {
         hash ^= static_cast<unsigned char>(c);
         hash *= 0x100000001b3ULL;
     }
+    return hash;
+}
+
+std::uint64_t mixed(std::uint64_t hash)
+{
     hash ^= hash >> 33U;
     hash *= 0xff51afd7ed558ccdULL;
     hash ^= hash >> 33U;
     return hash;
 }
 
+} // namespace
+
+std::uint64_t stableHash(std::string_view bytes)
+{
+    return mixed(hashOf(bytes, EmptyHash));
+}
+
 std::uint64_t rendezvousWeight(std::string_view key, std::string_view node)
 {
-    std::string joined;
-    joined.reserve(key.size() + node.size() + 1);
-    joined.append(key);
-    joined.push_back('\n');
-    joined.append(node);
-    return stableHash(joined);
+    return mixed(hashOf(node, hashOf("\n", hashOf(key, EmptyHash))));
 }
 
 std::optional<std::string> rendezvousPick(std::string_view key, std::span<const std::string> nodes)
--- a/src/snipestall/serving/failing_servers.cpp
+++ b/src/snipestall/serving/failing_servers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <utility>
 
 namespace snipestall::serving {
 
@@ -20,19 +21,24 @@
 
 std::unordered_set<std::string> failingServers(std::vector<ServerFailures> servers)
 {
-    std::sort(servers.begin(), servers.end(), [](const ServerFailures &a, const ServerFailures &b) {
-        return a.rate != b.rate ? a.rate > b.rate : a.server < b.server;
-    });
     std::unordered_set<std::string> failing;
     if (servers.empty())
         return failing;
-    const double median = servers[servers.size() / 2].rate;
+    const auto byRate = [](const ServerFailures &a, const ServerFailures &b) {
+        return a.rate > b.rate;
+    };
+    const auto middle = servers.begin() + static_cast<std::ptrdiff_t>(servers.size() / 2);
+    std::nth_element(servers.begin(), middle, servers.end(), byRate);
+    const double least = std::max(MinFailureRate, middle->rate * MinRatioToMedian);
     const std::size_t most = servers.size() / MinServersPerAvoided;
-    for (std::size_t i = 0; i < most; ++i) {
-        if (servers[i].rate < MinFailureRate || servers[i].rate < median * MinRatioToMedian)
-            break;
-        failing.insert(servers[i].server);
-    }
+    // Few of thousands of servers fail, so only these are put in order.
+    std::erase_if(servers, [least](const ServerFailures &each) { return each.rate < least; });
+    std::sort(servers.begin(), servers.end(), [](const ServerFailures &a, const ServerFailures &b) {
+        return a.rate != b.rate ? a.rate > b.rate : a.server < b.server;
+    });
+    servers.resize(std::min(servers.size(), most));
+    for (ServerFailures &each : servers)
+        failing.insert(std::move(each.server));
     return failing;
 }
 
--- a/src/snipestall/serving/server_outcomes.cpp
+++ b/src/snipestall/serving/server_outcomes.cpp
@@ -58,6 +58,8 @@
 
 ServerOutcomes OutcomeCounter::at(SteadyTime now) const
 {
+    if (m_counts.isNegligible())
+        return {};
     const std::chrono::duration<double> passed = now - m_countedAt;
     const double left = std::exp2(-(passed / HalfLife));
     return { m_counts.answered * left, m_counts.failed * left, m_counts.paced * left,
--- a/src/snipestall/serving/server_table.cpp
+++ b/src/snipestall/serving/server_table.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <string_view>
 #include <utility>
 
 namespace snipestall::serving {
@@ -153,49 +154,47 @@
 
 void ServerTable::compareServers(const PeerLoads &peers, SteadyTime now)
 {
+    std::unordered_map<std::string_view, std::vector<ServerState *>> services;
     for (const auto &[id, server] : m_servers) {
         ServerOutcomes outcomes = server->outcomes.at(now);
         outcomes += peers.at(server->key).outcomes;
         server->sharedFailureRate = outcomes.failureRate();
         if (const auto pause = outcomes.averagePace())
             server->speed.setPause(*pause);
+        services[server->info.service].push_back(server.get());
+    }
+    for (const auto &[service, servers] : services) {
+        compareSpeeds(servers);
+        compareFailures(servers);
     }
-    compareSpeeds();
-    compareFailures();
 }
 
-void ServerTable::compareFailures()
+void ServerTable::compareFailures(const std::vector<ServerState *> &servers)
 {
-    std::map<std::string, std::vector<ServerFailures>> services;
-    for (const auto &[id, server] : m_servers) {
+    std::vector<ServerFailures> failures;
+    failures.reserve(servers.size());
+    for (const ServerState *server : servers) {
         if (server->takesWork())
-            services[server->info.service].push_back({ id, server->sharedFailureRate });
-    }
-    for (auto &[service, failures] : services) {
-        const auto failing = failingServers(std::move(failures));
-        for (const auto &[id, server] : m_servers) {
-            if (server->info.service == service)
-                server->failing = failing.contains(id);
-        }
+            failures.push_back({ server->info.id, server->sharedFailureRate });
     }
+    const auto failing = failingServers(std::move(failures));
+    for (ServerState *server : servers)
+        server->failing = failing.contains(server->info.id);
 }
 
-void ServerTable::compareSpeeds()
+void ServerTable::compareSpeeds(const std::vector<ServerState *> &servers)
 {
-    std::map<std::string, std::vector<std::chrono::duration<double>>> pauses;
-    for (const auto &[id, server] : m_servers) {
+    std::vector<std::chrono::duration<double>> pauses;
+    for (const ServerState *server : servers) {
         if (const auto pause = server->speed.pause())
-            pauses[server->info.service].push_back(*pause);
-    }
-    for (auto &[service, all] : pauses) {
-        const auto middle = all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2);
-        std::nth_element(all.begin(), middle, all.end());
-    }
-    for (const auto &[id, server] : m_servers) {
-        const auto found = pauses.find(server->info.service);
-        if (found != pauses.end())
-            server->speed.compareWith(found->second[found->second.size() / 2]);
+            pauses.push_back(*pause);
     }
+    if (pauses.empty())
+        return;
+    const auto middle = pauses.begin() + static_cast<std::ptrdiff_t>(pauses.size() / 2);
+    std::nth_element(pauses.begin(), middle, pauses.end());
+    for (ServerState *server : servers)
+        server->speed.compareWith(*middle);
 }
 
 void ServerTable::lost(ServerState &server, SteadyTime now)
