Soak: servers that ask for rest, or say in answers that they leave

The plan's test asked every fault but the naming of a limit to end before the quiet period; the new ones are checked to begin exactly 3 s into it.

The judge's test has both.

--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -191,7 +191,9 @@
     void makeBackendsRefuse(const Fault &fault);
     void makeBackendNameLimit(const Fault &fault);
     void endRefusals(const Fault &fault);
-    void endLimit(const Fault &fault);
+    void makeBackendAskForRest(const Fault &fault);
+    void makeBackendSayItLeaves(const Fault &fault);
+    void endNeed(const Fault &fault);
     /// Sets what a backend server needs, as the query of the stand-in's control request.
     static void setNeed(const ManagedProcess &managed, const std::string &query);
     void writeJunk(const Fault &fault);
--- a/tests/soak/deployment_faults.cpp
+++ b/tests/soak/deployment_faults.cpp
@@ -59,7 +59,10 @@
         { Kind::StoreJunk, &Deployment::writeJunk, &Deployment::noAction },
         { Kind::ConfigurationChanges, &Deployment::changeConfiguration, &Deployment::noAction },
         { Kind::BackendsRefuse, &Deployment::makeBackendsRefuse, &Deployment::endRefusals },
-        { Kind::BackendNamesLimit, &Deployment::makeBackendNameLimit, &Deployment::endLimit },
+        { Kind::BackendNamesLimit, &Deployment::makeBackendNameLimit, &Deployment::endNeed },
+        { Kind::BackendAsksForRest, &Deployment::makeBackendAskForRest, &Deployment::endNeed },
+        { Kind::BackendSaysItLeaves, &Deployment::makeBackendSayItLeaves,
+          &Deployment::stopBackend },
         { Kind::VersionOrdered, &Deployment::orderVersion, &Deployment::noAction },
         { Kind::PartCrashesBackends, &Deployment::beginCrashingPart, &Deployment::endCrashingPart },
         { Kind::Overload, &Deployment::toggleFlood, &Deployment::toggleFlood },
@@ -220,7 +223,17 @@
     }
 }
 
-void Deployment::endLimit(const Fault &fault)
+void Deployment::makeBackendAskForRest(const Fault &fault)
+{
+    setNeed(backend(fault), "refuse=0.6&rest=1.5");
+}
+
+void Deployment::makeBackendSayItLeaves(const Fault &fault)
+{
+    setNeed(backend(fault), "leaving=1");
+}
+
+void Deployment::endNeed(const Fault &fault)
 {
     setNeed(backend(fault), "");
 }
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -21,7 +21,7 @@
     milliseconds longest;
 };
 
-constexpr std::array<KindEntry, 27> Kinds { {
+constexpr std::array<KindEntry, 29> Kinds { {
     { FaultKind::GatewayKilled, "gateway-killed", false, milliseconds(200), milliseconds(1500) },
     { FaultKind::AllGatewaysKilled, "all-gateways-killed", false, milliseconds(200),
       milliseconds(900) },
@@ -57,6 +57,10 @@
     { FaultKind::BackendsRefuse, "backends-refuse", true, milliseconds(1000), milliseconds(6000) },
     { FaultKind::BackendNamesLimit, "backend-names-limit", true, milliseconds(11000),
       milliseconds(11000) },
+    { FaultKind::BackendAsksForRest, "backend-asks-for-rest", true, milliseconds(5000),
+      milliseconds(5000) },
+    { FaultKind::BackendSaysItLeaves, "backend-says-it-leaves", true, milliseconds(5000),
+      milliseconds(5000) },
     { FaultKind::VersionOrdered, "version-ordered", true, milliseconds(50), milliseconds(50) },
     { FaultKind::PartCrashesBackends, "part-crashes-backends", false, milliseconds(6000),
       milliseconds(6000) },
@@ -77,6 +81,9 @@
 /// some don't.
 constexpr double MeanIntervalMs = 700;
 
+/// After this time without faults no instance is excused.
+constexpr milliseconds ContactTime { 3000 };
+
 /// Whether the store itself carries out the fault. A paused store would block the request for it.
 bool needsStoreControl(FaultKind kind)
 {
@@ -135,9 +142,16 @@
             { FaultKind::BackendsRefuse, 0, begin, std::min(begin + length, quietFrom) });
     // In the quiet period, no restart excuses an instance, and the server keeps its limit.
     const std::uint64_t target = random.below(1000);
-    if (random.below(2) == 0)
+    if (random.below(2) == 0) {
         faults.push_back({ FaultKind::BackendNamesLimit, target, quietFrom,
                            quietFrom + entryOf(FaultKind::BackendNamesLimit).longest });
+        return;
+    }
+    // One of three servers of a service at a time, so that the others carry the load.
+    const FaultKind kind =
+        random.below(2) == 0 ? FaultKind::BackendAsksForRest : FaultKind::BackendSaysItLeaves;
+    const milliseconds from = quietFrom + ContactTime;
+    faults.push_back({ kind, target, from, from + entryOf(kind).longest });
 }
 
 /// Every other run with unplanned faults has it. It lasts up to the quiet end, so that the time is
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -40,6 +40,11 @@
     BackendsRefuse,
     /// The backend server names a limit of one request per second.
     BackendNamesLimit,
+    /// The backend server refuses most requests and asks for rest.
+    BackendAsksForRest,
+    /// The backend server says in its answers that it leaves, while its entry does not; it gets
+    /// SIGTERM at the end.
+    BackendSaysItLeaves,
     /// The operators order another software version of a service, whose servers start beside the
     /// old ones. Half of the versions fail requests. The order runs on after the end of the fault.
     VersionOrdered,
@@ -68,7 +73,7 @@
 bool isPlanned(FaultKind kind);
 
 /// Draws the faults of a run from the seed. Faults may follow one another or overlap. None lasts
-/// beyond `quietFrom` but the naming of a limit, which begins then, and none begins in the
+/// beyond `quietFrom` but what a server asks for in its answers, and none begins in the
 /// first 1.5 s, while the processes start. With `ordersVersion`, one version is ordered.
 std::vector<Fault> drawFaults(std::uint64_t seed, std::chrono::milliseconds quietFrom,
                               bool ordersVersion);
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -37,6 +37,14 @@
 constexpr milliseconds LimitWindow { 4000 };
 constexpr std::size_t MaxArrivalsAtLimit = 11;
 
+/// What is on its way when a server asks for rest may still arrive within this time; then this many
+/// requests from one instance.
+constexpr milliseconds OnItsWay { 500 };
+constexpr std::size_t MaxArrivalsInRest = 2;
+/// A server that leaves gets nothing that is sent later than this after an instance has passed on
+/// that it leaves.
+constexpr milliseconds DrainTime { 2000 };
+
 /// Requests that a bad version may get, in the settings of the gateways.
 constexpr double ExposureShare = 0.3;
 constexpr double ExposureTolerance = 100;
@@ -103,6 +111,8 @@
             m_arrivals.push_back(readArrival(words));
         if (word == "limit")
             m_limitChanges.push_back(readLimitChange(words));
+        if (word == "rest" || word == "says-it-leaves")
+            m_notices.push_back(readNotice(words));
         if (word != "run")
             continue;
         std::int64_t millis = 0;
@@ -130,6 +140,7 @@
     judgeDuties();
     judgeRepeats();
     judgeLimits();
+    judgeNotices();
     judgeCrashingPart();
     judgeOrders();
     judgeOverloadRefusals();
@@ -261,6 +272,18 @@
     return arrival;
 }
 
+Judge::Notice Judge::readNotice(std::istream &words)
+{
+    Notice notice;
+    std::int64_t millis = 0;
+    double seconds = 0;
+    words >> notice.attempt >> notice.server >> millis;
+    notice.time = Moment(milliseconds(millis));
+    if (words >> seconds)
+        notice.rest = milliseconds(static_cast<std::int64_t>(seconds * 1000));
+    return notice;
+}
+
 Judge::LimitChange Judge::readLimitChange(std::istream &words)
 {
     LimitChange change;
@@ -346,6 +369,50 @@
     }
 }
 
+void Judge::judgeNotices()
+{
+    for (const Attempt &attempt : m_record.attempts)
+        m_attempts[attempt.id] = &attempt;
+    std::istringstream log(m_record.gatewayLog);
+    for (std::string line; std::getline(log, line);) {
+        if (line.find(R"("request-forwarded")") == std::string::npos)
+            continue;
+        boost::system::error_code error;
+        const boost::json::value event = boost::json::parse(line, error);
+        if (!error)
+            m_forwarded.emplace(event.at("attempt").as_string());
+    }
+    for (const Notice &notice : m_notices) {
+        const auto asked = m_attempts.find(notice.attempt);
+        if (asked != m_attempts.end() && !m_forwarded.contains(notice.attempt))
+            judgeNotice(notice, *asked->second);
+    }
+}
+
+void Judge::judgeNotice(const Notice &notice, const Attempt &asked)
+{
+    const bool leaves = notice.rest.count() == 0;
+    // The answer that says that the server leaves has to be passed on first.
+    if (leaves && (asked.status == 0 || asked.seal.empty()))
+        return;
+    const Moment from = leaves ? asked.ended + DrainTime : notice.time + OnItsWay;
+    const Moment to = leaves ? Moment::max() : notice.time + notice.rest;
+    std::size_t count = 0;
+    for (const Arrival &arrival : m_arrivals) {
+        const auto found = m_attempts.find(arrival.attempt);
+        if (arrival.server != notice.server || found == m_attempts.end()
+            || found->second->gateway != asked.gateway || m_forwarded.contains(arrival.attempt))
+            continue;
+        const Moment time = leaves ? found->second->sent : arrival.time;
+        if (time > from && time < to && !gatewayFaultWithin(notice.time, arrival.time))
+            ++count;
+    }
+    if (count > (leaves ? 0 : MaxArrivalsInRest))
+        m_findings.push_back(notice.server + (leaves ? " had said that it leaves" : " rested")
+                             + " and got " + std::to_string(count) + " requests from gateway "
+                             + std::to_string(asked.gateway) + " after " + notice.attempt);
+}
+
 std::size_t Judge::sentToNewVersion(const VersionOrder &order, Moment from, Moment to) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_arrivals, [&](const Arrival &arrival) {
--- a/tests/soak/judge.hpp
+++ b/tests/soak/judge.hpp
@@ -58,6 +58,15 @@
         std::string service;
         Moment time;
     };
+    /// A server asked for rest, or said that it leaves, in its answer to an attempt.
+    struct Notice
+    {
+        std::string attempt;
+        std::string server;
+        Moment time;
+        /// Zero if the server leaves.
+        std::chrono::milliseconds rest { 0 };
+    };
     /// A server began or ceased to name a limit.
     struct LimitChange
     {
@@ -68,6 +77,7 @@
 
     void readRuns();
     static Arrival readArrival(std::istream &words);
+    static Notice readNotice(std::istream &words);
     static LimitChange readLimitChange(std::istream &words);
     void judgeAttempt(const Attempt &attempt);
     void judgeRuns(const Attempt &attempt, const std::vector<Run> &runs);
@@ -85,6 +95,10 @@
     void judgeRepeats();
     /// Compares what a server with a limit got with that limit.
     void judgeLimits();
+    /// Counts what a server got from instances that it had asked for rest, or that had passed on
+    /// that it leaves.
+    void judgeNotices();
+    void judgeNotice(const Notice &notice, const Attempt &asked);
     /// Counts the requests with a part that ends servers which reach servers although enough of
     /// these have ended.
     void judgeCrashingPart();
@@ -105,6 +119,10 @@
     std::map<std::string, std::vector<Run>> m_runs;
     std::vector<Arrival> m_arrivals;
     std::vector<LimitChange> m_limitChanges;
+    std::vector<Notice> m_notices;
+    /// Attempts that an instance forwarded to another one.
+    std::set<std::string> m_forwarded;
+    std::map<std::string, const Attempt *> m_attempts;
     /// Id of the last event of each stream that a client has received.
     std::map<std::string, int> m_lastEvents;
     /// Versions that wrote events of each stream, by the attempt that began it.
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -302,9 +302,12 @@
     for (std::size_t i = 0; i < first.size(); ++i) {
         EXPECT_EQ(first[i].kind, second[i].kind);
         EXPECT_EQ(first[i].begin, second[i].begin);
-        // A server's limit is to be kept while nothing else goes wrong.
-        if (first[i].kind == FaultKind::BackendNamesLimit)
+        // What a server asks for in its answers is to be heeded while nothing else goes wrong.
+        const FaultKind kind = first[i].kind;
+        if (kind == FaultKind::BackendNamesLimit)
             EXPECT_EQ(first[i].begin, 18s);
+        else if (kind == FaultKind::BackendAsksForRest || kind == FaultKind::BackendSaysItLeaves)
+            EXPECT_EQ(first[i].begin, 21s);
         else
             EXPECT_LE(first[i].end, 18s);
     }
@@ -353,6 +356,29 @@
     EXPECT_FALSE(finds("had named a limit"));
 }
 
+// Guards against a run in which a server gets requests during its rest, or after it has said that
+// it leaves, and nobody notices. Requests of other instances do not count.
+TEST_F(JudgeTest, RequestsAgainstTheNoticeOfAServerAreFound)
+{
+    for (const bool leaves : { false, true }) {
+        m_record.attempts.clear();
+        m_record.runLog = leaves ? "says-it-leaves c1-0 b1 1004010\n" : "rest c1-0 b1 1004010 3\n";
+        attempt(RequestKind::Idempotent, "/x");
+        for (int i = 1; i <= 4; ++i) {
+            Attempt &later = attempt(RequestKind::Idempotent, "/x");
+            later.id = "c1-" + std::to_string(i);
+            later.gateway = i == 4 ? 1 : 0;
+            later.sent += leaves ? 2100ms : 1000ms;
+            const std::string at = leaves ? "1006110" : "1005010";
+            m_record.runLog += "arrive " + later.id + " b1 ledger " + at + "\n";
+        }
+        EXPECT_TRUE(finds("got 3 requests from gateway 0 after c1-0")) << leaves;
+        m_record.faults = { { FaultKind::GatewayPaused, 0, 4s, 5s } };
+        EXPECT_FALSE(finds("requests from gateway")) << leaves;
+        m_record.faults.clear();
+    }
+}
+
 class VersionOrderJudgeTest : public JudgeTest
 {
 protected:
