Overload rules hold for short prompts and before the read rate is known

Cause: the prediction needs a read rate, which only prompts of 3,000 tokens or more give, and without a prediction refusedByLoad let all through, the places that are kept for urgent requests included. Class: a safeguard that is off while its estimate is not known.

Change: until the rate is known, FirstEventEstimate counts prompts instead of tokens (mean time of a prompt with none ahead, wait for a slot); its correction begins anew with the rate. Without any prediction the places in queues are kept all the same, with the shortest time to come back.

--- a/include/snipestall/serving/first_event_estimate.hpp
+++ b/include/snipestall/serving/first_event_estimate.hpp
@@ -41,7 +41,8 @@
 /// free. Harm: without a prediction, a prompt that cannot be in time is sent nevertheless, waits,
 /// and delays all that come after it. How much a full batch slows down reading, and how much of the
 /// load is not known yet, depends on the engines and on the fleet; both are learned as one factor
-/// from the newest prompts.
+/// from the newest prompts. As long as no rate is known, because all prompts are too short to
+/// measure it or the process has just started, prompts are counted instead of tokens.
 class FirstEventEstimate
 {
 public:
@@ -49,6 +50,8 @@
     void setReadRate(const std::string &service, double tokensPerSecond);
     /// The rate set last; 0 if unknown.
     [[nodiscard]] double readRate(const std::string &service) const;
+    /// A prompt, of any length, with none ahead of it got its first event after `took`.
+    void promptReadAlone(const std::string &service, std::chrono::duration<double> took);
     /// A stream has kept its slot for this long.
     void streamEnded(const std::string &service, std::chrono::duration<double> inSlot);
     /// A prompt for which `predicted` had been returned got its first event after `seen`.
@@ -73,6 +76,8 @@
     struct Learned
     {
         double tokensPerSecond = 0;
+        /// Mean time to the first event of a prompt with none ahead of it.
+        double secondsPerPrompt = 0;
         double secondsInSlot = 0;
         /// Observed time / prediction without the correction, oldest first. It begins with
         /// predictions that are taken for right, because a single odd one must not set the factor.
--- a/include/snipestall/serving/overload_rule.hpp
+++ b/include/snipestall/serving/overload_rule.hpp
@@ -40,7 +40,8 @@
 /// requests that a server would admit before this one, so less urgent requests are refused long
 /// before urgent ones. They also leave places in the servers' queues, because a server whose queue
 /// is full rejects urgent requests as well. While a server has a free slot nothing is refused,
-/// however long the prompt.
+/// however long the prompt. Without a prediction, as in a process that has just started, only the
+/// places that are taken count.
 ///
 /// Returns nothing if the request is to be sent. `random`, from 0 up to 1, spreads the callers that
 /// are told to come back.
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -482,6 +482,7 @@
     if (m_unreadTokens <= 0 || m_tokensAhead > 0)
         return;
     m_state.demand.promptRead(service, m_unreadTokens, took);
+    m_state.firstEvents.promptReadAlone(service, took);
     m_state.firstEvents.setReadRate(service, m_state.demand.readRate(service));
 }
 
--- a/src/snipestall/serving/first_event_estimate.cpp
+++ b/src/snipestall/serving/first_event_estimate.cpp
@@ -21,6 +21,8 @@
 struct WorkAhead
 {
     double tokens = 0;
+    /// Prompts that these tokens are of.
+    double prompts = 0;
     /// Streams that have to end before the prompt has a slot.
     double streams = 0;
 };
@@ -46,9 +48,11 @@
         left -= admitted;
         if (i <= queue.band) {
             ahead.tokens += each.tokens;
+            ahead.prompts += each.count;
             queued += each.count - admitted;
         } else if (each.count > 0) {
             ahead.tokens += each.tokens * admitted / each.count;
+            ahead.prompts += admitted;
         }
     }
     // A slot that a less urgent request has taken is not given up for an urgent one.
@@ -61,7 +65,19 @@
 
 void FirstEventEstimate::setReadRate(const std::string &service, double tokensPerSecond)
 {
-    m_services[service].tokensPerSecond = tokensPerSecond;
+    Learned &learned = m_services[service];
+    // The factor was learned for predictions by the number of prompts.
+    if (learned.tokensPerSecond <= 0 && tokensPerSecond > 0) {
+        learned.ratios = Learned().ratios;
+        learned.factor = 1;
+    }
+    learned.tokensPerSecond = tokensPerSecond;
+}
+
+void FirstEventEstimate::promptReadAlone(const std::string &service, Seconds took)
+{
+    double &mean = m_services[service].secondsPerPrompt;
+    mean = mean <= 0 ? took.count() : mean + (took.count() - mean) * Smoothing;
 }
 
 double FirstEventEstimate::readRate(const std::string &service) const
@@ -99,17 +115,24 @@
                                                       const EngineQueue &queue) const
 {
     const auto found = m_services.find(service);
-    if (found == m_services.end() || found->second.tokensPerSecond <= 0)
+    if (found == m_services.end())
         return std::nullopt;
     const Learned &learned = found->second;
+    const bool byTokens = learned.tokensPerSecond > 0;
+    if (!byTokens && learned.secondsPerPrompt <= 0)
+        return std::nullopt;
     const WorkAhead ahead = workAhead(queue);
     if (ahead.streams > 0 && learned.secondsInSlot <= 0)
         return std::nullopt;
-    const double secondsPerToken = queue.slowness / learned.tokensPerSecond;
+    const double secondsPerToken = byTokens ? queue.slowness / learned.tokensPerSecond : 0;
+    const double secondsPerPrompt = byTokens ? 0 : queue.slowness * learned.secondsPerPrompt;
     const double secondsPerStream =
         learned.secondsInSlot * queue.slowness / std::max(queue.slots, 1);
-    const Seconds wait { ahead.tokens * secondsPerToken + ahead.streams * secondsPerStream };
-    const Seconds own = FixedDelay + Seconds(queue.unreadTokens * secondsPerToken);
+    const Seconds wait { ahead.tokens * secondsPerToken + ahead.prompts * secondsPerPrompt
+                         + ahead.streams * secondsPerStream };
+    const Seconds own = byTokens
+        ? Seconds(FixedDelay) + Seconds(queue.unreadTokens * secondsPerToken)
+        : Seconds(secondsPerPrompt);
     return FirstEvent { wait * learned.factor, (wait + own) * learned.factor, learned.factor };
 }
 
--- a/src/snipestall/serving/first_event_estimate_test.cpp
+++ b/src/snipestall/serving/first_event_estimate_test.cpp
@@ -127,5 +127,31 @@
     EXPECT_NEAR(total(queue), before, 1e-9);
 }
 
+// Guards against rules for overload that are off where all prompts are short, or in a new process:
+// without a read rate, prompts and slots are counted.
+TEST_F(FirstEventEstimateTest, PromptsAreCountedWhileTheRateIsUnknown)
+{
+    FirstEventEstimate fresh;
+    fresh.promptReadAlone("lm", 100ms);
+    EXPECT_NEAR(fresh.predict("lm", queueOf(0, {}))->total.count(), 0.1, 1e-9);
+    EXPECT_NEAR(fresh.predict("lm", queueOf(0, { { { 2, 800 } } }))->total.count(), 0.3, 1e-9);
+    // A full engine has to end a stream first.
+    EXPECT_FALSE(fresh.predict("lm", queueOf(16, {})));
+    fresh.streamEnded("lm", 1600ms);
+    EXPECT_NEAR(fresh.predict("lm", queueOf(16, {}))->wait.count(), 0.1, 1e-9);
+}
+
+// Guards against a correction that was learned for another kind of prediction.
+TEST_F(FirstEventEstimateTest, TheFactorBeginsAnewWithTheReadRate)
+{
+    FirstEventEstimate fresh;
+    fresh.promptReadAlone("lm", 100ms);
+    for (int i = 0; i < 64; ++i)
+        fresh.observed("lm", *fresh.predict("lm", queueOf(0, {})), 1s);
+    EXPECT_NEAR(fresh.predict("lm", queueOf(0, {}))->factor, 10, 1e-6);
+    fresh.setReadRate("lm", 50000);
+    EXPECT_NEAR(fresh.predict("lm", queueOf(0, {}))->factor, 1, 1e-6);
+}
+
 } // namespace
 } // namespace snipestall::serving
--- a/src/snipestall/serving/overload_rule.cpp
+++ b/src/snipestall/serving/overload_rule.cpp
@@ -44,9 +44,9 @@
 
 std::optional<OverloadRefusal> refusedByLoad(const OverloadInput &input, double random)
 {
-    if (input.hasFreeSlot || !input.earliest || input.target.count() <= 0)
+    if (input.hasFreeSlot || input.target.count() <= 0)
         return std::nullopt;
-    const FirstEvent &first = *input.earliest;
+    const FirstEvent first = input.earliest.value_or(FirstEvent());
     const Seconds limit =
         Seconds(input.target) * MaxPredictedToTarget * (input.overShare ? OverShareFraction : 1);
     const std::size_t band = std::min(input.band + (input.overShare ? 1 : 0), MostUse.size() - 1);
--- a/src/snipestall/serving/overload_rule_test.cpp
+++ b/src/snipestall/serving/overload_rule_test.cpp
@@ -80,6 +80,21 @@
     EXPECT_TRUE(refusedByLoad(input, 0));
 }
 
+// Guards against urgent requests that full queues reject while nothing is predicted: for short
+// prompts, in a process that has just started, for a service that is used for the first time.
+TEST(OverloadRule, PlacesAreKeptWithoutAPrediction)
+{
+    OverloadInput input;
+    input.target = 1000ms;
+    input.timeout = 12s;
+    input.leastUse = 1.6;
+    EXPECT_FALSE(refusedByLoad(input, 0));
+    input.band = 1;
+    EXPECT_TRUE(refusedByLoad(input, 0));
+    input.hasFreeSlot = true;
+    EXPECT_FALSE(refusedByLoad(input, 0));
+}
+
 // Guards against callers that return together and meet the same queue, and against those that are
 // told to come back when they have left.
 TEST(OverloadRule, CallersReturnSpreadAndWhileTheyHaveTime)
--- a/tests/gateway/hard_load_test.cpp
+++ b/tests/gateway/hard_load_test.cpp
@@ -21,6 +21,7 @@
 #include <numeric>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace snipestall::gateway {
@@ -75,6 +76,9 @@
 
 enum class Load { Calm, Overload, Flood, LostEngines };
 constexpr std::array AllLoads { Load::Calm, Load::Overload, Load::Flood, Load::LostEngines };
+/// Short prompts take as long as long ones, but none is long enough to measure a read rate.
+enum class Prompts { Long, Short };
+constexpr double ShortPromptTokens = 400;
 enum class Phase { WarmUp, Loaded, Recovery, Normal };
 
 const char *nameOf(Load load)
@@ -145,16 +149,20 @@
     static void SetUpTestSuite() { initLog(LogFormat::Text, Severity::Error); }
 
     /// Plays the load if no test has done so.
-    const Figures &figuresOf(Load load)
+    const Figures &figuresOf(Load load, Prompts prompts = Prompts::Long)
     {
-        static std::map<Load, Figures> played;
-        const auto found = played.find(load);
+        static std::map<std::pair<Load, Prompts>, Figures> played;
+        const std::pair key { load, prompts };
+        const auto found = played.find(key);
         if (found != played.end())
             return found->second;
+        m_meanPrompt =
+            prompts == Prompts::Short ? ShortPromptTokens : QueueingEngine::MeanPromptTokens;
         startAll();
         run([this, load]() -> Task<void> { co_await play(load); });
+        std::printf("%s prompts, ", prompts == Prompts::Short ? "short" : "long");
         print(load, m_figures);
-        return played.emplace(load, m_figures).first->second;
+        return played.emplace(key, m_figures).first->second;
     }
 
 private:
@@ -179,6 +187,7 @@
         for (std::size_t i = 0; i < Slowness.size(); ++i) {
             const std::string id = "e-" + std::to_string(i);
             m_engines.push_back(std::make_unique<QueueingEngine>(m_io, id, Slowness.at(i)));
+            m_engines.back()->setMeanPrompt(m_meanPrompt);
             m_store.put({ "servers", "", id }, m_engines.back()->entry());
         }
         for (const char *name : { "edge-2", "edge-3", "edge-4", "edge-5", "edge-6" })
@@ -267,7 +276,8 @@
                 ++request.customer;
             request.urgent = m_random.uniform() < UrgentPart;
             // Gateways measure how fast engines read by prompts of at least 3000 tokens.
-            request.tokens = 3000 + static_cast<std::uint32_t>(m_random.below(2000));
+            const double length = m_meanPrompt * (0.75 + 0.5 * m_random.uniform());
+            request.tokens = static_cast<std::uint32_t>(length);
             boost::asio::co_spawn(m_io, call(request, phase), boost::asio::detached);
         }
     }
@@ -366,6 +376,7 @@
     std::vector<wire::Endpoint> m_entries;
     std::vector<std::string> m_refused;
     Figures m_figures;
+    double m_meanPrompt = 0;
     int m_generated = 0;
     int m_open = 0;
     /// Whether requests that end now count for the worth.
@@ -399,6 +410,32 @@
     EXPECT_GE(figuresOf(Load::Flood).others.part(), MinOthersInTarget);
 }
 
+// The same three for short prompts. Guards against rules that are off while their estimate is not
+// known: no prompt is long enough to measure how fast engines read.
+TEST_F(HardLoadTest, UrgentShortPromptsMeetTheirTargetInOverload)
+{
+    EXPECT_GE(figuresOf(Load::Overload, Prompts::Short).urgent.part(), MinUrgentInTarget);
+}
+
+TEST_F(HardLoadTest, CapacityIsSpentOnShortPromptsInTargetInOverload)
+{
+    EXPECT_GE(figuresOf(Load::Overload, Prompts::Short).worth(), MinWorth);
+}
+
+TEST_F(HardLoadTest, OtherCustomersWithShortPromptsMeetTheirTargetInAFlood)
+{
+    EXPECT_GE(figuresOf(Load::Flood, Prompts::Short).others.part(), MinOthersInTarget);
+}
+
+// Guards against calm seconds with short prompts that the rules for overload spoil.
+TEST_F(HardLoadTest, CalmLoadOfShortPromptsIsServedInTargetWithoutRefusals)
+{
+    const Figures &figures = figuresOf(Load::Calm, Prompts::Short);
+    EXPECT_GE(figures.urgent.part(), MinNormalInTarget);
+    EXPECT_GE(figures.patient.part(), MinNormalInTarget);
+    EXPECT_EQ(figures.refused, 0);
+}
+
 // Guards against refusals that callers can't rely on: a caller that repeats a request which has run
 // gets its work done twice.
 TEST_F(HardLoadTest, NoRefusedRequestHasRun)
--- a/tests/gateway/queueing_engine.cpp
+++ b/tests/gateway/queueing_engine.cpp
@@ -45,7 +45,7 @@
 
 double QueueingEngine::capacity() const
 {
-    const Seconds inSlot = readTime(MeanPromptTokens) + Events * eventInterval();
+    const Seconds inSlot = readTime(m_meanPrompt) + Events * eventInterval();
     return m_ended ? 0 : Slots / inSlot.count();
 }
 
@@ -58,7 +58,7 @@
 
 QueueingEngine::Seconds QueueingEngine::readTime(double tokens) const
 {
-    return Seconds(tokens / TokensPerSecond * m_slowness);
+    return Seconds(tokens * (MeanPromptTokens / m_meanPrompt) / TokensPerSecond * m_slowness);
 }
 
 QueueingEngine::Seconds QueueingEngine::eventInterval() const
--- a/tests/gateway/queueing_engine.hpp
+++ b/tests/gateway/queueing_engine.hpp
@@ -27,7 +27,7 @@
     static constexpr int Slots = 6;
     static constexpr std::size_t QueueLength = 12;
     static constexpr int Events = 12;
-    /// Mean length of the prompts for which capacity() holds.
+    /// Mean length of the prompts for which capacity() holds, unless another one is set.
     static constexpr double MeanPromptTokens = 4000;
 
     /// `slowness`: time that work takes here, relative to the usual.
@@ -38,6 +38,8 @@
     [[nodiscard]] std::string entry() const;
     /// Requests per second that its slots can carry; 0 after end().
     [[nodiscard]] double capacity() const;
+    /// Reads prompts in a time for which capacity() holds at this mean length.
+    void setMeanPrompt(double tokens) { m_meanPrompt = tokens; }
     /// Ends like a process that is killed: the port is closed and all connections break.
     void end();
     [[nodiscard]] bool ended() const { return m_ended; }
@@ -59,6 +61,7 @@
 
     std::string m_id;
     double m_slowness;
+    double m_meanPrompt = MeanPromptTokens;
     /// Notified when a slot is freed or a request leaves the queue.
     wire::Signal m_changed;
     std::set<Turn> m_waiting;
