Rest model captures no structured binding; the soak's judge reads events once

Two checks of the judge read lines of the gateways' logs in the same words; they share forEachEvent now. No check changes.

--- a/src/snipestall/serving/server_rest_model_test.cpp
+++ b/src/snipestall/serving/server_rest_model_test.cpp
@@ -75,11 +75,12 @@
         int most = 0;
         for (const auto &[path, rests] : m_rests) {
             const std::vector<SteadyTime> &arrivals = m_arrivals.at(path);
-            for (const auto &[begin, end] : rests)
-                most = std::max<int>(
-                    most, std::ranges::count_if(arrivals, [&, from = begin + OnItsWay](auto time) {
-                        return time > from && time < end;
-                    }));
+            for (const auto &rest : rests) {
+                const auto count = std::ranges::count_if(arrivals, [&rest](SteadyTime time) {
+                    return time > rest.first + OnItsWay && time < rest.second;
+                });
+                most = std::max(most, static_cast<int>(count));
+            }
         }
         return most;
     }
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -369,19 +369,28 @@
     }
 }
 
-void Judge::judgeNotices()
+void Judge::forEachEvent(const std::string &name,
+                         const std::function<void(const boost::json::value &)> &handle) const
 {
-    for (const Attempt &attempt : m_record.attempts)
-        m_attempts[attempt.id] = &attempt;
     std::istringstream log(m_record.gatewayLog);
     for (std::string line; std::getline(log, line);) {
-        if (line.find(R"("request-forwarded")") == std::string::npos)
+        if (line.find('"' + name + '"') == std::string::npos)
             continue;
+        // The end of a line is missing where its gateway was killed.
         boost::system::error_code error;
         const boost::json::value event = boost::json::parse(line, error);
         if (!error)
-            m_forwarded.emplace(event.at("attempt").as_string());
+            handle(event);
     }
+}
+
+void Judge::judgeNotices()
+{
+    for (const Attempt &attempt : m_record.attempts)
+        m_attempts[attempt.id] = &attempt;
+    forEachEvent("request-forwarded", [this](const boost::json::value &event) {
+        m_forwarded.emplace(event.at("attempt").as_string());
+    });
     for (const Notice &notice : m_notices) {
         const auto asked = m_attempts.find(notice.attempt);
         if (asked != m_attempts.end() && !m_forwarded.contains(notice.attempt))
@@ -478,22 +487,14 @@
     std::map<std::string, const Attempt *> attempts;
     for (const Attempt &attempt : m_record.attempts)
         attempts[attempt.id] = &attempt;
-    std::istringstream log(m_record.gatewayLog);
-    for (std::string line; std::getline(log, line);) {
-        if (line.find(R"("overload-refused")") == std::string::npos)
-            continue;
-        // The end of a line is missing where its gateway was killed.
-        boost::system::error_code error;
-        const json::value event = json::parse(line, error);
-        if (error)
-            continue;
+    forEachEvent("overload-refused", [&](const json::value &event) {
         const std::string id(event.at("attempt").as_string());
         const std::string retryAfter(event.at("retry_after_ms").as_string());
         if (const auto found = attempts.find(id); found == attempts.end())
             m_findings.push_back("a gateway refused by load what no client sent: " + id);
         else
             judgeOverloadRefusal(*found->second, milliseconds(std::atoll(retryAfter.c_str())));
-    }
+    });
 }
 
 void Judge::judgeOverloadRefusal(const Attempt &attempt, milliseconds retryAfter)
--- a/tests/soak/judge.hpp
+++ b/tests/soak/judge.hpp
@@ -4,8 +4,11 @@
 #include "soak/fault_plan.hpp"
 #include "soak/version_order.hpp"
 
+#include <boost/json/value.hpp>
+
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <iosfwd>
 #include <map>
 #include <set>
@@ -95,6 +98,9 @@
     void judgeRepeats();
     /// Compares what a server with a limit got with that limit.
     void judgeLimits();
+    /// Calls `handle` with each line of the gateways' logs of this event that can be read.
+    void forEachEvent(const std::string &name,
+                      const std::function<void(const boost::json::value &)> &handle) const;
     /// Counts what a server got from instances that it had asked for rest, or that had passed on
     /// that it leaves.
     void judgeNotices();
