Test of a crashing prompt counts calls by the times of their log lines

CrashingRequestTest.SentAtThreeInstancesOfOneData Centre failed in its setup after 60 s: it waited until exactly 14 calls more than before were accepted.

The test now counts the lines that bear a time since it began to send. The number is exact as before, 14 or 8, and no check changes.

--- a/tests/proof/crashing_request_test.cpp
+++ b/tests/proof/crashing_request_test.cpp
@@ -5,7 +5,10 @@
 #include "proof/event_text.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <ctime>
 #include <future>
+#include <iomanip>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -31,21 +34,38 @@
         });
     }
 
-    /// Counts the calls of callers that the entries have accepted, by their logs.
-    int acceptedCalls()
+    /// Counts the calls of callers that the entries have accepted since a time, by their logs.
+    /// Lines of earlier calls may reach the logs later than the answers reach the callers.
+    int acceptedCallsSince(std::chrono::system_clock::time_point time)
     {
+        const std::string from = logTime(time);
         int calls = 0;
         for (const EntrySpec &entry : topology().spec().entries) {
             std::istringstream log(
                 readFile(topology().directory().path() + "/" + entry.name + ".log"));
             for (std::string line; std::getline(log, line);) {
-                const bool arrival = line.find("request-accepted") != std::string::npos;
-                calls += arrival && line.find("from=\"caller\"") != std::string::npos ? 1 : 0;
+                const bool arrival = line.find("request-accepted") != std::string::npos
+                    && line.find("from=\"caller\"") != std::string::npos;
+                calls += arrival && line.compare(0, from.size(), from) >= 0 ? 1 : 0;
             }
         }
         return calls;
     }
 
+    /// A time as log lines begin with it.
+    static std::string logTime(std::chrono::system_clock::time_point time)
+    {
+        using std::chrono::milliseconds;
+        const auto millis = std::chrono::duration_cast<milliseconds>(time.time_since_epoch());
+        const std::time_t seconds = millis.count() / 1000;
+        std::tm parts {};
+        gmtime_r(&seconds, &parts);
+        std::ostringstream text;
+        text << std::put_time(&parts, "%Y-%m-%dT%H:%M:%S.") << std::setw(3) << std::setfill('0')
+             << millis.count() % 1000;
+        return text.str();
+    }
+
     std::int64_t crashedEngines()
     {
         const auto &servers = topology().spec().servers;
@@ -90,7 +110,7 @@
             server.arguments = { "--token_ms=20", "--slots=4" };
         start(std::move(spec));
         const auto &entries = topology().spec().entries;
-        const int before = acceptedCalls();
+        const auto begun = std::chrono::system_clock::now();
         std::vector<std::future<Answer>> neighbours;
         for (int i = 0; i < neighbourCount; ++i) {
             const auto &entry = entries[static_cast<std::size_t>(i) % entries.size()].name;
@@ -99,7 +119,7 @@
         }
         // On a busy machine the thread of a call may start late. The crashing request would then
         // take the last slot first, and the call would be refused before any engine has crashed.
-        ASSERT_TRUE(waitUntil([&] { return acceptedCalls() == before + neighbourCount; }));
+        ASSERT_TRUE(waitUntil([&] { return acceptedCallsSince(begun) == neighbourCount; }));
         ASSERT_TRUE(waitUntil([this] { return everyEngineRuns(); }));
         const std::string answerTexts = order == Order::AtOnce ? atOnce() : oneAfterTheOther();
         for (int i = 0; i < neighbourCount; ++i) {
