Tests: each load of hard_load_test has gateways and engines of its own

Cause: `figuresOf()` called `startAll()` for each load that had not been played. It shows whenever such a test plays more than one load: alone, or in a run in which the tests that would have played them before are filtered out.

Change: `LoadRun` is a fixture of its own for one load; `HardLoadTest` plays one for each load and keeps its figures. No check, bound or load changed.

--- a/tests/gateway/hard_load_test.cpp
+++ b/tests/gateway/hard_load_test.cpp
@@ -143,29 +143,26 @@
                 figures.engineRejections);
 }
 
-class HardLoadTest : public GatewayPathTest
+/// Gateways and engines that play one load. A second load needs others, since the first one leaves
+/// engines that have ended, queues and learned rates behind.
+class LoadRun : public GatewayPathTest
 {
-protected:
-    static void SetUpTestSuite() { initLog(LogFormat::Text, Severity::Error); }
-
-    /// Plays the load if no test has done so.
-    const Figures &figuresOf(Load load, Prompts prompts = Prompts::Long)
+public:
+    LoadRun(Load load, Prompts prompts)
+        : m_meanPrompt(prompts == Prompts::Short ? ShortPromptTokens
+                                                 : QueueingEngine::MeanPromptTokens)
     {
-        static std::map<std::pair<Load, Prompts>, Figures> played;
-        const std::pair key { load, prompts };
-        const auto found = played.find(key);
-        if (found != played.end())
-            return found->second;
-        m_meanPrompt =
-            prompts == Prompts::Short ? ShortPromptTokens : QueueingEngine::MeanPromptTokens;
         startAll();
         run([this, load]() -> Task<void> { co_await play(load); });
         std::printf("%s prompts, ", prompts == Prompts::Short ? "short" : "long");
         print(load, m_figures);
-        return played.emplace(key, m_figures).first->second;
     }
 
+    [[nodiscard]] const Figures &figures() const { return m_figures; }
+
 private:
+    void TestBody() override { }
+
     struct Request
     {
         int customer = 0;
@@ -376,13 +373,30 @@
     std::vector<wire::Endpoint> m_entries;
     std::vector<std::string> m_refused;
     Figures m_figures;
-    double m_meanPrompt = 0;
+    double m_meanPrompt;
     int m_generated = 0;
     int m_open = 0;
     /// Whether requests that end now count for the worth.
     bool m_counting = false;
 };
 
+class HardLoadTest : public testing::Test
+{
+protected:
+    static void SetUpTestSuite() { initLog(LogFormat::Text, Severity::Error); }
+
+    /// Plays the load if no test has done so.
+    static const Figures &figuresOf(Load load, Prompts prompts = Prompts::Long)
+    {
+        static std::map<std::pair<Load, Prompts>, Figures> played;
+        const std::pair key { load, prompts };
+        const auto found = played.find(key);
+        if (found != played.end())
+            return found->second;
+        return played.emplace(key, LoadRun(load, prompts).figures()).first->second;
+    }
+};
+
 // Guards against refusals and lost targets that only the rules for overload cause.
 TEST_F(HardLoadTest, CalmLoadIsServedInTargetWithoutRefusals)
 {
