A stalled attempt ends only if its replacement can be sent

Callers saw 502 (answer-lost) after 0.5 to 1 s from sound servers that paused for 1.2 s and would have answered 0.5 s later. AttemptWatch ended an attempt without a first byte after 0.45 s + 3 x its prediction, and only then was a repeat asked for; if the limit on repeats was used up (909), the request had neither. Class: a run is given up by our own decision before what replaces it is secured.

Now serving::decideStall() decides by what the request still has: a run, time for the prediction of the next server, a repeat, and a server that is not silent itself. All of that is taken before the attempt is ended, and the next attempt uses just this. Otherwise the request goes on waiting and is decided on again after a quarter of its wait more. Event 970 has each new decision, three metrics count them. A silent server is avoided until a byte of it arrives, without counting as failing.

A repeat that was taken and never reached a server is given back with its age, so that the limit's proof holds. A move of a stream takes its repeat only once it has a target.

--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -102,6 +102,7 @@
 extern const EventInfo RolloutStepTaken;
 extern const EventInfo RolloutStored;
 extern const EventInfo RolloutFollowed;
+extern const EventInfo AttemptStalled;
 
 /// Returns all events, ordered by number.
 std::span<const EventInfo *const> all();
--- a/include/snipestall/gateway/gateway_counters.hpp
+++ b/include/snipestall/gateway/gateway_counters.hpp
@@ -19,6 +19,11 @@
     /// Attempts beyond the first of their request, and those that the limit on them refused.
     std::uint64_t repeats = 0;
     std::uint64_t repeatsRefused = 0;
+    /// Attempts whose server was silent for too long, and those of them that were replaced.
+    std::uint64_t stalled = 0;
+    std::uint64_t stalledReplaced = 0;
+    /// Servers that could not be reached or that broke off an answer.
+    std::uint64_t serverLosses = 0;
     /// Attempts through another instance, because this one reached no backend server.
     std::uint64_t forwarded = 0;
     /// Streams that callers took up: those that went on, those whose origin was not known, and
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -15,6 +15,8 @@
 #include "snipestall/serving/overload_rule.hpp"
 #include "snipestall/serving/placement.hpp"
 #include "snipestall/serving/prompt_parts.hpp"
+#include "snipestall/serving/retry_allowance.hpp"
+#include "snipestall/serving/stall_rule.hpp"
 #include "snipestall/wire/event_splitter.hpp"
 #include "snipestall/wire/task.hpp"
 
@@ -66,6 +68,14 @@
         Moved,
     };
 
+    /// The attempt that follows one that was ended because it was stalled.
+    struct Replacement
+    {
+        serving::ServerChoice placed;
+        /// Set if the request is forwarded instead.
+        std::optional<serving::ForwardTarget> instance;
+    };
+
     /// Waits, for a short time at most, until the process has the data that it needs to serve
     /// requests.
     wire::Task<void> awaitStart();
@@ -85,6 +95,10 @@
     void logResumed(const std::string &source, std::chrono::milliseconds age) const;
     void logNotResumed(const std::string &reason) const;
     wire::Task<void> serve();
+    /// Sets what a choice of a server depends on at this moment.
+    void updatePlacement(serving::PlacementRequest &request);
+    /// Attempts the request at a server, and follows its run if that is moved.
+    wire::Task<AttemptEnd> attemptAt(serving::ServerChoice placed);
     wire::Task<AttemptEnd> attempt(serving::ServerChoice placed);
     /// Returns the refusal if the request would be late at every server; nothing if it is to be
     /// sent.
@@ -131,8 +145,14 @@
     [[nodiscard]] bool mayRetry(AttemptEnd last);
     /// Takes a repeat from the limit of the service; returns false if it is used up.
     [[nodiscard]] bool takeRepeat();
+    /// An attempt was begun: if it may have reached its server, a repeat that was taken is used.
+    void useRepeat(const BackendCall &call);
+    /// Gives back a repeat that was taken and is not used.
+    void returnRepeat();
     /// Handles an answer that was cut off. The server may have crashed because of this request.
     void handleConnectionLoss(const serving::ServerStatePtr &server);
+    /// The server can't be reached, or broke the connection.
+    void recordLoss(serving::ServerState &server);
     /// The parts of the prompt that other requests may have as well; none without a prompt.
     [[nodiscard]] serving::PromptParts promptParts() const;
     /// The same if the answer of the current attempt has not or has just begun; none otherwise.
@@ -172,6 +192,11 @@
     [[nodiscard]] std::string predictedText() const;
     void watchForStall(const serving::ServerStatePtr &server);
     void stopStallWatch();
+    /// The current attempt is stalled: ends it if another one can replace it.
+    void handleStall(const serving::ServerState &server, SteadyTime now);
+    /// Where the request can be attempted now, other than at servers that are silent.
+    [[nodiscard]] std::optional<Replacement> findReplacement(SteadyTime now);
+    wire::Task<AttemptEnd> attemptReplacement();
     void watchForReclaim(const serving::ServerStatePtr &server);
     void stopReclaimWatch();
     /// The server stops soon: moves the run to another one.
@@ -219,6 +244,12 @@
     /// Server from which the current one copies shared parts of the prompt.
     std::optional<wire::Endpoint> m_copyFrom;
     std::optional<AttemptWatch::Handle> m_stallHandle;
+    /// Last decision on the current attempt, if it is stalled.
+    std::optional<serving::StallDecision> m_stallDecision;
+    /// Set from the end of a stalled attempt until its replacement begins.
+    std::optional<Replacement> m_replacement;
+    /// A repeat that was taken from the limit and has not been sent.
+    std::optional<serving::RepeatCredit> m_repeat;
     std::optional<StreamWatch::Handle> m_streamHandle;
     std::shared_ptr<StreamMove> m_move;
     /// Location of the KV cache of the run that the next attempt continues.
--- a/include/snipestall/serving/expiring_credits.hpp
+++ b/include/snipestall/serving/expiring_credits.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <deque>
+#include <optional>
 
 namespace snipestall::serving {
 
@@ -25,8 +26,12 @@
 
     void add(Batch batch);
     [[nodiscard]] double total(SteadyTime now) const;
-    /// Spends the oldest credits. Returns false, and spends nothing, if there are not enough.
-    bool trySpend(double amount, SteadyTime now);
+    [[nodiscard]] bool hasAtLeast(double amount, SteadyTime now) const;
+    /// Spends the oldest credits and returns them; they count as old as the oldest of them. Spends
+    /// nothing if there are not enough.
+    std::optional<Batch> spend(double amount, SteadyTime now);
+    /// The same for credits that are not given back.
+    bool trySpend(double amount, SteadyTime now) { return spend(amount, now).has_value(); }
     /// Takes out the newest credits, at most `amount`. They count as old as the oldest of them.
     Batch takeNewest(double amount, SteadyTime now);
 
--- a/include/snipestall/serving/retry_allowance.hpp
+++ b/include/snipestall/serving/retry_allowance.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,13 @@
     std::chrono::milliseconds age { 0 };
 };
 
+/// The credit that was spent on one repeat.
+struct RepeatCredit
+{
+    std::string service;
+    SteadyTime earnedAt;
+};
+
 /// Limits the repeated attempts that this instance sends to each service.
 ///
 /// Load: many servers fail or lose answers, so that most attempts have to be repeated, while
@@ -59,8 +67,17 @@
     void setInstances(std::size_t count, SteadyTime now);
     /// Counts a first attempt.
     void countFirstAttempt(const std::string &service, SteadyTime now);
-    /// Spends a credit on a repeat; returns false if there is none.
-    bool tryRepeat(const std::string &service, SteadyTime now);
+    /// Spends a credit on a repeat; returns nothing if there is none.
+    std::optional<RepeatCredit> takeRepeat(const std::string &service, SteadyTime now);
+    /// The same for a repeat that is sent in any case.
+    bool tryRepeat(const std::string &service, SteadyTime now)
+    {
+        return takeRepeat(service, now).has_value();
+    }
+    /// Whether takeRepeat() would return a credit.
+    [[nodiscard]] bool hasRepeat(const std::string &service, SteadyTime now);
+    /// The repeat was not sent. The credit expires when it would have without having been taken.
+    void giveBack(const RepeatCredit &credit);
 
     /// Credits of this instance, for its peers.
     [[nodiscard]] RetryLevels levels(SteadyTime now);
--- a/include/snipestall/serving/server_table.hpp
+++ b/include/snipestall/serving/server_table.hpp
@@ -120,6 +120,8 @@
     /// Another incarnation answers at the address of this one, so this one has ended, whatever the
     /// list still contains.
     static void markReplaced(ServerState &server) { server.departed = true; }
+    /// A byte arrived from a server.
+    static void heard(ServerState &server, SteadyTime now);
     /// A server sent a complete answer.
     void answered(ServerState &server, SteadyTime now);
     /// A server sent a complete answer with the status of a failure.
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -414,6 +414,13 @@
 const EventInfo RolloutFollowed { 954, Severity::Info, "rollout-followed",
                                   "This instance heard of another step of a rollout.", "None." };
 
+const EventInfo AttemptStalled {
+    970, Severity::Info, "attempt-stalled",
+    "An attempt waits for far longer than predicted and nothing arrives from its server. It was "
+    "replaced by another one, or goes on waiting; the decision says which, and why.",
+    "None; if this lasts, look whether the server runs and can be reached."
+};
+
 namespace {
 
 const std::array AllEvents {
@@ -509,6 +516,7 @@
     &RolloutStepTaken,
     &RolloutStored,
     &RolloutFollowed,
+    &AttemptStalled,
 };
 
 } // namespace
--- a/src/snipestall/gateway/gateway_metrics.cpp
+++ b/src/snipestall/gateway/gateway_metrics.cpp
@@ -49,7 +49,7 @@
 }
 
 /// Help texts are part of the exported metrics and stay stable.
-constexpr std::array<Gauge, 25> Gauges { {
+constexpr std::array<Gauge, 28> Gauges { {
     { "snipestall_gateway_requests", "Requests read since the start.",
       [](const GatewayState &s) { return double(s.counters.requests); } },
     { "snipestall_gateway_answered", "Requests answered by a backend server since the start.",
@@ -97,6 +97,15 @@
     { "snipestall_gateway_repeats_refused",
       "Sends beyond the first that the limit on repeats refused since the start.",
       [](const GatewayState &s) { return double(s.counters.repeatsRefused); } },
+    { "snipestall_gateway_attempts_stalled",
+      "Attempts since the start whose server was silent for far longer than predicted.",
+      [](const GatewayState &s) { return double(s.counters.stalled); } },
+    { "snipestall_gateway_attempts_replaced",
+      "Those of the stalled attempts that were ended and sent to another server.",
+      [](const GatewayState &s) { return double(s.counters.stalledReplaced); } },
+    { "snipestall_gateway_server_losses",
+      "Attempts since the start at servers that could not be reached or broke the connection.",
+      [](const GatewayState &s) { return double(s.counters.serverLosses); } },
     { "snipestall_gateway_in_flight", "Requests that have no final answer yet.",
       [](const GatewayState &s) { return double(s.requestsInFlight); } },
     { "snipestall_gateway_servers", "Backend servers that take work, as known here.",
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -128,22 +128,7 @@
     if (m_maybeRan && (!m_route->mayRepeat() || m_budget.runsLeft() == 0))
         return false;
     // A request that did not reach the other instance has reached no server either.
-    return m_forwardUnsent || takeRepeat();
-}
-
-bool RequestRelay::takeRepeat()
-{
-    const std::string &service = m_placementRequest.service->name;
-    if (m_state.retries.tryRepeat(service, m_state.clock.steadyNow())) {
-        ++m_state.counters.repeats;
-        return true;
-    }
-    ++m_state.counters.repeatsRefused;
-    logEvent(events::RepeatRefused,
-             { { "attempt", m_header.attemptId },
-               { "service", service },
-               { "sends", std::to_string(m_budget.used().sends) } });
-    return false;
+    return m_forwardUnsent || m_replacement || takeRepeat();
 }
 
 Task<void> RequestRelay::serve()
@@ -152,6 +137,10 @@
         m_state.retries.countFirstAttempt(m_placementRequest.service->name, m_received);
     AttemptEnd last = AttemptEnd::NotRun;
     do {
+        if (m_replacement) {
+            last = co_await attemptReplacement();
+            continue;
+        }
         m_serverMissing = m_answer.origin() && !setOrigin(*m_answer.origin());
         if (m_serverMissing)
             break;
@@ -160,12 +149,7 @@
             continue;
         }
         m_forwardUnsent = false;
-        m_placementRequest.versions = m_state.rollouts.choose(
-            m_placementRequest.service->name, m_route->name, m_budget.used().sends == 0,
-            m_state.random, m_state.clock.steadyNow());
-        if (m_state.commonTime.known())
-            m_placementRequest.time = m_state.commonTime.at(m_state.clock.steadyNow());
-        m_placementRequest.unseenWork = m_state.unseenWork(*m_placementRequest.service);
+        updatePlacement(m_placementRequest);
         const auto placed = m_state.placement.choose(m_placementRequest, m_state.clock.steadyNow());
         if (!placed) {
             const auto holder = shareHolder();
@@ -178,20 +162,38 @@
         m_overload = overloadAt(*placed);
         if (m_overload)
             break;
-        last = co_await attempt(*placed);
-        while (last == AttemptEnd::Moved) {
-            co_await awaitTargetOfMove();
-            last = co_await attempt(finishMove());
-        }
-        co_await awaitCrashEvidence();
-        if (last != AttemptEnd::Final)
-            co_await awaitPartVerdict();
+        last = co_await attemptAt(*placed);
     } while (mayRetry(last));
+    returnRepeat();
     if (last == AttemptEnd::Final || m_answer.ended())
         co_return;
     co_await finishUnserved(last);
 }
 
+Task<RequestRelay::AttemptEnd> RequestRelay::attemptAt(serving::ServerChoice placed)
+{
+    AttemptEnd last = co_await attempt(std::move(placed));
+    while (last == AttemptEnd::Moved) {
+        co_await awaitTargetOfMove();
+        serving::ServerChoice target = finishMove();
+        last = co_await attempt(std::move(target));
+    }
+    co_await awaitCrashEvidence();
+    if (last != AttemptEnd::Final)
+        co_await awaitPartVerdict();
+    co_return last;
+}
+
+void RequestRelay::updatePlacement(serving::PlacementRequest &request)
+{
+    const SteadyTime now = m_state.clock.steadyNow();
+    request.versions = m_state.rollouts.choose(request.service->name, m_route->name,
+                                               m_budget.used().sends == 0, m_state.random, now);
+    if (m_state.commonTime.known())
+        request.time = m_state.commonTime.at(now);
+    request.unseenWork = m_state.unseenWork(*request.service);
+}
+
 std::optional<serving::OverloadRefusal>
 RequestRelay::overloadAt(const serving::ServerChoice &placed) const
 {
@@ -214,7 +216,7 @@
     if (m_atInstance)
         return;
     const SteadyTime now = m_state.clock.steadyNow();
-    m_state.servers.lost(*server, now);
+    recordLoss(*server);
     // A server with a notice was reclaimed, so no request caused its end.
     if (server->info.leaving)
         return;
@@ -223,6 +225,12 @@
         boost::asio::co_spawn(m_state.io, probeServerEnd(m_state, server), boost::asio::detached);
 }
 
+void RequestRelay::recordLoss(serving::ServerState &server)
+{
+    ++m_state.counters.serverLosses;
+    m_state.servers.lost(server, m_state.clock.steadyNow());
+}
+
 Task<void> RequestRelay::awaitCrashEvidence()
 {
     const SteadyTime until = m_state.clock.steadyNow() + CrashEvidenceWait;
@@ -307,17 +315,18 @@
     const CallStart start =
         co_await call->start(std::move(request), m_header.attemptId, ConnectTimeout, m_deadline,
                              [this, &server] { return maySend(*server); });
+    useRepeat(*call);
     if (start == CallStart::Answered && !m_route->isStream())
         stopStallWatch();
     AttemptEnd end = AttemptEnd::Failed;
     recordReach(start, *server);
     if (start == CallStart::Answered) {
-        server->lastByteAt = m_state.clock.steadyNow();
+        serving::ServerTable::heard(*server, m_state.clock.steadyNow());
         end = co_await handleAnswer(server);
     } else if (start == CallStart::Unwanted) {
         end = AttemptEnd::NotRun;
     } else if (start == CallStart::Unreachable) {
-        m_state.servers.lost(*server, m_state.clock.steadyNow());
+        recordLoss(*server);
         m_connectionRejected = call->connectionRejected();
         if (call->refused())
             m_state.crashes.connectionRefused(server->key, m_state.clock.steadyNow());
@@ -430,26 +439,6 @@
                                  m_state.commonTime.at(m_state.clock.steadyNow()));
 }
 
-void RequestRelay::watchForStall(const serving::ServerStatePtr &server)
-{
-    if (!m_route->mayRepeat() || m_budget.runsLeft() <= 1 || m_answer.begun())
-        return;
-    const double rate = m_state.demand.readRate(m_placementRequest.service->name);
-    std::chrono::duration<double> predicted { 0 };
-    if (rate > 0)
-        predicted = std::chrono::duration<double>((m_tokensAhead + m_unreadTokens) / rate);
-    // At a full engine a prompt also waits for a slot.
-    if (m_predicted)
-        predicted = std::max(predicted, m_predicted->total);
-    m_stallHandle = m_state.attempts.add({ m_call, server, m_sentAt, predicted });
-}
-
-void RequestRelay::stopStallWatch()
-{
-    if (m_stallHandle)
-        m_state.attempts.remove(*std::exchange(m_stallHandle, std::nullopt));
-}
-
 void RequestRelay::recordSlotTime(const serving::ServerState &server)
 {
     const std::string &service = m_placementRequest.service->name;
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -60,7 +60,7 @@
         return AttemptEnd::Failed;
     }
     if (!m_callerGone && !m_atInstance)
-        m_state.servers.lost(*server, m_state.clock.steadyNow());
+        recordLoss(*server);
     return AttemptEnd::TimedOut;
 }
 
@@ -165,7 +165,7 @@
     while (true) {
         const BodyRead piece = co_await m_call->readBody(m_deadline);
         if (piece.kind == BodyRead::Kind::Bytes) {
-            server->lastByteAt = m_state.clock.steadyNow();
+            serving::ServerTable::heard(*server, m_state.clock.steadyNow());
             pace.event(server->lastByteAt);
             if (co_await forwardEvents(splitter.feed(piece.bytes), origin)) {
                 if (splitter.incompleteEvent().size() <= MaxEventBytes)
--- a/src/snipestall/gateway/request_relay_forward.cpp
+++ b/src/snipestall/gateway/request_relay_forward.cpp
@@ -106,6 +106,7 @@
     };
     const CallStart start = co_await call->start(std::move(request), m_header.attemptId,
                                                  ConnectTimeout, m_deadline, std::move(isWanted));
+    useRepeat(*call);
     AttemptEnd end = AttemptEnd::NotRun;
     const bool unreachable = start == CallStart::Unreachable || start == CallStart::Lost;
     if (unreachable && !m_callerGone && !m_cancelled)
--- a/src/snipestall/gateway/request_relay_move.cpp
+++ b/src/snipestall/gateway/request_relay_move.cpp
@@ -63,15 +63,16 @@
 {
     const SteadyTime now = m_state.clock.steadyNow();
     // A run that has not begun has no KV cache to move.
-    if (!m_answer.lastEvent() || !m_answer.origin() || m_callerGone || !takeRepeat())
+    if (!m_answer.lastEvent() || !m_answer.origin() || m_callerGone)
         return;
     serving::PlacementRequest request = m_placementRequest;
     // The run may continue in any data centre, because only free capacity matters.
     request.mayRepeat = true;
     request.origin = m_answer.origin();
     const auto placed = m_state.placement.choose(request, now);
-    if (!placed)
+    if (!placed || !takeRepeat())
         return;
+    useRepeat(*m_call);
     m_state.limits.requestSent(*placed->server, now);
     serving::ServerTable::requestSent(*placed->server, now);
     m_move = std::make_shared<StreamMove>();
--- a/src/snipestall/serving/expiring_credits.cpp
+++ b/src/snipestall/serving/expiring_credits.cpp
@@ -27,13 +27,19 @@
     return sum;
 }
 
-bool ExpiringCredits::trySpend(double amount, SteadyTime now)
+bool ExpiringCredits::hasAtLeast(double amount, SteadyTime now) const
 {
-    dropExpired(now);
     // Sums of fractions are inexact.
     constexpr double Epsilon = 1e-9;
-    if (total(now) + Epsilon < amount)
-        return false;
+    return total(now) + Epsilon >= amount;
+}
+
+std::optional<ExpiringCredits::Batch> ExpiringCredits::spend(double amount, SteadyTime now)
+{
+    dropExpired(now);
+    if (!hasAtLeast(amount, now))
+        return std::nullopt;
+    const Batch spent { m_batches.empty() ? now : m_batches.front().earnedAt, amount };
     while (amount > 0 && !m_batches.empty()) {
         Batch &oldest = m_batches.front();
         const double part = std::min(oldest.amount, amount);
@@ -42,7 +48,7 @@
         if (oldest.amount <= 0)
             m_batches.pop_front();
     }
-    return true;
+    return spent;
 }
 
 ExpiringCredits::Batch ExpiringCredits::takeNewest(double amount, SteadyTime now)
--- a/src/snipestall/serving/retry_allowance.cpp
+++ b/src/snipestall/serving/retry_allowance.cpp
@@ -56,10 +56,24 @@
     creditsFor(service).add({ now, EarnedFraction * m_limits.ratio });
 }
 
-bool RetryAllowance::tryRepeat(const std::string &service, SteadyTime now)
+std::optional<RepeatCredit> RetryAllowance::takeRepeat(const std::string &service, SteadyTime now)
 {
     earnFixed(now);
-    return creditsFor(service).trySpend(1, now);
+    const auto spent = creditsFor(service).spend(1, now);
+    if (!spent)
+        return std::nullopt;
+    return RepeatCredit { service, spent->earnedAt };
+}
+
+bool RetryAllowance::hasRepeat(const std::string &service, SteadyTime now)
+{
+    earnFixed(now);
+    return creditsFor(service).hasAtLeast(1, now);
+}
+
+void RetryAllowance::giveBack(const RepeatCredit &credit)
+{
+    creditsFor(credit.service).add({ credit.earnedAt, 1 });
 }
 
 RetryLevels RetryAllowance::levels(SteadyTime now)
--- a/src/snipestall/serving/server_health_test.cpp
+++ b/src/snipestall/serving/server_health_test.cpp
@@ -30,6 +30,31 @@
     EXPECT_TRUE(health.usable(Start));
 }
 
+// Guards against a server that pauses for a second and counts as failing long after it: attempts
+// that this instance ended itself were recorded as losses.
+TEST(ServerHealth, ASilentServerIsAvoidedUntilItIsHeardAndHasNotFailed)
+{
+    ServerHealth health;
+    health.stalled(Start);
+    health.stalled(Start + 50ms);
+    EXPECT_FALSE(health.usable(Start + 399ms));
+    EXPECT_TRUE(health.usable(Start + 400ms));
+    health.stalled(Start + 400ms);
+    EXPECT_FALSE(health.usable(Start + 1199ms));
+    health.heard();
+    EXPECT_TRUE(health.usable(Start + 500ms));
+    EXPECT_EQ(health.failureRate(), 0);
+}
+
+// Guards against a byte on one connection that hides that others were broken off.
+TEST(ServerHealth, AByteDoesNotEndTheAvoidanceOfALostServer)
+{
+    ServerHealth health;
+    health.lost(Start);
+    health.heard();
+    EXPECT_FALSE(health.usable(Start + 399ms));
+}
+
 TEST(ServerHealth, TheFailureRateFollowsTheAnswers)
 {
     ServerHealth health;
--- a/src/snipestall/serving/server_table.cpp
+++ b/src/snipestall/serving/server_table.cpp
@@ -203,6 +203,12 @@
     m_dataCentres[server.info.dataCentre].lost(server.key, now);
 }
 
+void ServerTable::heard(ServerState &server, SteadyTime now)
+{
+    server.lastByteAt = now;
+    server.health.heard();
+}
+
 void ServerTable::failed(ServerState &server, SteadyTime now)
 {
     server.health.failed();
--- a/tests/gateway/raw_backend.cpp
+++ b/tests/gateway/raw_backend.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -59,13 +60,15 @@
 
 asio::awaitable<void> RawBackend::serve(tcp::socket socket)
 {
+    const Script script = m_script;
+    asio::steady_timer silence(socket.get_executor(), script.silence);
+    co_await silence.async_wait(UseTuple);
     std::string request;
     const auto [readError, size] = co_await asio::async_read_until(
         socket, asio::dynamic_buffer(request), "\r\n\r\n", UseTuple);
     if (readError)
         co_return;
     ++m_requests;
-    const Script script = m_script;
     std::string bytes = script.bytes;
     boost::algorithm::replace_all(bytes, "@ID", attemptOf(request));
     co_await asio::async_write(socket, asio::buffer(bytes), UseTuple);
--- a/tests/gateway/raw_backend.hpp
+++ b/tests/gateway/raw_backend.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 
@@ -27,6 +28,8 @@
         std::string bytes;
         End end = End::Close;
         std::string filler;
+        /// For how long nothing is read from a new connection, as if the process were stopped.
+        std::chrono::milliseconds silence { 0 };
     };
 
     RawBackend(boost::asio::io_context &io, std::string id);
