An attempt that this instance ended itself is no evidence of a loss

Cause: an attempt that was ended because its server was silent came back as a broken connection. So it counted as a loss of the server (avoided for up to 3.2 s, failure rate, and with several servers the whole data centre), as a broken connection that a crashing request may explain (with a probe), as a lost answer of its software version, and again as an unreachable server. Servers that pause for a second beside a change were avoided long after. Class: ends that we caused ourselves count against the server.

Before, the extended test fails: ARequestIsSentToAnotherServerAndTheSilentOneDoesNotCountAsLost: server_losses 1, expected 0

Now an attempt with a replacement says nothing of its server. That a server is silent is recorded by the stall itself, which only asks for connections to be opened to find out whether servers can be reached.

--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -210,7 +210,8 @@
 
 void RequestRelay::handleConnectionLoss(const serving::ServerStatePtr &server)
 {
-    if (m_callerGone || m_cancelled)
+    // An attempt that this instance ended itself says nothing of its server.
+    if (m_callerGone || m_cancelled || m_replacement)
         return;
     m_answerLost = true;
     if (m_atInstance)
@@ -380,7 +381,8 @@
 void RequestRelay::recordReach(CallStart start, const serving::ServerState &server)
 {
     // Whether a path that was cut is back is found out by ReachProber.
-    if (start == CallStart::Unwanted || m_callerGone || m_cancelled || m_state.reach.cutOff())
+    if (start == CallStart::Unwanted || m_callerGone || m_cancelled || m_replacement
+        || m_state.reach.cutOff())
         return;
     if (start == CallStart::Answered)
         m_state.reach.reached();
@@ -391,7 +393,8 @@
 VersionRecorder::Outcome RequestRelay::outcomeOf(CallStart start, AttemptEnd end) const
 {
     using Outcome = VersionRecorder::Outcome;
-    if (m_callerGone || m_cancelled || end == AttemptEnd::NotRun || end == AttemptEnd::Moved)
+    if (m_callerGone || m_cancelled || m_replacement || end == AttemptEnd::NotRun
+        || end == AttemptEnd::Moved)
         return Outcome::Unknown;
     if (m_answerLost || start == CallStart::Lost)
         return Outcome::Lost;
--- a/tests/gateway/silent_server_test.cpp
+++ b/tests/gateway/silent_server_test.cpp
@@ -134,8 +134,10 @@
     });
 }
 
-// Guards against a request that waits for a server that may be gone while another one is there.
-TEST_F(SilentServerTest, ARequestIsSentToAnotherServer)
+// Guards against two harms: a request that waits for a server that may be gone while another one
+// is there, and a server that only paused and counts as lost, because the instance itself ended
+// the attempt.
+TEST_F(SilentServerTest, ARequestIsSentToAnotherServerAndTheSilentOneDoesNotCountAsLost)
 {
     listServers(m_store, false);
     m_silent.play({ std::string(PlainHead) + "late", End::Close, "", 20s });
@@ -149,6 +151,7 @@
             stalled = co_await shows("attempts_replaced 1");
         }
         EXPECT_TRUE(co_await shows("repeats 1"));
+        EXPECT_TRUE(co_await shows("server_losses 0"));
     });
 }
 
