The idle limit in force holds for idle connections, and reads what arrived

Two faults of one timer. Cause: the wait for the next request of a caller kept the idle limit that was in force when it began, and the timer of the stream closed the socket itself. - After a change that raises the limit, callers go by the new one (they reuse connections that were idle for up to four fifths of it), and their connections were closed by the old one. - If the loop is late, the end of the idle time is handled before the request that has arrived in time: the socket closes with unread bytes, and the caller sees a reset instead of an answer.

Before, with the timer of the stream, two of the new tests fail: ARaisedLimitHoldsForConnectionsThatAreIdle: closed at the old limit ARequestThatHasArrivedIsReadAlthoughTheIdleTimeIsOver: Closed, not Ok

Now a timer of its own reads the limit again when the time is up, and cancels the wait, which still reads a request whose first bytes are there (as at a shutdown). A limit that is lowered holds for a wait that has begun only after the old one, so callers that have not heard of it are not cut.

--- a/include/snipestall/gateway/caller_connection.hpp
+++ b/include/snipestall/gateway/caller_connection.hpp
@@ -38,7 +38,9 @@
 
     explicit CallerConnection(boost::asio::ip::tcp::socket socket);
 
-    wire::Task<RequestRead> readRequest(serving::TrafficLimits limits);
+    using Limits = std::function<serving::TrafficLimits()>;
+    /// `limits` returns those in force at the moment: they may change while the connection is idle.
+    wire::Task<RequestRead> readRequest(Limits limits);
     /// The request that was read last.
     [[nodiscard]] Request &request() { return m_request; }
 
@@ -66,7 +68,9 @@
 
 private:
     /// Reads the first bytes of the next request; returns false if none arrive.
-    wire::Task<bool> awaitBytes(std::chrono::milliseconds timeout);
+    wire::Task<bool> awaitBytes();
+    /// Ends the idle wait once the connection has been idle for as long as the limit in force says.
+    void watchIdleTime();
     void armWatch();
     void onReadable();
     void scheduleWatch();
@@ -76,6 +80,9 @@
     Request m_request;
     std::function<void()> m_onDisconnect;
     boost::asio::steady_timer m_watchTimer;
+    Limits m_limits;
+    boost::asio::steady_timer m_idleTimer;
+    std::chrono::steady_clock::time_point m_idleSince;
     bool m_watchArmed = false;
     bool m_idle = false;
     bool m_closed = false;
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -69,18 +69,39 @@
 CallerConnection::CallerConnection(tcp::socket socket)
     : m_stream(std::move(socket))
     , m_watchTimer(m_stream.get_executor())
+    , m_idleTimer(m_stream.get_executor())
 {
     wire::detectLostPeer(m_stream.socket());
 }
 
-Task<bool> CallerConnection::awaitBytes(std::chrono::milliseconds timeout)
+// Failures: the limit is raised while a connection is idle, and callers that go by the new one use
+// a connection that is closed by the old one. And a timer that closes the socket itself drops a
+// request that has arrived and is not read yet. So the limit is read again when the time is up, and
+// then the wait is cancelled, which reads what has arrived.
+void CallerConnection::watchIdleTime()
 {
+    m_idleTimer.expires_at(m_idleSince + m_limits().idleTimeout);
+    m_idleTimer.async_wait([self = shared_from_this()](const beast::error_code &error) {
+        if (error || !self->m_idle)
+            return;
+        if (std::chrono::steady_clock::now() < self->m_idleSince + self->m_limits().idleTimeout)
+            self->watchIdleTime();
+        else
+            self->cancelIdleWait();
+    });
+}
+
+Task<bool> CallerConnection::awaitBytes()
+{
+    m_stream.expires_never();
     while (true) {
         m_idle = true;
-        m_stream.expires_after(timeout);
+        m_idleSince = std::chrono::steady_clock::now();
+        watchIdleTime();
         auto [error, bytes] =
             co_await m_stream.async_read_some(m_buffer.prepare(FirstReadBytes), UseTuple);
         m_idle = false;
+        m_idleTimer.cancel();
         if (!error) {
             m_buffer.commit(bytes);
             co_return true;
@@ -91,10 +112,12 @@
     }
 }
 
-Task<RequestRead> CallerConnection::readRequest(serving::TrafficLimits limits)
+Task<RequestRead> CallerConnection::readRequest(Limits limitsInForce)
 {
-    if (m_buffer.size() == 0 && !co_await awaitBytes(limits.idleTimeout))
+    m_limits = std::move(limitsInForce);
+    if (m_buffer.size() == 0 && !co_await awaitBytes())
         co_return RequestRead::Closed;
+    const serving::TrafficLimits limits = m_limits();
     RequestParser parser;
     parser.header_limit(limits.maxHeaderBytes);
     parser.body_limit(limits.maxBodyBytes);
@@ -214,6 +237,7 @@
     m_closed = true;
     m_onDisconnect = nullptr;
     m_watchTimer.cancel();
+    m_idleTimer.cancel();
     m_stream.close();
 }
 
--- a/src/snipestall/gateway/caller_connection_test.cpp
+++ b/src/snipestall/gateway/caller_connection_test.cpp
@@ -4,11 +4,14 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <optional>
 #include <string_view>
+#include <thread>
 
 namespace snipestall::gateway {
 namespace {
@@ -20,17 +23,17 @@
 class CallerLinkTest : public testing::Test
 {
 protected:
-    CallerLinkTest()
+    explicit CallerLinkTest(std::chrono::milliseconds idleTimeout = 30s)
     {
+        m_limits.idleTimeout = idleTimeout;
+        m_limits.headerTimeout = 30s;
         tcp::acceptor acceptor(m_io, { boost::asio::ip::address_v4::loopback(), 0 });
         m_caller.connect(acceptor.local_endpoint());
         m_connection = std::make_shared<CallerConnection>(acceptor.accept());
         boost::asio::co_spawn(
             m_io,
             [this]() -> Task<void> {
-                serving::TrafficLimits limits;
-                limits.idleTimeout = 30s;
-                limits.headerTimeout = 30s;
+                const CallerConnection::Limits limits = [this] { return m_limits; };
                 m_read = co_await m_connection->readRequest(limits);
             },
             boost::asio::detached);
@@ -44,6 +47,7 @@
         boost::asio::write(m_caller, boost::asio::buffer(text.data(), text.size()));
     }
 
+    serving::TrafficLimits m_limits;
     boost::asio::io_context m_io { 1 };
     tcp::socket m_caller { m_io };
     std::shared_ptr<CallerConnection> m_connection;
@@ -69,5 +73,51 @@
     EXPECT_EQ(m_read, RequestRead::Closed);
 }
 
+class ShortIdleTest : public CallerLinkTest
+{
+protected:
+    static constexpr std::chrono::milliseconds IdleTimeout { 50 };
+
+    ShortIdleTest()
+        : CallerLinkTest(IdleTimeout)
+    { }
+
+    static constexpr std::string_view Request = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n";
+};
+
+// Guards against closing a connection that its caller may reuse: the limit was raised while the
+// connection was idle, and the old one stayed in force for it.
+TEST_F(ShortIdleTest, ARaisedLimitHoldsForConnectionsThatAreIdle)
+{
+    m_limits.idleTimeout = 30s;
+    m_io.restart();
+    m_io.run_for(4 * IdleTimeout);
+    ASSERT_FALSE(m_read);
+    send(Request);
+    m_io.restart();
+    m_io.run();
+    EXPECT_EQ(m_read, RequestRead::Ok);
+}
+
+TEST_F(ShortIdleTest, AnIdleConnectionIsClosedAtTheLimit)
+{
+    m_io.restart();
+    m_io.run();
+    EXPECT_EQ(m_read, RequestRead::Closed);
+}
+
+// Guards against a reset instead of an answer: the request has arrived in time, the loop is late
+// and handles the end of the idle time first.
+TEST_F(ShortIdleTest, ARequestThatHasArrivedIsReadAlthoughTheIdleTimeIsOver)
+{
+    // Both timers end in the same turn, after the sockets were looked at: this one goes first.
+    boost::asio::steady_timer before(m_io, IdleTimeout / 2);
+    before.async_wait([this](const boost::system::error_code &) { send(Request); });
+    std::this_thread::sleep_for(2 * IdleTimeout);
+    m_io.restart();
+    m_io.run();
+    EXPECT_EQ(m_read, RequestRead::Ok);
+}
+
 } // namespace
 } // namespace snipestall::gateway
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -145,8 +145,9 @@
 Task<void> CallerListener::serveRequests(CallerConnection &connection,
                                          std::shared_ptr<CallerConnection> shared)
 {
+    const CallerConnection::Limits limitsInForce = [this] { return limits(); };
     while (true) {
-        const RequestRead read = co_await connection.readRequest(limits());
+        const RequestRead read = co_await connection.readRequest(limitsInForce);
         if (read == RequestRead::Closed)
             co_return;
         if (read != RequestRead::Ok) {
