Soak: topics for silent servers, endless messages, requests ahead, kills

A run with `--topic` has faults and callers of its own and no others, so that each request can be judged strictly (docs/design/fault-soak.md): silent-servers, endless-messages, requests-ahead and streams-after-kills. Runs without a topic draw the same faults and requests as before.

--- a/tests/soak/attempt.hpp
+++ b/tests/soak/attempt.hpp
@@ -24,6 +24,11 @@
     AddedRoute,
 };
 
+inline bool isStream(RequestKind kind)
+{
+    return kind == RequestKind::ResumableStream || kind == RequestKind::NonResumableStream;
+}
+
 /// One request of a client and what the client received of the answer.
 struct Attempt
 {
@@ -52,6 +57,10 @@
     std::chrono::milliseconds retryAfter { 0 };
     /// Its prompt has the part that ends servers.
     bool crashing = false;
+    /// It was sent before the answers to earlier requests on its connection had come.
+    bool ahead = false;
+    /// A part of it is longer than any message needs, so that the gateway may break off.
+    bool malformed = false;
     std::string body;
 
     /// The attempt that began the stream.
--- a/tests/soak/client.cpp
+++ b/tests/soak/client.cpp
@@ -7,6 +7,7 @@
 #include "snipestall/wire/http_stream.hpp"
 #include "snipestall/wire/signal.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <cstdlib>
@@ -23,11 +24,17 @@
 /// A client of the flooding customer looks this often whether the flood has begun.
 constexpr milliseconds FloodPollInterval { 50 };
 constexpr milliseconds Deadline { 3500 };
+/// Longer than two silences in series and an answer.
+constexpr milliseconds DeadlineWithSilences { 4500 };
 /// Longer than a request may stay unanswered, which is its route's timeout and half a second.
 constexpr milliseconds AnswerTimeout { 6000 };
 /// A client that has lost a stream comes back within this time, a few times at most.
 constexpr std::uint64_t LongestTakeUpPauseMs = 400;
 constexpr int MaxTakeUps = 3;
+/// After a kill of all gateways, clients come back until some serve again.
+constexpr int MaxTakeUpsAfterKills = 15;
+/// Share of the pauses that last up to four fifths of the smallest idle limit, in percent.
+constexpr std::uint64_t LongPausePercent = 10;
 /// Share of the requests that are sent on a connection of their own, in percent.
 constexpr std::uint64_t FreshConnectionPercent = 15;
 
@@ -75,7 +82,11 @@
 Attempt Client::nextAttempt()
 {
     const auto &added = m_deployment.addedRoutes();
-    const KindEntry &kind = Kinds.at(m_random.below(added.empty() ? 4 : 5));
+    const std::size_t drawn = m_random.below(added.empty() ? 4 : 5);
+    const bool stream = m_deployment.topic() == Topic::StreamsAfterKills && m_random.below(2) == 0;
+    const KindEntry &kind = stream
+        ? *std::ranges::find(Kinds, RequestKind::ResumableStream, &KindEntry::kind)
+        : Kinds.at(drawn);
     Attempt attempt;
     attempt.id = m_name + "-" + std::to_string(m_attempts.size());
     attempt.kind = kind.kind;
@@ -105,7 +116,9 @@
     attempt.bodyHash = stableHash(request.body);
     request.fields.set("Host", "a.example");
     request.fields.set("X-Attempt-Id", attempt.id);
-    request.fields.set("X-Deadline-Ms", std::to_string(Deadline.count()));
+    const milliseconds deadline =
+        m_deployment.topic() == Topic::SilentServers ? DeadlineWithSilences : Deadline;
+    request.fields.set("X-Deadline-Ms", std::to_string(deadline.count()));
     request.fields.set("Authorization", m_floods ? "Bearer flood" : "Bearer secret");
     if (!attempt.resumes.empty()) {
         request.fields.set("Resumes", attempt.resumes);
@@ -168,7 +181,9 @@
 
 wire::Task<void> Client::takeUp(Attempt broken)
 {
-    for (int i = 0; i < MaxTakeUps && !m_stopped; ++i) {
+    const int most =
+        m_deployment.topic() == Topic::StreamsAfterKills ? MaxTakeUpsAfterKills : MaxTakeUps;
+    for (int i = 0; i < most && !m_stopped; ++i) {
         const int last = lastEventOf(broken);
         const bool isBroken = !broken.complete || broken.status == 503;
         if (!isBroken || last == 0)
@@ -198,9 +213,17 @@
         co_await record(attempt);
         if (attempt.kind == RequestKind::ResumableStream)
             co_await takeUp(attempt);
-        co_await wire::sleepFor(
-            milliseconds(1 + static_cast<std::int64_t>(m_random.exponential(MeanPauseMs))));
+        co_await wire::sleepFor(nextPause());
     }
 }
 
+milliseconds Client::nextPause()
+{
+    if (m_deployment.topic() == Topic::SilentServers && m_random.below(100) < LongPausePercent) {
+        const auto longest = static_cast<std::uint64_t>(SmallestIdleLimit.count() * 4 / 5);
+        return milliseconds(static_cast<std::int64_t>(longest / 2 + m_random.below(longest / 2)));
+    }
+    return milliseconds(1 + static_cast<std::int64_t>(m_random.exponential(MeanPauseMs)));
+}
+
 } // namespace snipestall::soak
--- a/tests/soak/client.hpp
+++ b/tests/soak/client.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "soak/attempt.hpp"
+#include "soak/caller.hpp"
 
 #include "snipestall/base/random.hpp"
 #include "snipestall/wire/http_client.hpp"
-#include "snipestall/wire/task.hpp"
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -17,18 +17,20 @@
 
 /// A client that sends one request after the other until stop() is called. It reuses its
 /// connection for as long as the connection lasts, also to a gateway that is shutting down.
-class Client
+class Client : public Caller
 {
 public:
     Client(boost::asio::io_context &io, const Deployment &deployment, std::size_t number,
            std::uint64_t seed, bool floods = false);
 
-    wire::Task<void> run();
-    void stop() { m_stopped = true; }
-    [[nodiscard]] const std::vector<Attempt> &attempts() const { return m_attempts; }
+    wire::Task<void> run() override;
+    void stop() override { m_stopped = true; }
+    [[nodiscard]] const std::vector<Attempt> &attempts() const override { return m_attempts; }
 
 private:
     Attempt nextAttempt();
+    /// Time until the next request. Some connections stay idle for most of the time allowed.
+    std::chrono::milliseconds nextPause();
     /// Takes up a stream that has broken off, at one instance after the other.
     wire::Task<void> takeUp(Attempt broken);
     /// Sends an attempt and records it.
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -26,13 +26,39 @@
 constexpr auto ServiceNames = { "ledger", "lm" };
 constexpr int KilledExitStatus = 128 + 9;
 
-std::string routeText(const std::string &name, const std::string &kind, const std::string &service,
-                      int attempts, bool resumable)
+struct Route
 {
-    return R"({"name":")" + name + R"(","host":"a.example","prefix":"/)" + name
-        + R"(/","routeType":")" + kind + R"(","service":")" + service
-        + R"(","timeoutMs":4000,"targetLatencyMs":500,"targetGapMs":400,"maxAttempts":)"
-        + std::to_string(attempts) + R"(,"streamResume":)" + (resumable ? "true" : "false") + "}";
+    std::string name;
+    std::string kind;
+    std::string service;
+    int attempts = 1;
+    bool resumable = false;
+};
+
+std::string routeText(const Route &route, milliseconds timeout)
+{
+    return R"({"name":")" + route.name + R"(","host":"a.example","prefix":"/)" + route.name
+        + R"(/","routeType":")" + route.kind + R"(","service":")" + route.service
+        + R"(","timeoutMs":)" + std::to_string(timeout.count())
+        + R"(,"targetLatencyMs":500,"targetGapMs":400,"maxAttempts":)"
+        + std::to_string(route.attempts) + R"(,"streamResume":)"
+        + (route.resumable ? "true" : "false") + "}";
+}
+
+/// A budget of repeats in which a time of silence leaves none.
+constexpr auto SmallRetryBudget = "retry_ratio: 0.02, retry_slack: 10";
+/// Factor by which servers answer later where callers send requests ahead, so that some wait for
+/// longer than a request may cross the close of its connection.
+constexpr double SlowdownOfCalls = 4;
+/// Factor for streams, so that many have begun half a second before a kill.
+constexpr double SlowdownOfStreams = 8;
+constexpr std::size_t EndlessServers = 2;
+
+double slowdownOf(Topic topic, const std::string &service)
+{
+    if (topic == Topic::RequestsAhead && service == "ledger")
+        return SlowdownOfCalls;
+    return topic == Topic::StreamsAfterKills && service == "lm" ? SlowdownOfStreams : 1;
 }
 
 } // namespace
@@ -60,6 +86,8 @@
         writeSettings(m_gateways[i], true);
         startGateway(i);
     }
+    for (std::size_t i = 0; m_size.topic == Topic::EndlessMessages && i < EndlessServers; ++i)
+        startEndlessServer(i);
 }
 
 Deployment::~Deployment() = default;
@@ -137,8 +165,9 @@
         + std::to_string(m_ports.take()) + "\nstore: " + m_gateways[index].link.endpoint.toString()
         + "\nduties: " + m_storeAddress.toString()
         + "\nserver_heartbeat_ms: 300\nlimits: {file_descriptors: 1024}\n"
-          "bounds: {drain_ms: 2000, grace_s: 8, contact_ms: 3000, retry_slack: 60,"
-          " usage_window_s: 2, lease_ms: 3000"
+          "bounds: {drain_ms: 2000, grace_s: 8, contact_ms: 3000, "
+        + (m_size.topic == Topic::SilentServers ? SmallRetryBudget : "retry_slack: 60")
+        + ", usage_window_s: 2, lease_ms: 3000"
         + (m_size.ordersVersions ? ", exposure_share: 0.3, exposure_tolerance: 100" : "") + "}\n";
 }
 
@@ -172,6 +201,7 @@
           "--slots=" + std::to_string(m_size.slots), "--queue=" + std::to_string(m_size.queue),
           "--store=" + m_storeAddress.toString(), "--log=" + runLog(),
           "--fail_share=" + std::to_string(managed.failShare),
+          "--slowdown=" + std::to_string(slowdownOf(m_size.topic, serviceOf(index))),
           std::string("--ending_part=") + CrashingPart });
 }
 
@@ -199,19 +229,28 @@
 
 bool Deployment::publish()
 {
-    std::string routes = routeText("once", "non_idempotent", "ledger", 1, false) + ","
-        + routeText("safe", "idempotent", "ledger", 2, false) + ","
-        + routeText("stream", "streaming", "lm", 2, true) + ","
-        + routeText("solo", "streaming", "lm", 1, false);
+    std::vector<Route> list { { "once", "non_idempotent", "ledger" },
+                              { "safe", "idempotent", "ledger", 2 },
+                              { "stream", "streaming", "lm", 2, true },
+                              { "solo", "streaming", "lm" } };
+    if (m_size.topic == Topic::EndlessMessages) {
+        list.push_back({ "raw", "idempotent", "raw", 2 });
+        list.push_back({ "raw-events", "streaming", "raw", 2, true });
+    }
     for (std::size_t i = 0; i < m_extraRoutes; ++i)
-        routes += "," + routeText("new" + std::to_string(i), "idempotent", "ledger", 2, false);
+        list.push_back({ "new" + std::to_string(i), "idempotent", "ledger", 2 });
+    std::string routes;
+    for (const Route &route : list)
+        routes += (routes.empty() ? "" : ",") + routeText(route, m_timeout);
     const std::string rate = std::to_string(m_size.quota);
     const std::string quota = R"(,"ratePerS":)" + rate + R"(,"burstSize":)" + rate;
-    const std::string config = R"({"version":)" + std::to_string(m_version) + R"(,"routes":[)"
-        + routes + R"(],"services":[{"name":"ledger"},{"name":"lm","engine":{"slotCount":)"
-        + std::to_string(m_size.slots) + R"(,"kvCapacity":500000}}],"tenants":[)"
-        + R"({"name":"harbour","apiKeys":["secret"])" + quota + R"(},)"
-        + R"({"name":"mill","apiKeys":["flood"])" + quota + "}]}";
+    const std::string config = R"({"version":)" + std::to_string(m_version)
+        + R"(,"limits":{"idleTimeoutMs":)" + std::to_string(m_idleLimit.count()) + R"(},"routes":[)"
+        + routes + R"(],"services":[{"name":"ledger"},)"
+        + (m_size.topic == Topic::EndlessMessages ? R"({"name":"raw"},)" : "")
+        + R"({"name":"lm","engine":{"slotCount":)" + std::to_string(m_size.slots)
+        + R"(,"kvCapacity":500000}}],"tenants":[)" + R"({"name":"harbour","apiKeys":["secret"])"
+        + quota + R"(},)" + R"({"name":"mill","apiKeys":["flood"])" + quota + "}]}";
     return putOperatorRow(m_storeAddress, "config", config);
 }
 
@@ -239,8 +278,10 @@
 {
     for (std::size_t i = 0; i < m_gateways.size(); ++i)
         restartIfEnded(m_gateways[i], "gateway", i, &Deployment::startGateway);
-    if (m_addedRoutes.size() < m_extraRoutes && publish())
+    if (m_isConfigurationDue && publish()) {
+        m_isConfigurationDue = false;
         m_addedRoutes.resize(m_extraRoutes, std::chrono::steady_clock::now());
+    }
     for (std::size_t i = 0; i < m_backends.size(); ++i) {
         if (!m_backends[i].outOfService)
             restartIfEnded(m_backends[i], "backend", i, &Deployment::startBackend);
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -5,6 +5,7 @@
 #include "harness/proxy_control.hpp"
 #include "harness/temp_dir.hpp"
 #include "soak/fault_plan.hpp"
+#include "soak/topic.hpp"
 #include "soak/version_order.hpp"
 
 #include "snipestall/wire/endpoint.hpp"
@@ -17,11 +18,16 @@
 #include <utility>
 #include <vector>
 
+#include <sys/types.h>
+
 namespace snipestall::soak {
 
 /// Id of the part of prompts that ends backend servers.
 inline constexpr auto CrashingPart = "bad0bad0";
 
+/// The smallest idle limit that a configuration names for callers' connections.
+inline constexpr std::chrono::milliseconds SmallestIdleLimit { 1500 };
+
 /// Number of processes of a run.
 struct DeploymentSize
 {
@@ -41,6 +47,7 @@
     int queue = 0;
     /// Requests per second that each customer may send; 0: any number.
     int quota = 0;
+    Topic topic = Topic::AllFaults;
 };
 
 /// The processes of one run: the stand-in store, backend servers and gateways, with a proxy in
@@ -72,6 +79,13 @@
         return m_unexpectedEnds;
     }
     [[nodiscard]] bool hasQueues() const { return m_size.queue > 0; }
+    [[nodiscard]] Topic topic() const { return m_size.topic; }
+    /// Whether some callers and servers send messages without end at present.
+    [[nodiscard]] bool hasEndlessMessages() const { return m_endlessMessages; }
+    /// Reads how much memory the gateways use. The caller polls this.
+    void readMemory();
+    /// Number of bytes by which each gateway's memory has grown at most since one of its starts.
+    [[nodiscard]] std::vector<std::size_t> memoryGrowth() const;
     /// Whether the flooding customer sends at present.
     [[nodiscard]] bool isFlooded() const { return m_flooded; }
     /// Part of prompts that ends backend servers at present; empty if none does.
@@ -116,6 +130,11 @@
         std::string settings;
         std::string settingsText;
         wire::Endpoint readiness;
+        /// Process whose memory was read last, how many bytes it used at first, and the largest
+        /// growth seen.
+        pid_t measured = 0;
+        std::size_t memoryAtFirst = 0;
+        std::size_t memoryGrowth = 0;
     };
 
     using Action = void (Deployment::*)(const Fault &fault);
@@ -130,6 +149,8 @@
     void startStore();
     void startGateway(std::size_t index);
     void startBackend(std::size_t index);
+    /// Starts a server that answers without end, and a backend server that lists its address.
+    void startEndlessServer(std::size_t index);
     Link startProxy(const std::string &name, const wire::Endpoint &target);
     std::unique_ptr<harness::Process> start(const std::string &name, const std::string &program,
                                             std::vector<std::string> arguments);
@@ -205,6 +226,13 @@
     /// Takes the servers of a service out of service: those of the new version, or the others.
     void takeOutOfService(const std::string &service, bool isNew, void (harness::Process::*end)());
     void noAction(const Fault &fault);
+    void silenceBackends(const Fault &fault);
+    void endSilence(const Fault &fault);
+    void changeIdleLimit(const Fault &fault);
+    void changeTimeouts(const Fault &fault);
+    void toggleEndlessMessages(const Fault &fault);
+    /// Calls `change` for each backend server that a bit of the fault's target names.
+    void forEachNamed(const Fault &fault, void (*change)(ManagedProcess &managed));
 
     harness::TempDir m_directory;
     harness::PortPool m_ports;
@@ -221,7 +249,14 @@
     std::vector<std::string> m_unexpectedEnds;
     std::string m_crashingPart;
     bool m_flooded = false;
+    bool m_endlessMessages = false;
+    /// Each server that answers without end with the backend server that lists it.
+    std::vector<std::unique_ptr<harness::Process>> m_endlessServers;
     std::size_t m_extraRoutes = 0;
+    std::chrono::milliseconds m_timeout { 4000 };
+    std::chrono::milliseconds m_idleLimit { 15000 };
+    /// The store has not accepted the newest configuration yet.
+    bool m_isConfigurationDue = false;
     std::vector<std::chrono::steady_clock::time_point> m_addedRoutes;
     int m_version = 1;
 };
--- a/tests/soak/deployment_faults.cpp
+++ b/tests/soak/deployment_faults.cpp
@@ -66,6 +66,11 @@
         { Kind::VersionOrdered, &Deployment::orderVersion, &Deployment::noAction },
         { Kind::PartCrashesBackends, &Deployment::beginCrashingPart, &Deployment::endCrashingPart },
         { Kind::Overload, &Deployment::toggleFlood, &Deployment::toggleFlood },
+        { Kind::BackendsSilent, &Deployment::silenceBackends, &Deployment::endSilence },
+        { Kind::IdleLimitChanges, &Deployment::changeIdleLimit, &Deployment::noAction },
+        { Kind::TimeoutsChange, &Deployment::changeTimeouts, &Deployment::noAction },
+        { Kind::MessagesWithoutEnd, &Deployment::toggleEndlessMessages,
+          &Deployment::toggleEndlessMessages },
     };
     return entries;
 }
@@ -327,6 +332,7 @@
 {
     ++m_extraRoutes;
     m_version += 3;
+    m_isConfigurationDue = true;
 }
 
 void Deployment::orderVersion(const Fault &fault)
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -21,7 +21,7 @@
     milliseconds longest;
 };
 
-constexpr std::array<KindEntry, 29> Kinds { {
+constexpr std::array<KindEntry, 33> Kinds { {
     { FaultKind::GatewayKilled, "gateway-killed", false, milliseconds(200), milliseconds(1500) },
     { FaultKind::AllGatewaysKilled, "all-gateways-killed", false, milliseconds(200),
       milliseconds(900) },
@@ -65,6 +65,11 @@
     { FaultKind::PartCrashesBackends, "part-crashes-backends", false, milliseconds(6000),
       milliseconds(6000) },
     { FaultKind::Overload, "overload", true, milliseconds(4000), milliseconds(4000) },
+    { FaultKind::BackendsSilent, "backends-silent", true, milliseconds(1000), milliseconds(1300) },
+    { FaultKind::IdleLimitChanges, "idle-limit-changes", true, milliseconds(50), milliseconds(50) },
+    { FaultKind::TimeoutsChange, "timeouts-change", true, milliseconds(50), milliseconds(50) },
+    { FaultKind::MessagesWithoutEnd, "messages-without-end", true, milliseconds(6000),
+      milliseconds(6000) },
 } };
 
 const KindEntry &entryOf(FaultKind kind)
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -53,6 +53,14 @@
     PartCrashesBackends,
     /// One customer sends more than the servers carry, which have few slots in the whole run.
     Overload,
+    /// The backend servers of the bits of the target are stopped for little more than a second, and
+    /// go on then.
+    BackendsSilent,
+    /// The operators change the idle limit of callers' connections, or the time-outs of all routes.
+    IdleLimitChanges,
+    TimeoutsChange,
+    /// Some callers and servers send messages of which a part doesn't end.
+    MessagesWithoutEnd,
 };
 
 /// A fault of a process or link; its beginning and end are relative to the start of the run.
@@ -68,8 +76,9 @@
 /// Whether a fault of this kind is among them.
 bool hasKind(const std::vector<Fault> &faults, FaultKind kind);
 std::string nameOf(FaultKind kind);
-/// Whether operators plan this work, or servers only refuse requests; no caller may lose an answer
-/// because of it.
+/// Whether operators plan this work, servers only refuse requests or are silent for a short time,
+/// or other parties than the callers and servers of a request misbehave; no caller may lose an
+/// answer because of it.
 bool isPlanned(FaultKind kind);
 
 /// Draws the faults of a run from the seed. Faults may follow one another or overlap. None lasts
--- a/tests/soak/judge.hpp
+++ b/tests/soak/judge.hpp
@@ -7,6 +7,7 @@
 #include <boost/json/value.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <iosfwd>
@@ -31,6 +32,8 @@
     std::string dutyLog;
     std::string gatewayLog;
     std::vector<std::string> unexpectedEnds;
+    /// Bytes by which the memory of each gateway has grown at most.
+    std::vector<std::size_t> memoryGrowth;
 };
 
 /// Compares the answers that callers received with the requests that backend servers ran and with
@@ -43,6 +46,9 @@
     [[nodiscard]] std::vector<std::string> findings();
 
 private:
+    /// Time that an instance needs after a fault until its guarantees hold again.
+    static constexpr std::chrono::milliseconds ContactMargin { 3000 };
+
     struct Run
     {
         std::string server;
