A part that all requests have isn't blocked with one that crashes servers

Cause, from a model of small services (three servers, one first part, 40 seeds): each instance decided on each part once that part alone was due. It sees the ends of its own sound requests at once, and hears of the crashing part's ends up to 0.4 s later: the sound part was due first, was the only one, was blocked, and each instance takes over what another one has blocked. The same where an instance got no requests with these parts, or crashing ones only: they have been asked for as often, so both were blocked. Class: a decision on one instance's share of the evidence that binds all of them.

Change: no part is decided on before others with as many ends are due (1 s longer at most). Parts with the same ends that nothing tells apart form a group: only requests that have all of its parts are refused, for 10 s at most, and nothing is told to others as blocked. An answer to a request with some of them, a further end, or an instance that knows tells which is the cause. Event 955 names the parts of a group.

Why it works: the evidence against a sound part is never more than that against the cause, so with both due the cause is found or both are left; a group harms only requests that have the cause or look like it.

--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -65,6 +65,7 @@
 extern const EventInfo RequestForwarded;
 extern const EventInfo PartBlocked;
 extern const EventInfo PartAllowed;
+extern const EventInfo PartsAlike;
 extern const EventInfo BlockedPartsStored;
 extern const EventInfo StreamResumed;
 extern const EventInfo StreamNotResumed;
--- a/include/snipestall/serving/part_crash_watch.hpp
+++ b/include/snipestall/serving/part_crash_watch.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -26,9 +27,11 @@
 /// really begun. Evidence for it is a whole answer to any request with it, which makes all earlier
 /// ends irrelevant. A part that is left with three ends is the cause, unless other parts have as
 /// many: those are taken that have longest not been in an answer, and of these the ones that fewest
-/// requests have. Ends that a blocked part explains
-/// no longer count against other parts. Instances exchange ends and answers, and a part with three
-/// ends is suspected, and requests with it wait, until all have had time to say what they know.
+/// requests have. If that leaves several with the same ends, requests that have all of them are
+/// refused, and others tell by their answers, or further ends, which part is the cause. Ends that a
+/// blocked part explains no longer count against other parts. Instances exchange ends and answers,
+/// and a part with three ends is suspected, and requests with it wait, until all have had time to
+/// say what they know.
 class PartCrashWatch
 {
 public:
@@ -38,17 +41,26 @@
         Suspected,
         Blocked,
     };
-    /// A part that was blocked or allowed again, for the log.
+    enum class ChangeKind {
+        Blocked,
+        Allowed,
+        /// Requests with this part and the others of its group are refused.
+        Grouped,
+    };
+    /// What was decided on a part, for the log.
     struct Change
     {
         PartName name;
-        bool blocked = false;
+        ChangeKind kind = ChangeKind::Allowed;
         std::vector<std::string> servers;
     };
 
     /// Time within which the reports of all instances that know of a part have arrived: several
     /// intervals of the exchange, over the hops between instances of different hubs and back.
     static constexpr std::chrono::milliseconds SettleTime { 1000 };
+    /// Time within which requests with some parts of a group, but not all, have been answered if
+    /// there are any. Then all parts of the group are blocked.
+    static constexpr std::chrono::seconds GroupTime { 10 };
     /// Time after which a blocked part may be tried once more.
     static constexpr std::chrono::seconds TrialAfter { 60 };
 
@@ -94,7 +106,7 @@
     void trialsGranted(const std::vector<StoredPart> &row, const std::string &process,
                        SteadyTime now);
 
-    /// Returns what was blocked or allowed again since the last call.
+    /// Returns what was decided since the last call.
     [[nodiscard]] std::vector<Change> takeChanges();
 
 private:
@@ -128,6 +140,10 @@
         std::optional<SteadyTime> reachedAt;
         SteadyTime changedAt;
         bool blocked = false;
+        /// Number of its group in m_groupSizes, from 1 on; 0 if it is in none.
+        std::size_t group = 0;
+        /// The log says that it is in a group.
+        bool groupLogged = false;
         SteadyTime blockedAt;
         SteadyTime lastAsked;
         bool stored = false;
@@ -151,14 +167,25 @@
     void allow(Suspect &suspect);
     void limitBlocked();
     void recount(SteadyTime now);
-    /// Blocks those parts that are due and have the most ends. Returns whether there were any.
-    bool blockStrongest(SteadyTime now);
+    void countEnds(Suspect &suspect) const;
+    void dissolveGroups();
+    /// Decides on the parts that have the most ends, if they are due. Returns whether there were
+    /// any.
+    bool decideOnStrongest(SteadyTime now);
+    /// Decides on parts with the same ends.
+    void decideOn(std::span<Suspect *const> alike, SteadyTime now);
+    [[nodiscard]] std::vector<Suspect *> strongest();
+    /// Servers whose ends count against the part.
+    [[nodiscard]] std::vector<std::string> countedServers(const Suspect &suspect) const;
+    void noteDecision(Suspect &suspect, ChangeKind kind);
     [[nodiscard]] PartReport reportOf(const Suspect &suspect, bool whole, SteadyTime now) const;
 
     AnsweredParts m_answered;
     std::unordered_map<std::uint64_t, Suspect> m_suspects;
-    /// Servers that were ended by blocked parts.
+    /// Servers that were ended by blocked parts, or by one part of a group.
     std::unordered_set<std::string> m_explained;
+    /// Numbers of parts in each group of parts that nothing tells apart.
+    std::vector<std::size_t> m_groupSizes;
     std::vector<Change> m_changes;
     /// Whether the counts have to be determined again.
     bool m_stale = false;
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -254,6 +254,13 @@
     "or its entry was removed.",
     "None."
 };
+const EventInfo PartsAlike {
+    955, Severity::Warning, "parts-alike",
+    "Requests are refused that have this part in their prompts and all others that have such a "
+    "line with the same servers: these ended while such requests were in flight there, and nothing "
+    "tells yet which of the parts is the cause.",
+    "None; the part that is the cause gets a line part-blocked."
+};
 const EventInfo BlockedPartsStored {
     919, Severity::Info, "blocked-parts-stored",
     "The row blocked-parts/parts of the store, which lists the blocked parts of prompts, changed.",
@@ -479,6 +486,7 @@
     &RequestForwarded,
     &PartBlocked,
     &PartAllowed,
+    &PartsAlike,
     &BlockedPartsStored,
     &StreamResumed,
     &StreamNotResumed,
--- a/src/snipestall/gateway/blocked_part_registrar.cpp
+++ b/src/snipestall/gateway/blocked_part_registrar.cpp
@@ -42,6 +42,14 @@
     return all;
 }
 
+const EventInfo &eventOf(serving::PartCrashWatch::ChangeKind kind)
+{
+    using Kind = serving::PartCrashWatch::ChangeKind;
+    if (kind == Kind::Grouped)
+        return events::PartsAlike;
+    return kind == Kind::Blocked ? events::PartBlocked : events::PartAllowed;
+}
+
 } // namespace
 
 BlockedPartRegistrar::BlockedPartRegistrar(GatewayState &state, platform::StoreClient &store,
@@ -129,7 +137,7 @@
     for (const auto &change : m_state.crashes.parts().takeChanges()) {
         std::ostringstream id;
         id << std::hex << change.name.id;
-        logEvent(change.blocked ? events::PartBlocked : events::PartAllowed,
+        logEvent(eventOf(change.kind),
                  { { "part", id.str() },
                    { "service", change.name.service },
                    { "model", change.name.model },
--- a/src/snipestall/serving/part_crash_model_test.cpp
+++ b/src/snipestall/serving/part_crash_model_test.cpp
@@ -54,6 +54,9 @@
         bool first = false;
         /// Servers that end at the same moment for another reason.
         std::size_t rackLost = 0;
+        /// Three servers, and one first part that all requests have; the requests that crash
+        /// servers come from the beginning on, so that all servers may end before any answer.
+        bool small = false;
     };
 
     PartFleet(Case given, std::uint64_t seed)
@@ -61,7 +64,7 @@
         , m_random(seed)
         , m_watches(m_case.instances)
         , m_awayUntil(m_case.instances)
-        , m_servers(std::max<std::size_t>(24, m_case.instances))
+        , m_servers(m_case.small ? 3 : std::max<std::size_t>(24, m_case.instances))
     {
         for (auto &watch : m_watches)
             watch = started();
@@ -189,22 +192,24 @@
         const double sound = 0.6 * std::max(1.0, static_cast<double>(m_case.instances) / 20);
         m_soundDue += sound;
         for (; m_soundDue >= 1; m_soundDue -= 1) {
-            std::vector<std::uint64_t> parts { 1 + m_random.below(FirstParts),
-                                               100 + m_random.below(Sessions) };
+            std::vector<std::uint64_t> parts { drawFirstPart(), 100 + m_random.below(Sessions) };
             if (m_case.soundBefore && m_now - Begin < 2s)
                 parts.back() = m_case.crashing[0];
             send(partsOf(parts), false);
         }
-        m_crashingDue += m_case.crashing.empty() || m_now - Begin < 2s ? 0 : 0.08;
+        const milliseconds from = m_case.small ? 0s : 2s;
+        m_crashingDue += m_case.crashing.empty() || m_now - Begin < from ? 0 : 0.08;
         for (; m_crashingDue >= 1; m_crashingDue -= 1) {
             const auto part = m_case.crashing[m_random.below(m_case.crashing.size())];
             if (m_case.first)
                 send(partsOf({ part, 100 + m_random.below(Sessions) }), true);
             else
-                send(partsOf({ 1 + m_random.below(FirstParts), part }), true);
+                send(partsOf({ drawFirstPart(), part }), true);
         }
     }
 
+    std::uint64_t drawFirstPart() { return 1 + (m_case.small ? 0 : m_random.below(FirstParts)); }
+
     void send(const PromptParts &parts, bool crashes)
     {
         const std::size_t instance = m_random.below(m_case.instances);
@@ -375,6 +380,18 @@
     }
 }
 
+// Guards against refusing all requests of a small service whose servers have all ended before
+// anything was answered.
+TEST(PartFleetModel, ThePartThatAllRequestsHaveIsNotBlockedWithTheCause)
+{
+    PartFleet::Case small;
+    small.small = true;
+    for (const std::size_t instances : { 1, 3, 9, 60 }) {
+        small.instances = instances;
+        expectBounded(small, 40);
+    }
+}
+
 // Guards against sound parts that are refused because a rack lost its power.
 TEST(PartFleetModel, ALostRackBlocksNothing)
 {
--- a/src/snipestall/serving/part_crash_watch.cpp
+++ b/src/snipestall/serving/part_crash_watch.cpp
@@ -1,6 +1,7 @@
 #include "snipestall/serving/part_crash_watch.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -66,7 +67,7 @@
     auto weakest = m_suspects.end();
     for (auto it = m_suspects.begin(); it != m_suspects.end(); ++it) {
         const Suspect &each = it->second;
-        if (each.blocked)
+        if (each.blocked || each.group != 0)
             continue;
         const bool weaker = weakest == m_suspects.end()
             || std::pair(each.count, each.lastEnd())
@@ -118,11 +119,16 @@
     suspect.lastAsked = now;
     suspect.changedAt = now;
     m_stale = true;
-    Change change { suspect.name, true, {} };
+    noteDecision(suspect, ChangeKind::Blocked);
+    limitBlocked();
+}
+
+void PartCrashWatch::noteDecision(Suspect &suspect, ChangeKind kind)
+{
+    Change change { suspect.name, kind, {} };
     for (const auto &[server, at] : suspect.ends)
         change.servers.push_back(server);
     m_changes.push_back(std::move(change));
-    limitBlocked();
 }
 
 void PartCrashWatch::allowIfCleared(Suspect &suspect)
@@ -137,7 +143,7 @@
     suspect.trialUntil.reset();
     suspect.trialWanted = false;
     m_stale = true;
-    m_changes.push_back({ suspect.name, false, {} });
+    m_changes.push_back({ suspect.name, ChangeKind::Allowed, {} });
 }
 
 void PartCrashWatch::limitBlocked()
@@ -159,12 +165,25 @@
 {
     if (m_suspects.empty())
         return;
-    if (m_stale)
+    if (m_stale) {
+        dissolveGroups();
         recount(now);
+    }
     if (!m_decideAt || now < *m_decideAt)
         return;
-    while (blockStrongest(now))
+    if (!m_groupSizes.empty()) {
+        dissolveGroups();
         recount(now);
+    }
+    while (decideOnStrongest(now))
+        recount(now);
+}
+
+void PartCrashWatch::dissolveGroups()
+{
+    m_groupSizes.clear();
+    for (auto &[key, each] : m_suspects)
+        each.group = 0;
 }
 
 void PartCrashWatch::recount(SteadyTime now)
@@ -173,13 +192,13 @@
     m_decideAt.reset();
     std::erase_if(m_suspects, [now](const auto &entry) {
         const Suspect &each = entry.second;
-        if (each.blocked || each.stored)
+        if (each.blocked || each.stored || each.group != 0)
             return false;
         return now - each.changedAt > (each.cleared() ? ClearedKept : SuspectKept);
     });
     m_explained.clear();
     for (const auto &[key, each] : m_suspects) {
-        if (!each.blocked)
+        if (!each.blocked && each.group == 0)
             continue;
         for (const auto &[server, at] : each.ends)
             m_explained.insert(server);
@@ -187,33 +206,48 @@
     for (auto &[key, each] : m_suspects) {
         if (each.blocked)
             continue;
-        each.count = static_cast<std::size_t>(
-            std::ranges::count_if(each.ends, [this, &suspect = each](const auto &end) {
-                return end.second > suspect.answered && !m_explained.contains(end.first);
-            }));
-        if (each.count < BlockThreshold)
-            each.reachedAt.reset();
-        else if (!each.reachedAt)
-            each.reachedAt = each.changedAt;
-        if (each.reachedAt)
-            m_decideAt =
-                std::min(m_decideAt.value_or(SteadyTime::max()), *each.reachedAt + SettleTime);
+        if (each.group == 0)
+            countEnds(each);
+        if (!each.reachedAt)
+            continue;
+        const SteadyTime due = *each.reachedAt + SettleTime
+            + (each.group == 0 ? SteadyTime::duration::zero() : GroupTime);
+        m_decideAt = std::min(m_decideAt.value_or(SteadyTime::max()), due);
+    }
+}
+
+std::vector<std::string> PartCrashWatch::countedServers(const Suspect &suspect) const
+{
+    std::vector<std::string> servers;
+    for (const auto &[server, at] : suspect.ends) {
+        if (at > suspect.answered && !m_explained.contains(server))
+            servers.push_back(server);
     }
+    return servers;
 }
 
-bool PartCrashWatch::blockStrongest(SteadyTime now)
+void PartCrashWatch::countEnds(Suspect &suspect) const
+{
+    suspect.count = countedServers(suspect).size();
+    if (suspect.count < BlockThreshold) {
+        suspect.reachedAt.reset();
+        suspect.groupLogged = false;
+    } else if (!suspect.reachedAt) {
+        suspect.reachedAt = suspect.changedAt;
+    }
+}
+
+std::vector<PartCrashWatch::Suspect *> PartCrashWatch::strongest()
 {
     std::vector<Suspect *> strongest;
     for (auto &[key, each] : m_suspects) {
-        if (each.blocked || !each.reachedAt || now < *each.reachedAt + SettleTime)
+        if (each.blocked || each.group != 0 || !each.reachedAt)
             continue;
         if (!strongest.empty() && each.count > strongest.front()->count)
             strongest.clear();
         if (strongest.empty() || each.count == strongest.front()->count)
             strongest.push_back(&each);
     }
-    if (strongest.empty())
-        return false;
     // Parts that requests with the cause always have as well have as many ends as the cause. One
     // that was in answers before is less likely to be the cause.
     SteadyTime longestAgo = SteadyTime::max();
@@ -223,32 +257,82 @@
                   [longestAgo](const Suspect *each) { return each->answered != longestAgo; });
     // All servers may have ended before anything was answered. Every request with the cause has its
     // other parts as well, and other requests have these without the cause.
-    std::uint64_t fewest = strongest.front()->asked;
+    std::uint64_t fewest = std::numeric_limits<std::uint64_t>::max();
     for (const Suspect *each : strongest)
         fewest = std::min(fewest, each->asked);
-    for (Suspect *each : strongest) {
-        if (each->asked == fewest)
-            block(*each, now);
+    std::erase_if(strongest, [fewest](const Suspect *each) { return each->asked != fewest; });
+    return strongest;
+}
+
+bool PartCrashWatch::decideOnStrongest(SteadyTime now)
+{
+    std::vector<Suspect *> undecided = strongest();
+    if (undecided.empty())
+        return false;
+    // An instance may have seen the ends of a sound part itself, and hear of those of the cause a
+    // moment later.
+    const auto [first, last] =
+        std::ranges::minmax(undecided, {}, [](const Suspect *each) { return *each->reachedAt; });
+    const SteadyTime due =
+        std::min(*last->reachedAt + SettleTime, *first->reachedAt + 2 * SettleTime);
+    if (now < due) {
+        m_decideAt = due;
+        return false;
+    }
+    while (!undecided.empty()) {
+        const std::vector<std::string> servers = countedServers(*undecided.front());
+        const auto alike =
+            std::partition(undecided.begin(), undecided.end(),
+                           [&](const Suspect *each) { return countedServers(*each) != servers; });
+        decideOn({ alike, undecided.end() }, now);
+        undecided.erase(alike, undecided.end());
     }
     return true;
 }
 
+void PartCrashWatch::decideOn(std::span<Suspect *const> alike, SteadyTime now)
+{
+    if (alike.size() == 1 || now >= *alike.front()->reachedAt + SettleTime + GroupTime) {
+        for (Suspect *each : alike)
+            block(*each, now);
+        return;
+    }
+    // An instance that got no requests, or only crashing ones, can't tell the cause from a part
+    // that all requests have. Blocking both would refuse all requests everywhere.
+    m_groupSizes.push_back(alike.size());
+    for (Suspect *each : alike) {
+        each->group = m_groupSizes.size();
+        if (!std::exchange(each->groupLogged, true))
+            noteDecision(*each, ChangeKind::Grouped);
+    }
+}
+
 PartCrashWatch::Verdict PartCrashWatch::verdict(const PromptParts &parts, SteadyTime now)
 {
     update(now);
     if (m_suspects.empty())
         return Verdict::Allowed;
     Verdict verdict = Verdict::Allowed;
-    for (const std::uint64_t key : parts.keys()) {
+    std::vector<std::size_t> missing = m_groupSizes;
+    std::vector<std::uint64_t> keys = parts.keys();
+    if (!missing.empty()) {
+        // A prompt may have a part twice.
+        std::ranges::sort(keys);
+        keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
+    }
+    for (const std::uint64_t key : keys) {
         const auto found = m_suspects.find(key);
         if (found == m_suspects.end())
             continue;
-        if (found->second.blocked) {
-            found->second.lastAsked = now;
+        Suspect &suspect = found->second;
+        if (suspect.blocked) {
+            suspect.lastAsked = now;
             return Verdict::Blocked;
         }
-        ++found->second.asked;
-        if (found->second.reachedAt)
+        ++suspect.asked;
+        if (suspect.group != 0 && --missing[suspect.group - 1] == 0)
+            return Verdict::Blocked;
+        if (suspect.group == 0 && suspect.reachedAt)
             verdict = Verdict::Suspected;
     }
     return verdict;
--- a/src/snipestall/serving/part_crash_watch_test.cpp
+++ b/src/snipestall/serving/part_crash_watch_test.cpp
@@ -100,6 +100,83 @@
     EXPECT_EQ(watch.verdict(partsOf({ Shared, Own }), Start + 2s), Verdict::Allowed);
 }
 
+// Guards against an instance that saw the ends of the part that all requests have itself, and
+// blocked it before it had heard as much of the cause.
+TEST(PartCrashWatch, NoPartIsBlockedBeforeAnotherOneWithAsManyEndsIsDue)
+{
+    PartCrashWatch watch;
+    PartCrashWatch other;
+    crash(watch, partsOf({ Shared }), 3, Start);
+    crash(other, partsOf({ Shared, Crashing }), 3, Start);
+    EXPECT_EQ(watch.verdict(partsOf({ Shared, Own }), Start + 300ms), Verdict::Suspected);
+    tell(other, watch, Start + 600ms);
+    EXPECT_EQ(watch.verdict(partsOf({ Shared, Own }), Start + 1500ms), Verdict::Suspected);
+    EXPECT_EQ(watch.verdict(partsOf({ Crashing }), Start + 1700ms), Verdict::Blocked);
+    EXPECT_EQ(watch.verdict(partsOf({ Shared, Own }), Start + 1700ms), Verdict::Allowed);
+}
+
+// Guards against an instance that got no requests itself, and so blocked the part that all requests
+// have with the cause, for all instances.
+TEST(PartCrashWatch, AnInstanceWithoutRequestsDoesNotBlockThePartThatAllRequestsHave)
+{
+    PartCrashWatch seeing;
+    PartCrashWatch idle;
+    for (PartCrashWatch *watch : { &seeing, &idle })
+        crash(*watch, partsOf({ Shared, Crashing }), 3, Start);
+    EXPECT_EQ(seeing.verdict(partsOf({ Shared, Crashing }), Start + 300ms), Verdict::Suspected);
+    EXPECT_EQ(seeing.verdict(partsOf({ Shared, Own }), Start + 300ms), Verdict::Suspected);
+    for (int i = 0; i < 12; ++i) {
+        const SteadyTime now = Start + 1s + i * 200ms;
+        idle.update(now);
+        seeing.update(now);
+        tell(idle, seeing, now);
+        tell(seeing, idle, now);
+    }
+    for (PartCrashWatch *watch : { &seeing, &idle }) {
+        EXPECT_EQ(watch->verdict(partsOf({ Crashing }), Start + 4s), Verdict::Blocked);
+        EXPECT_EQ(watch->verdict(partsOf({ Shared, Own }), Start + 4s), Verdict::Allowed);
+    }
+}
+
+// Guards against refusing all requests of a service, where only requests with the cause were seen,
+// instead of those that have all the parts that may be the cause.
+TEST(PartCrashWatch, RequestsWithAllPartsThatNothingTellsApartAreRefusedUntilAnAnswerTells)
+{
+    PartCrashWatch watch;
+    crash(watch, partsOf({ Shared, Crashing }), 3, Start);
+    EXPECT_EQ(watch.verdict(partsOf({ Shared, Crashing }), Start + 2s), Verdict::Blocked);
+    EXPECT_EQ(watch.verdict(partsOf({ Shared, Shared, Own }), Start + 2s), Verdict::Allowed);
+    EXPECT_EQ(watch.blockedParts(), 0U);
+    EXPECT_TRUE(watch.explains("s0"));
+    watch.answered(partsOf({ Shared, Own }), Start + 3s);
+    EXPECT_EQ(watch.verdict(partsOf({ Crashing }), Start + 3s), Verdict::Blocked);
+    EXPECT_EQ(watch.verdict(partsOf({ Shared }), Start + 3s), Verdict::Allowed);
+}
+
+// The same where the part that all requests have is the cause: the next end tells.
+TEST(PartCrashWatch, OfPartsThatNothingToldApartTheOneWithAFurtherEndIsBlocked)
+{
+    PartCrashWatch watch;
+    crash(watch, partsOf({ Shared, Crashing }), 3, Start);
+    EXPECT_EQ(watch.verdict(partsOf({ Shared, Crashing }), Start + 2s), Verdict::Blocked);
+    crash(watch, partsOf({ Shared, Own }), 1, Start + 3s, "t");
+    EXPECT_EQ(watch.verdict(partsOf({ Shared, Own }), Start + 3s), Verdict::Blocked);
+    EXPECT_EQ(watch.verdict(partsOf({ Crashing }), Start + 3s), Verdict::Allowed);
+}
+
+// Guards against parts that are in no other requests, and would be forgotten by a restart.
+TEST(PartCrashWatch, PartsThatNothingTellsApartAreBlockedInTheEnd)
+{
+    PartCrashWatch watch;
+    crash(watch, partsOf({ Shared, Crashing }), 3, Start);
+    watch.update(Start + 200ms);
+    watch.update(Start + 2s);
+    EXPECT_EQ(watch.blockedParts(), 0U);
+    watch.update(Start + 2s + PartCrashWatch::GroupTime);
+    EXPECT_EQ(watch.blockedParts(), 2U);
+    EXPECT_TRUE(watch.mustStore());
+}
+
 // Guards against blocking a rare part of sound requests that were beside crashing ones three times.
 TEST(PartCrashWatch, EndsThatABlockedPartExplainsDoNotCountAgainstOthers)
 {
