A stopping process takes only requests that can end in time

Callers of an instance that was stopped (SIGTERM, grace 8 s) saw calls that came up to 2.7 s after the signal taken, passed on and answered 502 at 7.5 s, among them calls that may not be repeated.

Cause: admission asked only for the time since the signal, whatever the grace period, the route's time-out and what such calls take. The same question was missing where a request that has not run is sent once more.

What runs at the signal counts with its age. A request is taken, and one that has not run is sent again, only if it is expected to end before the last answers; otherwise it gets 503 at once (event 990). The margins shrink in grace periods under 2 s, so that 0.5 s is not used up by them. AcceptPeriod stays the upper bound: it is what readiness needs to be seen, and no longer decides alone.

RequestsThatBeginWhileWorkIsStillTakenAreCounted gets a grace of 8 s in place of 4 s: its process has measured one request and the limit is 5 s, so that 4 s are refused now; what it checks is the same.

Before: ShutdownTest.WorkIsTakenOnlyIfItEndsBeforeTheProcess: "Which is: 502" where 503 is expected, and it had run. ARequestThatAServerRejectsDuringAShutdownIsNotSentAgain: sent once more, "Which is: 1" run where 0 are expected.

--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -61,6 +61,7 @@
 extern const EventInfo LoopLate;
 extern const EventInfo RequestCut;
 extern const EventInfo ShutdownRefuses;
+extern const EventInfo ShutdownTooShort;
 extern const EventInfo RepeatRefused;
 extern const EventInfo RequestForwarded;
 extern const EventInfo PartBlocked;
--- a/include/snipestall/gateway/caller_listener.hpp
+++ b/include/snipestall/gateway/caller_listener.hpp
@@ -28,6 +28,8 @@
     void start();
     /// Closes connections that carry no request.
     void closeIdle();
+    /// Counts the times for which the running requests have run as measured.
+    void recordRunning() const;
     /// Cancels the running requests. Each caller gets the answer that can be given at that moment.
     void cancelRequests();
     /// Logs the requests that get no complete answer because the process ends.
--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -24,6 +24,7 @@
 #include "snipestall/serving/peer_loads.hpp"
 #include "snipestall/serving/placement.hpp"
 #include "snipestall/serving/quota_keeper.hpp"
+#include "snipestall/serving/request_durations.hpp"
 #include "snipestall/serving/retry_allowance.hpp"
 #include "snipestall/serving/rollout_counts.hpp"
 #include "snipestall/serving/rollout_view.hpp"
@@ -99,6 +100,7 @@
     GatewayCounters counters;
     GatewayMetrics metrics;
     serving::LoopLag loopLag;
+    serving::RequestDurations durations;
     LoopWork loopWork;
 
     /// Whether the list of backend servers has been read at least once.
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -50,6 +50,8 @@
     wire::Task<bool> run();
     /// Cancels the current attempt. The caller gets the answer that can be given at that moment.
     void cancel();
+    /// Counts the time for which the request has been running as measured.
+    void recordRunning() const;
     /// Logs a request that gets no complete answer because the process ends.
     void logUnanswered() const;
 
@@ -175,6 +177,8 @@
     /// What the end of an attempt says of its server.
     [[nodiscard]] VersionRecorder::Outcome outcomeOf(CallStart start, AttemptEnd end) const;
     [[nodiscard]] bool deadlinePassed() const;
+    /// Returns whether the request is expected to end before the process does.
+    [[nodiscard]] bool canFinish() const;
     [[nodiscard]] double quotaUnits() const;
     /// When the caller of a refused request comes back; `roomAfter`: time until there may be room.
     [[nodiscard]] std::chrono::milliseconds returnAfter(std::chrono::milliseconds roomAfter) const;
@@ -276,6 +280,8 @@
     bool m_serverMissing = false;
     /// Set if the request is refused because it would be late at every server.
     std::optional<serving::OverloadRefusal> m_overload;
+    /// Whether the request is not sent because the process ends too soon for it.
+    bool m_processEnds = false;
     bool m_quotaTaken = false;
     bool m_maybeRan = false;
     bool m_usageCounted = false;
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -211,6 +211,12 @@
     908, Severity::Info, "shutdown-refuses",
     "The process is shutting down and from now on refuses new requests as not run.", "None."
 };
+const EventInfo ShutdownTooShort {
+    990, Severity::Info, "shutdown-too-short",
+    "The process is shutting down, and a request was refused as not run, because it is expected to "
+    "take longer than the time that is left.",
+    "None; if most requests of a route are refused so, raise the grace period."
+};
 const EventInfo RepeatRefused {
     909, Severity::Info, "repeat-refused",
     "A request was not sent to another server, because the limit on repeats for its service is "
@@ -482,6 +488,7 @@
     &LoopLate,
     &RequestCut,
     &ShutdownRefuses,
+    &ShutdownTooShort,
     &RepeatRefused,
     &RequestForwarded,
     &PartBlocked,
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -177,6 +177,14 @@
     }
 }
 
+void CallerListener::recordRunning() const
+{
+    for (const auto &[connection, relay] : m_connections) {
+        if (relay != nullptr)
+            relay->recordRunning();
+    }
+}
+
 void CallerListener::cancelRequests()
 {
     for (const auto &[connection, relay] : m_connections) {
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -275,6 +275,8 @@
         return;
     state.shutdown.emplace(state.loopLag.earliestArrival(), state.settings.bounds.grace);
     logEvent(events::ProcessStopping, { { "requests", std::to_string(state.requestsInFlight) } });
+    for (const CallerListener *listener : m_parts->listeners())
+        listener->recordRunning();
     asio::co_spawn(state.io, m_parts->leaveFleet(), asio::detached);
     asio::co_spawn(state.io, m_parts->drain(), asio::detached);
 }
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -90,10 +90,14 @@
     m_caller->watchForDisconnect([this] { handleCallerLeft(); });
     co_await awaitStart();
     m_callerGone |= m_caller->hasDisconnected();
-    if (m_callerGone)
+    if (m_callerGone) {
         recordCallerLeft();
-    else if (co_await admit())
+    } else if (co_await admit()) {
         co_await serve();
+        if (m_maybeRan && !m_callerGone && !m_cancelled)
+            m_state.durations.ended(m_route->name, m_placementRequest.service->name, m_received,
+                                    m_state.clock.steadyNow());
+    }
     co_return m_keepAlive && !m_callerGone;
 }
 
@@ -113,6 +117,33 @@
     return m_state.clock.steadyNow() >= m_deadline;
 }
 
+bool RequestRelay::canFinish() const
+{
+    if (!m_state.shutdown)
+        return true;
+    const SteadyTime now = m_state.clock.steadyNow();
+    const auto limit = std::chrono::duration_cast<milliseconds>(m_deadline - now);
+    const milliseconds expected =
+        m_state.durations.expected(m_route->name, m_placementRequest.service->name, limit, now);
+    if (m_state.shutdown->canFinish(now, expected, m_state.loopLag.last()))
+        return true;
+    logEvent(events::ShutdownTooShort,
+             { { "attempt", m_header.attemptId },
+               { "route", m_route->name },
+               { "expected_ms", std::to_string(expected.count()) },
+               { "limit_ms", std::to_string(limit.count()) },
+               { "sends", std::to_string(m_budget.used().sends) },
+               { "after_ms", std::to_string(toMillis(now - m_state.shutdown->signalled())) } });
+    return false;
+}
+
+void RequestRelay::recordRunning() const
+{
+    if (m_route != nullptr && m_placementRequest.service != nullptr)
+        m_state.durations.running(m_route->name, m_placementRequest.service->name, m_received,
+                                  m_state.clock.steadyNow());
+}
+
 bool RequestRelay::mayRetry(AttemptEnd last)
 {
     if (last == AttemptEnd::Final || last == AttemptEnd::TimedOut || m_callerGone || m_cancelled
@@ -141,6 +172,10 @@
             last = co_await attemptReplacement();
             continue;
         }
+        // Elsewhere, a request that has not run is served at once.
+        m_processEnds = !m_maybeRan && !canFinish();
+        if (m_processEnds)
+            break;
         m_serverMissing = m_answer.origin() && !setOrigin(*m_answer.origin());
         if (m_serverMissing)
             break;
--- a/src/snipestall/gateway/request_relay_admission.cpp
+++ b/src/snipestall/gateway/request_relay_admission.cpp
@@ -116,6 +116,8 @@
     m_placementRequest.service = m_catalogue->service(pickService(*m_route, m_state.random));
     if (m_placementRequest.service == nullptr)
         co_return co_await refuse(refusal(503, RetryAfterNoServer), "unknown-service");
+    if (!canFinish())
+        co_return co_await refuse(refusal(503, RetryAfterShutdown), "shutting-down");
     m_placementRequest.prompt = m_header.prompt;
     m_placementRequest.band =
         static_cast<std::size_t>(m_catalogue->engineRanks().band(m_customer, *m_route));
--- a/src/snipestall/gateway/request_relay_end.cpp
+++ b/src/snipestall/gateway/request_relay_end.cpp
@@ -117,7 +117,7 @@
     }
     if (!m_maybeRan) {
         ++m_state.counters.refused;
-        if (m_cancelled)
+        if (m_cancelled || m_processEnds)
             co_await answer(refusal(503, RetryAfterShutdown), "shutting-down");
         else if (m_overload)
             co_await refuseByLoad();
--- a/src/snipestall/serving/shutdown_plan.cpp
+++ b/src/snipestall/serving/shutdown_plan.cpp
@@ -8,8 +8,8 @@
 
 ShutdownPlan::ShutdownPlan(SteadyTime signalled, milliseconds grace)
     : m_signalled(signalled)
-    , m_lastAnswerAt(signalled + std::max(grace - LastAnswerMargin, milliseconds(0)))
-    , m_endAt(signalled + std::max(grace - EndMargin, milliseconds(0)))
+    , m_lastAnswerAt(signalled + grace - std::min(LastAnswerMargin, grace / LastAnswerPart))
+    , m_endAt(signalled + grace - std::min(EndMargin, grace / EndPart))
 {
     m_refuseAt = std::min(signalled + AcceptPeriod, m_lastAnswerAt);
 }
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway_fixture.hpp"
 
+#include "snipestall/serving/request_durations.hpp"
 #include "snipestall/serving/shutdown_plan.hpp"
 
 #include <optional>
@@ -71,7 +72,7 @@
 {
     publish();
     run([this]() -> Task<void> {
-        const Instance instance = co_await servingInstance(4s);
+        const Instance instance = co_await servingInstance(8s);
         instance.gateway->drain();
         while (storedCount() < 1)
             co_await wire::sleepFor(5ms);
@@ -82,6 +83,61 @@
     });
 }
 
+// Guards against requests that are taken in a shutdown, and cut by its end, because they last
+// longer than the time that is left.
+TEST_F(ShutdownTest, WorkIsTakenOnlyIfItEndsBeforeTheProcess)
+{
+    publish();
+    run([this]() -> Task<void> {
+        const Instance instance = co_await servingInstance(4s);
+        for (int i = 0; i < serving::RequestDurations::MinMeasured; ++i)
+            co_await fetch(instance.callers, "/safe/x");
+        co_await wire::sleepFor(5s);
+        instance.gateway->drain();
+        const HttpResponse measured = co_await fetch(instance.callers, "/safe/x");
+        EXPECT_EQ(measured.status, 200);
+        m_first.behave(TestBackend::Behaviour::Hang);
+        m_second.behave(TestBackend::Behaviour::Hang);
+        const std::size_t ran = m_first.ran().size() + m_second.ran().size();
+        const HttpResponse unknown = co_await fetch(instance.callers, "/once/x", "POST");
+        EXPECT_EQ(unknown.status, 503);
+        EXPECT_TRUE(unknown.fields.find("Retry-After"));
+        EXPECT_EQ(unknown.fields.find("Connection"), "close");
+        EXPECT_EQ(m_first.ran().size() + m_second.ran().size(), ran);
+    });
+}
+
+// Guards against sending a request to another server so late that the end of the process cuts it,
+// although it has not run yet and could be refused.
+TEST_F(ShutdownTest, ARequestThatAServerRejectsDuringAShutdownIsNotSentAgain)
+{
+    publish();
+    run([this]() -> Task<void> {
+        const Instance instance = co_await servingInstance(4s);
+        const std::size_t before = m_first.received().size() + m_second.received().size();
+        m_first.behave(TestBackend::Behaviour::HoldThenSayNotRun);
+        m_second.behave(TestBackend::Behaviour::HoldThenSayNotRun);
+        std::optional<HttpResponse> response;
+        const std::size_t atFirst = m_first.received().size();
+        boost::asio::co_spawn(
+            m_io, [&]() -> Task<void> { response = co_await fetch(instance.callers, "/safe/x"); },
+            boost::asio::detached);
+        while (m_first.received().size() + m_second.received().size() == before)
+            co_await wire::sleepFor(5ms);
+        instance.gateway->drain();
+        const bool holds = m_first.received().size() > atFirst;
+        TestBackend &holder = holds ? m_first : m_second;
+        TestBackend &other = holds ? m_second : m_first;
+        const std::size_t ran = other.ran().size();
+        other.behave(TestBackend::Behaviour::Hang);
+        holder.behave(TestBackend::Behaviour::Serve);
+        while (!response)
+            co_await wire::sleepFor(5ms);
+        EXPECT_EQ(response->status, 503);
+        EXPECT_EQ(other.ran().size(), ran);
+    });
+}
+
 // Guards against a connection that is closed without an answer when the grace period ends.
 TEST_F(ShutdownTest, ARequestThatStillRunsWhenTheGraceEndsGetsAnAnswer)
 {
--- a/tests/gateway/test_backend.cpp
+++ b/tests/gateway/test_backend.cpp
@@ -82,6 +82,11 @@
         behaviour = *m_whenResumed;
     if (behaviour == Behaviour::OtherServer)
         ++m_misdirected;
+    if (behaviour == Behaviour::HoldThenSayNotRun) {
+        while (m_behaviour == Behaviour::HoldThenSayNotRun)
+            co_await wire::sleepFor(5ms);
+        behaviour = Behaviour::SayNotRun;
+    }
     if (behaviour == Behaviour::SayNotRun || behaviour == Behaviour::OtherServer) {
         HttpResponse response = answerTo(request);
         response.status = behaviour == Behaviour::SayNotRun ? 503 : 421;
--- a/tests/gateway/test_backend.hpp
+++ b/tests/gateway/test_backend.hpp
@@ -27,6 +27,8 @@
     enum class Behaviour {
         Serve,
         SayNotRun,
+        /// Holds requests until another behaviour is selected, and says then that they didn't run.
+        HoldThenSayNotRun,
         LoseAnswer,
         /// Runs the request without ever answering.
         Hang,
