Requests that were sent ahead are answered in a shutdown

Cause: the answer says Connection: close as soon as the process is stopping, though requests were read into the buffer or lie in the kernel behind it. A close with unread bytes is a reset, which may destroy the answer in flight; the same after answers to unreadable requests.

Change: the connection ends with an answer only if nothing was sent behind its request. All others are served, or refused as not run, in order. After the last answer the sending side is shut down, and what still comes is discarded until the caller closes, for 1 s and 16 MB at most. A streamed answer that closes the connection says so for callers that asked for it, too.

Before: ShutdownTest.RequestsThatWereSentAheadAreAnswered: one answer of 4, then a reset (system:104, end of stream is expected); AConnectionWithUnreadBytesIsNotReset: a reset.

--- a/include/snipestall/gateway/caller_connection.hpp
+++ b/include/snipestall/gateway/caller_connection.hpp
@@ -52,6 +52,9 @@
     /// yet.
     [[nodiscard]] bool hasDisconnected();
 
+    /// Returns whether the caller has sent bytes behind the request that was read last.
+    [[nodiscard]] bool hasUnread();
+
     /// Writes a whole answer; returns false if the caller could not be reached.
     wire::Task<bool> write(Answer answer);
     /// Writes the head of an answer whose length is not known yet.
@@ -59,6 +62,9 @@
     wire::Task<bool> writePiece(std::string piece);
     wire::Task<bool> endStream();
 
+    /// Ends the connection after a whole answer: nothing more is sent, and what still arrives is
+    /// discarded until the caller closes, for a short time at most.
+    wire::Task<void> awaitClose();
     /// Closes the connection at once. Pending operations return.
     void close();
     /// Returns true while the connection waits for the next request.
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -213,6 +213,9 @@
     serving::ServerChoice finishMove();
     void handleCallerLeft();
     void recordCallerLeft();
+    /// Returns whether the connection of the caller ends with this answer, because the process
+    /// ends.
+    [[nodiscard]] bool closesAfterAnswer() const;
     /// Closes the connection of the caller, so that an incomplete answer does not look complete.
     void abortAnswer(const char *reason);
     void logEnd(unsigned status, const char *reason) const;
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -32,6 +32,11 @@
 /// Longest time that a caller may take to accept one piece of an answer.
 constexpr std::chrono::seconds WriteTimeout { 10 };
 constexpr std::size_t FirstReadBytes = 4096;
+/// Limits of what is read and discarded before a connection is closed. A caller that sends on gets
+/// a reset then.
+constexpr std::chrono::seconds DiscardTimeout { 1 };
+constexpr std::size_t DiscardBufferBytes = 4096;
+constexpr std::size_t MaxDiscardedBytes = 16 * 1024 * 1024;
 /// Interval at which a caller that has sent its next request early is checked for a disconnect.
 constexpr std::chrono::milliseconds WatchInterval { 100 };
 
@@ -232,6 +237,32 @@
     co_return !error;
 }
 
+bool CallerConnection::hasUnread()
+{
+    beast::error_code error;
+    return m_buffer.size() > 0 || m_stream.socket().available(error) > 0;
+}
+
+// The kernel resets a connection that is closed with unread bytes, and the reset destroys an answer
+// that the caller has not received yet.
+Task<void> CallerConnection::awaitClose()
+{
+    if (m_closed)
+        co_return;
+    beast::error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_stream.expires_after(DiscardTimeout);
+    m_buffer.clear();
+    std::size_t discarded = 0;
+    while (discarded < MaxDiscardedBytes) {
+        auto [error, bytes] =
+            co_await m_stream.async_read_some(m_buffer.prepare(DiscardBufferBytes), UseTuple);
+        if (error)
+            co_return;
+        discarded += bytes;
+    }
+}
+
 void CallerConnection::close()
 {
     m_closed = true;
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -156,7 +156,8 @@
                      { { "attempt", "" },
                        { "status", std::to_string(answer.result_int()) },
                        { "reason", "unreadable" } });
-            co_await connection.write(std::move(answer));
+            if (co_await connection.write(std::move(answer)))
+                co_await connection.awaitClose();
             co_return;
         }
         ++m_state.loopWork.requestsRead;
@@ -164,8 +165,10 @@
         m_connections[shared] = &relay;
         const bool keepOpen = co_await relay.run();
         m_connections[shared] = nullptr;
-        if (!keepOpen)
+        if (!keepOpen) {
+            co_await connection.awaitClose();
             co_return;
+        }
     }
 }
 
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -136,8 +136,9 @@
     eraseForwardFields(head);
     if (wasForwarded())
         setForwardedOrigin(m_answer.origin(), head);
-    if (m_state.draining()) {
+    if (closesAfterAnswer())
         m_keepAlive = false;
+    if (!m_keepAlive) {
         head.set(http::field::connection, "close");
     }
     return head;
--- a/src/snipestall/gateway/request_relay_end.cpp
+++ b/src/snipestall/gateway/request_relay_end.cpp
@@ -52,10 +52,16 @@
     return answer;
 }
 
+bool RequestRelay::closesAfterAnswer() const
+{
+    // Requests that the caller has sent behind this one get an answer as well.
+    return m_state.draining() && !m_caller->hasUnread();
+}
+
 Task<void> RequestRelay::answer(CallerConnection::Answer answer, const char *reason)
 {
     const unsigned status = answer.result_int();
-    if (m_state.draining())
+    if (closesAfterAnswer())
         m_keepAlive = false;
     if (wasForwarded())
         setForwardedAttempts(m_budget.used(), answer);
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -3,12 +3,21 @@
 #include "snipestall/serving/request_durations.hpp"
 #include "snipestall/serving/shutdown_plan.hpp"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace snipestall::gateway {
 namespace {
 
 using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
 using wire::HttpResponse;
 using wire::Task;
 
@@ -36,6 +45,44 @@
         co_return instance;
     }
 
+    tcp::socket connect(const wire::Endpoint &address)
+    {
+        tcp::socket socket(m_io);
+        socket.connect({ boost::asio::ip::make_address(address.host), address.port });
+        return socket;
+    }
+
+    static std::string requestText(const std::string &attempt)
+    {
+        return "GET /safe/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + attempt
+            + "\r\nX-Deadline-Ms: 5000\r\nAuthorization: Bearer secret\r\n\r\n";
+    }
+
+    static Task<void> send(tcp::socket &socket, std::string text)
+    {
+        co_await boost::asio::async_write(socket, boost::asio::buffer(text),
+                                          boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+
+    /// Reads until the gateway ends the connection; `m_readEnd` says how.
+    Task<std::string> readAll(tcp::socket &socket)
+    {
+        std::string text;
+        auto [error, bytes] =
+            co_await boost::asio::async_read(socket, boost::asio::dynamic_buffer(text),
+                                             boost::asio::as_tuple(boost::asio::use_awaitable));
+        m_readEnd = error;
+        co_return text;
+    }
+
+    static std::size_t countOf(std::string_view part, std::string_view text)
+    {
+        std::size_t count = 0;
+        for (auto at = text.find(part); at != text.npos; at = text.find(part, at + part.size()))
+            ++count;
+        return count;
+    }
+
     /// Sums the request counts of the only customer in the stored rows of the instance over all
     /// windows.
     [[nodiscard]] std::uint64_t storedCount() const
@@ -48,6 +95,8 @@
         }
         return sum;
     }
+
+    boost::system::error_code m_readEnd;
 };
 
 // Guards against accepting requests for too long in a shutdown because the store does not answer.
@@ -138,6 +187,54 @@
     });
 }
 
+// Guards against requests that are dropped because their caller has sent them before the answer to
+// the one before: some have been read into the buffer, others are still in the kernel.
+TEST_F(ShutdownTest, RequestsThatWereSentAheadAreAnswered)
+{
+    publish();
+    run([this]() -> Task<void> {
+        const Instance instance = co_await servingInstance(8s);
+        m_first.behave(TestBackend::Behaviour::HoldThenSayNotRun);
+        m_second.behave(TestBackend::Behaviour::HoldThenSayNotRun);
+        const std::size_t before = m_first.received().size() + m_second.received().size();
+        tcp::socket caller = connect(instance.callers);
+        co_await send(caller, requestText("ahead-1") + requestText("ahead-2"));
+        while (m_first.received().size() + m_second.received().size() == before)
+            co_await wire::sleepFor(5ms);
+        co_await send(caller, requestText("ahead-3") + requestText("ahead-4"));
+        instance.gateway->drain();
+        m_first.behave(TestBackend::Behaviour::Serve);
+        m_second.behave(TestBackend::Behaviour::Serve);
+        const std::string text = co_await readAll(caller);
+        std::size_t at = 0;
+        for (const char *attempt : { "ahead-1", "ahead-2", "ahead-3", "ahead-4" }) {
+            at = text.find(attempt, at);
+            EXPECT_NE(at, std::string::npos) << attempt << " in " << text;
+        }
+        EXPECT_EQ(countOf("HTTP/1.1 ", text), 4U);
+        EXPECT_EQ(countOf("Connection: close", text), 1U);
+        EXPECT_GT(text.find("Connection: close"), text.rfind("HTTP/1.1 "));
+        EXPECT_EQ(m_readEnd, boost::asio::error::eof);
+    });
+}
+
+// Guards against a reset that destroys an answer on its way: the connection was closed while the
+// rest of what the caller had sent was unread.
+TEST_F(ShutdownTest, AConnectionWithUnreadBytesIsNotReset)
+{
+    publish();
+    run([this]() -> Task<void> {
+        const Instance instance = co_await servingInstance(8s);
+        tcp::socket caller = connect(instance.callers);
+        co_await send(caller,
+                      "GET /safe/x HTTP/1.1\r\nHost: a.example\r\nX-Long: "
+                          + std::string(256 * 1024, 'x') + "\r\n\r\n");
+        const std::string text = co_await readAll(caller);
+        EXPECT_TRUE(text.starts_with("HTTP/1.1 431 ")) << text;
+        EXPECT_EQ(m_readEnd, boost::asio::error::eof);
+    });
+}
+
 // Guards against a connection that is closed without an answer when the grace period ends.
 TEST_F(ShutdownTest, ARequestThatStillRunsWhenTheGraceEndsGetsAnAnswer)
 {
