Connections that come late in a shutdown are answered

A connection that a stopping process accepted was closed without an answer before its request came (4.7 s after SIGTERM, play of the issue), another was reset as the process ended.

Cause: closeIdle() took each connection that waits for first bytes for an idle one, also one that was accepted in the same turn. The listening socket was never closed, so that connections in the kernel's queue were reset at the end. A request that had arrived in part when the last answers are given was cut with the process.

Change: a connection that has not carried a request yet counts as idle after 1 s. Before the process ends, or when the last answers are due, the listener accepts what the kernel has established and closes; who connects later is refused by the kernel. Requests that have arrived in part by then get 503 and when to come back.

Before: ShutdownTest.ANewConnectionIsAnsweredAsLongAsTheProcessRuns: an empty answer; ARequestWhoseBodyHasNotArrivedIsRefused: no answer until the idle limit, 15 s (16,036 ms).

--- a/include/snipestall/gateway/caller_connection.hpp
+++ b/include/snipestall/gateway/caller_connection.hpp
@@ -27,6 +27,8 @@
     BodyTooLarge,
     /// The header did not arrive in time.
     HeaderTimeout,
+    /// The process ends before the request has arrived in full.
+    Stopped,
 };
 
 /// One connection of a caller, which may carry several requests, one after the other.
@@ -71,8 +73,11 @@
     [[nodiscard]] bool idle() const { return m_idle; }
     /// Stops waiting for the next request. A request whose first bytes have arrived is still read.
     void cancelIdleWait() { m_stream.cancel(); }
+    /// Stops reading a request that has arrived in part.
+    void stopReading();
 
 private:
+    wire::Task<RequestRead> readWholeRequest(serving::TrafficLimits limits);
     /// Reads the first bytes of the next request; returns false if none arrive.
     wire::Task<bool> awaitBytes();
     /// Ends the idle wait once the connection has been idle for as long as the limit in force says.
@@ -91,6 +96,8 @@
     std::chrono::steady_clock::time_point m_idleSince;
     bool m_watchArmed = false;
     bool m_idle = false;
+    bool m_reading = false;
+    bool m_readingStopped = false;
     bool m_closed = false;
 };
 
--- a/include/snipestall/gateway/caller_listener.hpp
+++ b/include/snipestall/gateway/caller_listener.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipestall/base/clock.hpp"
 #include "snipestall/base/result.hpp"
 #include "snipestall/gateway/request_origin.hpp"
 #include "snipestall/serving/traffic_limits.hpp"
@@ -26,8 +27,14 @@
     create(GatewayState &state, const wire::Endpoint &address, RequestOrigin origin);
 
     void start();
-    /// Closes connections that carry no request.
+    /// Closes connections that carry no request, except those that were accepted a short time ago
+    /// and have not carried one yet.
     void closeIdle();
+    /// Closes the listening socket. Connections that the kernel has established are accepted first.
+    void stopAccepting();
+    /// Stops reading requests that have arrived in part. Their callers are told that they have not
+    /// run.
+    void stopReading();
     /// Counts the times for which the running requests have run as measured.
     void recordRunning() const;
     /// Cancels the running requests. Each caller gets the answer that can be given at that moment.
@@ -41,6 +48,7 @@
                    RequestOrigin origin);
     [[nodiscard]] serving::TrafficLimits limits() const;
     wire::Task<void> accept();
+    void take(boost::asio::ip::tcp::socket socket);
     wire::Task<void> serve(std::shared_ptr<CallerConnection> connection);
     wire::Task<void> serveRequests(CallerConnection &connection,
                                    std::shared_ptr<CallerConnection> shared);
@@ -48,8 +56,15 @@
     GatewayState &m_state;
     boost::asio::ip::tcp::acceptor m_acceptor;
     RequestOrigin m_origin;
-    /// The request that each connection carries; null between two requests.
-    std::map<std::shared_ptr<CallerConnection>, RequestRelay *> m_connections;
+    struct Served
+    {
+        /// The request that the connection carries; null between two requests.
+        RequestRelay *relay = nullptr;
+        SteadyTime acceptedAt;
+        bool hasCarriedRequest = false;
+    };
+    std::map<std::shared_ptr<CallerConnection>, Served> m_connections;
+    bool m_stopped = false;
 };
 
 } // namespace snipestall::gateway
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -123,6 +123,24 @@
     if (m_buffer.size() == 0 && !co_await awaitBytes())
         co_return RequestRead::Closed;
     const serving::TrafficLimits limits = m_limits();
+    m_reading = true;
+    const RequestRead read = co_await readWholeRequest(limits);
+    m_reading = false;
+    if (m_readingStopped && (read == RequestRead::Closed || read == RequestRead::HeaderTimeout))
+        co_return RequestRead::Stopped;
+    co_return read;
+}
+
+void CallerConnection::stopReading()
+{
+    if (!m_reading)
+        return;
+    m_readingStopped = true;
+    m_stream.cancel();
+}
+
+Task<RequestRead> CallerConnection::readWholeRequest(serving::TrafficLimits limits)
+{
     RequestParser parser;
     parser.header_limit(limits.maxHeaderBytes);
     parser.body_limit(limits.maxBodyBytes);
@@ -143,6 +161,8 @@
     // The timeout limits the pauses within a body, not its total time, because a slow caller may
     // send a large body.
     while (!parser.is_done()) {
+        if (m_readingStopped)
+            co_return RequestRead::Closed;
         m_stream.expires_after(limits.idleTimeout);
         auto [error, bytes] = co_await http::async_read_some(m_stream, m_buffer, parser, UseTuple);
         if (error)
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -1,5 +1,6 @@
 #include "snipestall/gateway/caller_listener.hpp"
 
+#include "relay_text.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/caller_connection.hpp"
@@ -33,6 +34,10 @@
 /// Pause of the accept loop when no descriptors are left.
 constexpr std::chrono::milliseconds AcceptPause { 20 };
 
+/// Time that a new connection has for the first bytes of its first request before it counts as
+/// idle. Callers that connect during a shutdown send their request at once.
+constexpr std::chrono::milliseconds FirstRequestTime { 1000 };
+
 /// Header fields that instances add to a forwarded request.
 constexpr std::uint32_t ForwardHeaderBytes = 1024;
 /// Longer than other instances keep idle connections, so that none is closed while it is used.
@@ -44,11 +49,12 @@
     unsigned status;
 };
 
-constexpr std::array<ReadFault, 4> ReadFaults { {
+constexpr std::array<ReadFault, 5> ReadFaults { {
     { RequestRead::Malformed, 400 },
     { RequestRead::HeaderTooLarge, 431 },
     { RequestRead::BodyTooLarge, 413 },
     { RequestRead::HeaderTimeout, 408 },
+    { RequestRead::Stopped, 503 },
 } };
 
 CallerConnection::Answer faultAnswer(RequestRead read)
@@ -59,6 +65,8 @@
         if (fault.read == read)
             answer.result(fault.status);
     }
+    if (read == RequestRead::Stopped)
+        answer.set(http::field::retry_after, retryAfterText(RetryAfterShutdown));
     answer.keep_alive(false);
     answer.prepare_payload();
     return answer;
@@ -103,7 +111,7 @@
     const std::size_t connectionLimit = m_state.settings.fileDescriptors > 2 * ReservedDescriptors
         ? m_state.settings.fileDescriptors - ReservedDescriptors
         : m_state.settings.fileDescriptors / 2;
-    while (true) {
+    while (!m_stopped) {
         if (m_connections.size() >= connectionLimit) {
             // Without a free descriptor, no request could be sent to a backend server either.
             closeIdle();
@@ -114,12 +122,32 @@
             co_await wire::sleepFor(AcceptPause);
             continue;
         }
-        auto connection = std::make_shared<CallerConnection>(std::move(socket));
-        m_connections.emplace(connection, nullptr);
-        asio::co_spawn(m_state.io, serve(std::move(connection)), asio::detached);
+        take(std::move(socket));
     }
 }
 
+void CallerListener::take(tcp::socket socket)
+{
+    auto connection = std::make_shared<CallerConnection>(std::move(socket));
+    m_connections.emplace(connection, Served { nullptr, m_state.clock.steadyNow(), false });
+    asio::co_spawn(m_state.io, serve(std::move(connection)), asio::detached);
+}
+
+// The kernel resets the connections that wait to be accepted when the listening socket closes.
+void CallerListener::stopAccepting()
+{
+    m_stopped = true;
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error || error == asio::error::connection_aborted) {
+        tcp::socket socket(m_state.io);
+        m_acceptor.accept(socket, error);
+        if (!error)
+            take(std::move(socket));
+    }
+    m_acceptor.close(error);
+}
+
 Task<void> CallerListener::serve(std::shared_ptr<CallerConnection> connection)
 {
     try {
@@ -152,19 +180,22 @@
             co_return;
         if (read != RequestRead::Ok) {
             CallerConnection::Answer answer = faultAnswer(read);
-            logEvent(events::GatewayRequestEnded,
-                     { { "attempt", "" },
-                       { "status", std::to_string(answer.result_int()) },
-                       { "reason", "unreadable" } });
+            logEvent(
+                events::GatewayRequestEnded,
+                { { "attempt", "" },
+                  { "status", std::to_string(answer.result_int()) },
+                  { "reason", read == RequestRead::Stopped ? "shutting-down" : "unreadable" } });
             if (co_await connection.write(std::move(answer)))
                 co_await connection.awaitClose();
             co_return;
         }
         ++m_state.loopWork.requestsRead;
         RequestRelay relay(m_state, shared, m_origin);
-        m_connections[shared] = &relay;
+        Served &served = m_connections[shared];
+        served.relay = &relay;
+        served.hasCarriedRequest = true;
         const bool keepOpen = co_await relay.run();
-        m_connections[shared] = nullptr;
+        served.relay = nullptr;
         if (!keepOpen) {
             co_await connection.awaitClose();
             co_return;
@@ -174,33 +205,41 @@
 
 void CallerListener::closeIdle()
 {
-    for (const auto &[connection, relay] : m_connections) {
-        if (connection->idle())
+    const SteadyTime now = m_state.clock.steadyNow();
+    for (const auto &[connection, served] : m_connections) {
+        const bool isNew = !served.hasCarriedRequest && now - served.acceptedAt < FirstRequestTime;
+        if (connection->idle() && !isNew)
             connection->cancelIdleWait();
     }
 }
 
+void CallerListener::stopReading()
+{
+    for (const auto &[connection, served] : m_connections)
+        connection->stopReading();
+}
+
 void CallerListener::recordRunning() const
 {
-    for (const auto &[connection, relay] : m_connections) {
-        if (relay != nullptr)
-            relay->recordRunning();
+    for (const auto &[connection, served] : m_connections) {
+        if (served.relay != nullptr)
+            served.relay->recordRunning();
     }
 }
 
 void CallerListener::cancelRequests()
 {
-    for (const auto &[connection, relay] : m_connections) {
-        if (relay != nullptr)
-            relay->cancel();
+    for (const auto &[connection, served] : m_connections) {
+        if (served.relay != nullptr)
+            served.relay->cancel();
     }
 }
 
 void CallerListener::logUnanswered() const
 {
-    for (const auto &[connection, relay] : m_connections) {
-        if (relay != nullptr)
-            relay->logUnanswered();
+    for (const auto &[connection, served] : m_connections) {
+        if (served.relay != nullptr)
+            served.relay->logUnanswered();
     }
 }
 
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -90,6 +90,13 @@
             count += listener->connections();
         return count;
     }
+    void stopAccepting()
+    {
+        for (CallerListener *listener : listeners()) {
+            listener->stopReading();
+            listener->stopAccepting();
+        }
+    }
     void closeIdle()
     {
         for (CallerListener *listener : listeners())
@@ -302,8 +309,17 @@
     for (CallerListener *listener : listeners())
         listener->cancelRequests();
     asio::co_spawn(state.io, storeLastCounts(), asio::detached);
+    bool accepting = true;
     const auto mayEnd = [this] { return countsStored && connections() == 0; };
-    while (!mayEnd() && !state.shutdown->mustEnd(state.clock.steadyNow(), state.loopLag.last())) {
+    while ((accepting || !mayEnd())
+           && !state.shutdown->mustEnd(state.clock.steadyNow(), state.loopLag.last())) {
+        // Callers that connect until the very end would be reset.
+        if (accepting
+            && (mayEnd()
+                || state.shutdown->mustAnswer(state.clock.steadyNow(), state.loopLag.last()))) {
+            stopAccepting();
+            accepting = false;
+        }
         closeIdle();
         co_await wire::sleepFor(EndTick);
     }
--- a/src/snipestall/gateway/relay_text.hpp
+++ b/src/snipestall/gateway/relay_text.hpp
@@ -2,8 +2,10 @@
 
 #include "snipestall/base/clock.hpp"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
+#include <cstdio>
 #include <string>
 
 namespace snipestall::gateway {
@@ -30,4 +32,12 @@
     return std::to_string(static_cast<std::int64_t>(number));
 }
 
+/// Formats a retry time in seconds.
+inline std::string retryAfterText(std::chrono::milliseconds time)
+{
+    std::array<char, 32> text {};
+    std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(time).count());
+    return text.data();
+}
+
 } // namespace snipestall::gateway
--- a/src/snipestall/gateway/request_relay_end.cpp
+++ b/src/snipestall/gateway/request_relay_end.cpp
@@ -12,8 +12,6 @@
 
 #include <boost/beast/http/field.hpp>
 
-#include <array>
-#include <cstdio>
 #include <utility>
 
 namespace snipestall::gateway {
@@ -22,17 +20,6 @@
 using std::chrono::milliseconds;
 using wire::Task;
 
-namespace {
-
-std::string secondsText(milliseconds time)
-{
-    std::array<char, 32> text {};
-    std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(time).count());
-    return text.data();
-}
-
-} // namespace
-
 CallerConnection::Answer RequestRelay::ownAnswer(unsigned status) const
 {
     CallerConnection::Answer answer;
@@ -46,7 +33,7 @@
 CallerConnection::Answer RequestRelay::refusal(unsigned status, milliseconds retryAfter) const
 {
     CallerConnection::Answer answer = ownAnswer(status);
-    answer.set(http::field::retry_after, secondsText(retryAfter));
+    answer.set(http::field::retry_after, retryAfterText(retryAfter));
     if (wasForwarded())
         answer.set(ForwardNotRunField, m_budget.used().sends > 0 ? ForwardRejected : ForwardUnsent);
     return answer;
--- a/tests/gateway/shutdown_test.cpp
+++ b/tests/gateway/shutdown_test.cpp
@@ -235,6 +235,49 @@
     });
 }
 
+// Guards against a new connection that counts as idle, and is closed, before its request arrives.
+TEST_F(ShutdownTest, ANewConnectionIsAnsweredAsLongAsTheProcessRuns)
+{
+    publish();
+    run([this]() -> Task<void> {
+        const Instance instance = co_await servingInstance(8s);
+        m_first.behave(TestBackend::Behaviour::Hang);
+        m_second.behave(TestBackend::Behaviour::Hang);
+        tcp::socket running = connect(instance.callers);
+        co_await send(running, requestText("running"));
+        while (m_first.received().size() + m_second.received().size() < 2)
+            co_await wire::sleepFor(5ms);
+        instance.gateway->drain();
+        co_await wire::sleepFor(serving::ShutdownPlan::AcceptPeriod);
+        tcp::socket caller = connect(instance.callers);
+        co_await wire::sleepFor(200ms);
+        co_await send(caller, requestText("new"));
+        const std::string text = co_await readAll(caller);
+        EXPECT_TRUE(text.starts_with("HTTP/1.1 503 ")) << text;
+        EXPECT_EQ(countOf("Connection: close", text), 1U);
+        EXPECT_EQ(m_readEnd, boost::asio::error::eof);
+    });
+}
+
+// Guards against a connection that is cut by the end of the process while its request arrives.
+TEST_F(ShutdownTest, ARequestWhoseBodyHasNotArrivedIsRefused)
+{
+    publish();
+    run([this]() -> Task<void> {
+        const Instance instance = co_await servingInstance(2s);
+        tcp::socket caller = connect(instance.callers);
+        co_await send(caller,
+                      "POST /once/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: half\r\n"
+                      "Content-Length: 100\r\n\r\nthe first half");
+        co_await wire::sleepFor(50ms);
+        instance.gateway->drain();
+        const std::string text = co_await readAll(caller);
+        EXPECT_TRUE(text.starts_with("HTTP/1.1 503 ")) << text;
+        EXPECT_EQ(countOf("Retry-After: ", text), 1U);
+        EXPECT_EQ(m_readEnd, boost::asio::error::eof);
+    });
+}
+
 // Guards against a connection that is closed without an answer when the grace period ends.
 TEST_F(ShutdownTest, ARequestThatStillRunsWhenTheGraceEndsGetsAnAnswer)
 {
