Answers without a body end with their head

Cause: the framing followed the route and not the answer.

Change: wire/answer_body.hpp says which answers have a body. Only those may be streams; the caller's connection and wire/http_server write nothing behind the head of others, no Transfer-Encoding, and a length for HEAD alone, that of the server.

--- a/include/snipestall/gateway/caller_connection.hpp
+++ b/include/snipestall/gateway/caller_connection.hpp
@@ -98,6 +98,8 @@
     bool m_idle = false;
     bool m_reading = false;
     bool m_readingStopped = false;
+    /// Whether the answer that is being written has a body.
+    bool m_writesBody = true;
     bool m_closed = false;
 };
 
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -122,6 +122,8 @@
     wire::Task<AttemptEnd> relayForwardedAnswer(const serving::ServerStatePtr &instance);
     [[nodiscard]] BackendCall::Request forwardedRequest() const;
     [[nodiscard]] bool wasForwarded() const { return m_origin == RequestOrigin::Instance; }
+    /// Returns whether an answer with this status may be a stream of events.
+    [[nodiscard]] bool mayStream(unsigned status) const;
     wire::Task<AttemptEnd> handleAnswer(const serving::ServerStatePtr &server);
     wire::Task<AttemptEnd> relayWhole(const serving::ServerStatePtr &server);
     /// `origin`: who writes the stream, if that is known.
@@ -137,6 +139,8 @@
     /// Reads the rest of an answer that says that the request has not run, so that the connection
     /// can be reused.
     wire::Task<void> readRejection();
+    /// Sets the fields that say where a whole answer ends.
+    void prepareWhole(CallerConnection::Answer &whole) const;
     /// Head of the server's answer as it is passed on to the caller, or to the instance that has
     /// forwarded the request.
     [[nodiscard]] boost::beast::http::response_header<> answerHead();
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "snipestall/gateway/caller_connection.hpp"
 
+#include "snipestall/wire/answer_body.hpp"
 #include "snipestall/wire/socket_options.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -224,6 +225,10 @@
 
 Task<bool> CallerConnection::write(Answer answer)
 {
+    if (!wire::hasBody(m_request.method(), answer.result_int())) {
+        answer.body().clear();
+        wire::eraseBodyFields(answer.result_int(), answer);
+    }
     m_stream.expires_after(WriteTimeout);
     auto [error, bytes] = co_await http::async_write(m_stream, answer, UseTuple);
     co_return !error;
@@ -232,7 +237,11 @@
 Task<bool> CallerConnection::beginStream(http::response_header<> head)
 {
     http::response<http::empty_body> message(std::move(head));
-    message.chunked(true);
+    m_writesBody = wire::hasBody(m_request.method(), message.result_int());
+    if (m_writesBody)
+        message.chunked(true);
+    else
+        wire::eraseBodyFields(message.result_int(), message);
     http::response_serializer<http::empty_body> serializer(message);
     m_stream.expires_after(WriteTimeout);
     auto [error, bytes] = co_await http::async_write_header(m_stream, serializer, UseTuple);
@@ -241,7 +250,7 @@
 
 Task<bool> CallerConnection::writePiece(std::string piece)
 {
-    if (piece.empty())
+    if (piece.empty() || !m_writesBody)
         co_return !m_closed;
     m_stream.expires_after(WriteTimeout);
     const auto chunk = http::make_chunk(asio::buffer(piece));
@@ -251,6 +260,8 @@
 
 Task<bool> CallerConnection::endStream()
 {
+    if (!m_writesBody)
+        co_return !m_closed;
     m_stream.expires_after(WriteTimeout);
     const auto last = http::make_chunk_last();
     auto [error, bytes] = co_await asio::async_write(m_stream, last, UseTuple);
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -9,6 +9,7 @@
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/gateway/notice_recorder.hpp"
 #include "snipestall/gateway/server_probe.hpp"
+#include "snipestall/wire/answer_body.hpp"
 #include "snipestall/wire/signal.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -452,11 +453,17 @@
     if (!m_answer.canContinueWith(m_call->head()))
         co_return co_await dropAnswer(*server);
     const serving::StreamOrigin origin { server->info.service, server->info.version };
-    if (status < FirstNonSuccessStatus && m_route->isStream() && parsed.mayBeEventStream)
+    if (mayStream(status) && parsed.mayBeEventStream)
         co_return co_await relayStream(server, origin);
     co_return co_await relayWhole(server);
 }
 
+bool RequestRelay::mayStream(unsigned status) const
+{
+    return status < FirstNonSuccessStatus && m_route->isStream()
+        && wire::hasBody(m_caller->request().method(), status);
+}
+
 void RequestRelay::handleFirstByte()
 {
     stopStallWatch();
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -6,6 +6,7 @@
 #include "platform/server_header.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/serving/stream_pace.hpp"
+#include "snipestall/wire/answer_body.hpp"
 
 #include <boost/beast/http/field.hpp>
 
@@ -116,7 +117,7 @@
         logEnd(status, "answered");
         co_return AttemptEnd::Final;
     }
-    whole.prepare_payload();
+    prepareWhole(whole);
     if (status >= FirstServerErrorStatus) {
         m_failure = std::move(whole);
         co_return AttemptEnd::Failed;
@@ -126,6 +127,18 @@
     co_return AttemptEnd::Final;
 }
 
+void RequestRelay::prepareWhole(CallerConnection::Answer &whole) const
+{
+    if (wire::hasBody(m_caller->request().method(), whole.result_int())) {
+        whole.prepare_payload();
+        return;
+    }
+    // The length of a body that isn't sent is known to the server alone.
+    const auto length = m_call->head().find(http::field::content_length);
+    if (length != m_call->head().end())
+        whole.set(http::field::content_length, length->value());
+}
+
 http::response_header<> RequestRelay::answerHead()
 {
     http::response_header<> head;
--- a/src/snipestall/gateway/request_relay_forward.cpp
+++ b/src/snipestall/gateway/request_relay_forward.cpp
@@ -24,7 +24,6 @@
 
 /// An instance that runs accepts a connection within a few round trips.
 constexpr milliseconds ConnectTimeout { 200 };
-constexpr unsigned FirstNonSuccessStatus = 300;
 /// Instances that are asked for a free slot of a server whose slots are shared.
 constexpr std::size_t MaxShareHolders = 2;
 
@@ -166,7 +165,7 @@
         co_return co_await dropAnswer(*instance);
     const unsigned status = head.result_int();
     const auto parsed = platform::readServerResponse(status, head);
-    if (status >= FirstNonSuccessStatus || !m_route->isStream() || !parsed.mayBeEventStream)
+    if (!mayStream(status) || !parsed.mayBeEventStream)
         co_return co_await relayWhole(instance);
     const std::optional<serving::StreamOrigin> origin = forwardedOrigin(head);
     if (m_answer.origin() && m_answer.origin() != origin)
--- a/src/snipestall/wire/http_server.cpp
+++ b/src/snipestall/wire/http_server.cpp
@@ -1,5 +1,6 @@
 #include "snipestall/wire/http_server.hpp"
 
+#include "snipestall/wire/answer_body.hpp"
 #include "snipestall/wire/http_exchange.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -77,8 +78,14 @@
         http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
         copyFields(response.fields, message);
         message.keep_alive(m_keepAlive);
-        message.body() = std::move(response.body);
-        message.prepare_payload();
+        if (!isBodyless(message.result_int())) {
+            message.body() = std::move(response.body);
+            message.prepare_payload();
+        }
+        if (!mayHaveBody(message.result_int())) {
+            message.body().clear();
+            eraseBodyFields(message.result_int(), message);
+        }
         m_stream.expires_after(WriteTimeout);
         co_await http::async_write(m_stream, message, asio::use_awaitable);
         m_ended = true;
@@ -89,7 +96,11 @@
         http::response<http::empty_body> message(static_cast<http::status>(head.status), 11);
         copyFields(head.fields, message);
         message.keep_alive(m_keepAlive);
-        message.chunked(true);
+        m_writesBody = mayHaveBody(message.result_int());
+        if (m_writesBody)
+            message.chunked(true);
+        else
+            eraseBodyFields(message.result_int(), message);
         http::response_serializer<http::empty_body> serializer(message);
         m_stream.expires_after(WriteTimeout);
         co_await http::async_write_header(m_stream, serializer, asio::use_awaitable);
@@ -97,7 +108,7 @@
 
     Task<void> write(std::string chunk) override
     {
-        if (chunk.empty())
+        if (chunk.empty() || !m_writesBody)
             co_return;
         m_stream.expires_after(WriteTimeout);
         const auto buffers = http::make_chunk(asio::buffer(chunk));
@@ -106,9 +117,11 @@
 
     Task<void> finish() override
     {
-        m_stream.expires_after(WriteTimeout);
-        const auto last = http::make_chunk_last();
-        co_await asio::async_write(m_stream, last, asio::use_awaitable);
+        if (m_writesBody) {
+            m_stream.expires_after(WriteTimeout);
+            const auto last = http::make_chunk_last();
+            co_await asio::async_write(m_stream, last, asio::use_awaitable);
+        }
         m_ended = true;
     }
 
@@ -142,8 +155,14 @@
     }
 
 private:
+    [[nodiscard]] bool mayHaveBody(unsigned status) const
+    {
+        return hasBody(http::string_to_verb(m_request.method), status);
+    }
+
     beast::tcp_stream &m_stream;
     HttpRequest m_request;
+    bool m_writesBody = true;
     bool m_keepAlive;
     bool m_ended = false;
     bool m_aborted = false;
--- a/src/snipestall/wire/http_test.cpp
+++ b/src/snipestall/wire/http_test.cpp
@@ -3,8 +3,14 @@
 #include "snipestall/wire/http_server.hpp"
 #include "snipestall/wire/http_stream.hpp"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <string>
 
 #include <gtest/gtest.h>
 
@@ -112,6 +118,40 @@
     EXPECT_EQ(response->status, 413);
 }
 
+// Guards against bytes behind an answer that has no body, which stand before the next answer.
+TEST_F(HttpTest, NothingStandsBehindAnAnswerWithoutABody)
+{
+    const Endpoint endpoint = listen([](HttpExchange &exchange) -> Task<void> {
+        HttpResponse response;
+        response.status = exchange.request().path() == "/204" ? 204 : 200;
+        if (exchange.request().path() == "/whole") {
+            response.body = "text";
+            co_await exchange.respond(std::move(response));
+            co_return;
+        }
+        co_await exchange.beginStream(std::move(response));
+        co_await exchange.write("piece");
+        co_await exchange.finish();
+    });
+    for (const std::string line : { "GET /204", "HEAD /stream", "HEAD /whole" }) {
+        boost::asio::ip::tcp::socket socket(m_io);
+        socket.connect({ boost::asio::ip::make_address(endpoint.host), endpoint.port });
+        const std::string text = line
+            + " HTTP/1.1\r\nHost: a\r\n\r\nGET /204 HTTP/1.1\r\n"
+              "Host: a\r\nConnection: close\r\n\r\n";
+        boost::asio::write(socket, boost::asio::buffer(text));
+        std::string answers;
+        boost::asio::async_read(
+            socket, boost::asio::dynamic_buffer(answers),
+            [this](const boost::system::error_code &, std::size_t) { m_io.stop(); });
+        m_io.restart();
+        m_io.run();
+        const std::size_t end = answers.find("\r\n\r\n");
+        ASSERT_NE(end, std::string::npos) << line << ": " << answers;
+        EXPECT_TRUE(answers.substr(end + 4).starts_with("HTTP/1.1 204")) << line << ": " << answers;
+    }
+}
+
 TEST(EndpointTest, ParsesIpAddressesOnly)
 {
     EXPECT_EQ(Endpoint::parse("127.0.0.1:80")->port, 80);
--- a/tests/gateway/test_backend.cpp
+++ b/tests/gateway/test_backend.cpp
@@ -180,6 +180,12 @@
     case Behaviour::PlainText:
         response.fields.set("Content-Type", "text/plain");
         break;
+    case Behaviour::NoContent:
+        response.status = 204;
+        break;
+    case Behaviour::NotModified:
+        response.status = 304;
+        break;
     case Behaviour::Fail:
         response.status = 500;
         break;
--- a/tests/gateway/test_backend.hpp
+++ b/tests/gateway/test_backend.hpp
@@ -49,6 +49,9 @@
         OtherStatus,
         /// Answers with plain text.
         PlainText,
+        /// Answers with a status that has no body.
+        NoContent,
+        NotModified,
         /// Sends more of a plain body than a gateway holds back, then closes the connection.
         LargeBodyThenCrash,
         /// Ends like a process that is crashed by the request it runs: the connection breaks and
