Test of requests that are forwarded to a stopping instance

An instance that is cut off from all servers forwards 60 requests that may run once to the only other instance, which is stopping: each is answered 200 or 503, and those that ran are those with 200.

--- a/tests/gateway/cut_off_test.cpp
+++ b/tests/gateway/cut_off_test.cpp
@@ -135,6 +135,30 @@
     });
 }
 
+// Guards against requests that an instance forwards to one that is stopping, and that run there
+// without an answer, or are answered as lost although they have not run.
+TEST_F(CutOffTest, RequestsForwardedToAStoppingInstanceAreAnsweredTruly)
+{
+    run([this]() -> Task<void> {
+        co_await untilAllServing();
+        cut(TestLink::Cut::Refuse);
+        while (!co_await hasMetric("snipestall_gateway_cut_off 1"))
+            co_await fetch(m_cut.callers, "/safe/x");
+        const auto runs = [this] { return m_first.ran().size() + m_second.ran().size(); };
+        const std::size_t before = runs();
+        m_gateway->drain();
+        std::size_t served = 0;
+        for (int i = 0; i < Requests; ++i) {
+            const auto response = co_await fetch(m_cut.callers, "/once/x", "POST");
+            EXPECT_TRUE(response.status == 200 || response.status == 503) << response.status;
+            served += response.status == 200 ? 1 : 0;
+            co_await wire::sleepFor(50ms);
+        }
+        EXPECT_EQ(runs() - before, served);
+        expectEachRunOnce();
+    });
+}
+
 // Guards against callers of an instance that are refused for as long as the network path from this
 // instance to all backend servers is cut, although the callers and the other instances reach it.
 TEST_F(CutOffTest, CallersAreServedWhileConnectionsAreRefused)
