Streams go on after a kill of all instances while several versions serve

Cause: what says which version began a stream is kept in processes only.

Change: instances that hold the records of all write them into the store in groups while several versions are registered: one row for each writer and second, a ring of 32, written again when there are new records, every 100 ms at most (150 ms by a hub of members). A process reads them after its start and when a stream is taken up that nobody knows. Without a record, or with two origins for one key, a stream is refused as before. No request waits for a write.

--- a/include/snipestall/gateway/gateway_counters.hpp
+++ b/include/snipestall/gateway/gateway_counters.hpp
@@ -31,6 +31,11 @@
     std::uint64_t resumed = 0;
     std::uint64_t resumesUnknown = 0;
     std::uint64_t resumesWithoutServer = 0;
+    /// Those that went on by a record that only the store had.
+    std::uint64_t resumesFromStore = 0;
+    /// Writes of the records of begun streams into the store, and those that failed.
+    std::uint64_t streamGroupsWritten = 0;
+    std::uint64_t streamGroupsFailed = 0;
     /// Changes of tables that were too large for a report and were fetched from another instance.
     std::uint64_t changesFetched = 0;
 };
--- a/include/snipestall/gateway/load_exchange.hpp
+++ b/include/snipestall/gateway/load_exchange.hpp
@@ -42,11 +42,13 @@
     /// `holdsLease` returns whether this instance holds the lease and so acts on behalf of all.
     /// `holderReported` is called when a peer reports that it holds the lease. `setCandidate` is
     /// called with whether this instance is one of the few that compete for the lease.
+    /// `streamUnknown` is called when a peer asks for a stream that this instance does not know.
     struct Hooks
     {
         std::function<bool()> holdsLease;
         std::function<void()> holderReported;
         std::function<void(bool)> setCandidate;
+        std::function<void()> streamUnknown;
     };
 
     static Result<std::unique_ptr<LoadExchange>>
@@ -62,8 +64,12 @@
     /// The lowest number of a stage of a service's rollout that the other instances in contact
     /// follow.
     [[nodiscard]] std::uint64_t rolloutFollowedByAll(const std::string &service) const;
-    /// The instances that keep the records of all streams, in the order in which they are to be
-    /// asked.
+    /// Whether this instance keeps the records of all streams.
+    [[nodiscard]] bool holdsRecords();
+    /// Whether other instances use this one as their hub.
+    [[nodiscard]] bool hasMembers() const;
+    /// The other instances that keep the records of all streams, in the order in which they are to
+    /// be asked.
     [[nodiscard]] std::vector<std::string> recordHolders();
     /// Asks an instance for the origin of a stream. Calls `done` on the I/O loop within about
     /// `timeout`.
--- a/include/snipestall/gateway/origin_resolver.hpp
+++ b/include/snipestall/gateway/origin_resolver.hpp
@@ -12,9 +12,13 @@
 namespace snipestall::gateway {
 
 class LoadExchange;
+class StreamGroupStore;
 class VersionRegistrar;
 struct GatewayState;
 
+/// Source of an origin that only the store knew.
+inline constexpr auto StoreGroupsSource = "store-groups";
+
 /// The origin of a stream, if it is known for certain.
 struct ResolvedOrigin
 {
@@ -26,12 +30,13 @@
 };
 
 /// Finds out which service and software version began a stream that a caller takes up: from the
-/// records of this instance, from the versions that can have begun streams at all, and from the
-/// records of other instances.
+/// records of this instance, from the versions that can have begun streams at all, from the records
+/// of other instances, and from those in the store.
 class OriginResolver
 {
 public:
-    OriginResolver(GatewayState &state, VersionRegistrar &registrar, LoadExchange &exchange);
+    OriginResolver(GatewayState &state, VersionRegistrar &registrar, LoadExchange &exchange,
+                   StreamGroupStore &groups);
 
     /// `key`: the attempt that began the stream, if the caller names it.
     wire::Task<ResolvedOrigin> resolve(std::optional<std::uint64_t> key);
@@ -42,10 +47,13 @@
     [[nodiscard]] std::optional<ResolvedOrigin> ownRecord(std::uint64_t key) const;
     wire::Task<ResolvedOrigin> onlyVersion();
     wire::Task<ResolvedOrigin> askOthers(std::uint64_t key);
+    /// Called when no instance knows the stream.
+    wire::Task<ResolvedOrigin> readStored(std::uint64_t key);
 
     GatewayState &m_state;
     VersionRegistrar &m_registrar;
     LoadExchange &m_exchange;
+    StreamGroupStore &m_groups;
     int m_searches = 0;
 };
 
--- a/include/snipestall/gateway/stream_exchange.hpp
+++ b/include/snipestall/gateway/stream_exchange.hpp
@@ -31,8 +31,8 @@
     void addTo(exchange::v1::LoadReport &report, const std::string &receiver, SteadyTime now) const;
     /// Takes over the records of a report.
     void reportReceived(const exchange::v1::LoadReport &report, SteadyTime now);
-    /// Answers the query of a peer.
-    void answer(std::uint64_t key, exchange::v1::StreamAnswer &answer, SteadyTime now) const;
+    /// Answers the query of a peer. Returns whether the stream is known.
+    bool answer(std::uint64_t key, exchange::v1::StreamAnswer &answer, SteadyTime now) const;
 
 private:
     struct Peer
--- a/include/snipestall/serving/stream_records.hpp
+++ b/include/snipestall/serving/stream_records.hpp
@@ -40,6 +40,8 @@
         /// that uses an id twice.
         std::optional<StreamOrigin> origin;
         std::chrono::milliseconds age { 0 };
+        /// Whether it is known from the store alone.
+        bool fromStore = false;
     };
     /// Records to be passed on.
     struct Batch
@@ -60,6 +62,8 @@
     void add(const StreamRecord &record, SteadyTime now);
     /// Another instance has passed a record on that is not to be passed on again.
     void addHeard(const StreamRecord &record, SteadyTime now);
+    /// The same of a record that was read from the store.
+    void addStored(const StreamRecord &record, SteadyTime now);
     [[nodiscard]] std::optional<Known> find(std::uint64_t key, SteadyTime now) const;
     [[nodiscard]] std::size_t size() const { return m_entries.size(); }
 
@@ -69,13 +73,13 @@
 
     /// Longest time for which a record is kept, whatever a caller asks for.
     static constexpr std::chrono::milliseconds MaxKept { 60000 };
+    /// Bounds the records of one report to some 20 KB.
+    static constexpr std::size_t MaxBatch = 2000;
 
 private:
     /// Bounds the memory: 60 seconds at 5,000 streams a second.
     static constexpr std::size_t MaxEntries = 300000;
     static constexpr std::size_t MaxOrigins = 1000;
-    /// Bounds the records of one report to some 20 KB.
-    static constexpr std::size_t MaxBatch = 2000;
     static constexpr std::chrono::milliseconds PruneInterval { 1000 };
 
     struct Entry
@@ -85,6 +89,7 @@
         bool ambiguous = false;
         /// Whether the record is one of those that are passed on.
         bool passedOn = false;
+        bool fromStore = false;
         SteadyTime addedAt;
         SteadyTime expiresAt;
     };
@@ -96,7 +101,7 @@
     };
 
     /// Returns the entry if the record is to be kept; null if there is no room for it.
-    Entry *keep(const StreamRecord &record, SteadyTime now);
+    Entry *keep(const StreamRecord &record, bool fromStore, SteadyTime now);
     [[nodiscard]] std::optional<std::uint32_t> indexOf(const StreamOrigin &origin);
     void prune(SteadyTime now);
 
--- a/include/snipestall/serving/stream_versions.hpp
+++ b/include/snipestall/serving/stream_versions.hpp
@@ -51,6 +51,9 @@
     /// Whether a newer read of the row would give the only version.
     [[nodiscard]] bool mayBeOnlyOne() const { return m_versions.size() == 1; }
 
+    /// Whether more than one version may have begun streams, as far as this instance knows.
+    [[nodiscard]] bool several() const { return m_versions.size() > 1; }
+
     /// Returns whether listed versions have to be registered.
     [[nodiscard]] bool mustRegister(const std::set<StreamOrigin> &listed) const;
     /// Returns the row with the listed versions, and with those settled that were learned long
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -247,6 +247,22 @@
     916, Severity::Info, "stream-versions-stored",
     "The row of the store changed that says which software versions may begin streams.", "None."
 };
+const EventInfo StreamGroupsNotStored {
+    980, Severity::Warning, "stream-groups-not-stored",
+    "The records of begun streams could not be written into the store. If all instances end now, "
+    "streams that began meanwhile can't be continued.",
+    "Look at the store; writes are tried again every 2 s at least."
+};
+const EventInfo StreamGroupsStoredAgain {
+    981, Severity::Info, "stream-groups-stored-again",
+    "The records of begun streams are written into the store again.", "None."
+};
+const EventInfo StreamGroupsRead {
+    982, Severity::Info, "stream-groups-read",
+    "The records of begun streams were read from the store, because this process has just started "
+    "or a caller took up a stream that no instance knows.",
+    "None."
+};
 const EventInfo PartBlocked {
     917, Severity::Warning, "part-blocked",
     "Requests with this part in their prompts are refused, because the servers in the line ended "
@@ -498,6 +514,9 @@
     &StreamResumed,
     &StreamNotResumed,
     &StreamVersionsStored,
+    &StreamGroupsNotStored,
+    &StreamGroupsStoredAgain,
+    &StreamGroupsRead,
     &StoreLost,
     &StoreRegained,
     &StoreRowFaulty,
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -15,6 +15,7 @@
 #include "snipestall/gateway/reach_prober.hpp"
 #include "snipestall/gateway/rollout_runner.hpp"
 #include "snipestall/gateway/store_follower.hpp"
+#include "snipestall/gateway/stream_group_store.hpp"
 #include "snipestall/gateway/version_registrar.hpp"
 #include "snipestall/wire/http_exchange.hpp"
 #include "snipestall/wire/http_server.hpp"
@@ -39,6 +40,7 @@
 /// Much shorter than any target latency.
 constexpr milliseconds AttemptCheckInterval { 50 };
 constexpr milliseconds VersionsTick { 50 };
+constexpr milliseconds StreamGroupsTick { 20 };
 constexpr milliseconds BlockedPartsTick { 50 };
 constexpr milliseconds DrainTick { 50 };
 constexpr milliseconds EndTick { 10 };
@@ -67,6 +69,10 @@
         , versions(
               state, store,
               { [this] { return follower.readsList(); }, [this] { return duties.holdsLease(); } })
+        , streamGroups(state, store,
+                       { [this] { return exchange->holdsRecords(); },
+                         [this] { return exchange->hasMembers(); },
+                         [this] { return duties.holdsLease(); } })
         , blockedParts(state, store, [this] { return follower.readsList(); })
         , loopWatch(state)
         , reachProber(state)
@@ -108,6 +114,7 @@
     Task<void> probeReach();
     Task<void> runRollouts();
     Task<void> registerVersions();
+    Task<void> storeStreamGroups();
     Task<void> registerBlockedParts();
     Task<void> drain();
     /// Removes this instance from the store and stores its counts.
@@ -121,6 +128,7 @@
     DutyRunner duties;
     RolloutRunner rollouts;
     VersionRegistrar versions;
+    StreamGroupStore streamGroups;
     BlockedPartRegistrar blockedParts;
     LoopWatch loopWatch;
     ReachProber reachProber;
@@ -149,13 +157,14 @@
     Parts *raw = parts.get();
     LoadExchange::Hooks hooks { [raw] { return raw->duties.holdsLease(); },
                                 [raw] { raw->duties.holderReported(); },
-                                [raw](bool candidate) { raw->duties.setCandidate(candidate); } };
+                                [raw](bool candidate) { raw->duties.setCandidate(candidate); },
+                                [raw] { raw->streamGroups.streamUnknown(); } };
     auto exchange = LoadExchange::create(raw->state, raw->store, raw->follower, std::move(hooks));
     if (!exchange)
         return tl::unexpected<Error>(exchange.error());
     raw->exchange = std::move(*exchange);
-    raw->originResolver =
-        std::make_unique<OriginResolver>(raw->state, raw->versions, *raw->exchange);
+    raw->originResolver = std::make_unique<OriginResolver>(raw->state, raw->versions,
+                                                           *raw->exchange, raw->streamGroups);
     raw->state.originResolver = raw->originResolver.get();
     auto callers =
         CallerListener::create(raw->state, raw->state.settings.callers, RequestOrigin::Caller);
@@ -201,6 +210,7 @@
     if (m_parts->state.rollouts.enabled())
         asio::co_spawn(m_parts->state.io, m_parts->runRollouts(), asio::detached);
     asio::co_spawn(m_parts->state.io, m_parts->registerVersions(), asio::detached);
+    asio::co_spawn(m_parts->state.io, m_parts->storeStreamGroups(), asio::detached);
     asio::co_spawn(m_parts->state.io, m_parts->registerBlockedParts(), asio::detached);
     for (CallerListener *listener : m_parts->listeners())
         listener->start();
@@ -245,6 +255,14 @@
     }
 }
 
+Task<void> Gateway::Parts::storeStreamGroups()
+{
+    while (true) {
+        co_await streamGroups.tick();
+        co_await wire::sleepFor(StreamGroupsTick);
+    }
+}
+
 Task<void> Gateway::Parts::registerBlockedParts()
 {
     while (true) {
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -77,8 +77,10 @@
     };
     handlers.streams = [raw = exchange.get()](const v1::StreamQuery &query,
                                               v1::StreamAnswer *answer) {
-        if (answer != nullptr)
-            raw->m_streams.answer(query.key(), *answer, raw->m_state.clock.steadyNow());
+        if (answer == nullptr)
+            return;
+        if (!raw->m_streams.answer(query.key(), *answer, raw->m_state.clock.steadyNow()))
+            raw->m_hooks.streamUnknown();
     };
     auto server = ExchangeServer::create(state.io, exchange->ownAddress(), std::move(handlers));
     if (!server)
@@ -299,6 +301,20 @@
     return m_book.followedByAll(service, m_state.clock.steadyNow());
 }
 
+bool LoadExchange::holdsRecords()
+{
+    // Before the other instances are known, each would consider itself the only one.
+    if (!m_state.instancesKnown)
+        return false;
+    m_calls.updateOverlay();
+    return m_calls.overlay().isHub() || hasMembers();
+}
+
+bool LoadExchange::hasMembers() const
+{
+    return m_book.hasMembers(m_state.clock.steadyNow());
+}
+
 std::vector<std::string> LoadExchange::recordHolders()
 {
     m_calls.updateOverlay();
--- a/src/snipestall/gateway/origin_resolver.cpp
+++ b/src/snipestall/gateway/origin_resolver.cpp
@@ -2,6 +2,7 @@
 
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/gateway/load_exchange.hpp"
+#include "snipestall/gateway/stream_group_store.hpp"
 #include "snipestall/gateway/version_registrar.hpp"
 #include "snipestall/wire/signal.hpp"
 
@@ -28,6 +29,9 @@
 constexpr milliseconds NextAfter { 30 };
 constexpr milliseconds AskTime { 90 };
 constexpr milliseconds AnswerTick { 1 };
+/// The groups of a large fleet are some hundred kilobytes.
+constexpr milliseconds GroupsWait { 150 };
+constexpr auto Unknown = "unknown";
 /// Bounds the calls after a fault that breaks many streams at once.
 constexpr int MaxSearches = 64;
 
@@ -52,10 +56,11 @@
 };
 
 OriginResolver::OriginResolver(GatewayState &state, VersionRegistrar &registrar,
-                               LoadExchange &exchange)
+                               LoadExchange &exchange, StreamGroupStore &groups)
     : m_state(state)
     , m_registrar(registrar)
     , m_exchange(exchange)
+    , m_groups(groups)
 { }
 
 Task<ResolvedOrigin> OriginResolver::resolve(std::optional<std::uint64_t> key)
@@ -66,7 +71,23 @@
     ResolvedOrigin only = co_await onlyVersion();
     if (only.origin || !key)
         co_return only;
-    co_return co_await askOthers(*key);
+    ResolvedOrigin asked = co_await askOthers(*key);
+    if (asked.source == Unknown && m_state.streamVersions.several())
+        asked = co_await readStored(*key);
+    co_return asked;
+}
+
+Task<ResolvedOrigin> OriginResolver::readStored(std::uint64_t key)
+{
+    if (!m_groups.holdsRecords()) {
+        // Those that were asked read the store meanwhile.
+        co_await wire::sleepFor(GroupsWait);
+        co_return co_await askOthers(key);
+    }
+    const bool isRead = co_await m_groups.readRecently(GroupsWait);
+    ResolvedOrigin unknown;
+    unknown.source = isRead ? Unknown : "store-lost";
+    co_return ownRecord(key).value_or(unknown);
 }
 
 std::optional<ResolvedOrigin> OriginResolver::ownRecord(std::uint64_t key) const
@@ -74,7 +95,12 @@
     const auto known = m_state.streamRecords.find(key, m_state.clock.steadyNow());
     if (!known)
         return std::nullopt;
-    return ResolvedOrigin { known->origin, known->origin ? "own-record" : "ambiguous", known->age };
+    ResolvedOrigin resolved { known->origin, "own-record", known->age };
+    if (known->fromStore)
+        resolved.source = StoreGroupsSource;
+    if (!known->origin)
+        resolved.source = "ambiguous";
+    return resolved;
 }
 
 Task<ResolvedOrigin> OriginResolver::onlyVersion()
@@ -101,7 +127,7 @@
 Task<ResolvedOrigin> OriginResolver::askOthers(std::uint64_t key)
 {
     ResolvedOrigin unknown;
-    unknown.source = m_searches < MaxSearches ? "unknown" : "busy";
+    unknown.source = m_searches < MaxSearches ? Unknown : "busy";
     if (m_searches >= MaxSearches)
         co_return unknown;
     ++m_searches;
--- a/src/snipestall/gateway/request_relay_resume.cpp
+++ b/src/snipestall/gateway/request_relay_resume.cpp
@@ -52,6 +52,8 @@
         logNotResumed("service-not-on-route");
         co_return "no-server-of-version";
     }
+    if (resolved.source == StoreGroupsSource)
+        ++m_state.counters.resumesFromStore;
     logResumed(resolved.source, resolved.age);
     co_return nullptr;
 }
--- a/src/snipestall/gateway/stream_exchange.cpp
+++ b/src/snipestall/gateway/stream_exchange.cpp
@@ -66,17 +66,18 @@
     }
 }
 
-void StreamExchange::answer(std::uint64_t key, v1::StreamAnswer &answer, SteadyTime now) const
+bool StreamExchange::answer(std::uint64_t key, v1::StreamAnswer &answer, SteadyTime now) const
 {
     const auto known = m_records.find(key, now);
     if (!known)
-        return;
+        return false;
     answer.set_status(known->origin ? v1::StreamAnswer::KNOWN : v1::StreamAnswer::AMBIGUOUS);
     answer.set_age_ms(static_cast<std::uint32_t>(known->age.count()));
     if (!known->origin)
-        return;
+        return true;
     answer.mutable_origin()->set_service(known->origin->service);
     answer.mutable_origin()->set_version(known->origin->version);
+    return true;
 }
 
 } // namespace snipestall::gateway
--- a/src/snipestall/serving/stream_records.cpp
+++ b/src/snipestall/serving/stream_records.cpp
@@ -30,7 +30,8 @@
     return index;
 }
 
-StreamRecords::Entry *StreamRecords::keep(const StreamRecord &record, SteadyTime now)
+StreamRecords::Entry *StreamRecords::keep(const StreamRecord &record, bool fromStore,
+                                          SteadyTime now)
 {
     prune(now);
     const auto origin = indexOf(record.origin);
@@ -41,7 +42,8 @@
     Entry &entry = at->second;
     const bool expired = !isNew && entry.expiresAt <= now;
     if (isNew || expired)
-        entry = { *origin, false, false, now, {} };
+        entry = { *origin, false, false, fromStore, now, {} };
+    entry.fromStore = entry.fromStore && fromStore;
     entry.ambiguous |= entry.origin != *origin;
     entry.expiresAt = std::max(entry.expiresAt, now + std::min(record.keptFor, MaxKept));
     return &entry;
@@ -49,7 +51,7 @@
 
 void StreamRecords::add(const StreamRecord &record, SteadyTime now)
 {
-    Entry *entry = keep(record, now);
+    Entry *entry = keep(record, false, now);
     const auto origin = indexOf(record.origin);
     if (entry == nullptr || (entry->passedOn && entry->origin == *origin))
         return;
@@ -59,7 +61,12 @@
 
 void StreamRecords::addHeard(const StreamRecord &record, SteadyTime now)
 {
-    keep(record, now);
+    keep(record, false, now);
+}
+
+void StreamRecords::addStored(const StreamRecord &record, SteadyTime now)
+{
+    keep(record, true, now);
 }
 
 std::optional<StreamRecords::Known> StreamRecords::find(std::uint64_t key, SteadyTime now) const
@@ -70,6 +77,7 @@
     const Entry &entry = found->second;
     Known known;
     known.age = duration_cast<milliseconds>(now - entry.addedAt);
+    known.fromStore = entry.fromStore;
     if (!entry.ambiguous)
         known.origin = m_origins[entry.origin];
     return known;
--- a/src/snipestall/serving/stream_records_test.cpp
+++ b/src/snipestall/serving/stream_records_test.cpp
@@ -44,6 +44,24 @@
     EXPECT_EQ(known->age, 2s);
 }
 
+// Guards against a stream of two versions by what different instances have stored, and against
+// records that the store and an instance pass on in turns.
+TEST_F(StreamRecordsTest, StoredRecordsAreNeitherPassedOnNorPreferred)
+{
+    m_records.addStored({ 1, V1, 15s }, Start);
+    EXPECT_TRUE(m_records.find(1, Start)->fromStore);
+    EXPECT_EQ(originOf(1, Start), V1);
+    EXPECT_TRUE(m_records.since(0, Start).records.empty());
+    m_records.addStored({ 1, V2, 15s }, Start);
+    EXPECT_FALSE(originOf(1, Start));
+    m_records.addStored({ 2, V1, 15s }, Start);
+    m_records.add({ 2, V1, 15s }, Start);
+    EXPECT_FALSE(m_records.find(2, Start)->fromStore);
+    EXPECT_EQ(m_records.since(0, Start).records.size(), 1U);
+    m_records.addStored({ 2, V2, 15s }, Start);
+    EXPECT_FALSE(originOf(2, Start));
+}
+
 TEST_F(StreamRecordsTest, KeysOfCustomersDiffer)
 {
     EXPECT_NE(StreamRecords::keyOf("harbour", "a"), StreamRecords::keyOf("dock", "a"));
