Gateways of the stream tests get other ports if theirs are taken

StreamKillAllTest waited for its end in vain once, when two programs of it ran side by side: two of three gateways had started, since the third found a port taken between its choice and its use, which startKillable() did not notice. It now tries again, as startInstance() does.

--- a/tests/gateway/stream_origin_fixture.hpp
+++ b/tests/gateway/stream_origin_fixture.hpp
@@ -70,6 +70,8 @@
     KillableGateway(const KillableGateway &) = delete;
     KillableGateway &operator=(const KillableGateway &) = delete;
 
+    [[nodiscard]] bool isRunning() const { return m_gateway != nullptr; }
+
     void kill()
     {
         if (!m_thread.joinable())
@@ -129,14 +131,20 @@
         instance.settings.firstStart = false;
         instance.settings.store = store.endpoint();
         instance.settings.duties = store.endpoint();
-        instance.settings.callers = { "127.0.0.1", freePort() };
-        instance.settings.readiness = { "127.0.0.1", freePort() };
-        instance.settings.peerPort = freePort();
-        instance.settings.forwardPort = freePort();
-        instance.settings.metricsPort = freePort();
+        // Retries because another process may take a port between its choice and its use.
+        constexpr int MaxTries = 20;
+        std::unique_ptr<KillableGateway> gateway;
+        for (int i = 0; i < MaxTries && (!gateway || !gateway->isRunning()); ++i) {
+            instance.settings.callers = { "127.0.0.1", freePort() };
+            instance.settings.readiness = { "127.0.0.1", freePort() };
+            instance.settings.peerPort = freePort();
+            instance.settings.forwardPort = freePort();
+            instance.settings.metricsPort = freePort();
+            gateway = std::make_unique<KillableGateway>(instance.settings);
+        }
         instance.callers = instance.settings.callers;
         instance.metrics = { "127.0.0.1", instance.settings.metricsPort };
-        return std::make_unique<KillableGateway>(instance.settings);
+        return gateway;
     }
 
     std::size_t countRuns()
