A caller whose head or body is late gets its answer

Cause: the timer of the stream closes the socket. So the 408 for a head that is late, or a body that pauses for too long, could never be written: the caller saw a closed connection, not the answer that promises "not run". And where the loop was late, a head that had arrived in time was dropped unread, which the caller sees as a reset.

Before, with the timer of the stream, both new tests fail: ACallerWhoseHeadIsLateCanBeAnswered: the write of the answer fails AHeadThatHasArrivedIsReadAlthoughItsTimeIsOver: HeaderTimeout, not Ok

Now a timer of its own cancels the read and leaves the connection open. If bytes are there at that moment they are read first, for 100 ms more.

--- a/include/snipestall/gateway/caller_connection.hpp
+++ b/include/snipestall/gateway/caller_connection.hpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -82,6 +83,12 @@
     wire::Task<bool> awaitBytes();
     /// Ends the idle wait once the connection has been idle for as long as the limit in force says.
     void watchIdleTime();
+    /// Ends the read that is about to begin if nothing arrives in time. The connection stays open,
+    /// so that the caller can be told.
+    void limitRead(std::chrono::milliseconds timeout);
+    void endReadLimit();
+    /// How a read ended.
+    [[nodiscard]] RequestRead readFault(const boost::system::error_code &error) const;
     void armWatch();
     void onReadable();
     void scheduleWatch();
@@ -94,6 +101,10 @@
     Limits m_limits;
     boost::asio::steady_timer m_idleTimer;
     std::chrono::steady_clock::time_point m_idleSince;
+    boost::asio::steady_timer m_readTimer;
+    /// Number of the last limited read, and whether its time has passed.
+    std::uint64_t m_limitedRead = 0;
+    bool m_readLate = false;
     bool m_watchArmed = false;
     bool m_idle = false;
     bool m_reading = false;
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -40,6 +40,8 @@
 constexpr std::size_t MaxDiscardedBytes = 16 * 1024 * 1024;
 /// Interval at which a caller that has sent its next request early is checked for a disconnect.
 constexpr std::chrono::milliseconds WatchInterval { 100 };
+/// Time in which bytes that have arrived are read although the time of the read is over.
+constexpr std::chrono::milliseconds LateReadTime { 100 };
 
 RequestRead toRequestRead(const beast::error_code &error)
 {
@@ -47,8 +49,6 @@
         return RequestRead::HeaderTooLarge;
     if (error == http::error::body_limit)
         return RequestRead::BodyTooLarge;
-    if (error == beast::error::timeout)
-        return RequestRead::HeaderTimeout;
     const auto &parserErrors = http::make_error_code(http::error::end_of_stream).category();
     const bool ended = error == http::error::end_of_stream || error == http::error::partial_message
         || error.category() != parserErrors;
@@ -76,6 +76,7 @@
     : m_stream(std::move(socket))
     , m_watchTimer(m_stream.get_executor())
     , m_idleTimer(m_stream.get_executor())
+    , m_readTimer(m_stream.get_executor())
 {
     wire::detectLostPeer(m_stream.socket());
 }
@@ -118,6 +119,39 @@
     }
 }
 
+// Failures: the timer of the stream closes the socket. So the caller that was too slow got a closed
+// connection instead of the answer that says so, and a request that had arrived while the loop was
+// late was dropped unread.
+void CallerConnection::limitRead(std::chrono::milliseconds timeout)
+{
+    m_readLate = false;
+    m_readTimer.expires_after(timeout);
+    m_readTimer.async_wait(
+        [self = shared_from_this(), read = ++m_limitedRead](const beast::error_code &error) {
+            if (error || read != self->m_limitedRead || self->m_closed)
+                return;
+            if (!wire::isIdleAndOpen(self->m_stream.socket())) {
+                self->limitRead(LateReadTime);
+                return;
+            }
+            self->m_readLate = true;
+            self->m_stream.cancel();
+        });
+}
+
+void CallerConnection::endReadLimit()
+{
+    ++m_limitedRead;
+    m_readTimer.cancel();
+}
+
+RequestRead CallerConnection::readFault(const beast::error_code &error) const
+{
+    if (error == asio::error::operation_aborted && m_readLate && !m_closed)
+        return RequestRead::HeaderTimeout;
+    return toRequestRead(error);
+}
+
 Task<RequestRead> CallerConnection::readRequest(Limits limitsInForce)
 {
     m_limits = std::move(limitsInForce);
@@ -145,11 +179,13 @@
     RequestParser parser;
     parser.header_limit(limits.maxHeaderBytes);
     parser.body_limit(limits.maxBodyBytes);
-    m_stream.expires_after(limits.headerTimeout);
+    m_stream.expires_never();
+    limitRead(limits.headerTimeout);
     auto [headError, headBytes] =
         co_await http::async_read_header(m_stream, m_buffer, parser, UseTuple);
+    endReadLimit();
     if (headError)
-        co_return toRequestRead(headError);
+        co_return readFault(headError);
     if (!isFramingUnambiguous(parser))
         co_return RequestRead::Malformed;
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
@@ -164,10 +200,11 @@
     while (!parser.is_done()) {
         if (m_readingStopped)
             co_return RequestRead::Closed;
-        m_stream.expires_after(limits.idleTimeout);
+        limitRead(limits.idleTimeout);
         auto [error, bytes] = co_await http::async_read_some(m_stream, m_buffer, parser, UseTuple);
+        endReadLimit();
         if (error)
-            co_return toRequestRead(error);
+            co_return readFault(error);
     }
     m_request = parser.release();
     co_return RequestRead::Ok;
@@ -300,6 +337,7 @@
     m_onDisconnect = nullptr;
     m_watchTimer.cancel();
     m_idleTimer.cancel();
+    m_readTimer.cancel();
     m_stream.close();
 }
 
--- a/src/snipestall/gateway/caller_connection_test.cpp
+++ b/src/snipestall/gateway/caller_connection_test.cpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string_view>
 #include <thread>
+#include <utility>
 
 namespace snipestall::gateway {
 namespace {
@@ -119,5 +120,54 @@
     EXPECT_EQ(m_read, RequestRead::Ok);
 }
 
+/// Connections whose callers have sent a part of a head.
+class ShortHeadTest : public CallerLinkTest
+{
+protected:
+    static constexpr std::chrono::milliseconds HeaderTimeout { 50 };
+
+    ShortHeadTest()
+    {
+        m_limits.headerTimeout = HeaderTimeout;
+        send("GET / HTTP/1.1\r\n");
+        while (m_connection->idle())
+            m_io.run_one();
+        m_io.poll();
+    }
+};
+
+// Guards against a closed connection instead of an answer for a caller whose head is late.
+TEST_F(ShortHeadTest, ACallerWhoseHeadIsLateCanBeAnswered)
+{
+    m_io.restart();
+    m_io.run();
+    ASSERT_EQ(m_read, RequestRead::HeaderTimeout);
+    std::optional<bool> written;
+    boost::asio::co_spawn(
+        m_io,
+        [this, &written]() -> Task<void> {
+            CallerConnection::Answer answer;
+            answer.result(408);
+            answer.prepare_payload();
+            written = co_await m_connection->write(std::move(answer));
+        },
+        boost::asio::detached);
+    m_io.restart();
+    m_io.run();
+    EXPECT_EQ(written, true);
+}
+
+// Guards against a reset instead of an answer: the head has arrived in time, and the loop is late.
+TEST_F(ShortHeadTest, AHeadThatHasArrivedIsReadAlthoughItsTimeIsOver)
+{
+    boost::asio::steady_timer before(m_io, HeaderTimeout / 2);
+    before.async_wait(
+        [this](const boost::system::error_code &) { send("Host: a.example\r\n\r\n"); });
+    std::this_thread::sleep_for(2 * HeaderTimeout);
+    m_io.restart();
+    m_io.run();
+    EXPECT_EQ(m_read, RequestRead::Ok);
+}
+
 } // namespace
 } // namespace snipestall::gateway
