A stream that ends at its deadline is no loss of its server

Cause: an answer that was under way when its request's time was over was recorded as a loss of the server. With a time-out of 800 ms on some routes all sound servers were avoided for up to 3.2 s, and their data centres as well. An answer that had not begun at its deadline was never counted.

Before, the new test fails: AStreamThatEndsAtItsDeadlineSaysNothingOfItsServer: server_losses not 0

--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -60,8 +60,7 @@
         handleConnectionLoss(server);
         return AttemptEnd::Failed;
     }
-    if (!m_callerGone && !m_atInstance)
-        recordLoss(*server);
+    // Ended by the deadline of the request, which says nothing of the server.
     return AttemptEnd::TimedOut;
 }
 
--- a/tests/gateway/silent_server_test.cpp
+++ b/tests/gateway/silent_server_test.cpp
@@ -155,5 +155,28 @@
     });
 }
 
+// Guards against avoiding sound servers, and with several of them their data centre, because
+// streams ended at a short time-out of their route or of their callers.
+TEST_F(SilentServerTest, AStreamThatEndsAtItsDeadlineSaysNothingOfItsServer)
+{
+    publish();
+    for (TestBackend *server : { &m_first, &m_second })
+        server->behave(TestBackend::Behaviour::Stream);
+    run([this]() -> Task<void> {
+        co_await untilServing();
+        wire::HttpRequest request;
+        request.method = "POST";
+        request.target = "/solo/x";
+        request.fields.set("Host", "a.example");
+        request.fields.set("X-Attempt-Id", "short");
+        request.fields.set("X-Deadline-Ms", "300");
+        request.fields.set("Authorization", "Bearer secret");
+        const auto response = co_await m_client.fetch(m_callers, request);
+        EXPECT_FALSE(response);
+        EXPECT_TRUE(co_await shows("failed 1"));
+        EXPECT_TRUE(co_await shows("server_losses 0"));
+    });
+}
+
 } // namespace
 } // namespace snipestall::gateway
