--- a/src/snipestall/serving/retry_allowance_test.cpp
+++ b/src/snipestall/serving/retry_allowance_test.cpp
@@ -110,5 +110,21 @@
     EXPECT_TRUE(giver.handOver({ { "ledger", 4 } }, Start).empty());
 }
 
+// Guards against a limit that is exceeded by repeats that were taken, not sent and given back: they
+// must not live longer than if they had not been taken.
+TEST(RetryAllowance, ARepeatThatIsGivenBackKeepsItsAge)
+{
+    RetryAllowance allowance({ 10s, 0.2, 0 });
+    for (int i = 0; i < 10; ++i)
+        allowance.countFirstAttempt("lm", Start);
+    EXPECT_TRUE(allowance.hasRepeat("lm", Start));
+    const auto credit = allowance.takeRepeat("lm", Start + 8s);
+    ASSERT_TRUE(credit);
+    EXPECT_FALSE(allowance.hasRepeat("lm", Start + 8s));
+    allowance.giveBack(*credit);
+    EXPECT_TRUE(allowance.hasRepeat("lm", Start + 8s));
+    EXPECT_FALSE(allowance.hasRepeat("lm", Start + 9s));
+}
+
 } // namespace
 } // namespace snipestall::serving
