Messages: framing has a bound, and no field ends the process

Cause: Beast's parser bounds the head and the body of a message. What stands between chunks and after the last one (extensions, sizes, trailer fields) it holds until it is whole, without a limit, and the buffers of our connections had none. Trailer fields were kept as fields of the head; one over 64 KB throws std::length_error, in the handler of the read, so it left the I/O loop and ended the process with every request on it.

Evidence on over real processes (one gateway, three servers, 12 callers, 3 s a case): a trailer field of 70 KB from a server, from a caller or at the readiness port: SIGABRT, "terminate called after throwing an instance of 'boost::wrapexcept<std::length_error>', field value too large". Tiny chunks with long extensions: 884 MB read, nothing ended it.

Change: one parser, wire::MessageParser, for callers, servers, the store, duties, readiness and metrics. Its FramingBudget allows a line or trailer section of 16 KB, and 16 KB + 16 bytes for each byte of the body in all. A field too long is an error. Trailer fields are dropped. Bytes are parsed in the coroutine that reads them (readMessage), so an exception stays in the task. A caller gets 431 and a close, and may still read it (discardRest); a server's answer counts as broken off, line 960.

UnboundedMessageTest.* and MessageParserTest.* guard it. They were not run on the old code; the quoted plays send the same bytes.

--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -107,6 +107,7 @@
 extern const EventInfo RolloutStepTaken;
 extern const EventInfo RolloutStored;
 extern const EventInfo RolloutFollowed;
+extern const EventInfo ServerAnswerUnreadable;
 extern const EventInfo AttemptStalled;
 
 /// Returns all events, ordered by number.
--- a/include/snipestall/gateway/backend_call.hpp
+++ b/include/snipestall/gateway/backend_call.hpp
@@ -2,11 +2,10 @@
 
 #include "snipestall/gateway/backend_connection.hpp"
 #include "snipestall/wire/endpoint.hpp"
+#include "snipestall/wire/message_parser.hpp"
 #include "snipestall/wire/task.hpp"
 
-#include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <chrono>
@@ -76,7 +75,7 @@
     wire::Task<CallStart> start(Request request, std::string attemptId,
                                 std::chrono::milliseconds connectTimeout, SteadyTime deadline,
                                 IsWanted isWanted);
-    [[nodiscard]] const Head &head() const { return m_parser->get(); }
+    [[nodiscard]] const Head &head() const { return m_parser->head(); }
     wire::Task<BodyRead> readBody(SteadyTime deadline);
     /// Closes the connection, which makes the server drop the request. Pending operations return.
     void abort();
@@ -91,7 +90,7 @@
     [[nodiscard]] SteadyTime lastReceivedAt() const { return m_lastReceivedAt; }
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+    using Parser = wire::MessageParser<false>;
 
     wire::Task<bool> connect(std::chrono::milliseconds timeout);
     wire::Task<void> writeRequest();
@@ -99,6 +98,7 @@
     wire::Task<boost::system::error_code> discardBody(SteadyTime deadline);
     /// Returns an unused connection to the pool if it can be reused, and closes it otherwise.
     void releaseUnsent(bool connected);
+    void logUnreadable(const boost::system::error_code &error) const;
     void resetParser();
     void keepConnection();
     void setDeadline(SteadyTime deadline);
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -442,6 +442,12 @@
                                 "None." };
 const EventInfo RolloutFollowed { 954, Severity::Info, "rollout-followed",
                                   "This instance heard of another step of a rollout.", "None." };
+const EventInfo ServerAnswerUnreadable {
+    960, Severity::Warning, "server-answer-unreadable",
+    "A backend server's answer is not HTTP, or a part of it is longer than the limits; its "
+    "connection was closed.",
+    "Look at the named server."
+};
 
 const EventInfo AttemptStalled {
     970, Severity::Info, "attempt-stalled",
@@ -550,6 +556,7 @@
     &RolloutStepTaken,
     &RolloutStored,
     &RolloutFollowed,
+    &ServerAnswerUnreadable,
     &AttemptStalled,
 };
 
--- a/src/snipestall/gateway/backend_call.cpp
+++ b/src/snipestall/gateway/backend_call.cpp
@@ -1,7 +1,10 @@
 #include "snipestall/gateway/backend_call.hpp"
 
 #include "platform/server_header.hpp"
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
 #include "snipestall/gateway/backend_pool.hpp"
+#include "snipestall/wire/message_reader.hpp"
 #include "snipestall/wire/socket_options.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -9,7 +12,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <array>
@@ -27,7 +30,6 @@
 namespace {
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t ReadBytes = 16 * 1024;
 constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
 /// Idle timeout of servers that do not state one.
 constexpr std::chrono::seconds DefaultIdleTimeout { 20 };
@@ -121,24 +123,23 @@
     while (interim <= MaxInterimResponses) {
         resetParser();
         setDeadline(deadline);
-        auto [error, bytes] = co_await http::async_read_header(
-            m_connection->stream, m_connection->buffer, *m_parser, UseTuple);
-        if (error)
+        if (const auto error =
+                co_await wire::readMessage(m_connection->stream, m_connection->buffer, *m_parser))
             co_return error;
         m_lastReceivedAt = m_clock.steadyNow();
-        if (m_parser->get().result_int() < FirstFinalStatus) {
+        if (m_parser->head().result_int() < FirstFinalStatus) {
             ++interim;
             continue;
         }
         if (m_headObserver)
-            m_headObserver(m_parser->get());
+            m_headObserver(m_parser->head());
         const auto answer =
-            platform::readServerResponse(m_parser->get().result_int(), m_parser->get());
+            platform::readServerResponse(m_parser->head().result_int(), m_parser->head());
         if (answer.attemptId == m_attemptId)
             co_return beast::error_code();
         // An answer without an attempt id can't be distinguished from the answer to another
         // request.
-        if (answer.attemptId.empty() || m_parser->get().need_eof())
+        if (answer.attemptId.empty() || m_parser->need_eof())
             co_return http::make_error_code(http::error::bad_field);
         if (const auto broken = co_await discardBody(deadline))
             co_return broken;
@@ -184,10 +185,21 @@
     const boost::system::error_code error = co_await readHead(deadline);
     if (!error && !m_aborted)
         co_return CallStart::Answered;
+    logUnreadable(error);
     abort();
     co_return error == beast::error::timeout ? CallStart::TimedOut : CallStart::Lost;
 }
 
+void BackendCall::logUnreadable(const boost::system::error_code &error) const
+{
+    const auto &parserErrors = http::make_error_code(http::error::end_of_stream).category();
+    if (m_aborted || error.category() != parserErrors || error == http::error::end_of_stream
+        || error == http::error::partial_message)
+        return;
+    logEvent(events::ServerAnswerUnreadable,
+             { { "server", m_server }, { "attempt", m_attemptId }, { "error", error.message() } });
+}
+
 void BackendCall::releaseUnsent(bool connected)
 {
     const bool reusable = connected && !m_aborted && m_clock.steadyNow() < m_connection->idleUntil;
@@ -199,30 +211,28 @@
 
 Task<BodyRead> BackendCall::readBody(SteadyTime deadline)
 {
-    std::string bytes(ReadBytes, '\0');
-    while (!m_parser->is_done()) {
+    while (true) {
+        std::string bytes = m_parser->takeBody();
+        if (!bytes.empty())
+            co_return BodyRead { BodyRead::Kind::Bytes, std::move(bytes) };
+        if (m_parser->is_done())
+            break;
         if (m_aborted)
             co_return BodyRead { BodyRead::Kind::Broken, {} };
-        m_parser->get().body().data = bytes.data();
-        m_parser->get().body().size = bytes.size();
-        m_parser->get().body().more = true;
         setDeadline(deadline);
-        auto [error, transferred] = co_await http::async_read_some(
-            m_connection->stream, m_connection->buffer, *m_parser, UseTuple);
+        const boost::system::error_code error =
+            co_await wire::readMessage(m_connection->stream, m_connection->buffer, *m_parser);
         m_lastReceivedAt = m_clock.steadyNow();
-        if (error && error != http::error::need_buffer) {
+        if (error) {
+            logUnreadable(error);
             abort();
             co_return BodyRead { error == beast::error::timeout ? BodyRead::Kind::TimedOut
                                                                 : BodyRead::Kind::Broken,
                                  {} };
         }
-        const std::size_t got = bytes.size() - m_parser->get().body().size;
-        if (got == 0)
-            continue;
-        bytes.resize(got);
-        co_return BodyRead { BodyRead::Kind::Bytes, std::move(bytes) };
     }
-    const auto answer = platform::readServerResponse(m_parser->get().result_int(), m_parser->get());
+    const auto answer =
+        platform::readServerResponse(m_parser->head().result_int(), m_parser->head());
     if (answer.attemptId == m_attemptId)
         keepConnection();
     co_return BodyRead { BodyRead::Kind::End, {} };
@@ -230,13 +240,12 @@
 
 void BackendCall::keepConnection()
 {
-    const auto &message = m_parser->get();
     const bool whole = m_requestWritten && m_connection->buffer.size() == 0;
-    if (m_aborted || !whole || !message.keep_alive() || message.need_eof()) {
+    if (m_aborted || !whole || !m_parser->keep_alive() || m_parser->need_eof()) {
         abort();
         return;
     }
-    m_connection->idleUntil = m_clock.steadyNow() + idleTimeoutOf(message);
+    m_connection->idleUntil = m_clock.steadyNow() + idleTimeoutOf(m_parser->head());
     m_pool.giveBack(m_server, std::move(m_connection));
 }
 
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -1,6 +1,8 @@
 #include "snipestall/gateway/caller_connection.hpp"
 
 #include "snipestall/wire/answer_body.hpp"
+#include "snipestall/wire/discard.hpp"
+#include "snipestall/wire/message_reader.hpp"
 #include "snipestall/wire/socket_options.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -9,8 +11,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -28,15 +29,13 @@
 namespace {
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-using RequestParser = http::request_parser<http::string_body>;
+using RequestParser = wire::MessageParser<true>;
 
 /// Longest time that a caller may take to accept one piece of an answer.
 constexpr std::chrono::seconds WriteTimeout { 10 };
 constexpr std::size_t FirstReadBytes = 4096;
-/// Limits of what is read and discarded before a connection is closed. A caller that sends on gets
+/// Limit of what is read and discarded before a connection is closed. A caller that sends on gets
 /// a reset then.
-constexpr std::chrono::seconds DiscardTimeout { 1 };
-constexpr std::size_t DiscardBufferBytes = 4096;
 constexpr std::size_t MaxDiscardedBytes = 16 * 1024 * 1024;
 /// Interval at which a caller that has sent its next request early is checked for a disconnect.
 constexpr std::chrono::milliseconds WatchInterval { 100 };
@@ -59,7 +58,7 @@
 /// request differently, its body could contain a second request.
 bool isFramingUnambiguous(const RequestParser &parser)
 {
-    const auto &fields = parser.get();
+    const auto &fields = parser.head();
     if (fields.count(http::field::content_length) > 1 || fields.count(http::field::host) != 1
         || fields.count(http::field::transfer_encoding) > 1)
         return false;
@@ -181,14 +180,13 @@
     parser.body_limit(limits.maxBodyBytes);
     m_stream.expires_never();
     limitRead(limits.headerTimeout);
-    auto [headError, headBytes] =
-        co_await http::async_read_header(m_stream, m_buffer, parser, UseTuple);
+    const beast::error_code headError = co_await wire::readMessage(m_stream, m_buffer, parser);
     endReadLimit();
     if (headError)
         co_return readFault(headError);
     if (!isFramingUnambiguous(parser))
         co_return RequestRead::Malformed;
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+    if (beast::iequals(parser.head()[http::field::expect], "100-continue")) {
         static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
         auto [error, bytes] = co_await asio::async_write(
             m_stream, asio::buffer(Continue.data(), Continue.size()), UseTuple);
@@ -197,16 +195,18 @@
     }
     // The timeout limits the pauses within a body, not its total time, because a slow caller may
     // send a large body.
+    std::string body;
     while (!parser.is_done()) {
         if (m_readingStopped)
             co_return RequestRead::Closed;
         limitRead(limits.idleTimeout);
-        auto [error, bytes] = co_await http::async_read_some(m_stream, m_buffer, parser, UseTuple);
+        const beast::error_code error = co_await wire::readMessage(m_stream, m_buffer, parser);
         endReadLimit();
         if (error)
             co_return readFault(error);
+        body += parser.takeBody();
     }
-    m_request = parser.release();
+    m_request = Request(parser.takeHead(), std::move(body));
     co_return RequestRead::Ok;
 }
 
@@ -315,20 +315,8 @@
 // that the caller has not received yet.
 Task<void> CallerConnection::awaitClose()
 {
-    if (m_closed)
-        co_return;
-    beast::error_code ignored;
-    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    m_stream.expires_after(DiscardTimeout);
-    m_buffer.clear();
-    std::size_t discarded = 0;
-    while (discarded < MaxDiscardedBytes) {
-        auto [error, bytes] =
-            co_await m_stream.async_read_some(m_buffer.prepare(DiscardBufferBytes), UseTuple);
-        if (error)
-            co_return;
-        discarded += bytes;
-    }
+    if (!m_closed)
+        co_await wire::discardRest(m_stream, MaxDiscardedBytes);
 }
 
 void CallerConnection::close()
--- a/src/snipestall/wire/http_client.cpp
+++ b/src/snipestall/wire/http_client.cpp
@@ -1,6 +1,7 @@
 #include "snipestall/wire/http_client.hpp"
 
 #include "snipestall/wire/http_stream.hpp"
+#include "snipestall/wire/message_reader.hpp"
 #include "snipestall/wire/socket_options.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -25,7 +26,6 @@
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t MaxIdlePerEndpoint = 16;
 constexpr std::uint64_t MaxResponseBytes = 64ULL * 1024 * 1024;
-constexpr std::size_t ReadBufferBytes = 16 * 1024;
 
 struct Connection
 {
@@ -106,39 +106,32 @@
     Task<beast::error_code> readHead()
     {
         m_connection->stream.expires_after(m_idleTimeout);
-        auto [ec, bytes] = co_await http::async_read_header(
-            m_connection->stream, m_connection->buffer, m_parser, UseTuple);
-        if (ec)
-            co_return ec;
-        const auto &message = m_parser.get();
-        m_head.status = message.result_int();
-        for (const auto &field : message)
+        if (const auto error =
+                co_await readMessage(m_connection->stream, m_connection->buffer, m_parser))
+            co_return error;
+        const auto &head = m_parser.head();
+        m_head.status = head.result_int();
+        for (const auto &field : head)
             m_head.fields.set(std::string(field.name_string()), std::string(field.value()));
-        co_return ec;
+        co_return beast::error_code();
     }
 
     [[nodiscard]] const HttpResponse &head() const override { return m_head; }
 
     Task<Result<std::optional<std::string>>> read() override
     {
-        std::string bytes(ReadBufferBytes, '\0');
-        while (!m_parser.is_done()) {
+        while (true) {
+            std::string bytes = m_parser.takeBody();
+            if (!bytes.empty())
+                co_return std::optional<std::string>(std::move(bytes));
+            if (m_parser.is_done())
+                break;
             if (m_connection == nullptr)
                 co_return connectionLost(m_endpoint, asio::error::operation_aborted);
-            m_parser.get().body().data = bytes.data();
-            m_parser.get().body().size = bytes.size();
             m_connection->stream.expires_after(m_idleTimeout);
-            auto [ec, transferred] = co_await http::async_read_some(
-                m_connection->stream, m_connection->buffer, m_parser, UseTuple);
-            if (ec == http::error::need_buffer)
-                ec = {};
-            if (ec)
-                co_return connectionLost(m_endpoint, ec);
-            const std::size_t received = bytes.size() - m_parser.get().body().size;
-            if (received == 0)
-                continue;
-            bytes.resize(received);
-            co_return std::optional<std::string>(std::move(bytes));
+            if (const auto error =
+                    co_await readMessage(m_connection->stream, m_connection->buffer, m_parser))
+                co_return connectionLost(m_endpoint, error);
         }
         release();
         co_return std::optional<std::string>();
@@ -155,7 +148,7 @@
     {
         if (m_connection == nullptr)
             return;
-        if (m_parser.get().keep_alive())
+        if (m_parser.keep_alive())
             m_state->returnIdle(m_endpoint, std::move(m_connection));
         m_connection.reset();
     }
@@ -164,7 +157,7 @@
     Endpoint m_endpoint;
     ConnectionPtr m_connection;
     std::chrono::milliseconds m_idleTimeout;
-    http::response_parser<http::buffer_body> m_parser;
+    MessageParser<false> m_parser;
     HttpResponse m_head;
 };
 
--- a/src/snipestall/wire/http_server.cpp
+++ b/src/snipestall/wire/http_server.cpp
@@ -1,7 +1,9 @@
 #include "snipestall/wire/http_server.hpp"
 
 #include "snipestall/wire/answer_body.hpp"
+#include "snipestall/wire/discard.hpp"
 #include "snipestall/wire/http_exchange.hpp"
+#include "snipestall/wire/message_reader.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -34,18 +36,16 @@
 /// A caller that receives no bytes for this time is considered gone; it can reconnect and resume at
 /// its offset.
 constexpr std::chrono::seconds WriteTimeout { 30 };
-constexpr std::chrono::seconds DiscardTimeout { 2 };
-constexpr std::size_t DiscardBufferBytes = 64 * 1024;
 constexpr std::size_t MaxDiscardedBytes = 64 * 1024 * 1024;
 
-HttpRequest toRequest(http::request<http::string_body> &&message)
+HttpRequest toRequest(const http::request_header<> &head, std::string body)
 {
     HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto &field : message)
+    request.method = std::string(head.method_string());
+    request.target = std::string(head.target());
+    for (const auto &field : head)
         request.fields.set(std::string(field.name_string()), std::string(field.value()));
-    request.body = std::move(message.body());
+    request.body = std::move(body);
     return request;
 }
 
@@ -169,25 +169,6 @@
     asio::cancellation_signal m_stopPeerWatch;
 };
 
-// If the connection were closed while the caller is still sending, it would get a reset instead of
-// the error response. The rest of the request is therefore read and discarded, up to a limit of
-// bytes and of time.
-Task<void> discardRest(beast::tcp_stream &stream)
-{
-    beast::error_code ignored;
-    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    stream.expires_after(DiscardTimeout);
-    std::vector<char> bytes(DiscardBufferBytes);
-    std::size_t total = 0;
-    while (total < MaxDiscardedBytes) {
-        const auto buffer = asio::buffer(bytes);
-        auto [ec, count] = co_await stream.async_read_some(buffer, UseTuple);
-        if (ec)
-            co_return;
-        total += count;
-    }
-}
-
 HttpResponse errorResponse(int status, const std::string &message)
 {
     return HttpResponse::json(
@@ -252,16 +233,21 @@
 
 Task<bool> HttpServer::State::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
 {
-    http::request_parser<http::string_body> parser;
+    MessageParser<true> parser;
     parser.body_limit(options.maxBody);
     parser.header_limit(MaxHeaderBytes);
     stream.expires_after(ReadTimeout);
-    auto [ec, bytes] = co_await http::async_read(stream, buffer, parser, UseTuple);
+    std::string body;
+    beast::error_code ec;
+    while (!ec && !parser.is_done()) {
+        ec = co_await readMessage(stream, buffer, parser);
+        body += parser.takeBody();
+    }
     if (ec == http::error::body_limit || ec == http::error::header_limit) {
         TcpExchange exchange(stream, {}, false);
         co_await exchange.respond(
             errorResponse(413, "the header or body is too large; send a shorter one"));
-        co_await discardRest(stream);
+        co_await discardRest(stream, MaxDiscardedBytes);
         co_return false;
     }
     if (ec && ec.category() == http::make_error_code(http::error::bad_version).category()
@@ -272,8 +258,8 @@
     }
     if (ec)
         co_return false;
-    const bool keepAlive = parser.get().keep_alive() && !stopping;
-    TcpExchange exchange(stream, toRequest(parser.release()), keepAlive);
+    const bool keepAlive = parser.keep_alive() && !stopping;
+    TcpExchange exchange(stream, toRequest(parser.head(), std::move(body)), keepAlive);
     stream.expires_never();
     co_await handler(exchange);
     if (!exchange.ended())
