--- a/include/snipestall/wire/message_parser.hpp
+++ b/include/snipestall/wire/message_parser.hpp
@@ -18,7 +18,8 @@
 ///
 /// Failures it guards against, which Beast's own parser doesn't: framing without end (see
 /// FramingBudget); a field that is too long for the container of the head (an error here, an
-/// exception there); trailer fields that pass for fields of the head (they are dropped here).
+/// exception there); trailer fields that pass for fields of the head (they are dropped here); a
+/// head of thousands of fields, each of which is compared with the others.
 template<bool IsRequest>
 class MessageParser final : public boost::beast::http::basic_parser<IsRequest>
 {
@@ -56,6 +57,7 @@
     Head m_head;
     std::string m_body;
     FramingBudget m_framing;
+    std::size_t m_fields = 0;
     /// A fault that follows bytes of the body that are still to be taken.
     ErrorCode m_fault;
 };
--- a/src/snipestall/wire/message_parser.cpp
+++ b/src/snipestall/wire/message_parser.cpp
@@ -15,6 +15,7 @@
 /// The container of the head holds lengths of names and values, each with two bytes of separators,
 /// in 16 bits, and throws if they are longer.
 constexpr std::size_t MaxFieldBytes = std::numeric_limits<std::uint16_t>::max() - 2;
+constexpr std::size_t MaxFields = 500;
 
 } // namespace
 
@@ -95,7 +96,7 @@
 {
     if (this->is_header_done())
         return;
-    if (nameText.size() > MaxFieldBytes || value.size() > MaxFieldBytes)
+    if (++m_fields > MaxFields || nameText.size() > MaxFieldBytes || value.size() > MaxFieldBytes)
         error = http::error::header_limit;
     else
         m_head.insert(name, nameText, value);
--- a/src/snipestall/wire/message_parser_test.cpp
+++ b/src/snipestall/wire/message_parser_test.cpp
@@ -149,6 +149,15 @@
     EXPECT_EQ(trailer.error, http::error::header_limit);
 }
 
+// Guards against a head whose handling takes the time of its number of fields squared.
+TEST(MessageParserTest, AHeadOfThousandsOfFieldsIsAFault)
+{
+    std::string text = "GET / HTTP/1.1\r\nHost: a\r\n";
+    for (int i = 0; i < 2000; ++i)
+        text += "a:\r\n";
+    EXPECT_EQ(parseRequest(text + "\r\n").error, http::error::header_limit);
+}
+
 TEST(MessageParserTest, ABodyBeforeAFaultIsKept)
 {
     MessageParser<false> parser;
