Tasks: what one throws is logged, and ends nothing else

Cause: co_spawn(..., asio::detached) drops what a task throws, so a loop of the process that throws once (follower, lease, exchange, housekeeping, drain) would be dead without a line; and an exception that leaves a handler ended the process, as the trailer field of 70 KB showed.

Change: wire::spawn logs it (event 190, now with the task's name); wire::spawnLoop begins the loop again after a second; wire::runLoop goes on after a handler that throws, as the last resort: the operation of that handler is lost. A peer's call whose handler throws is ended at once with an error.

A first form, a coroutine that awaited the task, crashed at its first resumption under GCC 12; the handler of co_spawn does the same without.

--- a/apps/snipestall_gateway/main.cpp
+++ b/apps/snipestall_gateway/main.cpp
@@ -1,6 +1,7 @@
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/gateway.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -76,7 +77,7 @@
         });
     };
     waitForSignal();
-    io.run();
+    snipestall::wire::runLoop(io);
     // Neither the gateway nor the server for peers is destroyed: unfinished requests refer to the
     // gateway, and the server waits for calls that only this loop could answer.
     snipestall::finishLog();
--- a/apps/snipestalld/main.cpp
+++ b/apps/snipestalld/main.cpp
@@ -9,6 +9,7 @@
 #include "snipestall/entry/request_store.hpp"
 
 #include "snipestall/wire/http_server.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include "node_status.hpp"
 
@@ -100,7 +101,7 @@
         });
     };
     waitForSignal();
-    io.run();
+    snipestall::wire::runLoop(io);
     return ExitOk;
 }
 
--- a/include/snipestall/gateway/backend_call.hpp
+++ b/include/snipestall/gateway/backend_call.hpp
@@ -93,7 +93,7 @@
     using Parser = wire::MessageParser<false>;
 
     wire::Task<bool> connect(std::chrono::milliseconds timeout);
-    wire::Task<void> writeRequest();
+    static wire::Task<void> writeRequest(std::shared_ptr<BackendCall> call);
     wire::Task<boost::system::error_code> readHead(SteadyTime deadline);
     wire::Task<boost::system::error_code> discardBody(SteadyTime deadline);
     /// Returns an unused connection to the pool if it can be reused, and closes it otherwise.
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -23,8 +23,9 @@
                                "Free the port or change it in the local settings file." };
 const EventInfo UnexpectedException {
     190, Severity::Error, "unexpected-exception",
-    "An exception from a broken invariant reached the event loop and was caught there; the request "
-    "that it belongs to ended as failed or unknown.",
+    "An exception reached the event loop and was caught there; the line names the task. What it "
+    "belongs to ended as failed or unknown, and a task that lasts as long as the process begins "
+    "again.",
     "Report it with the surrounding log lines."
 };
 const EventInfo SettingsApplied { 200, Severity::Info, "settings-applied",
--- a/src/snipestall/entry/attempt_claim.cpp
+++ b/src/snipestall/entry/attempt_claim.cpp
@@ -2,13 +2,11 @@
 #include "snipestall/entry/policy_loop.hpp"
 #include "snipestall/peer/claim_keeper.hpp"
 #include "snipestall/settings/sha256.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include "attempt.hpp"
 #include "outcome_unknown.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -121,7 +119,7 @@
 
 void Dispatcher::awaitStoredOutcome(const RequestPtr &request)
 {
-    boost::asio::co_spawn(*m_deps.io, awaitOutcome(request), boost::asio::detached);
+    wire::spawn(*m_deps.io, awaitOutcome(request), "outcome");
 }
 
 void Dispatcher::releaseClaim(Request &request)
--- a/src/snipestall/entry/backend_directory.cpp
+++ b/src/snipestall/entry/backend_directory.cpp
@@ -8,9 +8,8 @@
 #include "snipestall/platform/instance_list.hpp"
 #include "snipestall/wire/http_client.hpp"
 #include "snipestall/wire/signal.hpp"
+#include "snipestall/wire/spawn.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/json/parse.hpp>
 
@@ -71,8 +70,10 @@
 
 void BackendDirectory::start()
 {
-    boost::asio::co_spawn(m_io, listLoop(), boost::asio::detached);
-    boost::asio::co_spawn(m_io, loadLoop(), boost::asio::detached);
+    wire::spawnLoop(
+        m_io, [this] { return listLoop(); }, "server-list");
+    wire::spawnLoop(
+        m_io, [this] { return loadLoop(); }, "server-load");
 }
 
 void BackendDirectory::stop()
@@ -152,7 +153,7 @@
     while (*alive) {
         for (const auto &[name, backend] : m_backends) {
             if (backend.owned && !backend.polling)
-                boost::asio::co_spawn(m_io, poll(name), boost::asio::detached);
+                wire::spawn(m_io, poll(name), "server-poll");
         }
         co_await wire::sleepFor(m_options.loadInterval);
     }
@@ -278,7 +279,7 @@
 {
     for (auto &[name, backend] : m_backends) {
         if (backend.handle == handle && backend.owned && !backend.polling)
-            boost::asio::co_spawn(m_io, poll(name), boost::asio::detached);
+            wire::spawn(m_io, poll(name), "server-poll");
     }
 }
 
--- a/src/snipestall/entry/caller_resume.cpp
+++ b/src/snipestall/entry/caller_resume.cpp
@@ -6,14 +6,12 @@
 #include "snipestall/peer/peer_client.hpp"
 #include "snipestall/peer/peer_network.hpp"
 #include "snipestall/wire/http_exchange.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include "answer_writer.hpp"
 #include "caller_call.hpp"
 #include "peer.pb.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -145,7 +143,7 @@
     spec.kind = spec.model.empty() ? settings::ServiceKind::Plain : settings::ServiceKind::Model;
     const RequestPtr mirror =
         Request::create(m_deps.io->get_executor(), std::move(spec), policy::RequestHandle {});
-    boost::asio::co_spawn(*m_deps.io, fillMirror(mirror, call), boost::asio::detached);
+    wire::spawn(*m_deps.io, fillMirror(mirror, call), "mirror");
     co_return mirror;
 }
 
--- a/src/snipestall/entry/dispatcher.cpp
+++ b/src/snipestall/entry/dispatcher.cpp
@@ -8,14 +8,12 @@
 #include "snipestall/entry/policy_loop.hpp"
 #include "snipestall/entry/request_store.hpp"
 #include "snipestall/peer/record_keeper.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include "attempt.hpp"
 #include "refusal.hpp"
 #include "trial_coordinator.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -97,7 +95,7 @@
     if (!isNew || !refuseDuringTrial(request))
         submit(request, accepted);
     if (!request->forwarded)
-        boost::asio::co_spawn(*m_deps.io, replicate(request), boost::asio::detached);
+        wire::spawn(*m_deps.io, replicate(request), "replicate");
 }
 
 bool Dispatcher::refuseDuringTrial(const RequestPtr &request)
@@ -254,8 +252,7 @@
             command.request, command.attempt, policy::AttemptResult::NotSent, {} });
         return;
     }
-    boost::asio::co_spawn(*m_deps.io, runOnServer(request, command.attempt, *server, {}),
-                          boost::asio::detached);
+    wire::spawn(*m_deps.io, runOnServer(request, command.attempt, *server, {}), "attempt");
 }
 
 void Dispatcher::execute(const policy::ForwardTo &command)
@@ -263,7 +260,7 @@
     const RequestPtr request = m_deps.store->find(command.request);
     if (request == nullptr || request->finished() || refuseQuarantined(request))
         return;
-    boost::asio::co_spawn(*m_deps.io, runOnPeer(request, command), boost::asio::detached);
+    wire::spawn(*m_deps.io, runOnPeer(request, command), "forward");
 }
 
 void Dispatcher::execute(const policy::Refuse &command)
@@ -305,9 +302,8 @@
         running == m_onServer.end() ? nullptr : m_deps.backends->find(running->second);
     logEvent(events::RequestResumed,
              { { "request", request->spec().id }, { "server", target->listed.name } });
-    boost::asio::co_spawn(*m_deps.io,
-                          move(request, command, from == nullptr ? Backend {} : *from, *target),
-                          boost::asio::detached);
+    wire::spawn(*m_deps.io, move(request, command, from == nullptr ? Backend {} : *from, *target),
+                "move");
 }
 
 void Dispatcher::execute(const policy::StartInstance &)
--- a/src/snipestall/entry/node.cpp
+++ b/src/snipestall/entry/node.cpp
@@ -5,12 +5,11 @@
 #include "snipestall/base/rendezvous.hpp"
 #include "snipestall/policy/world.hpp"
 #include "snipestall/settings/effective_settings.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include "node_state.hpp"
 #include "peer.pb.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -149,9 +148,12 @@
     backends.start();
     steward->start();
     maintenance->start();
-    boost::asio::co_spawn(io, registerLoop(), boost::asio::detached);
-    boost::asio::co_spawn(io, settingsLoop(), boost::asio::detached);
-    boost::asio::co_spawn(io, housekeepingLoop(), boost::asio::detached);
+    wire::spawnLoop(
+        io, [this] { return registerLoop(); }, "registration");
+    wire::spawnLoop(
+        io, [this] { return settingsLoop(); }, "settings");
+    wire::spawnLoop(
+        io, [this] { return housekeepingLoop(); }, "housekeeping");
 }
 
 void Node::State::onMemberChange(const peer::Member &member, peer::MemberState)
--- a/src/snipestall/entry/node_drain.cpp
+++ b/src/snipestall/entry/node_drain.cpp
@@ -1,12 +1,10 @@
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include "node_state.hpp"
 #include "peer.pb.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -48,7 +46,8 @@
     backends.reassign();
     network.announce();
     policy.post(policy::SelfLeaving { notice.value_or(milliseconds(0)) });
-    boost::asio::co_spawn(io, drainLoop(), boost::asio::detached);
+    wire::spawnLoop(
+        io, [this] { return drainLoop(); }, "drain");
 }
 
 bool Node::State::idle() const
--- a/src/snipestall/entry/node_peers.cpp
+++ b/src/snipestall/entry/node_peers.cpp
@@ -2,14 +2,12 @@
 #include "snipestall/base/log.hpp"
 #include "snipestall/entry/forward_relay.hpp"
 #include "snipestall/peer/forward_sink.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include "node_state.hpp"
 #include "outcome_unknown.hpp"
 #include "peer.pb.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <utility>
 
 namespace snipestall::entry {
@@ -68,8 +66,7 @@
             dispatcher.cancel(running);
     });
     dispatcher.handleArrival(request, false);
-    boost::asio::co_spawn(io, relayToPeer(request, call.attempt(), std::move(sink), stop, false),
-                          boost::asio::detached);
+    wire::spawn(io, relayToPeer(request, call.attempt(), std::move(sink), stop, false), "relay");
 }
 
 void Node::State::onFindRequest(const v1::FindRequestRequest &call,
@@ -94,8 +91,7 @@
         if (const RequestPtr running = weak.lock())
             running->changed().notifyAll();
     });
-    boost::asio::co_spawn(io, relayToPeer(request, "", std::move(sink), stop, true),
-                          boost::asio::detached);
+    wire::spawn(io, relayToPeer(request, "", std::move(sink), stop, true), "relay");
 }
 
 // An idempotent request is continued from its replica; at worst it runs twice, which costs tokens.
--- a/src/snipestall/entry/trial_coordinator.cpp
+++ b/src/snipestall/entry/trial_coordinator.cpp
@@ -8,12 +8,10 @@
 #include "snipestall/peer/peer_client.hpp"
 #include "snipestall/peer/peer_network.hpp"
 #include "snipestall/wire/signal.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include "peer.pb.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -81,7 +79,7 @@
         co_await wire::sleepFor(AskInterval);
     }
     if (m_awaitingFirstToken.insert(request->spec().id).second)
-        boost::asio::co_spawn(m_io, awaitFirstToken(request, fingerprint), boost::asio::detached);
+        wire::spawn(m_io, awaitFirstToken(request, fingerprint), "trial");
 }
 
 wire::Task<std::optional<bool>> TrialCoordinator::ask(peer::v1::TrialRequest question)
--- a/src/snipestall/gateway/backend_call.cpp
+++ b/src/snipestall/gateway/backend_call.cpp
@@ -6,10 +6,9 @@
 #include "snipestall/gateway/backend_pool.hpp"
 #include "snipestall/wire/message_reader.hpp"
 #include "snipestall/wire/socket_options.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
@@ -102,10 +101,11 @@
     co_return true;
 }
 
-Task<void> BackendCall::writeRequest()
+Task<void> BackendCall::writeRequest(std::shared_ptr<BackendCall> call)
 {
-    auto [error, bytes] = co_await http::async_write(m_connection->stream, m_request, UseTuple);
-    m_requestWritten = !error;
+    auto [error, bytes] =
+        co_await http::async_write(call->m_connection->stream, call->m_request, UseTuple);
+    call->m_requestWritten = !error;
 }
 
 void BackendCall::resetParser()
@@ -179,9 +179,7 @@
     setDeadline(deadline);
     // The server may answer before it has read a long body, so the answer is awaited while the body
     // is written.
-    asio::co_spawn(
-        m_io, [self = shared_from_this()]() -> Task<void> { co_await self->writeRequest(); },
-        asio::detached);
+    wire::spawn(m_io, writeRequest(shared_from_this()), "request-write");
     const boost::system::error_code error = co_await readHead(deadline);
     if (!error && !m_aborted)
         co_return CallStart::Answered;
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -7,10 +7,9 @@
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/gateway/request_relay.hpp"
 #include "snipestall/wire/signal.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -103,7 +102,8 @@
 
 void CallerListener::start()
 {
-    asio::co_spawn(m_state.io, accept(), asio::detached);
+    wire::spawnLoop(
+        m_state.io, [this] { return accept(); }, "accept");
 }
 
 Task<void> CallerListener::accept()
@@ -130,7 +130,7 @@
 {
     auto connection = std::make_shared<CallerConnection>(std::move(socket));
     m_connections.emplace(connection, Served { nullptr, m_state.clock.steadyNow(), false });
-    asio::co_spawn(m_state.io, serve(std::move(connection)), asio::detached);
+    wire::spawn(m_state.io, serve(std::move(connection)), "caller");
 }
 
 // The kernel resets the connections that wait to be accepted when the listening socket closes.
@@ -153,7 +153,7 @@
     try {
         co_await serveRequests(*connection, connection);
     } catch (const std::exception &error) {
-        logEvent(events::UnexpectedException, { { "error", error.what() } });
+        logEvent(events::UnexpectedException, { { "task", "caller" }, { "error", error.what() } });
     }
     connection->close();
     m_connections.erase(connection);
--- a/src/snipestall/gateway/duty_runner.cpp
+++ b/src/snipestall/gateway/duty_runner.cpp
@@ -6,9 +6,8 @@
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/wire/signal.hpp"
+#include "snipestall/wire/spawn.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -71,9 +70,12 @@
 void DutyRunner::start()
 {
     m_startedAt = m_state.clock.steadyNow();
-    boost::asio::co_spawn(m_state.io, leaseLoop(), boost::asio::detached);
-    boost::asio::co_spawn(m_state.io, usageLoop(), boost::asio::detached);
-    boost::asio::co_spawn(m_state.io, fleetLoop(), boost::asio::detached);
+    wire::spawnLoop(
+        m_state.io, [this] { return leaseLoop(); }, "lease");
+    wire::spawnLoop(
+        m_state.io, [this] { return usageLoop(); }, "usage");
+    wire::spawnLoop(
+        m_state.io, [this] { return fleetLoop(); }, "fleet");
 }
 
 bool DutyRunner::holdsLease() const
--- a/src/snipestall/gateway/exchange_transport.cpp
+++ b/src/snipestall/gateway/exchange_transport.cpp
@@ -1,5 +1,7 @@
 #include "snipestall/gateway/exchange_transport.hpp"
 
+#include "snipestall/base/event_catalogue.hpp"
+#include "snipestall/base/log.hpp"
 #include "snipestall/gateway/call_end.hpp"
 
 #include "exchange.grpc.pb.h"
@@ -108,8 +110,15 @@
             if (!calls->remove(reactor))
                 return;
             const bool awaited = !context->IsCancelled();
-            handler(*request, awaited ? answer : nullptr);
-            reactor->Finish(awaited ? grpc::Status::OK : grpc::Status::CANCELLED);
+            grpc::Status status = awaited ? grpc::Status::OK : grpc::Status::CANCELLED;
+            try {
+                handler(*request, awaited ? answer : nullptr);
+            } catch (const std::exception &error) {
+                logEvent(events::UnexpectedException,
+                         { { "task", "peer-call" }, { "error", error.what() } });
+                status = grpc::Status(grpc::StatusCode::INTERNAL, "the call failed");
+            }
+            reactor->Finish(status);
         });
         return reactor;
     }
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -20,9 +20,7 @@
 #include "snipestall/wire/http_exchange.hpp"
 #include "snipestall/wire/http_server.hpp"
 #include "snipestall/wire/signal.hpp"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "snipestall/wire/spawn.hpp"
 
 #include <random>
 #include <utility>
@@ -204,19 +202,26 @@
 
 void Gateway::start()
 {
+    asio::io_context &io = m_parts->state.io;
     m_parts->follower.start([] {});
     m_parts->exchange->start();
     m_parts->duties.start();
     if (m_parts->state.rollouts.enabled())
-        asio::co_spawn(m_parts->state.io, m_parts->runRollouts(), asio::detached);
-    asio::co_spawn(m_parts->state.io, m_parts->registerVersions(), asio::detached);
-    asio::co_spawn(m_parts->state.io, m_parts->storeStreamGroups(), asio::detached);
-    asio::co_spawn(m_parts->state.io, m_parts->registerBlockedParts(), asio::detached);
+        wire::spawnLoop(
+            io, [parts = m_parts.get()] { return parts->runRollouts(); }, "rollouts");
+    wire::spawnLoop(
+        io, [parts = m_parts.get()] { return parts->registerVersions(); }, "versions");
+    wire::spawnLoop(
+        io, [parts = m_parts.get()] { return parts->storeStreamGroups(); }, "stream-groups");
+    wire::spawnLoop(
+        io, [parts = m_parts.get()] { return parts->registerBlockedParts(); }, "blocked-parts");
     for (CallerListener *listener : m_parts->listeners())
         listener->start();
     m_parts->loopWatch.start();
-    asio::co_spawn(m_parts->state.io, m_parts->housekeeping(), asio::detached);
-    asio::co_spawn(m_parts->state.io, m_parts->watchAttempts(), asio::detached);
+    wire::spawnLoop(
+        io, [parts = m_parts.get()] { return parts->housekeeping(); }, "housekeeping");
+    wire::spawnLoop(
+        io, [parts = m_parts.get()] { return parts->watchAttempts(); }, "attempts");
 }
 
 Task<void> Gateway::Parts::watchAttempts()
@@ -228,15 +233,15 @@
         state.attempts.check(due);
         state.streams.check(state.clock.steadyNow());
         if (!probing && reachProber.isDue())
-            asio::co_spawn(state.io, probeReach(), asio::detached);
+            wire::spawn(state.io, probeReach(), "reach");
     }
 }
 
 Task<void> Gateway::Parts::probeReach()
 {
     probing = true;
+    const std::shared_ptr<void> end(nullptr, [this](void *) { probing = false; });
     co_await reachProber.probe();
-    probing = false;
 }
 
 Task<void> Gateway::Parts::runRollouts()
@@ -302,8 +307,10 @@
     logEvent(events::ProcessStopping, { { "requests", std::to_string(state.requestsInFlight) } });
     for (const CallerListener *listener : m_parts->listeners())
         listener->recordRunning();
-    asio::co_spawn(state.io, m_parts->leaveFleet(), asio::detached);
-    asio::co_spawn(state.io, m_parts->drain(), asio::detached);
+    wire::spawnLoop(
+        state.io, [parts = m_parts.get()] { return parts->leaveFleet(); }, "leave-fleet");
+    wire::spawnLoop(
+        state.io, [parts = m_parts.get()] { return parts->drain(); }, "drain");
 }
 
 Task<void> Gateway::Parts::leaveFleet()
@@ -326,7 +333,8 @@
     }
     for (CallerListener *listener : listeners())
         listener->cancelRequests();
-    asio::co_spawn(state.io, storeLastCounts(), asio::detached);
+    wire::spawnLoop(
+        state.io, [this] { return storeLastCounts(); }, "last-counts");
     bool accepting = true;
     const auto mayEnd = [this] { return countsStored && connections() == 0; };
     while ((accepting || !mayEnd())
--- a/src/snipestall/gateway/load_exchange.cpp
+++ b/src/snipestall/gateway/load_exchange.cpp
@@ -10,12 +10,10 @@
 #include "snipestall/gateway/instance_row.hpp"
 #include "snipestall/gateway/store_follower.hpp"
 #include "snipestall/wire/signal.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include "exchange.pb.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -96,8 +94,10 @@
 
 void LoadExchange::start()
 {
-    boost::asio::co_spawn(m_state.io, registerLoop(), boost::asio::detached);
-    boost::asio::co_spawn(m_state.io, exchangeLoop(), boost::asio::detached);
+    wire::spawnLoop(
+        m_state.io, [this] { return registerLoop(); }, "registration");
+    wire::spawnLoop(
+        m_state.io, [this] { return exchangeLoop(); }, "exchange");
 }
 
 std::size_t LoadExchange::instances() const
--- a/src/snipestall/gateway/loop_watch.cpp
+++ b/src/snipestall/gateway/loop_watch.cpp
@@ -5,9 +5,7 @@
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/wire/signal.hpp"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "snipestall/wire/spawn.hpp"
 
 #include <string>
 #include <utility>
@@ -31,7 +29,8 @@
 
 void LoopWatch::start()
 {
-    boost::asio::co_spawn(m_state.io, tick(), boost::asio::detached);
+    wire::spawnLoop(
+        m_state.io, [this] { return tick(); }, "loop-watch");
 }
 
 Task<void> LoopWatch::tick()
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -11,9 +11,7 @@
 #include "snipestall/gateway/server_probe.hpp"
 #include "snipestall/wire/answer_body.hpp"
 #include "snipestall/wire/signal.hpp"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "snipestall/wire/spawn.hpp"
 
 #include <algorithm>
 #include <sstream>
@@ -259,7 +257,7 @@
         return;
     m_lastLostServer = server->key;
     if (m_state.crashes.connectionBroke(m_fingerprint, server->key, now, suspectParts()))
-        boost::asio::co_spawn(m_state.io, probeServerEnd(m_state, server), boost::asio::detached);
+        wire::spawn(m_state.io, probeServerEnd(m_state, server), "server-probe");
 }
 
 void RequestRelay::recordLoss(serving::ServerState &server)
--- a/src/snipestall/gateway/request_relay_move.cpp
+++ b/src/snipestall/gateway/request_relay_move.cpp
@@ -6,9 +6,7 @@
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/wire/signal.hpp"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "snipestall/wire/spawn.hpp"
 
 #include <utility>
 
@@ -77,9 +75,9 @@
     serving::ServerTable::requestSent(*placed->server, now);
     m_move = std::make_shared<StreamMove>();
     m_move->target = placed->server;
-    boost::asio::co_spawn(
-        m_state.io, callMove(m_state, m_move, source, m_header.attemptId, *m_answer.lastEvent()),
-        boost::asio::detached);
+    wire::spawn(m_state.io,
+                callMove(m_state, m_move, source, m_header.attemptId, *m_answer.lastEvent()),
+                "move");
 }
 
 Task<bool> RequestRelay::awaitMove()
--- a/src/snipestall/gateway/store_follower.cpp
+++ b/src/snipestall/gateway/store_follower.cpp
@@ -9,9 +9,7 @@
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/wire/signal.hpp"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "snipestall/wire/spawn.hpp"
 
 #include <algorithm>
 #include <array>
@@ -71,7 +69,8 @@
 {
     m_changed = std::move(changed);
     for (Feed *feed : { &m_config, &m_list })
-        boost::asio::co_spawn(m_state.io, follow(*feed), boost::asio::detached);
+        wire::spawnLoop(
+            m_state.io, [this, feed] { return follow(*feed); }, "store-follower");
 }
 
 milliseconds StoreFollower::pollWait() const
--- a/src/snipestall/peer/claim_keeper.cpp
+++ b/src/snipestall/peer/claim_keeper.cpp
@@ -6,10 +6,9 @@
 #include "snipestall/peer/claim_context.hpp"
 #include "snipestall/peer/claim_expiry.hpp"
 #include "snipestall/peer/claim_updates.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -87,9 +86,8 @@
 {
     if (std::exchange(windowOpen, true))
         return;
-    boost::asio::co_spawn(
-        context->io, [self = shared_from_this()] { return self->writeAfterWindow(); },
-        boost::asio::detached);
+    wire::spawn(
+        context->io, [self = shared_from_this()] { return self->writeAfterWindow(); }, "claims");
 }
 
 Task<void> ClaimKeeper::State::writeAfterWindow()
@@ -114,12 +112,12 @@
         std::vector<PendingClaimPtr> claims(queue.begin(), end);
         queue.erase(queue.begin(), end);
         ++batches;
-        boost::asio::co_spawn(
+        wire::spawn(
             context->io,
             [self = shared_from_this(), claims = std::move(claims)] {
                 return self->runBatch(claims);
             },
-            boost::asio::detached);
+            "claim-batch");
     }
 }
 
--- a/src/snipestall/peer/claim_updates.cpp
+++ b/src/snipestall/peer/claim_updates.cpp
@@ -1,9 +1,7 @@
 #include "snipestall/peer/claim_updates.hpp"
 
 #include "snipestall/peer/claim_context.hpp"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "snipestall/wire/spawn.hpp"
 
 #include <algorithm>
 #include <array>
@@ -99,8 +97,8 @@
     m_updates.push_back(std::move(update));
     if (std::exchange(m_running, true))
         return;
-    boost::asio::co_spawn(
-        m_context->io, [self = shared_from_this()] { return self->run(); }, boost::asio::detached);
+    wire::spawn(
+        m_context->io, [self = shared_from_this()] { return self->run(); }, "claim-updates");
 }
 
 wire::Task<void> ClaimUpdates::run()
--- a/src/snipestall/peer/peer_network.cpp
+++ b/src/snipestall/peer/peer_network.cpp
@@ -5,12 +5,10 @@
 #include "snipestall/peer/peer_client.hpp"
 #include "snipestall/peer/settings_keeper.hpp"
 #include "snipestall/wire/signal.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include "peer.pb.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <set>
 #include <utility>
 
@@ -119,7 +117,8 @@
 
 void PeerNetwork::start()
 {
-    boost::asio::co_spawn(m_io, heartbeatLoop(), boost::asio::detached);
+    wire::spawnLoop(
+        m_io, [this] { return heartbeatLoop(); }, "heartbeat");
 }
 
 void PeerNetwork::stop()
@@ -174,7 +173,7 @@
         const bool hasReportedRecently = now - member->lastHeartbeat < m_options.interval / 2;
         if (channel.exchanging || (hasReportedRecently && !all))
             continue;
-        boost::asio::co_spawn(m_io, exchange(name), boost::asio::detached);
+        wire::spawn(m_io, exchange(name), "exchange");
     }
 }
 
@@ -259,7 +258,7 @@
     for (const v1::CrashReport &report : message.crashes())
         m_hooks.onCrash({ report.fingerprint(), report.server() });
     if (message.settings_version() > m_settings.version() && !m_fetching)
-        boost::asio::co_spawn(m_io, fetchSettings(heartbeat.name), boost::asio::detached);
+        wire::spawn(m_io, fetchSettings(heartbeat.name), "settings-fetch");
 }
 
 wire::Task<void> PeerNetwork::fetchSettings(std::string name)
--- a/src/snipestall/peer/record_keeper.cpp
+++ b/src/snipestall/peer/record_keeper.cpp
@@ -6,11 +6,10 @@
 #include "snipestall/peer/peer_network.hpp"
 #include "snipestall/peer/record_source.hpp"
 #include "snipestall/wire/signal.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include "peer.pb.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -244,7 +243,7 @@
         const std::string name = entry.buddy;
         state->enqueue(name, id);
         if (!state->buddyQueues[name].sending)
-            boost::asio::co_spawn(state->io, state->send(state, name), boost::asio::detached);
+            wire::spawn(state->io, state->send(state, name), "copies");
         co_await state->changed.wait();
     }
 }
@@ -261,8 +260,7 @@
         return;
     m_state->buddyQueues[buddy].forget.push_back(requestId);
     if (m_state->buddyQueues[buddy].forget.size() == 1)
-        boost::asio::co_spawn(m_state->io, m_state->flushForgets(m_state, buddy),
-                              boost::asio::detached);
+        wire::spawn(m_state->io, m_state->flushForgets(m_state, buddy), "forget");
 }
 
 Task<std::vector<std::string>>
--- a/src/snipestall/peer/steward.cpp
+++ b/src/snipestall/peer/steward.cpp
@@ -7,10 +7,9 @@
 #include "snipestall/base/rendezvous.hpp"
 #include "snipestall/peer/steward_lease.hpp"
 #include "snipestall/platform/table_service.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -149,8 +148,8 @@
 {
     if (std::exchange(m_state->running, true))
         return;
-    boost::asio::co_spawn(
-        m_state->io, [state = m_state] { return state->run(); }, boost::asio::detached);
+    wire::spawn(
+        m_state->io, [state = m_state] { return state->run(); }, "steward");
 }
 
 Task<void> Steward::stop()
--- a/src/snipestall/peer/table_maintenance.cpp
+++ b/src/snipestall/peer/table_maintenance.cpp
@@ -2,10 +2,9 @@
 
 #include "snipestall/peer/claim_keeper.hpp"
 #include "snipestall/peer/settings_store.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -70,8 +69,8 @@
 
 void TableMaintenance::start()
 {
-    boost::asio::co_spawn(
-        m_state->io, [state = m_state] { return state->run(); }, boost::asio::detached);
+    wire::spawn(
+        m_state->io, [state = m_state] { return state->run(); }, "table-maintenance");
 }
 
 } // namespace snipestall::peer
--- a/src/snipestall/wire/http_server.cpp
+++ b/src/snipestall/wire/http_server.cpp
@@ -4,12 +4,11 @@
 #include "snipestall/wire/discard.hpp"
 #include "snipestall/wire/http_exchange.hpp"
 #include "snipestall/wire/message_reader.hpp"
+#include "snipestall/wire/spawn.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -209,7 +208,7 @@
             continue;
         beast::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
-        asio::co_spawn(io, serve(std::move(socket)), asio::detached);
+        spawn(io, serve(std::move(socket)), "http-server");
     }
 }
 
@@ -217,6 +216,7 @@
 {
     const auto self = shared_from_this();
     ++connections;
+    const std::shared_ptr<void> end(nullptr, [self](void *) { --self->connections; });
     try {
         beast::tcp_stream stream(std::move(socket));
         beast::flat_buffer buffer;
@@ -228,7 +228,6 @@
     } catch (const boost::system::system_error &) {
         // The peer closed the connection or timed out, so no response can be sent.
     }
-    --connections;
 }
 
 Task<bool> HttpServer::State::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
@@ -299,7 +298,8 @@
         return fail(ErrorKind::Unavailable,
                     "can't listen on " + endpoint.toString() + ": " + ec.message()
                         + "; free the port or choose another in the local settings");
-    asio::co_spawn(io, state->acceptLoop(), asio::detached);
+    spawnLoop(
+        io, [state] { return state->acceptLoop(); }, "http-accept");
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
 }
 
