A repeat's credit is spent by the attempt that it was taken for

Three ways in which the attempt that is ended for its silence and its replacement were mixed up. A repeat that stalled itself got its own spent credit back, so that two sends cost one. And a connect that was ended for a replacement counted as a loss of the server. A relay that ends by an exception also leaves the watches and gives back what it holds; a rejection that is being read is no longer watched.

--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -73,6 +73,9 @@
 {
     --m_state.requestsInFlight;
     m_caller->stopWatching();
+    stopStallWatch();
+    stopReclaimWatch();
+    returnRepeat();
 }
 
 void RequestRelay::cancel()
@@ -350,7 +353,9 @@
     const CallStart start =
         co_await call->start(std::move(request), m_header.attemptId, ConnectTimeout, m_deadline,
                              [this, &server] { return maySend(*server); });
-    useRepeat(*call);
+    // A repeat that was taken for the replacement of this attempt is not used by this one.
+    if (!m_replacement)
+        useRepeat(*call);
     if (start == CallStart::Answered && !m_route->isStream())
         stopStallWatch();
     AttemptEnd end = AttemptEnd::Failed;
@@ -361,7 +366,8 @@
     } else if (start == CallStart::Unwanted) {
         end = AttemptEnd::NotRun;
     } else if (start == CallStart::Unreachable) {
-        recordLoss(*server);
+        if (!m_replacement)
+            recordLoss(*server);
         m_connectionRejected = call->connectionRejected();
         if (call->refused())
             m_state.crashes.connectionRefused(server->key, m_state.clock.steadyNow());
@@ -442,6 +448,7 @@
     if (parsed.wrongServer)
         serving::ServerTable::markReplaced(*server);
     if (parsed.notRun) {
+        stopStallWatch();
         co_await readRejection();
         co_return AttemptEnd::NotRun;
     }
--- a/src/snipestall/gateway/request_relay_stall.cpp
+++ b/src/snipestall/gateway/request_relay_stall.cpp
@@ -85,6 +85,8 @@
 {
     if (m_replacement || m_callerGone || m_cancelled)
         return;
+    // If the stalled attempt is itself a repeat, its own credit is spent and is not given back.
+    useRepeat(*m_call);
     // Only a reason to find out, by opening connections, if servers can be reached.
     if (!m_state.reach.cutOff())
         m_state.reach.failed(server.key, now);
