Bytes that arrive with the end of an attempt are not passed on

A read may have completed, unhandled, when an attempt is ended for its silence. Its bytes began the answer, and the replacement, which was chosen before there was a version to go on with, could have written the rest.

--- a/src/snipestall/gateway/backend_call.cpp
+++ b/src/snipestall/gateway/backend_call.cpp
@@ -210,13 +210,15 @@
 Task<BodyRead> BackendCall::readBody(SteadyTime deadline)
 {
     while (true) {
+        // Bytes that arrived before the attempt was ended are not passed on: another attempt may
+        // have been chosen by what the caller had then.
+        if (m_aborted)
+            co_return BodyRead { BodyRead::Kind::Broken, {} };
         std::string bytes = m_parser->takeBody();
         if (!bytes.empty())
             co_return BodyRead { BodyRead::Kind::Bytes, std::move(bytes) };
         if (m_parser->is_done())
             break;
-        if (m_aborted)
-            co_return BodyRead { BodyRead::Kind::Broken, {} };
         setDeadline(deadline);
         const boost::system::error_code error =
             co_await wire::readMessage(m_connection->stream, m_connection->buffer, *m_parser);
