Each read and write of a caller's head has a limit

Cancelling a read that has completed, unhandled, cancels nothing, and the timer was not armed again: the next read had no limit. The interim answer 100 was written without one since the stream's own timer is not used.

Caller and idle tests of gateway_test 8 of 8 with it.

--- a/include/snipestall/gateway/caller_connection.hpp
+++ b/include/snipestall/gateway/caller_connection.hpp
@@ -86,6 +86,7 @@
     /// Ends the read that is about to begin if nothing arrives in time. The connection stays open,
     /// so that the caller can be told.
     void limitRead(std::chrono::milliseconds timeout);
+    void armReadTimer(std::chrono::milliseconds timeout);
     void endReadLimit();
     /// How a read ended.
     [[nodiscard]] RequestRead readFault(const boost::system::error_code &error) const;
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -124,17 +124,22 @@
 void CallerConnection::limitRead(std::chrono::milliseconds timeout)
 {
     m_readLate = false;
+    armReadTimer(timeout);
+}
+
+void CallerConnection::armReadTimer(std::chrono::milliseconds timeout)
+{
     m_readTimer.expires_after(timeout);
     m_readTimer.async_wait(
         [self = shared_from_this(), read = ++m_limitedRead](const beast::error_code &error) {
             if (error || read != self->m_limitedRead || self->m_closed)
                 return;
-            if (!wire::isIdleAndOpen(self->m_stream.socket())) {
-                self->limitRead(LateReadTime);
-                return;
+            if (wire::isIdleAndOpen(self->m_stream.socket())) {
+                self->m_readLate = true;
+                self->m_stream.cancel();
             }
-            self->m_readLate = true;
-            self->m_stream.cancel();
+            // Nothing is cancelled if a read has completed and is not handled yet.
+            self->armReadTimer(LateReadTime);
         });
 }
 
@@ -188,10 +193,12 @@
         co_return RequestRead::Malformed;
     if (beast::iequals(parser.head()[http::field::expect], "100-continue")) {
         static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+        m_stream.expires_after(WriteTimeout);
         auto [error, bytes] = co_await asio::async_write(
             m_stream, asio::buffer(Continue.data(), Continue.size()), UseTuple);
         if (error)
             co_return RequestRead::Closed;
+        m_stream.expires_never();
     }
     // The timeout limits the pauses within a body, not its total time, because a slow caller may
     // send a large body.
