Requests that arrive in part until the very end of a stop are refused

Reading was stopped once, when the listener closes. A request of which a part came after that was cut with the process, without its 503.

--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -346,6 +346,10 @@
             stopAccepting();
             accepting = false;
         }
+        // Connections that were accepted last may have sent a part of a request only now.
+        if (!accepting)
+            for (CallerListener *listener : listeners())
+                listener->stopReading();
         closeIdle();
         co_await wire::sleepFor(EndTick);
     }
