Bodies of all connections together stay within the machine's memory

Cause: callers saw a gateway that is ended for its memory by clients that each stay inside the limits of one request. Each connection had a limit; nothing bounded all of them together, so a crowd whose bodies stop a byte short of their end filled the memory and held it until an idle limit.

Change: serving/connection_ledger knows what each connection does and holds. What finds no room gets 503, not run, with a time to come back; event 971, reason no-memory with the request's id, four metrics. A connection drops its request once it is answered. The allocator returns large bodies to the kernel at once.

Why it works: what arrives is booked before it is kept, and a request that finds no room is dropped before its refusal is written. An announced body is booked as it arrives, so announcing takes nothing.

--- a/apps/snipestall_gateway/main.cpp
+++ b/apps/snipestall_gateway/main.cpp
@@ -15,6 +15,8 @@
 #include <optional>
 #include <sstream>
 
+#include <malloc.h>
+
 DEFINE_string(settings, "",
               "settings file (YAML); default: the path in the variable of --settings_variable");
 DEFINE_string(settings_variable, "",
@@ -84,10 +86,19 @@
     std::_Exit(ExitOk);
 }
 
+/// Has the allocator return the memory of large bodies to the kernel as soon as they are freed. By
+/// default it raises this threshold with the first large body, and keeps what the next ones free.
+void returnFreedMemory()
+{
+    constexpr int LargeBytes = 128 * 1024;
+    mallopt(M_MMAP_THRESHOLD, LargeBytes);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
+    returnFreedMemory();
     gflags::SetUsageMessage("runs one gateway instance of snipestall\n"
                             "  snipestall-gateway [--settings FILE] [--check]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
--- a/include/snipestall/base/event_catalogue.hpp
+++ b/include/snipestall/base/event_catalogue.hpp
@@ -109,6 +109,7 @@
 extern const EventInfo RolloutFollowed;
 extern const EventInfo ServerAnswerUnreadable;
 extern const EventInfo AttemptStalled;
+extern const EventInfo ConnectionsGivenUp;
 
 /// Returns all events, ordered by number.
 std::span<const EventInfo *const> all();
--- a/include/snipestall/gateway/caller_connection.hpp
+++ b/include/snipestall/gateway/caller_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "snipestall/serving/traffic_limits.hpp"
+#include "snipestall/wire/message_parser.hpp"
 #include "snipestall/wire/shared_body.hpp"
 #include "snipestall/wire/task.hpp"
 
@@ -14,11 +15,18 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
+namespace snipestall::serving {
+enum class ConnectionStage;
+} // namespace snipestall::serving
+
 namespace snipestall::gateway {
 
+class ConnectionRegistry;
+
 /// Result of reading the next request of a caller.
 enum class RequestRead {
     Ok,
@@ -31,6 +39,8 @@
     HeaderTimeout,
     /// The process ends before the request has arrived in full.
     Stopped,
+    /// All connections together hold as much as the machine can take.
+    NoMemory,
 };
 
 /// One connection of a caller, which may carry several requests, one after the other.
@@ -38,16 +48,24 @@
 {
 public:
     using Request = boost::beast::http::request<wire::SharedBody>;
+    using RequestParser = wire::MessageParser<true>;
     using Answer = boost::beast::http::response<boost::beast::http::string_body>;
 
-    explicit CallerConnection(boost::asio::ip::tcp::socket socket);
+    CallerConnection(boost::asio::ip::tcp::socket socket,
+                     std::shared_ptr<ConnectionRegistry> registry);
+    ~CallerConnection();
+    CallerConnection(const CallerConnection &) = delete;
+    CallerConnection &operator=(const CallerConnection &) = delete;
 
     using Limits = std::function<serving::TrafficLimits()>;
     /// `limits` returns those in force at the moment: they may change while the connection is idle.
     wire::Task<RequestRead> readRequest(Limits limits);
-    /// The request that was read last.
+    /// The request that was read last; only its head if it could not be read whole.
     [[nodiscard]] Request &request() { return m_request; }
 
+    /// Drops the request that was read last, after its answer.
+    void dropRequest();
+
     /// Calls `disconnected` once if the caller closes its connection before `stopWatching` is
     /// called.
     void watchForDisconnect(std::function<void()> disconnected);
@@ -75,11 +93,17 @@
     [[nodiscard]] bool idle() const { return m_idle; }
     /// Stops waiting for the next request. A request whose first bytes have arrived is still read.
     void cancelIdleWait() { m_stream.cancel(); }
-    /// Stops reading a request that has arrived in part.
-    void stopReading();
+    /// Stops reading a request that has arrived in part, because the process ends.
+    void stopReading() { stopReading(RequestRead::Stopped); }
+    /// Ends what the connection does in this stage, so that others can be served.
+    void giveUp(serving::ConnectionStage stage);
 
 private:
-    wire::Task<RequestRead> readWholeRequest(serving::TrafficLimits limits);
+    void stopReading(RequestRead reason);
+    wire::Task<RequestRead> readWhole(RequestParser &parser, serving::TrafficLimits limits,
+                                      std::string &body);
+    wire::Task<RequestRead> readBody(RequestParser &parser, serving::TrafficLimits limits,
+                                     std::string &body);
     /// Reads the first bytes of the next request; returns false if none arrive.
     wire::Task<bool> awaitBytes();
     /// Ends the idle wait once the connection has been idle for as long as the limit in force says.
@@ -95,6 +119,8 @@
     void onReadable();
     void scheduleWatch();
 
+    std::shared_ptr<ConnectionRegistry> m_registry;
+    std::uint64_t m_id;
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
     Request m_request;
@@ -110,7 +136,8 @@
     bool m_watchArmed = false;
     bool m_idle = false;
     bool m_reading = false;
-    bool m_readingStopped = false;
+    /// Why a request that has arrived in part is not read further.
+    std::optional<RequestRead> m_readingStopped;
     /// Whether the answer that is being written has a body.
     bool m_writesBody = true;
     bool m_closed = false;
--- a/include/snipestall/gateway/caller_listener.hpp
+++ b/include/snipestall/gateway/caller_listener.hpp
@@ -16,6 +16,7 @@
 
 class CallerConnection;
 class RequestRelay;
+enum class RequestRead;
 struct GatewayState;
 
 /// Accepts connections of callers, or of other instances, and serves the requests of each
@@ -52,6 +53,8 @@
     wire::Task<void> serve(std::shared_ptr<CallerConnection> connection);
     wire::Task<void> serveRequests(CallerConnection &connection,
                                    std::shared_ptr<CallerConnection> shared);
+    /// Answers a request that could not be read. Returns whether the caller could be reached.
+    wire::Task<bool> refuse(CallerConnection &connection, RequestRead read);
 
     GatewayState &m_state;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- /dev/null
+++ b/include/snipestall/gateway/connection_registry.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "snipestall/base/clock.hpp"
+#include "snipestall/serving/connection_ledger.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace snipestall::gateway {
+
+class CallerConnection;
+
+/// The connections of callers and of other instances, and the bytes that they hold. Carries out
+/// what the ledger decides.
+class ConnectionRegistry
+{
+public:
+    using Id = serving::ConnectionLedger::Id;
+
+    /// `bytes`: what all connections may hold together.
+    explicit ConnectionRegistry(std::size_t bytes);
+
+    Id add(CallerConnection &connection);
+    void remove(Id id);
+    void enter(Id id, serving::ConnectionStage stage);
+    void setLargestBody(std::size_t bytes) { m_ledger.setLargestBody(bytes); }
+    /// Books what the connection holds from now on, and gives up others if there is no room.
+    /// Returns false if there is none even so.
+    bool hold(Id id, std::size_t bytes);
+    void release(Id id) { m_ledger.release(id); }
+
+    [[nodiscard]] std::size_t size() const { return m_ledger.connections(); }
+    [[nodiscard]] std::size_t held() const { return m_ledger.held(); }
+    [[nodiscard]] std::size_t limit() const { return m_ledger.limit(); }
+    /// Connections since the start whose request or answer was given up for others.
+    [[nodiscard]] std::uint64_t givenUp() const { return m_givenUp; }
+
+private:
+    void giveUp(const std::vector<Id> &ids);
+
+    serving::ConnectionLedger m_ledger;
+    std::unordered_map<Id, CallerConnection *> m_connections;
+    std::uint64_t m_givenUp = 0;
+};
+
+} // namespace snipestall::gateway
--- a/include/snipestall/gateway/gateway_counters.hpp
+++ b/include/snipestall/gateway/gateway_counters.hpp
@@ -13,6 +13,8 @@
     std::uint64_t refused = 0;
     /// Those of the refused requests that would have been late at every server.
     std::uint64_t overloadRefused = 0;
+    /// Requests that were refused while they arrived, because there was no memory for them.
+    std::uint64_t memoryRefused = 0;
     std::uint64_t failed = 0;
     std::uint64_t callersGone = 0;
     std::uint64_t attempts = 0;
--- a/include/snipestall/gateway/gateway_settings.hpp
+++ b/include/snipestall/gateway/gateway_settings.hpp
@@ -60,6 +60,8 @@
     /// Interval at which backend servers renew their entries in the store.
     std::chrono::milliseconds serverHeartbeat { 1200 };
     std::size_t fileDescriptors = 1024;
+    /// Memory of this instance in megabytes; 0 for what the kernel reports.
+    std::size_t memoryMegabytes = 0;
     /// Processor time of this instance in thousandths of a core; 0 if it is not known. Instances
     /// with more processor time do more work for the fleet.
     std::uint32_t milliCores = 0;
@@ -72,6 +74,9 @@
     bool refuseLate = true;
     Bounds bounds;
 
+    /// Number of bytes that callers' connections may hold together.
+    [[nodiscard]] std::size_t connectionBytes() const;
+
     /// Reads the YAML text. The error InvalidArgument lists every field that is missing or invalid.
     static Result<GatewaySettings> parse(std::string_view yaml);
 };
--- a/include/snipestall/gateway/gateway_state.hpp
+++ b/include/snipestall/gateway/gateway_state.hpp
@@ -48,6 +48,7 @@
 
 namespace snipestall::gateway {
 
+class ConnectionRegistry;
 class OriginResolver;
 
 /// State that the parts of one gateway process share. Only the thread of the I/O loop accesses it.
@@ -94,6 +95,8 @@
     /// Counts of active rollouts.
     serving::FleetTotals rolloutTotals;
     serving::RolloutCounter rolloutCounter { rolloutTotals };
+    /// Connections that this instance has accepted.
+    std::shared_ptr<ConnectionRegistry> connections;
     CommonTime commonTime;
     BackendPool backends;
     platform::KvCacheClient kvCaches;
--- a/src/snipestall/base/event_catalogue.cpp
+++ b/src/snipestall/base/event_catalogue.cpp
@@ -457,6 +457,14 @@
     "None; if this lasts, look whether the server runs and can be reached."
 };
 
+const EventInfo ConnectionsGivenUp {
+    971, Severity::Warning, "connections-given-up",
+    "Connections whose request or answer made no progress were given up, because memory or "
+    "descriptors were short; the line has their number, and the stage and time of the one that had "
+    "stalled for longest.",
+    "Look which clients send requests that they don't finish, or don't read their answers."
+};
+
 namespace {
 
 const std::array AllEvents {
@@ -559,6 +567,7 @@
     &RolloutFollowed,
     &ServerAnswerUnreadable,
     &AttemptStalled,
+    &ConnectionsGivenUp,
 };
 
 } // namespace
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "snipestall/gateway/caller_connection.hpp"
 
+#include "snipestall/gateway/connection_registry.hpp"
+#include "snipestall/serving/connection_ledger.hpp"
 #include "snipestall/wire/answer_body.hpp"
 #include "snipestall/wire/discard.hpp"
 #include "snipestall/wire/message_reader.hpp"
@@ -29,7 +31,7 @@
 namespace {
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-using RequestParser = wire::MessageParser<true>;
+using serving::ConnectionStage;
 
 /// Longest time that a caller may take to accept one piece of an answer.
 constexpr std::chrono::seconds WriteTimeout { 10 };
@@ -56,7 +58,7 @@
 
 /// Returns whether the framing is unambiguous. If this gateway and a backend server delimited a
 /// request differently, its body could contain a second request.
-bool isFramingUnambiguous(const RequestParser &parser)
+bool isFramingUnambiguous(const CallerConnection::RequestParser &parser)
 {
     const auto &fields = parser.head();
     if (fields.count(http::field::content_length) > 1 || fields.count(http::field::host) != 1
@@ -71,8 +73,10 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(tcp::socket socket)
-    : m_stream(std::move(socket))
+CallerConnection::CallerConnection(tcp::socket socket, std::shared_ptr<ConnectionRegistry> registry)
+    : m_registry(std::move(registry))
+    , m_id(m_registry->add(*this))
+    , m_stream(std::move(socket))
     , m_watchTimer(m_stream.get_executor())
     , m_idleTimer(m_stream.get_executor())
     , m_readTimer(m_stream.get_executor())
@@ -80,6 +84,11 @@
     wire::detectLostPeer(m_stream.socket());
 }
 
+CallerConnection::~CallerConnection()
+{
+    m_registry->remove(m_id);
+}
+
 // Failures: the limit is raised while a connection is idle, and callers that go by the new one use
 // a connection that is closed by the old one. And a timer that closes the socket itself drops a
 // request that has arrived and is not read yet. So the limit is read again when the time is up, and
@@ -100,6 +109,7 @@
 Task<bool> CallerConnection::awaitBytes()
 {
     m_stream.expires_never();
+    m_registry->enter(m_id, ConnectionStage::Idle);
     while (true) {
         m_idle = true;
         m_idleSince = std::chrono::steady_clock::now();
@@ -162,25 +172,51 @@
     if (m_buffer.size() == 0 && !co_await awaitBytes())
         co_return RequestRead::Closed;
     const serving::TrafficLimits limits = m_limits();
+    m_registry->setLargestBody(limits.maxBodyBytes);
+    m_registry->enter(m_id, ConnectionStage::Arriving);
     m_reading = true;
-    const RequestRead read = co_await readWholeRequest(limits);
+    RequestParser parser;
+    std::string body;
+    const RequestRead read = co_await readWhole(parser, limits, body);
     m_reading = false;
+    m_request = Request(parser.takeHead());
+    if (read == RequestRead::Ok) {
+        m_request.body() = std::make_shared<const std::string>(std::move(body));
+        m_registry->enter(m_id, ConnectionStage::Running);
+    } else {
+        body = {};
+        m_registry->release(m_id);
+    }
     if (m_readingStopped && (read == RequestRead::Closed || read == RequestRead::HeaderTimeout))
-        co_return RequestRead::Stopped;
+        co_return *m_readingStopped;
     co_return read;
 }
 
-void CallerConnection::stopReading()
+void CallerConnection::dropRequest()
+{
+    m_request = {};
+    m_registry->release(m_id);
+}
+
+void CallerConnection::stopReading(RequestRead reason)
 {
-    if (!m_reading)
+    if (!m_reading || m_readingStopped)
         return;
-    m_readingStopped = true;
+    m_readingStopped = reason;
     m_stream.cancel();
 }
 
-Task<RequestRead> CallerConnection::readWholeRequest(serving::TrafficLimits limits)
+void CallerConnection::giveUp(ConnectionStage stage)
+{
+    if (stage == ConnectionStage::Arriving)
+        stopReading(RequestRead::NoMemory);
+    else
+        close();
+}
+
+Task<RequestRead> CallerConnection::readWhole(RequestParser &parser, serving::TrafficLimits limits,
+                                              std::string &body)
 {
-    RequestParser parser;
     parser.header_limit(limits.maxHeaderBytes);
     parser.body_limit(limits.maxBodyBytes);
     m_stream.expires_never();
@@ -200,9 +236,14 @@
             co_return RequestRead::Closed;
         m_stream.expires_never();
     }
-    // The timeout limits the pauses within a body, not its total time, because a slow caller may
-    // send a large body.
-    std::string body;
+    co_return co_await readBody(parser, limits, body);
+}
+
+// The timeout limits the pauses within a body, not its total time, because a slow caller may send a
+// large body.
+Task<RequestRead> CallerConnection::readBody(RequestParser &parser, serving::TrafficLimits limits,
+                                             std::string &body)
+{
     while (!parser.is_done()) {
         if (m_readingStopped)
             co_return RequestRead::Closed;
@@ -211,9 +252,14 @@
         endReadLimit();
         if (error)
             co_return readFault(error);
-        body += parser.takeBody();
+        const std::string piece = parser.takeBody();
+        if (!m_registry->hold(m_id, body.size() + piece.size()))
+            co_return RequestRead::NoMemory;
+        // What was announced takes no memory before it arrives.
+        if (body.empty())
+            body.reserve(parser.content_length().value_or(0));
+        body += piece;
     }
-    m_request = Request(parser.takeHead(), std::make_shared<const std::string>(std::move(body)));
     co_return RequestRead::Ok;
 }
 
@@ -273,6 +319,7 @@
         answer.body().clear();
         wire::eraseBodyFields(answer.result_int(), answer);
     }
+    m_registry->enter(m_id, ConnectionStage::Answering);
     m_stream.expires_after(WriteTimeout);
     auto [error, bytes] = co_await http::async_write(m_stream, answer, UseTuple);
     co_return !error;
@@ -296,9 +343,11 @@
 {
     if (piece.empty() || !m_writesBody)
         co_return !m_closed;
+    m_registry->enter(m_id, ConnectionStage::Answering);
     m_stream.expires_after(WriteTimeout);
     const auto chunk = http::make_chunk(asio::buffer(piece));
     auto [error, bytes] = co_await asio::async_write(m_stream, chunk, UseTuple);
+    m_registry->enter(m_id, ConnectionStage::Running);
     co_return !error;
 }
 
@@ -322,8 +371,10 @@
 // that the caller has not received yet.
 Task<void> CallerConnection::awaitClose()
 {
-    if (!m_closed)
-        co_await wire::discardRest(m_stream, MaxDiscardedBytes);
+    if (m_closed)
+        co_return;
+    m_registry->enter(m_id, ConnectionStage::Closing);
+    co_await wire::discardRest(m_stream, MaxDiscardedBytes);
 }
 
 void CallerConnection::close()
--- a/src/snipestall/gateway/caller_connection_test.cpp
+++ b/src/snipestall/gateway/caller_connection_test.cpp
@@ -1,5 +1,7 @@
 #include "snipestall/gateway/caller_connection.hpp"
 
+#include "snipestall/gateway/connection_registry.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -30,7 +32,8 @@
         m_limits.headerTimeout = 30s;
         tcp::acceptor acceptor(m_io, { boost::asio::ip::address_v4::loopback(), 0 });
         m_caller.connect(acceptor.local_endpoint());
-        m_connection = std::make_shared<CallerConnection>(acceptor.accept());
+        m_connection = std::make_shared<CallerConnection>(
+            acceptor.accept(), std::make_shared<ConnectionRegistry>(m_connectionBytes));
         boost::asio::co_spawn(
             m_io,
             [this]() -> Task<void> {
@@ -48,6 +51,7 @@
         boost::asio::write(m_caller, boost::asio::buffer(text.data(), text.size()));
     }
 
+    std::size_t m_connectionBytes = 1000000;
     serving::TrafficLimits m_limits;
     boost::asio::io_context m_io { 1 };
     tcp::socket m_caller { m_io };
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -1,11 +1,15 @@
 #include "snipestall/gateway/caller_listener.hpp"
 
+#include "platform/caller_header.hpp"
+#include "platform/server_header.hpp"
 #include "relay_text.hpp"
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/caller_connection.hpp"
+#include "snipestall/gateway/connection_registry.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/gateway/request_relay.hpp"
+#include "snipestall/serving/return_time.hpp"
 #include "snipestall/wire/signal.hpp"
 #include "snipestall/wire/spawn.hpp"
 
@@ -42,30 +46,36 @@
 /// Longer than other instances keep idle connections, so that none is closed while it is used.
 constexpr std::chrono::milliseconds ForwardIdleTimeout { 60000 };
 
+/// Time in which the memory that others hold is released: their requests end, or stall and are
+/// given up.
+constexpr std::chrono::milliseconds RetryAfterNoMemory { 500 };
+
 struct ReadFault
 {
     RequestRead read;
     unsigned status;
+    const char *reason;
 };
 
-constexpr std::array<ReadFault, 5> ReadFaults { {
-    { RequestRead::Malformed, 400 },
-    { RequestRead::HeaderTooLarge, 431 },
-    { RequestRead::BodyTooLarge, 413 },
-    { RequestRead::HeaderTimeout, 408 },
-    { RequestRead::Stopped, 503 },
+constexpr std::array<ReadFault, 6> ReadFaults { {
+    { RequestRead::Malformed, 400, "unreadable" },
+    { RequestRead::HeaderTooLarge, 431, "unreadable" },
+    { RequestRead::BodyTooLarge, 413, "unreadable" },
+    { RequestRead::HeaderTimeout, 408, "unreadable" },
+    { RequestRead::Stopped, 503, "shutting-down" },
+    { RequestRead::NoMemory, 503, "no-memory" },
 } };
 
-CallerConnection::Answer faultAnswer(RequestRead read)
+const ReadFault &faultOf(RequestRead read)
+{
+    return *std::ranges::find(ReadFaults, read, &ReadFault::read);
+}
+
+CallerConnection::Answer faultAnswer(const ReadFault &fault)
 {
     CallerConnection::Answer answer;
     answer.version(11);
-    for (const ReadFault &fault : ReadFaults) {
-        if (fault.read == read)
-            answer.result(fault.status);
-    }
-    if (read == RequestRead::Stopped)
-        answer.set(http::field::retry_after, retryAfterText(RetryAfterShutdown));
+    answer.result(fault.status);
     answer.keep_alive(false);
     answer.prepare_payload();
     return answer;
@@ -128,7 +138,7 @@
 
 void CallerListener::take(tcp::socket socket)
 {
-    auto connection = std::make_shared<CallerConnection>(std::move(socket));
+    auto connection = std::make_shared<CallerConnection>(std::move(socket), m_state.connections);
     m_connections.emplace(connection, Served { nullptr, m_state.clock.steadyNow(), false });
     wire::spawn(m_state.io, serve(std::move(connection)), "caller");
 }
@@ -179,13 +189,7 @@
         if (read == RequestRead::Closed)
             co_return;
         if (read != RequestRead::Ok) {
-            CallerConnection::Answer answer = faultAnswer(read);
-            logEvent(
-                events::GatewayRequestEnded,
-                { { "attempt", "" },
-                  { "status", std::to_string(answer.result_int()) },
-                  { "reason", read == RequestRead::Stopped ? "shutting-down" : "unreadable" } });
-            if (co_await connection.write(std::move(answer)))
+            if (co_await refuse(connection, read))
                 co_await connection.awaitClose();
             co_return;
         }
@@ -196,6 +200,7 @@
         served.hasCarriedRequest = true;
         const bool keepOpen = co_await relay.run();
         served.relay = nullptr;
+        connection.dropRequest();
         if (!keepOpen) {
             co_await connection.awaitClose();
             co_return;
@@ -203,6 +208,27 @@
     }
 }
 
+Task<bool> CallerListener::refuse(CallerConnection &connection, RequestRead read)
+{
+    const ReadFault &fault = faultOf(read);
+    const std::string attempt = platform::readCallerHeader(connection.request()).attemptId;
+    CallerConnection::Answer answer = faultAnswer(fault);
+    platform::setAttemptId(attempt, answer);
+    std::chrono::milliseconds retryAfter = RetryAfterShutdown;
+    if (read == RequestRead::NoMemory) {
+        ++m_state.counters.memoryRefused;
+        retryAfter = serving::returnTimeAfter(RetryAfterNoMemory, m_state.random.uniform());
+    }
+    if (answer.result() == http::status::service_unavailable)
+        answer.set(http::field::retry_after, retryAfterText(retryAfter));
+    logEvent(events::GatewayRequestEnded,
+             { { "attempt", attempt },
+               { "status", std::to_string(fault.status) },
+               { "reason", fault.reason },
+               { "held_bytes", std::to_string(m_state.connections->held()) } });
+    co_return co_await connection.write(std::move(answer));
+}
+
 void CallerListener::closeIdle()
 {
     const SteadyTime now = m_state.clock.steadyNow();
--- a/src/snipestall/gateway/gateway_metrics.cpp
+++ b/src/snipestall/gateway/gateway_metrics.cpp
@@ -1,5 +1,6 @@
 #include "snipestall/gateway/gateway_metrics.hpp"
 
+#include "snipestall/gateway/connection_registry.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
 
 #include <prometheus/counter.h>
@@ -49,7 +50,7 @@
 }
 
 /// Help texts are part of the exported metrics and stay stable.
-constexpr std::array<Gauge, 31> Gauges { {
+constexpr std::array<Gauge, 35> Gauges { {
     { "snipestall_gateway_requests", "Requests read since the start.",
       [](const GatewayState &s) { return double(s.counters.requests); } },
     { "snipestall_gateway_answered", "Requests answered by a backend server since the start.",
@@ -59,6 +60,18 @@
     { "snipestall_gateway_overload_refused",
       "Requests refused since the start because they would have been late at every server.",
       [](const GatewayState &s) { return double(s.counters.overloadRefused); } },
+    { "snipestall_gateway_memory_refused",
+      "Requests refused since the start while they arrived, for want of memory.",
+      [](const GatewayState &s) { return double(s.counters.memoryRefused); } },
+    { "snipestall_gateway_connections", "Open connections of callers and of other instances.",
+      [](const GatewayState &s) { return double(s.connections->size()); } },
+    { "snipestall_gateway_connection_bytes",
+      "Bytes of requests and answers that these connections hold.",
+      [](const GatewayState &s) { return double(s.connections->held()); } },
+    { "snipestall_gateway_connections_given_up",
+      "Connections since the start whose request or answer was given up so that others could be "
+      "served.",
+      [](const GatewayState &s) { return double(s.connections->givenUp()); } },
     { "snipestall_gateway_failed", "Requests that ended in a failure since the start.",
       [](const GatewayState &s) { return double(s.counters.failed); } },
     { "snipestall_gateway_callers_gone", "Callers that left before their answer.",
--- a/src/snipestall/gateway/gateway_settings.cpp
+++ b/src/snipestall/gateway/gateway_settings.cpp
@@ -1,8 +1,11 @@
 #include "snipestall/gateway/gateway_settings.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <yaml-cpp/yaml.h>
 
+#include <unistd.h>
+
 namespace snipestall::gateway {
 
 namespace {
@@ -124,6 +127,20 @@
 
 } // namespace
 
+std::size_t GatewaySettings::connectionBytes() const
+{
+    constexpr std::size_t BytesPerMegabyte = 1000000;
+    /// What the process needs itself in the largest fleet, with room for its growth.
+    constexpr std::size_t OwnBytes = 64 * BytesPerMegabyte;
+    constexpr std::size_t LeastBytes = 8 * BytesPerMegabyte;
+    const std::size_t memory = memoryMegabytes > 0
+        ? memoryMegabytes * BytesPerMegabyte
+        : static_cast<std::size_t>(sysconf(_SC_PHYS_PAGES))
+            * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+    // The other half is for connections, the kernel's buffers and the allocator.
+    return std::max(memory > OwnBytes ? (memory - OwnBytes) / 2 : 0, LeastBytes);
+}
+
 Result<GatewaySettings> GatewaySettings::parse(std::string_view yaml)
 {
     const auto root = load(yaml);
@@ -148,6 +165,7 @@
     const YAML::Node limits = Reader::section(*root, "limits");
     settings.fileDescriptors =
         reader.optional(limits, "file_descriptors", settings.fileDescriptors);
+    settings.memoryMegabytes = reader.optional(limits, "memory_mb", settings.memoryMegabytes);
     constexpr double MilliCoresPerCore = 1000;
     const double cores = reader.optional(limits, "processor_share", 0.0)
         * reader.optional(limits, "processor_cores", 1.0);
--- a/src/snipestall/gateway/gateway_state.cpp
+++ b/src/snipestall/gateway/gateway_state.cpp
@@ -1,5 +1,7 @@
 #include "snipestall/gateway/gateway_state.hpp"
 
+#include "snipestall/gateway/connection_registry.hpp"
+
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,6 +27,7 @@
           { settings.bounds.retryWindow, settings.bounds.retryRatio, settings.bounds.retrySlack })
     , usage(settings.bounds.usageWindow)
     , rollouts(settings.bounds.exposureShare > 0)
+    , connections(std::make_shared<ConnectionRegistry>(settings.connectionBytes()))
     , kvCaches(loop)
     , loopLag(clock.steadyNow())
     , rolloutsKnown(!rollouts.enabled())
