Many small chunks of a request are parsed in one turn

Cause: a crowd that sends chunks of one byte kept the loop busy, so that an ordinary request of 1 MB was given up by its client, and filled 76 MB beside what its bodies held. The parser stopped at each chunk: the read's time limit was set anew for each, and each cancelled timer left a handler behind.

Change: MessageParser::feed takes all that the buffer holds, up to the end of the head or the message. A fault behind the end of a message is told at once, as nobody asks again.

Why it works: a turn of the loop, its timer and its handler now come once for 4 KB that were read and not for each chunk.

--- a/include/snipestall/wire/message_parser.hpp
+++ b/include/snipestall/wire/message_parser.hpp
@@ -26,9 +26,8 @@
 public:
     using Head = boost::beast::http::header<IsRequest>;
 
-    /// Parses bytes of the buffer and removes them from it, until the head is complete, some bytes
-    /// of the body are there, or the message is complete. Returns need_more if the buffer holds too
-    /// little for any of these.
+    /// Parses the bytes of the buffer and removes them from it, up to the end of the head or of the
+    /// message. Returns need_more if neither the head nor a byte of the body is complete.
     boost::system::error_code feed(boost::beast::flat_buffer &buffer);
 
     [[nodiscard]] const Head &head() const { return m_head; }
--- a/src/snipestall/wire/message_parser.cpp
+++ b/src/snipestall/wire/message_parser.cpp
@@ -25,15 +25,16 @@
     if (m_fault)
         return m_fault;
     const bool headWasDone = this->is_header_done();
-    while (!this->is_done() && m_body.empty()) {
-        if (buffer.size() == 0)
-            return http::error::need_more;
-        if (const ErrorCode error = parseStep(buffer)) {
-            if (error == http::error::need_more || m_body.empty())
-                return error;
+    while (!this->is_done()) {
+        const ErrorCode error =
+            buffer.size() > 0 ? parseStep(buffer) : ErrorCode(http::error::need_more);
+        // Nobody asks for a fault behind the end of a message.
+        if (error && (m_body.empty() || this->is_done()))
+            return error;
+        if (error && error != http::error::need_more)
             m_fault = error;
+        if (error)
             return {};
-        }
         if (!headWasDone && this->is_header_done())
             break;
     }
--- a/src/snipestall/wire/message_parser_test.cpp
+++ b/src/snipestall/wire/message_parser_test.cpp
@@ -158,6 +158,23 @@
     EXPECT_EQ(parseRequest(text + "\r\n").error, http::error::header_limit);
 }
 
+// Guards against a turn of the loop for each chunk of one byte.
+TEST(MessageParserTest, AllChunksOfABufferAreParsedAtOnce)
+{
+    std::string text = RequestHead;
+    for (int i = 0; i < 500; ++i)
+        text += "1\r\na\r\n";
+    MessageParser<true> parser;
+    boost::beast::flat_buffer buffer;
+    boost::asio::buffer_copy(buffer.prepare(text.size()), boost::asio::buffer(text));
+    buffer.commit(text.size());
+    EXPECT_FALSE(parser.feed(buffer));
+    EXPECT_TRUE(parser.is_header_done());
+    EXPECT_FALSE(parser.feed(buffer));
+    EXPECT_EQ(parser.takeBody(), std::string(500, 'a'));
+    EXPECT_LT(buffer.size(), sizeof("1\r\na\r\n"));
+}
+
 TEST(MessageParserTest, ABodyBeforeAFaultIsKept)
 {
     MessageParser<false> parser;
