The limit on connections is a limit, and new ones are still accepted at it

Cause: clients that open more connections than the gateway takes, and send a byte a second, used up its descriptors, and ordinary callers waited in the backlog behind them. At its limit the accept loop waited once and accepted all the same, and it closed idle connections only. Each of the two ports had the whole limit.

Change: both ports share one limit. At it, the registry gives up connections for new ones, those that have stalled for longest first: unfinished requests, answers that nobody reads, closed ends; idle connections if there are none of these.

--- a/include/snipestall/gateway/caller_connection.hpp
+++ b/include/snipestall/gateway/caller_connection.hpp
@@ -43,6 +43,12 @@
     NoMemory,
 };
 
+/// What an instance is short of.
+enum class Shortage {
+    Memory,
+    Descriptors,
+};
+
 /// One connection of a caller, which may carry several requests, one after the other.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
@@ -96,7 +102,7 @@
     /// Stops reading a request that has arrived in part, because the process ends.
     void stopReading() { stopReading(RequestRead::Stopped); }
     /// Ends what the connection does in this stage, so that others can be served.
-    void giveUp(serving::ConnectionStage stage);
+    void giveUp(serving::ConnectionStage stage, Shortage shortage);
 
 private:
     void stopReading(RequestRead reason);
--- a/include/snipestall/gateway/caller_listener.hpp
+++ b/include/snipestall/gateway/caller_listener.hpp
@@ -48,6 +48,8 @@
     CallerListener(GatewayState &state, boost::asio::ip::tcp::acceptor acceptor,
                    RequestOrigin origin);
     [[nodiscard]] serving::TrafficLimits limits() const;
+    /// Connections that callers and other instances may have open together.
+    [[nodiscard]] std::size_t connectionLimit() const;
     wire::Task<void> accept();
     void take(boost::asio::ip::tcp::socket socket);
     wire::Task<void> serve(std::shared_ptr<CallerConnection> connection);
--- a/include/snipestall/gateway/connection_registry.hpp
+++ b/include/snipestall/gateway/connection_registry.hpp
@@ -11,6 +11,7 @@
 namespace snipestall::gateway {
 
 class CallerConnection;
+enum class Shortage;
 
 /// The connections of callers and of other instances, and the bytes that they hold. Carries out
 /// what the ledger decides.
@@ -29,6 +30,8 @@
     /// Books what the connection holds from now on, and gives up others if there is no room.
     /// Returns false if there is none even so.
     bool hold(Id id, std::size_t bytes);
+    /// Gives up connections so that others can be accepted.
+    void giveUpForOthers();
     void release(Id id) { m_ledger.release(id); }
 
     [[nodiscard]] std::size_t size() const { return m_ledger.connections(); }
@@ -38,7 +41,7 @@
     [[nodiscard]] std::uint64_t givenUp() const { return m_givenUp; }
 
 private:
-    void giveUp(const std::vector<Id> &ids);
+    void giveUp(const std::vector<Id> &ids, Shortage shortage);
 
     serving::ConnectionLedger m_ledger;
     std::unordered_map<Id, CallerConnection *> m_connections;
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -206,9 +206,12 @@
     m_stream.cancel();
 }
 
-void CallerConnection::giveUp(ConnectionStage stage)
+void CallerConnection::giveUp(ConnectionStage stage, Shortage shortage)
 {
-    if (stage == ConnectionStage::Arriving)
+    // A request whose first bytes have arrived meanwhile is read.
+    if (stage == ConnectionStage::Idle)
+        cancelIdleWait();
+    else if (stage == ConnectionStage::Arriving && shortage == Shortage::Memory)
         stopReading(RequestRead::NoMemory);
     else
         close();
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -116,16 +116,23 @@
         m_state.io, [this] { return accept(); }, "accept");
 }
 
+std::size_t CallerListener::connectionLimit() const
+{
+    const std::size_t descriptors = m_state.settings.fileDescriptors;
+    return descriptors > 2 * ReservedDescriptors ? descriptors - ReservedDescriptors
+                                                 : descriptors / 2;
+}
+
 Task<void> CallerListener::accept()
 {
-    const std::size_t connectionLimit = m_state.settings.fileDescriptors > 2 * ReservedDescriptors
-        ? m_state.settings.fileDescriptors - ReservedDescriptors
-        : m_state.settings.fileDescriptors / 2;
     while (!m_stopped) {
-        if (m_connections.size() >= connectionLimit) {
-            // Without a free descriptor, no request could be sent to a backend server either.
-            closeIdle();
+        if (m_state.connections->size() >= connectionLimit()) {
+            // Without a free descriptor, no request could be sent to a backend server either. And
+            // connections that wait to be accepted are not left waiting behind those that hold a
+            // descriptor for nothing.
+            m_state.connections->giveUpForOthers();
             co_await wire::sleepFor(AcceptPause);
+            continue;
         }
         auto [error, socket] = co_await m_acceptor.async_accept(UseTuple);
         if (error) {
--- a/src/snipestall/gateway/connection_registry.cpp
+++ b/src/snipestall/gateway/connection_registry.cpp
@@ -44,17 +44,23 @@
 {
     if (m_ledger.hold(id, bytes, now()))
         return true;
-    giveUp(m_ledger.closeForMemory(id, bytes, now()));
+    giveUp(m_ledger.closeForMemory(id, bytes, now()), Shortage::Memory);
     return m_ledger.hold(id, bytes, now());
 }
 
-void ConnectionRegistry::giveUp(const std::vector<Id> &ids)
+void ConnectionRegistry::giveUpForOthers()
+{
+    giveUp(m_ledger.closeForConnections(now()), Shortage::Descriptors);
+}
+
+void ConnectionRegistry::giveUp(const std::vector<Id> &ids, Shortage shortage)
 {
     if (ids.empty())
         return;
     const Id first = ids.front();
     logEvent(events::ConnectionsGivenUp,
-             { { "connections", std::to_string(ids.size()) },
+             { { "shortage", shortage == Shortage::Memory ? "memory" : "descriptors" },
+               { "connections", std::to_string(ids.size()) },
                { "stage", serving::toString(m_ledger.stage(first)) },
                { "stalled_ms", std::to_string(toMillis(m_ledger.stalledFor(first, now()))) },
                { "held_bytes", std::to_string(m_ledger.held()) },
@@ -62,7 +68,7 @@
                { "open", std::to_string(m_ledger.connections()) } });
     m_givenUp += ids.size();
     for (const Id id : ids)
-        m_connections.at(id)->giveUp(m_ledger.stage(id));
+        m_connections.at(id)->giveUp(m_ledger.stage(id), shortage);
 }
 
 } // namespace snipestall::gateway
