The kernel holds a bounded number of unread bytes of a connection

Cause: bytes that the kernel has received and nobody has read count as the process's memory. Callers that send ahead of a running request, and servers whose answer nobody takes, filled the kernel's buffers, which grow to megabytes by default.

Why it works: the kernel offers a peer no more than the buffer that is set, and stops to adapt it. At 6 ms from a client, 32 KB are some 5 MB a second for one connection, four times what the slowest machine's link carries.

--- a/include/snipestall/wire/socket_options.hpp
+++ b/include/snipestall/wire/socket_options.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/socket_base.hpp>
 
 namespace snipestall::wire {
 
@@ -12,6 +13,17 @@
 /// response.
 void detectLostPeer(boost::asio::ip::tcp::socket &socket);
 
+/// Limits the bytes that the kernel receives and nobody has read. They count as the memory of the
+/// process, and by default the kernel lets them grow to megabytes a connection. Takes effect before
+/// the connection is opened; those that a listening socket accepts inherit it.
+template<typename Socket>
+void limitUnreadBytes(Socket &socket)
+{
+    constexpr int UnreadBytes = 32 * 1024;
+    boost::system::error_code ignored; // A socket without the option still works.
+    socket.set_option(boost::asio::socket_base::receive_buffer_size(UnreadBytes), ignored);
+}
+
 /// Makes closing an outgoing connection send a reset.
 ///
 /// A call may be abandoned while its bytes wait behind a network partition. After a normal close
--- a/src/snipestall/gateway/backend_call.cpp
+++ b/src/snipestall/gateway/backend_call.cpp
@@ -90,6 +90,8 @@
     beast::error_code bad;
     const asio::ip::tcp::endpoint remote(asio::ip::make_address(m_address.host, bad),
                                          m_address.port);
+    m_connection->stream.socket().open(remote.protocol(), bad);
+    wire::limitUnreadBytes(m_connection->stream.socket());
     m_connection->stream.expires_after(timeout);
     auto [error] = co_await m_connection->stream.async_connect(remote, UseTuple);
     m_refused = error == asio::error::connection_refused;
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -11,6 +11,7 @@
 #include "snipestall/gateway/request_relay.hpp"
 #include "snipestall/serving/return_time.hpp"
 #include "snipestall/wire/signal.hpp"
+#include "snipestall/wire/socket_options.hpp"
 #include "snipestall/wire/spawn.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -99,6 +100,7 @@
         acceptor.open(local.protocol(), error);
     if (!error)
         acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    wire::limitUnreadBytes(acceptor);
     if (!error)
         acceptor.bind(local, error);
     if (!error)
