Answers that are held take part in the memory of all connections

Cause: answers up to 512 KB are buffered, so that a broken one can be repeated. Clients that ask for many and read none filled the memory with them: 171 to 183 MB of a machine's 96 in CrowdTest.AnswersThatNobodyReads.

Change: the relay books what it holds of an answer. If there is no room, and nobody who has stalled gives any, the answer is passed on as it arrives, as answers over 512 KB are. The buffer is allocated by the announced length and not doubled as it grows.

Why it works: an answer that ran can't be refused, and passing it on makes its server wait for the caller. What is lost for it while memory is short is the repeat of an answer that breaks off.

--- a/include/snipestall/gateway/backend_call.hpp
+++ b/include/snipestall/gateway/backend_call.hpp
@@ -76,6 +76,8 @@
                                 std::chrono::milliseconds connectTimeout, SteadyTime deadline,
                                 IsWanted isWanted);
     [[nodiscard]] const Head &head() const { return m_parser->head(); }
+    /// Length of the answer's body as the server has announced it; 0 if it has not.
+    [[nodiscard]] std::size_t announcedBytes() const;
     wire::Task<BodyRead> readBody(SteadyTime deadline);
     /// Closes the connection, which makes the server drop the request. Pending operations return.
     void abort();
--- a/include/snipestall/gateway/caller_connection.hpp
+++ b/include/snipestall/gateway/caller_connection.hpp
@@ -83,6 +83,10 @@
     /// Returns whether the caller has sent bytes behind the request that was read last.
     [[nodiscard]] bool hasUnread();
 
+    /// Books the bytes of the answer that are held for the caller, beside its request. Returns
+    /// false if there is no memory for them.
+    bool holdAnswer(std::size_t bytes);
+
     /// Writes a whole answer; returns false if the caller could not be reached.
     wire::Task<bool> write(Answer answer);
     /// Writes the head of an answer whose length is not known yet.
--- a/src/snipestall/gateway/backend_call.cpp
+++ b/src/snipestall/gateway/backend_call.cpp
@@ -209,6 +209,11 @@
         abort();
 }
 
+std::size_t BackendCall::announcedBytes() const
+{
+    return static_cast<std::size_t>(m_parser->content_length().value_or(0));
+}
+
 Task<BodyRead> BackendCall::readBody(SteadyTime deadline)
 {
     while (true) {
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -316,6 +316,12 @@
         scheduleWatch();
 }
 
+bool CallerConnection::holdAnswer(std::size_t bytes)
+{
+    const auto request = static_cast<std::size_t>(wire::SharedBody::size(m_request.body()));
+    return m_registry->hold(m_id, request + bytes);
+}
+
 Task<bool> CallerConnection::write(Answer answer)
 {
     if (!wire::hasBody(m_request.method(), answer.result_int())) {
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -10,6 +10,7 @@
 
 #include <boost/beast/http/field.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace snipestall::gateway {
@@ -84,17 +85,21 @@
     whole.reason(m_call->head().reason());
     platform::copyResponseHeader(m_call->head(), whole);
     eraseForwardFields(whole);
+    whole.body().reserve(std::min(m_call->announcedBytes(), MaxBufferedBytes));
     while (true) {
         BodyRead piece = co_await m_call->readBody(m_deadline);
         if (piece.kind == BodyRead::Kind::Bytes) {
             whole.body() += piece.bytes;
-            if (whole.body().size() <= MaxBufferedBytes)
+            // Without memory for it, an answer is passed on as it arrives.
+            if (whole.body().size() <= MaxBufferedBytes
+                && m_caller->holdAnswer(whole.body().size()))
                 continue;
             if (!m_answer.begun() && !co_await m_answer.beginBody(answerHead()))
                 co_return AttemptEnd::Final;
             std::string held = std::exchange(whole.body(), {});
             if (!co_await m_answer.writePiece(std::move(held)))
                 co_return AttemptEnd::Final;
+            m_caller->holdAnswer(0);
             continue;
         }
         if (piece.kind == BodyRead::Kind::End)
