Connections that are closed share the buffer of what is discarded

Cause: a crowd of refused clients, each of which is read for up to 2 s so that it gets its refusal, held 16 KB each for bytes that nobody looks at: 54 MB at the 3,400 connections that a machine's descriptors allow. Found by reading; no test shows it alone.

Change: one buffer for all connections of a thread.

Why it works: the reads of a thread's loop come one after the other, and what they bring is dropped.

--- a/src/snipestall/wire/discard.cpp
+++ b/src/snipestall/wire/discard.cpp
@@ -4,8 +4,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <array>
 #include <chrono>
-#include <vector>
 
 namespace snipestall::wire {
 
@@ -24,7 +24,8 @@
     boost::system::error_code ignored;
     stream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
     stream.expires_after(DiscardTimeout);
-    std::vector<char> bytes(BufferBytes);
+    // What is read is never looked at, so all connections of a thread share the buffer.
+    static thread_local std::array<char, BufferBytes> bytes;
     std::size_t total = 0;
     while (total < maxBytes) {
         const auto buffer = asio::buffer(bytes);
