The readiness and metrics ports take no bodies and few connections

Cause: the ports that are there for the platform alone read bodies up to 4 MB on any number of connections. Besides, by reading: without a free descriptor the accept loop tried again without a pause.

Change: HttpServerOptions::maxConnections. Beyond it, the connection that has waited for longest for a whole request is closed for the new one. The gateway takes no body and 64 connections at each of the two ports. The accept loop pauses for 20 ms after a failure.

Why it works: the platform asks once a second on one connection; a crowd can close that, and then the platform's next connection closes one of the crowd's.

--- a/include/snipestall/wire/http_server.hpp
+++ b/include/snipestall/wire/http_server.hpp
@@ -31,6 +31,9 @@
     /// before the body is read.
     std::uint64_t maxBody = 4ULL * 1024 * 1024;
     std::optional<TlsFiles> tls;
+    /// Maximum number of connections; 0 for any number. Beyond it, the connection that has waited
+    /// for longest for a whole request is closed for a new one.
+    std::size_t maxConnections = 0;
 };
 
 /// HTTP/1.1 listener that runs one coroutine per connection on the thread of the I/O loop.
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -43,6 +43,15 @@
 constexpr milliseconds DrainTick { 50 };
 constexpr milliseconds EndTick { 10 };
 
+/// Limits of a port whose requests have no body, and which the platform alone calls.
+wire::HttpServerOptions platformPort()
+{
+    wire::HttpServerOptions options;
+    options.maxBody = 0;
+    options.maxConnections = 64;
+    return options;
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -176,24 +185,28 @@
             return tl::unexpected<Error>(instances.error());
         raw->instances = std::move(*instances);
     }
-    auto readiness = wire::HttpServer::create(io, raw->state.settings.readiness,
-                                              [raw](wire::HttpExchange &exchange) -> Task<void> {
-                                                  wire::HttpResponse response;
-                                                  response.status = raw->ready() ? 200 : 503;
-                                                  co_await exchange.respond(std::move(response));
-                                              });
+    auto readiness = wire::HttpServer::create(
+        io, raw->state.settings.readiness,
+        [raw](wire::HttpExchange &exchange) -> Task<void> {
+            wire::HttpResponse response;
+            response.status = raw->ready() ? 200 : 503;
+            co_await exchange.respond(std::move(response));
+        },
+        platformPort());
     if (!readiness)
         return tl::unexpected<Error>(readiness.error());
     raw->readiness = std::move(*readiness);
     const wire::Endpoint metricsAddress { raw->state.settings.address,
                                           raw->state.settings.metricsPort };
     auto metrics = wire::HttpServer::create(
-        io, metricsAddress, [raw](wire::HttpExchange &exchange) -> Task<void> {
+        io, metricsAddress,
+        [raw](wire::HttpExchange &exchange) -> Task<void> {
             wire::HttpResponse response;
             response.fields.set("Content-Type", "text/plain; version=0.0.4");
             response.body = raw->state.metrics.render(raw->state);
             co_await exchange.respond(std::move(response));
-        });
+        },
+        platformPort());
     if (!metrics)
         return tl::unexpected<Error>(metrics.error());
     raw->metrics = std::move(*metrics);
--- a/src/snipestall/wire/http_server.cpp
+++ b/src/snipestall/wire/http_server.cpp
@@ -4,6 +4,7 @@
 #include "snipestall/wire/discard.hpp"
 #include "snipestall/wire/http_exchange.hpp"
 #include "snipestall/wire/message_reader.hpp"
+#include "snipestall/wire/signal.hpp"
 #include "snipestall/wire/spawn.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -15,6 +16,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <list>
+#include <memory>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -36,6 +39,8 @@
 /// its offset.
 constexpr std::chrono::seconds WriteTimeout { 30 };
 constexpr std::size_t MaxDiscardedBytes = 64 * 1024 * 1024;
+/// Pause of the accept loop when no descriptors are left.
+constexpr std::chrono::milliseconds AcceptPause { 20 };
 
 HttpRequest toRequest(const http::request_header<> &head, std::string body)
 {
@@ -194,9 +199,24 @@
     Handler handler;
     HttpServerOptions options;
     bool stopping = false;
+    /// Closes the connection that has waited for longest for a whole request. Returns false if all
+    /// carry one.
+    bool closeOldestWaiting();
+
     std::size_t connections = 0;
+    /// Connections that wait for a whole request, in the order in which they began to.
+    std::list<beast::tcp_stream *> waiting;
 };
 
+bool HttpServer::State::closeOldestWaiting()
+{
+    if (waiting.empty())
+        return false;
+    waiting.front()->close();
+    waiting.pop_front();
+    return true;
+}
+
 Task<void> HttpServer::State::acceptLoop()
 {
     const auto self = shared_from_this();
@@ -204,7 +224,13 @@
         auto [ec, socket] = co_await acceptor.async_accept(UseTuple);
         if (ec == asio::error::operation_aborted || stopping)
             co_return;
-        if (ec)
+        if (ec) {
+            // Without a free descriptor, each attempt fails at once.
+            co_await sleepFor(AcceptPause);
+            continue;
+        }
+        const bool full = options.maxConnections > 0 && connections >= options.maxConnections;
+        if (full && !closeOldestWaiting())
             continue;
         beast::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
@@ -236,6 +262,9 @@
     parser.body_limit(options.maxBody);
     parser.header_limit(MaxHeaderBytes);
     stream.expires_after(ReadTimeout);
+    waiting.push_back(&stream);
+    auto leave = [this, &stream] { waiting.remove(&stream); };
+    const std::shared_ptr<void> left(nullptr, [leave](void *) { leave(); });
     std::string body;
     beast::error_code ec;
     while (!ec && !parser.is_done()) {
@@ -257,6 +286,7 @@
     }
     if (ec)
         co_return false;
+    leave();
     const bool keepAlive = parser.keep_alive() && !stopping;
     TcpExchange exchange(stream, toRequest(parser.head(), std::move(body)), keepAlive);
     stream.expires_never();
