A body at the port between instances may pause as long as a caller's

Cause: at the port where instances forward requests, a connection is kept idle for 60 s at least, and the same limit held for each pause in a body.

Change: the longer time holds between two requests only.

Result: ShortIdleTest.ABodyMayNotPauseForAsLongAsAConnectionIsKept; it needs the new field, so it was not run on the code before.

Why it works: the time of a body and that of an idle connection are two limits now.

--- a/include/snipestall/serving/traffic_limits.hpp
+++ b/include/snipestall/serving/traffic_limits.hpp
@@ -12,6 +12,8 @@
     std::uint64_t maxBodyBytes = 4ULL * 1024 * 1024;
     std::chrono::milliseconds headerTimeout { 3000 };
     std::chrono::milliseconds idleTimeout { 15000 };
+    /// A connection between two requests is kept for this long even if `idleTimeout` is shorter.
+    std::chrono::milliseconds keptAtLeast { 0 };
 };
 
 } // namespace snipestall::serving
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -56,6 +57,12 @@
     return ended ? RequestRead::Closed : RequestRead::Malformed;
 }
 
+/// How long a connection may wait for its next request.
+std::chrono::milliseconds keptTime(const serving::TrafficLimits &limits)
+{
+    return std::max(limits.idleTimeout, limits.keptAtLeast);
+}
+
 /// Returns whether the framing is unambiguous. If this gateway and a backend server delimited a
 /// request differently, its body could contain a second request.
 bool isFramingUnambiguous(const CallerConnection::RequestParser &parser)
@@ -95,11 +102,11 @@
 // then the wait is cancelled, which reads what has arrived.
 void CallerConnection::watchIdleTime()
 {
-    m_idleTimer.expires_at(m_idleSince + m_limits().idleTimeout);
+    m_idleTimer.expires_at(m_idleSince + keptTime(m_limits()));
     m_idleTimer.async_wait([self = shared_from_this()](const beast::error_code &error) {
         if (error || !self->m_idle)
             return;
-        if (std::chrono::steady_clock::now() < self->m_idleSince + self->m_limits().idleTimeout)
+        if (std::chrono::steady_clock::now() < self->m_idleSince + keptTime(self->m_limits()))
             self->watchIdleTime();
         else
             self->cancelIdleWait();
--- a/src/snipestall/gateway/caller_connection_test.cpp
+++ b/src/snipestall/gateway/caller_connection_test.cpp
@@ -124,6 +124,20 @@
     EXPECT_EQ(m_read, RequestRead::Ok);
 }
 
+// Guards against a body that stops at the port between instances and is held there for as long as
+// an idle connection.
+TEST_F(ShortIdleTest, ABodyMayNotPauseForAsLongAsAConnectionIsKept)
+{
+    m_limits.keptAtLeast = 30s;
+    m_io.restart();
+    m_io.run_for(4 * IdleTimeout);
+    ASSERT_FALSE(m_read);
+    send("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\na");
+    m_io.restart();
+    m_io.run();
+    EXPECT_EQ(m_read, RequestRead::HeaderTimeout);
+}
+
 /// Connections whose callers have sent a part of a head.
 class ShortHeadTest : public CallerLinkTest
 {
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -184,7 +184,7 @@
         m_state.catalogue ? m_state.catalogue->limits() : serving::TrafficLimits {};
     if (m_origin == RequestOrigin::Instance) {
         limits.maxHeaderBytes += ForwardHeaderBytes;
-        limits.idleTimeout = std::max(limits.idleTimeout, ForwardIdleTimeout);
+        limits.keptAtLeast = ForwardIdleTimeout;
     }
     return limits;
 }
