Large bodies are read only after key and route have been looked at

Cause: a body was read whole before anything was looked at, and a caller that waits for 100 Continue was asked for it.

Change: gateway/head_check has what was part of the admission: attempt id, route, key. The connection asks for it before it reads more than 16 KB of a body, before it sends 100 Continue, and when a body takes longer than a head may. The refusal is the same as before, with the connection closed. What other instances forward is not checked, by its own configuration.

Result: CallerLinkTest.ALargeBodyOfARefusedRequestIsNotRead and ...IsNotAskedForItsBody; they need the new call, so they were not run on the code before, which has no place that refuses by the head.

Why it works: 401, 404 and 400 depend on nothing in the body. Small bodies arrive with their head, so they are read as before. The quota is not looked at here: it is taken when the request is whole.

--- a/include/snipestall/gateway/caller_connection.hpp
+++ b/include/snipestall/gateway/caller_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "snipestall/gateway/head_check.hpp"
 #include "snipestall/serving/traffic_limits.hpp"
 #include "snipestall/wire/message_parser.hpp"
 #include "snipestall/wire/shared_body.hpp"
@@ -12,6 +13,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -41,6 +43,15 @@
     Stopped,
     /// All connections together hold as much as the machine can take.
     NoMemory,
+    /// The request is refused by its head.
+    Refused,
+};
+
+/// How the body of a request is read.
+struct BodyTerms
+{
+    /// Set if the request is refused whatever its body is.
+    std::optional<HeadRefusal> refusal;
 };
 
 /// What an instance is short of.
@@ -64,8 +75,13 @@
     CallerConnection &operator=(const CallerConnection &) = delete;
 
     using Limits = std::function<serving::TrafficLimits()>;
+    /// Returns what is known of a request by its head. It is asked for large bodies, those without
+    /// an announced length and slow ones, before they are read further.
+    using HeadCheck = std::function<BodyTerms(const Request::header_type &)>;
     /// `limits` returns those in force at the moment: they may change while the connection is idle.
-    wire::Task<RequestRead> readRequest(Limits limits);
+    wire::Task<RequestRead> readRequest(Limits limits, HeadCheck checkHead);
+    /// Why the request that was read last is refused by its head.
+    [[nodiscard]] const HeadRefusal &refusal() const { return m_refusal; }
     /// The request that was read last; only its head if it could not be read whole.
     [[nodiscard]] Request &request() { return m_request; }
 
@@ -114,6 +130,8 @@
                                       std::string &body);
     wire::Task<RequestRead> readBody(RequestParser &parser, serving::TrafficLimits limits,
                                      std::string &body);
+    /// Tells a caller that waits for it to send the body. Returns whether it could be reached.
+    wire::Task<bool> askForBody();
     /// Reads the first bytes of the next request; returns false if none arrive.
     wire::Task<bool> awaitBytes();
     /// Ends the idle wait once the connection has been idle for as long as the limit in force says.
@@ -137,6 +155,8 @@
     std::function<void()> m_onDisconnect;
     boost::asio::steady_timer m_watchTimer;
     Limits m_limits;
+    HeadCheck m_checkHead;
+    HeadRefusal m_refusal;
     boost::asio::steady_timer m_idleTimer;
     std::chrono::steady_clock::time_point m_idleSince;
     boost::asio::steady_timer m_readTimer;
--- a/include/snipestall/gateway/caller_listener.hpp
+++ b/include/snipestall/gateway/caller_listener.hpp
@@ -8,6 +8,7 @@
 #include "snipestall/wire/task.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
 
 #include <map>
 #include <memory>
@@ -17,6 +18,7 @@
 class CallerConnection;
 class RequestRelay;
 enum class RequestRead;
+struct BodyTerms;
 struct GatewayState;
 
 /// Accepts connections of callers, or of other instances, and serves the requests of each
@@ -55,6 +57,7 @@
     wire::Task<void> serve(std::shared_ptr<CallerConnection> connection);
     wire::Task<void> serveRequests(CallerConnection &connection,
                                    std::shared_ptr<CallerConnection> shared);
+    [[nodiscard]] BodyTerms checkHead(const boost::beast::http::request_header<> &head) const;
     /// Answers a request that could not be read. Returns whether the caller could be reached.
     wire::Task<bool> refuse(CallerConnection &connection, RequestRead read);
 
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -37,6 +37,8 @@
 /// Longest time that a caller may take to accept one piece of an answer.
 constexpr std::chrono::seconds WriteTimeout { 10 };
 constexpr std::size_t FirstReadBytes = 4096;
+/// Bodies up to this size are read without a look at their head.
+constexpr std::size_t UncheckedBytes = std::size_t(16) * 1024;
 /// Limit of what is read and discarded before a connection is closed. A caller that sends on gets
 /// a reset then.
 constexpr std::size_t MaxDiscardedBytes = 16 * 1024 * 1024;
@@ -173,9 +175,10 @@
     return toRequestRead(error);
 }
 
-Task<RequestRead> CallerConnection::readRequest(Limits limitsInForce)
+Task<RequestRead> CallerConnection::readRequest(Limits limitsInForce, HeadCheck checkHead)
 {
     m_limits = std::move(limitsInForce);
+    m_checkHead = std::move(checkHead);
     if (m_buffer.size() == 0 && !co_await awaitBytes())
         co_return RequestRead::Closed;
     const serving::TrafficLimits limits = m_limits();
@@ -237,26 +240,43 @@
         co_return readFault(headError);
     if (!isFramingUnambiguous(parser))
         co_return RequestRead::Malformed;
-    if (beast::iequals(parser.head()[http::field::expect], "100-continue")) {
-        static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
-        m_stream.expires_after(WriteTimeout);
-        auto [error, bytes] = co_await asio::async_write(
-            m_stream, asio::buffer(Continue.data(), Continue.size()), UseTuple);
-        if (error)
-            co_return RequestRead::Closed;
-        m_stream.expires_never();
-    }
     co_return co_await readBody(parser, limits, body);
 }
 
+Task<bool> CallerConnection::askForBody()
+{
+    static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+    m_stream.expires_after(WriteTimeout);
+    auto [error, bytes] = co_await asio::async_write(
+        m_stream, asio::buffer(Continue.data(), Continue.size()), UseTuple);
+    m_stream.expires_never();
+    co_return !error;
+}
+
 // The timeout limits the pauses within a body, not its total time, because a slow caller may send a
 // large body.
 Task<RequestRead> CallerConnection::readBody(RequestParser &parser, serving::TrafficLimits limits,
                                              std::string &body)
 {
+    const auto begun = std::chrono::steady_clock::now();
+    const std::size_t announced = parser.content_length().value_or(0);
+    const bool waits = beast::iequals(parser.head()[http::field::expect], "100-continue");
+    std::optional<BodyTerms> terms;
     while (!parser.is_done()) {
         if (m_readingStopped)
             co_return RequestRead::Closed;
+        const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - begun);
+        const bool large = std::max(announced, body.size()) > UncheckedBytes;
+        if (!terms && (waits || large || elapsed > limits.headerTimeout)) {
+            terms = m_checkHead(parser.head());
+            if (terms->refusal) {
+                m_refusal = *terms->refusal;
+                co_return RequestRead::Refused;
+            }
+            if (waits && !co_await askForBody())
+                co_return RequestRead::Closed;
+        }
         limitRead(limits.idleTimeout);
         const beast::error_code error = co_await wire::readMessage(m_stream, m_buffer, parser);
         endReadLimit();
@@ -267,7 +287,7 @@
             co_return RequestRead::NoMemory;
         // What was announced takes no memory before it arrives.
         if (body.empty())
-            body.reserve(parser.content_length().value_or(0));
+            body.reserve(announced);
         body += piece;
     }
     co_return RequestRead::Ok;
--- a/src/snipestall/gateway/caller_connection_test.cpp
+++ b/src/snipestall/gateway/caller_connection_test.cpp
@@ -38,7 +38,11 @@
             m_io,
             [this]() -> Task<void> {
                 const CallerConnection::Limits limits = [this] { return m_limits; };
-                m_read = co_await m_connection->readRequest(limits);
+                const CallerConnection::HeadCheck check = [this](const auto &) {
+                    ++m_headChecks;
+                    return m_terms;
+                };
+                m_read = co_await m_connection->readRequest(limits, check);
             },
             boost::asio::detached);
         while (!m_connection->idle())
@@ -53,6 +57,8 @@
 
     std::size_t m_connectionBytes = 1000000;
     serving::TrafficLimits m_limits;
+    BodyTerms m_terms;
+    int m_headChecks = 0;
     boost::asio::io_context m_io { 1 };
     tcp::socket m_caller { m_io };
     std::shared_ptr<CallerConnection> m_connection;
@@ -78,6 +84,38 @@
     EXPECT_EQ(m_read, RequestRead::Closed);
 }
 
+// Guards against a body that is read whole although its request is refused in any case.
+TEST_F(CallerLinkTest, ALargeBodyOfARefusedRequestIsNotRead)
+{
+    m_terms.refusal = HeadRefusal { 401, "unknown-key" };
+    send("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 100000\r\n\r\na");
+    m_io.restart();
+    m_io.run();
+    EXPECT_EQ(m_read, RequestRead::Refused);
+    EXPECT_EQ(m_connection->refusal().status, 401U);
+}
+
+// Guards against a caller that is asked for a body which nobody wants.
+TEST_F(CallerLinkTest, ARefusedRequestIsNotAskedForItsBody)
+{
+    m_terms.refusal = HeadRefusal { 401, "unknown-key" };
+    send("POST / HTTP/1.1\r\nHost: a.example\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n");
+    m_io.restart();
+    m_io.run();
+    EXPECT_EQ(m_read, RequestRead::Refused);
+    EXPECT_EQ(m_caller.available(), 0U);
+}
+
+TEST_F(CallerLinkTest, ASmallBodyIsReadWithoutALookAtItsHead)
+{
+    send("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 5\r\n\r\nhello");
+    m_io.restart();
+    m_io.run();
+    EXPECT_EQ(m_read, RequestRead::Ok);
+    EXPECT_EQ(*m_connection->request().body(), "hello");
+    EXPECT_EQ(m_headChecks, 0);
+}
+
 class ShortIdleTest : public CallerLinkTest
 {
 protected:
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -193,8 +193,10 @@
                                          std::shared_ptr<CallerConnection> shared)
 {
     const CallerConnection::Limits limitsInForce = [this] { return limits(); };
+    const CallerConnection::HeadCheck check =
+        [this](const CallerConnection::Request::header_type &head) { return checkHead(head); };
     while (true) {
-        const RequestRead read = co_await connection.readRequest(limitsInForce);
+        const RequestRead read = co_await connection.readRequest(limitsInForce, check);
         if (read == RequestRead::Closed)
             co_return;
         if (read != RequestRead::Ok) {
@@ -217,9 +219,22 @@
     }
 }
 
+BodyTerms CallerListener::checkHead(const CallerConnection::Request::header_type &head) const
+{
+    const platform::CallerHeader header = platform::readCallerHeader(head);
+    BodyTerms terms;
+    // Another instance has checked what it forwards, by its own configuration.
+    if (m_origin == RequestOrigin::Caller && m_state.catalogue)
+        terms.refusal = matchHead(*m_state.catalogue, header, head).refusal;
+    return terms;
+}
+
 Task<bool> CallerListener::refuse(CallerConnection &connection, RequestRead read)
 {
-    const ReadFault &fault = faultOf(read);
+    const ReadFault fault = read == RequestRead::Refused
+        ? ReadFault { read, connection.refusal().status, connection.refusal().reason }
+        : faultOf(read);
+    m_state.counters.refused += read == RequestRead::Refused ? 1 : 0;
     const std::string attempt = platform::readCallerHeader(connection.request()).attemptId;
     CallerConnection::Answer answer = faultAnswer(fault);
     platform::setAttemptId(attempt, answer);
--- a/src/snipestall/gateway/request_relay_admission.cpp
+++ b/src/snipestall/gateway/request_relay_admission.cpp
@@ -8,14 +8,12 @@
 #include "snipestall/base/log.hpp"
 #include "snipestall/base/rendezvous.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
+#include "snipestall/gateway/head_check.hpp"
 #include "snipestall/serving/return_time.hpp"
 #include "snipestall/wire/signal.hpp"
 
 #include <boost/beast/http/field.hpp>
 
-#include <algorithm>
-#include <cctype>
-
 namespace snipestall::gateway {
 
 namespace http = boost::beast::http;
@@ -33,23 +31,6 @@
 /// this time.
 constexpr milliseconds RetryAfterUnknownOrigin { 500 };
 
-std::string hostOf(const CallerConnection::Request &request)
-{
-    const auto field = request[http::field::host];
-    std::string host(field.data(), field.size());
-    // The port is not part of the host name.
-    host = host.substr(0, host.find(':'));
-    std::transform(host.begin(), host.end(), host.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return host;
-}
-
-std::string_view pathOf(const CallerConnection::Request &request)
-{
-    const std::string_view target(request.target().data(), request.target().size());
-    return target.substr(0, target.find('?'));
-}
-
 const std::string &pickService(const serving::Route &route, Random &random)
 {
     double total = 0;
@@ -102,14 +83,11 @@
     // The callers of the other instance have seen the effects of its configuration.
     if (wasForwarded() && m_catalogue->version() < forwardedConfigVersion(request))
         co_return co_await refuse(refusal(503, RetryAfterNoConfig), "older-configuration");
-    if (m_header.attemptId.empty())
-        co_return co_await refuse(ownAnswer(400), "no-attempt-id");
-    m_route = m_catalogue->route(hostOf(request), pathOf(request));
-    if (m_route == nullptr)
-        co_return co_await refuse(ownAnswer(404), "no-route");
-    m_customer = m_catalogue->customerOfKey(m_header.apiKey);
-    if (m_customer == nullptr && m_catalogue->hasCustomers() && !m_route->anonymous)
-        co_return co_await refuse(ownAnswer(401), "unknown-key");
+    const HeadMatch match = matchHead(*m_catalogue, m_header, request);
+    m_route = match.route;
+    m_customer = match.customer;
+    if (match.refusal)
+        co_return co_await refuse(ownAnswer(match.refusal->status), match.refusal->reason);
     // The request has been waiting in this process for about as long as other events have.
     const SteadyTime arrived = m_received - m_state.loopLag.last();
     m_callerDeadline = arrived + m_header.deadline.value_or(m_route->timeout);
