A whole body has a time, and not only each pause in it

Cause: the idle limit bounds each pause of a body. A client that sends a byte within each of them held a connection and what it had sent for ever.

Change: large, slow and unannounced bodies may take as long as their caller waits, and at most limits.body_s, 120 s by default. Then the caller gets 408, not run.

Result: CallerLinkTest.AWholeBodyHasATime, a byte each 10 ms; without the two lines that compare the time it does not end.

Why it works: a request that is not whole by the time its caller leaves can't be served.

--- a/include/snipestall/gateway/caller_connection.hpp
+++ b/include/snipestall/gateway/caller_connection.hpp
@@ -52,6 +52,8 @@
 {
     /// Set if the request is refused whatever its body is.
     std::optional<HeadRefusal> refusal;
+    /// Time that the whole body may take.
+    std::chrono::milliseconds time { 0 };
 };
 
 /// What an instance is short of.
--- a/include/snipestall/gateway/gateway_settings.hpp
+++ b/include/snipestall/gateway/gateway_settings.hpp
@@ -62,6 +62,8 @@
     std::size_t fileDescriptors = 1024;
     /// Memory of this instance in megabytes; 0 for what the kernel reports.
     std::size_t memoryMegabytes = 0;
+    /// Longest time that the body of a request may take to arrive, if its caller waits so long.
+    std::chrono::milliseconds bodyTime { 120000 };
     /// Processor time of this instance in thousandths of a core; 0 if it is not known. Instances
     /// with more processor time do more work for the fleet.
     std::uint32_t milliCores = 0;
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -253,8 +253,8 @@
     co_return !error;
 }
 
-// The timeout limits the pauses within a body, not its total time, because a slow caller may send a
-// large body.
+// The idle time limits each pause within a body. The time of the whole body is that of the request:
+// a slow caller may send a large one.
 Task<RequestRead> CallerConnection::readBody(RequestParser &parser, serving::TrafficLimits limits,
                                              std::string &body)
 {
@@ -277,7 +277,9 @@
             if (waits && !co_await askForBody())
                 co_return RequestRead::Closed;
         }
-        limitRead(limits.idleTimeout);
+        if (terms && elapsed >= terms->time)
+            co_return RequestRead::HeaderTimeout;
+        limitRead(terms ? std::min(limits.idleTimeout, terms->time - elapsed) : limits.idleTimeout);
         const beast::error_code error = co_await wire::readMessage(m_stream, m_buffer, parser);
         endReadLimit();
         if (error)
--- a/src/snipestall/gateway/caller_connection_test.cpp
+++ b/src/snipestall/gateway/caller_connection_test.cpp
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <string_view>
 #include <thread>
@@ -57,7 +58,7 @@
 
     std::size_t m_connectionBytes = 1000000;
     serving::TrafficLimits m_limits;
-    BodyTerms m_terms;
+    BodyTerms m_terms { std::nullopt, 30s };
     int m_headChecks = 0;
     boost::asio::io_context m_io { 1 };
     tcp::socket m_caller { m_io };
@@ -116,6 +117,27 @@
     EXPECT_EQ(m_headChecks, 0);
 }
 
+// Guards against a body of which a byte arrives within each idle time, for ever.
+TEST_F(CallerLinkTest, AWholeBodyHasATime)
+{
+    m_terms.time = 200ms;
+    send("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 100000\r\n\r\n");
+    boost::asio::steady_timer timer(m_io);
+    std::function<void()> drip = [&] {
+        timer.expires_after(10ms);
+        timer.async_wait([&](const boost::system::error_code &) {
+            if (m_read)
+                return;
+            send("a");
+            drip();
+        });
+    };
+    drip();
+    m_io.restart();
+    m_io.run();
+    EXPECT_EQ(m_read, RequestRead::HeaderTimeout);
+}
+
 class ShortIdleTest : public CallerLinkTest
 {
 protected:
--- a/src/snipestall/gateway/caller_listener.cpp
+++ b/src/snipestall/gateway/caller_listener.cpp
@@ -222,7 +222,9 @@
 BodyTerms CallerListener::checkHead(const CallerConnection::Request::header_type &head) const
 {
     const platform::CallerHeader header = platform::readCallerHeader(head);
+    const std::chrono::milliseconds longest = m_state.settings.bodyTime;
     BodyTerms terms;
+    terms.time = std::min(header.deadline.value_or(longest), longest);
     // Another instance has checked what it forwards, by its own configuration.
     if (m_origin == RequestOrigin::Caller && m_state.catalogue)
         terms.refusal = matchHead(*m_state.catalogue, header, head).refusal;
--- a/src/snipestall/gateway/gateway_settings.cpp
+++ b/src/snipestall/gateway/gateway_settings.cpp
@@ -166,6 +166,7 @@
     settings.fileDescriptors =
         reader.optional(limits, "file_descriptors", settings.fileDescriptors);
     settings.memoryMegabytes = reader.optional(limits, "memory_mb", settings.memoryMegabytes);
+    settings.bodyTime = reader.seconds(limits, "body_s", settings.bodyTime);
     constexpr double MilliCoresPerCore = 1000;
     const double cores = reader.optional(limits, "processor_share", 0.0)
         * reader.optional(limits, "processor_cores", 1.0);
