Clients that send far ahead are given up when the kernel holds too much

Cause: a request that runs is never given up, and its connection is not read meanwhile. At 3,400 connections the kernel's buffers alone could hold 218 MB of what clients send behind running requests, which counts as the process's memory.

Change: four times a second the registry asks the kernel how much of running and answered connections is unread, if there are enough connections for it to matter. Above half of what requests and answers may hold, the connections with the most unread bytes are closed; a request that runs on one ends as if its caller had left.

Result: LittleMemoryTest.AClientThatSendsFarAheadIsGivenUp; it needs the new call, so it was not run on the code before.

Why it works: a link of 1,000 Mbit/s brings 31 MB between two checks at most.

--- a/include/snipestall/gateway/caller_connection.hpp
+++ b/include/snipestall/gateway/caller_connection.hpp
@@ -98,6 +98,8 @@
     /// yet.
     [[nodiscard]] bool hasDisconnected();
 
+    /// Number of bytes that have arrived and that nobody has read.
+    [[nodiscard]] std::size_t unreadBytes();
     /// Returns whether the caller has sent bytes behind the request that was read last.
     [[nodiscard]] bool hasUnread();
 
@@ -128,6 +130,7 @@
 
 private:
     void stopReading(RequestRead reason);
+    void closeForOthers();
     wire::Task<RequestRead> readWhole(RequestParser &parser, serving::TrafficLimits limits,
                                       std::string &body);
     wire::Task<RequestRead> readBody(RequestParser &parser, serving::TrafficLimits limits,
--- a/include/snipestall/gateway/connection_registry.hpp
+++ b/include/snipestall/gateway/connection_registry.hpp
@@ -32,6 +32,10 @@
     bool hold(Id id, std::size_t bytes);
     /// Gives up connections so that others can be accepted.
     void giveUpForOthers();
+    /// Closes connections whose clients send ahead of a running request or an answer, those with
+    /// the most unread bytes first, while all of these bytes exceed a part of the memory. The
+    /// caller polls this.
+    void limitUnread();
     void release(Id id) { m_ledger.release(id); }
 
     [[nodiscard]] std::size_t size() const { return m_ledger.connections(); }
--- a/include/snipestall/wire/socket_options.hpp
+++ b/include/snipestall/wire/socket_options.hpp
@@ -3,6 +3,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/socket_base.hpp>
 
+#include <cstddef>
+
 namespace snipestall::wire {
 
 /// Configures a connection so that the loss of a peer is detected even if no reset arrives.
@@ -13,15 +15,19 @@
 /// response.
 void detectLostPeer(boost::asio::ip::tcp::socket &socket);
 
+/// What the kernel holds of a connection that is limited by limitUnreadBytes(), at most: it doubles
+/// the size that it is given.
+inline constexpr std::size_t MaxUnreadBytes = std::size_t(64) * 1024;
+
 /// Limits the bytes that the kernel receives and nobody has read. They count as the memory of the
 /// process, and by default the kernel lets them grow to megabytes a connection. Takes effect before
 /// the connection is opened; those that a listening socket accepts inherit it.
 template<typename Socket>
 void limitUnreadBytes(Socket &socket)
 {
-    constexpr int UnreadBytes = 32 * 1024;
+    constexpr int BufferBytes = MaxUnreadBytes / 2;
     boost::system::error_code ignored; // A socket without the option still works.
-    socket.set_option(boost::asio::socket_base::receive_buffer_size(UnreadBytes), ignored);
+    socket.set_option(boost::asio::socket_base::receive_buffer_size(BufferBytes), ignored);
 }
 
 /// Makes closing an outgoing connection send a reset.
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -216,6 +216,15 @@
     m_stream.cancel();
 }
 
+void CallerConnection::closeForOthers()
+{
+    const auto disconnected = std::exchange(m_onDisconnect, nullptr);
+    close();
+    // The request that runs is given up as if its caller had left.
+    if (disconnected)
+        disconnected();
+}
+
 void CallerConnection::giveUp(ConnectionStage stage, Shortage shortage)
 {
     // A request whose first bytes have arrived meanwhile is read.
@@ -224,7 +233,7 @@
     else if (stage == ConnectionStage::Arriving && shortage == Shortage::Memory)
         stopReading(RequestRead::NoMemory);
     else
-        close();
+        closeForOthers();
 }
 
 Task<RequestRead> CallerConnection::readWhole(RequestParser &parser, serving::TrafficLimits limits,
@@ -399,10 +408,15 @@
     co_return !error;
 }
 
+std::size_t CallerConnection::unreadBytes()
+{
+    beast::error_code closed;
+    return m_stream.socket().available(closed);
+}
+
 bool CallerConnection::hasUnread()
 {
-    beast::error_code error;
-    return m_buffer.size() > 0 || m_stream.socket().available(error) > 0;
+    return m_buffer.size() > 0 || unreadBytes() > 0;
 }
 
 // The kernel resets a connection that is closed with unread bytes, and the reset destroys an answer
--- a/src/snipestall/gateway/caller_connection_test.cpp
+++ b/src/snipestall/gateway/caller_connection_test.cpp
@@ -33,8 +33,7 @@
         m_limits.headerTimeout = 30s;
         tcp::acceptor acceptor(m_io, { boost::asio::ip::address_v4::loopback(), 0 });
         m_caller.connect(acceptor.local_endpoint());
-        m_connection = std::make_shared<CallerConnection>(
-            acceptor.accept(), std::make_shared<ConnectionRegistry>(m_connectionBytes));
+        m_connection = std::make_shared<CallerConnection>(acceptor.accept(), m_registry);
         boost::asio::co_spawn(
             m_io,
             [this]() -> Task<void> {
@@ -56,7 +55,9 @@
         boost::asio::write(m_caller, boost::asio::buffer(text.data(), text.size()));
     }
 
-    std::size_t m_connectionBytes = 1000000;
+    static constexpr std::size_t ConnectionBytes = 100000;
+    std::shared_ptr<ConnectionRegistry> m_registry =
+        std::make_shared<ConnectionRegistry>(ConnectionBytes);
     serving::TrafficLimits m_limits;
     BodyTerms m_terms { std::nullopt, 30s };
     int m_headChecks = 0;
@@ -138,6 +139,29 @@
     EXPECT_EQ(m_read, RequestRead::HeaderTimeout);
 }
 
+/// A connection of a machine with little memory.
+class LittleMemoryTest : public CallerLinkTest
+{
+protected:
+    LittleMemoryTest() { m_limits.maxBodyBytes = 1000; }
+};
+
+// Guards against bytes behind a running request that fill the kernel's memory.
+TEST_F(LittleMemoryTest, AClientThatSendsFarAheadIsGivenUp)
+{
+    bool disconnected = false;
+    send("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    m_io.restart();
+    m_io.run();
+    ASSERT_EQ(m_read, RequestRead::Ok);
+    m_connection->watchForDisconnect([&disconnected] { disconnected = true; });
+    m_registry->limitUnread();
+    EXPECT_FALSE(disconnected);
+    send(std::string(ConnectionBytes, 'a'));
+    m_registry->limitUnread();
+    EXPECT_TRUE(disconnected);
+}
+
 class ShortIdleTest : public CallerLinkTest
 {
 protected:
--- a/src/snipestall/gateway/connection_registry.cpp
+++ b/src/snipestall/gateway/connection_registry.cpp
@@ -4,13 +4,20 @@
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/caller_connection.hpp"
+#include "snipestall/wire/socket_options.hpp"
 
+#include <algorithm>
+#include <functional>
 #include <string>
+#include <utility>
 
 namespace snipestall::gateway {
 
 namespace {
 
+/// Part of what all connections may hold that unread bytes may take besides.
+constexpr std::size_t UnreadDivisor = 2;
+
 SteadyTime now()
 {
     return std::chrono::steady_clock::now();
@@ -53,6 +60,32 @@
     giveUp(m_ledger.closeForConnections(now()), Shortage::Descriptors);
 }
 
+void ConnectionRegistry::limitUnread()
+{
+    // Asking the kernel takes a call for each connection; few of them can't hold that much.
+    const std::size_t most = m_ledger.limit() / UnreadDivisor;
+    if (m_connections.size() * wire::MaxUnreadBytes <= most)
+        return;
+    std::size_t all = 0;
+    std::vector<std::pair<std::size_t, Id>> unread;
+    for (const auto &[id, connection] : m_connections) {
+        const serving::ConnectionStage stage = m_ledger.stage(id);
+        // What arrives is read at once.
+        if (stage == serving::ConnectionStage::Idle || stage == serving::ConnectionStage::Arriving)
+            continue;
+        const std::size_t bytes = connection->unreadBytes();
+        all += bytes;
+        unread.emplace_back(bytes, id);
+    }
+    std::ranges::sort(unread, std::greater<>());
+    std::vector<Id> closed;
+    for (std::size_t i = 0; all > most && i < unread.size(); ++i) {
+        all -= unread[i].first;
+        closed.push_back(unread[i].second);
+    }
+    giveUp(closed, Shortage::Memory);
+}
+
 void ConnectionRegistry::giveUp(const std::vector<Id> &ids, Shortage shortage)
 {
     if (ids.empty())
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/blocked_part_registrar.hpp"
 #include "snipestall/gateway/caller_listener.hpp"
+#include "snipestall/gateway/connection_registry.hpp"
 #include "snipestall/gateway/duty_runner.hpp"
 #include "snipestall/gateway/gateway_state.hpp"
 #include "snipestall/gateway/load_exchange.hpp"
@@ -303,6 +304,7 @@
             state.servers.compareServers(state.peerLoads, state.clock.steadyNow());
         state.updateShares();
         state.backends.prune(state.clock.steadyNow());
+        state.connections->limitUnread();
         if (ready() != wasReady) {
             wasReady = !wasReady;
             logEvent(events::GatewayReady, { { "ready", wasReady ? "yes" : "no" } });
