Soak: a topic with clients that don't finish their requests

Change: topic unfinished-requests, on machines of 96 MB: gateways stopped in series beside 120 clients whose heads or bodies never become whole. Checked: no process ends, memory grows by 64 MB at most, no other request ends without an answer, and all that is checked in every run.

--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -164,7 +164,7 @@
         + "\nforward_port: " + std::to_string(m_ports.take()) + "\nmetrics_port: "
         + std::to_string(m_ports.take()) + "\nstore: " + m_gateways[index].link.endpoint.toString()
         + "\nduties: " + m_storeAddress.toString()
-        + "\nserver_heartbeat_ms: 300\nlimits: {file_descriptors: 1024}\n"
+        + "\nserver_heartbeat_ms: 300\nlimits: {file_descriptors: 1024, memory_mb: 96}\n"
           "bounds: {drain_ms: 2000, grace_s: 8, contact_ms: 3000, "
         + (m_size.topic == Topic::SilentServers ? SmallRetryBudget : "retry_slack: 60")
         + ", usage_window_s: 2, lease_ms: 3000"
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -12,6 +12,7 @@
 #include "soak/judge.hpp"
 #include "soak/topic_judge.hpp"
 #include "soak/topic_plan.hpp"
+#include "soak/unfinished_client.hpp"
 
 #include "harness/temp_dir.hpp"
 #include "snipestall/wire/signal.hpp"
@@ -40,7 +41,8 @@
 DEFINE_uint64(clients, 32, "number of clients; each sends one request at a time");
 DEFINE_string(
     topic, "all-faults",
-    "all-faults, silent-servers, endless-messages, requests-ahead or streams-after-kills");
+    "all-faults, silent-servers, endless-messages, requests-ahead, streams-after-kills or "
+    "unfinished-requests");
 
 using namespace snipestall;
 using namespace snipestall::soak;
@@ -61,6 +63,7 @@
 constexpr int QuotaInOverload = 300;
 constexpr std::size_t AheadClients = 24;
 constexpr std::size_t EndlessClients = 4;
+constexpr std::size_t UnfinishedClients = 120;
 
 /// The beginning or end of a fault.
 struct Step
@@ -136,6 +139,8 @@
         clients.push_back(std::make_unique<AheadClient>(io, deployment, i, seed()));
     for (std::size_t i = 0; topic == Topic::EndlessMessages && i < EndlessClients; ++i)
         clients.push_back(std::make_unique<EndlessClient>(io, deployment, i, seed()));
+    for (std::size_t i = 0; topic == Topic::UnfinishedRequests && i < UnfinishedClients; ++i)
+        clients.push_back(std::make_unique<UnfinishedClient>(io, deployment, i, seed()));
     return clients;
 }
 
--- a/tests/soak/topic.cpp
+++ b/tests/soak/topic.cpp
@@ -13,12 +13,13 @@
     const char *name;
 };
 
-constexpr std::array<TopicEntry, 5> Topics { {
+constexpr std::array<TopicEntry, 6> Topics { {
     { Topic::AllFaults, "all-faults" },
     { Topic::SilentServers, "silent-servers" },
     { Topic::EndlessMessages, "endless-messages" },
     { Topic::RequestsAhead, "requests-ahead" },
     { Topic::StreamsAfterKills, "streams-after-kills" },
+    { Topic::UnfinishedRequests, "unfinished-requests" },
 } };
 
 } // namespace
--- a/tests/soak/topic.hpp
+++ b/tests/soak/topic.hpp
@@ -18,6 +18,8 @@
     RequestsAhead,
     /// Streams of several software versions that go on after all gateways were killed.
     StreamsAfterKills,
+    /// A crowd of clients that don't finish their requests, while gateways are stopped.
+    UnfinishedRequests,
 };
 
 /// The topic of this name; nothing if there is none.
--- a/tests/soak/topic_judge.cpp
+++ b/tests/soak/topic_judge.cpp
@@ -66,6 +66,7 @@
         { Topic::EndlessMessages, &TopicJudge::judgeEndlessMessages },
         { Topic::RequestsAhead, &TopicJudge::judgeRequestsAhead },
         { Topic::StreamsAfterKills, &TopicJudge::judgeStreamsAfterKills },
+        { Topic::UnfinishedRequests, &TopicJudge::judgeUnfinishedRequests },
     };
     (this->*checks.at(m_topic))();
     return m_findings;
@@ -131,7 +132,25 @@
                              + " proper requests are served beside messages without end");
     m_summary = std::to_string(served) + " of " + std::to_string(asked)
         + " proper requests served beside " + std::to_string(endless)
-        + " requests that are too long; memory grew by";
+        + " requests that are too long; ";
+    judgeMemory();
+}
+
+void TopicJudge::judgeUnfinishedRequests()
+{
+    std::size_t served = 0;
+    for (const Attempt &attempt : m_record.attempts) {
+        if (isLost(attempt) && !lostOnPurpose(attempt))
+            addFinding("got no answer", attempt);
+        served += attempt.status == 200 ? 1 : 0;
+    }
+    m_summary = std::to_string(served) + " requests served; ";
+    judgeMemory();
+}
+
+void TopicJudge::judgeMemory()
+{
+    m_summary += "memory grew by";
     for (std::size_t i = 0; i < m_record.memoryGrowth.size(); ++i) {
         const std::size_t growth = m_record.memoryGrowth[i];
         m_summary += " " + std::to_string(growth >> 20U);
--- a/tests/soak/topic_judge.hpp
+++ b/tests/soak/topic_judge.hpp
@@ -30,6 +30,9 @@
     void judgeSilence();
     /// No message makes a gateway grow, and requests of other callers are served.
     void judgeEndlessMessages();
+    /// No message makes a gateway grow, and no request of other callers is lost.
+    void judgeUnfinishedRequests();
+    void judgeMemory();
     /// Each request that was sent ahead gets an answer.
     void judgeRequestsAhead();
     /// Streams go on after a kill of all gateways.
--- a/tests/soak/topic_plan.cpp
+++ b/tests/soak/topic_plan.cpp
@@ -92,6 +92,14 @@
     return faults;
 }
 
+/// Stops beside the crowd; it goes on from the first of them.
+Faults drawUnfinishedRequests(Random &random, milliseconds quietFrom)
+{
+    Faults faults = drawStops(random, quietFrom);
+    faults.push_back({ FaultKind::MessagesWithoutEnd, 0, FirstFault, quietFrom });
+    return faults;
+}
+
 Faults drawKills(Random &random, milliseconds quietFrom)
 {
     constexpr milliseconds Interval { 3000 };
@@ -115,6 +123,7 @@
         { Topic::EndlessMessages, &drawEndlessMessages },
         { Topic::RequestsAhead, &drawStops },
         { Topic::StreamsAfterKills, &drawKills },
+        { Topic::UnfinishedRequests, &drawUnfinishedRequests },
     };
     constexpr std::uint64_t SeedOffset = 32452843;
     Random random(seed + SeedOffset);
