--- a/src/snipestall/serving/connection_ledger.cpp
+++ b/src/snipestall/serving/connection_ledger.cpp
@@ -159,6 +159,7 @@
         found = stalled(now, [](const Entry &) { return true; });
     found.resize(std::min(found.size(), m_entries.size() / BatchDivisor + 1));
     std::vector<Id> closed;
+    closed.reserve(found.size());
     for (const Candidate &candidate : found)
         closed.push_back(candidate.id);
     return closed;
