Requests wait a moment for memory, and get all that they need

Cause: when the memory was full and nobody had stalled for 250 ms, a request was refused at once. Right after a crowd had gone, a single request of the largest size got 503: the crowd's bytes were still in the kernel, with the ends of its connections behind them.

Change: a request that finds no memory is not read for up to 400 ms, looks for it again every 20 ms, and books its whole body at once. At most 64 wait; a later one takes the place of the first. Clients that have left hold nothing, and get nothing more while memory is short. Progress is what has arrived, and no longer what is booked. Making room looks at all connections at most every 10 ms.

Why it works: within the wait, those that bring nothing are found out and make room, and who gets memory then doesn't wait again. 400 ms are less than the second after which a client gives up a request that is not read.

--- a/include/snipestall/gateway/caller_connection.hpp
+++ b/include/snipestall/gateway/caller_connection.hpp
@@ -135,6 +135,8 @@
                                       std::string &body);
     wire::Task<RequestRead> readBody(RequestParser &parser, serving::TrafficLimits limits,
                                      std::string &body);
+    /// Waits, for a short time at most, until the connection may hold so many bytes.
+    wire::Task<bool> awaitMemory(std::size_t bytes);
     /// Tells a caller that waits for it to send the body. Returns whether it could be reached.
     wire::Task<bool> askForBody();
     /// Reads the first bytes of the next request; returns false if none arrive.
--- a/include/snipestall/gateway/connection_registry.hpp
+++ b/include/snipestall/gateway/connection_registry.hpp
@@ -5,6 +5,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <memory>
 #include <unordered_map>
 #include <vector>
 
@@ -30,6 +32,11 @@
     /// Books what the connection holds from now on, and gives up others if there is no room.
     /// Returns false if there is none even so.
     bool hold(Id id, std::size_t bytes);
+    void arrived(Id id, std::size_t bytes);
+    /// A place among the few requests that wait for memory. It becomes false when a later one takes
+    /// it: the request is to be refused then.
+    [[nodiscard]] std::shared_ptr<bool> beginWaiting();
+    void endWaiting(const std::shared_ptr<bool> &place) { std::erase(m_waiting, place); }
     /// Gives up connections so that others can be accepted.
     void giveUpForOthers();
     /// Closes connections whose clients send ahead of a running request or an answer, those with
@@ -45,11 +52,17 @@
     [[nodiscard]] std::uint64_t givenUp() const { return m_givenUp; }
 
 private:
+    /// Closes connections that hold something and whose clients have left, which the loop may come
+    /// to only later.
+    void closeLeft();
+    void makeRoom(Id id, std::size_t bytes);
     void giveUp(const std::vector<Id> &ids, Shortage shortage);
 
     serving::ConnectionLedger m_ledger;
     std::unordered_map<Id, CallerConnection *> m_connections;
     std::uint64_t m_givenUp = 0;
+    SteadyTime m_madeRoomAt;
+    std::deque<std::shared_ptr<bool>> m_waiting;
 };
 
 } // namespace snipestall::gateway
--- a/include/snipestall/serving/connection_ledger.hpp
+++ b/include/snipestall/serving/connection_ledger.hpp
@@ -53,7 +53,9 @@
     void setLargestBody(std::size_t bytes) { m_largestBody = bytes; }
     /// Books that the connection holds `bytes` from now on. Returns false, and books nothing, if
     /// there is no room for that.
-    bool hold(Id id, std::size_t bytes, SteadyTime now);
+    bool hold(Id id, std::size_t bytes);
+    /// So many bytes of the request have arrived so far.
+    void arrived(Id id, std::size_t bytes, SteadyTime now);
     /// The connection holds nothing any more.
     void release(Id id);
 
@@ -63,6 +65,9 @@
     /// Connections to be closed so that others can be accepted.
     [[nodiscard]] std::vector<Id> closeForConnections(SteadyTime now) const;
 
+    /// Connections that hold something and carry no request that runs.
+    [[nodiscard]] std::vector<Id> unfinishedHolders() const;
+
     [[nodiscard]] std::size_t connections() const { return m_entries.size(); }
     [[nodiscard]] std::size_t held() const { return m_held; }
     /// What all connections may hold together.
@@ -79,9 +84,9 @@
     {
         ConnectionStage stage = ConnectionStage::Idle;
         std::size_t held = 0;
-        /// Time of the last progress, and what was held then.
+        /// Time of the last progress, and what had arrived then.
         SteadyTime progressAt;
-        std::size_t heldAtProgress = 0;
+        std::size_t arrivedAtProgress = 0;
     };
     struct Candidate
     {
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -5,6 +5,7 @@
 #include "snipestall/wire/answer_body.hpp"
 #include "snipestall/wire/discard.hpp"
 #include "snipestall/wire/message_reader.hpp"
+#include "snipestall/wire/signal.hpp"
 #include "snipestall/wire/socket_options.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -37,6 +38,10 @@
 /// Longest time that a caller may take to accept one piece of an answer.
 constexpr std::chrono::seconds WriteTimeout { 10 };
 constexpr std::size_t FirstReadBytes = 4096;
+/// Time in which requests that bring nothing are found out and give up their memory. A client gives
+/// up a request that isn't read for a second.
+constexpr std::chrono::milliseconds MemoryWait { 400 };
+constexpr std::chrono::milliseconds MemoryWaitTick { 20 };
 /// Bodies up to this size are read without a look at their head.
 constexpr std::size_t UncheckedBytes = std::size_t(16) * 1024;
 /// Limit of what is read and discarded before a connection is closed. A caller that sends on gets
@@ -252,6 +257,19 @@
     co_return co_await readBody(parser, limits, body);
 }
 
+Task<bool> CallerConnection::awaitMemory(std::size_t bytes)
+{
+    const std::shared_ptr<bool> place = m_registry->beginWaiting();
+    const auto until = std::chrono::steady_clock::now() + MemoryWait;
+    bool found = false;
+    while (*place && !found && !m_readingStopped && std::chrono::steady_clock::now() < until) {
+        co_await wire::sleepFor(MemoryWaitTick);
+        found = !m_readingStopped && m_registry->hold(m_id, bytes);
+    }
+    m_registry->endWaiting(place);
+    co_return found;
+}
+
 Task<bool> CallerConnection::askForBody()
 {
     static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -271,6 +289,7 @@
     const std::size_t announced = parser.content_length().value_or(0);
     const bool waits = beast::iequals(parser.head()[http::field::expect], "100-continue");
     std::optional<BodyTerms> terms;
+    std::size_t booked = 0;
     while (!parser.is_done()) {
         if (m_readingStopped)
             co_return RequestRead::Closed;
@@ -294,8 +313,17 @@
         if (error)
             co_return readFault(error);
         const std::string piece = parser.takeBody();
-        if (!m_registry->hold(m_id, body.size() + piece.size()))
-            co_return RequestRead::NoMemory;
+        const std::size_t arrived = body.size() + piece.size();
+        m_registry->arrived(m_id, arrived);
+        if (arrived > booked && m_registry->hold(m_id, arrived)) {
+            booked = arrived;
+        } else if (arrived > booked) {
+            // A request that has waited for memory gets all that it needs: otherwise many wait for
+            // each other, each with a part of its body.
+            booked = std::max(announced, arrived + UncheckedBytes);
+            if (!co_await awaitMemory(booked))
+                co_return RequestRead::NoMemory;
+        }
         // What was announced takes no memory before it arrives.
         if (body.empty())
             body.reserve(announced);
--- a/src/snipestall/gateway/caller_connection_test.cpp
+++ b/src/snipestall/gateway/caller_connection_test.cpp
@@ -162,6 +162,27 @@
     EXPECT_TRUE(disconnected);
 }
 
+// Guards against a request that is refused because the loop has not yet come to the end of a
+// connection whose client has left.
+TEST_F(LittleMemoryTest, AClientThatHasLeftHoldsNothing)
+{
+    constexpr std::size_t Body = 40000;
+    m_limits.maxBodyBytes = Body;
+    send("POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 40000\r\n\r\n"
+         + std::string(Body - 1, 'a'));
+    m_io.restart();
+    while (m_registry->held() < Body - 1)
+        m_io.run_one();
+    tcp::acceptor acceptor(m_io, { boost::asio::ip::address_v4::loopback(), 0 });
+    tcp::socket caller(m_io);
+    caller.connect(acceptor.local_endpoint());
+    CallerConnection other(acceptor.accept(), m_registry);
+    EXPECT_FALSE(other.holdAnswer(2 * Body));
+    m_caller.close();
+    std::this_thread::sleep_for(20ms);
+    EXPECT_TRUE(other.holdAnswer(2 * Body));
+}
+
 class ShortIdleTest : public CallerLinkTest
 {
 protected:
--- a/src/snipestall/gateway/connection_registry.cpp
+++ b/src/snipestall/gateway/connection_registry.cpp
@@ -7,6 +7,7 @@
 #include "snipestall/wire/socket_options.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <functional>
 #include <string>
 #include <utility>
@@ -18,6 +19,13 @@
 /// Part of what all connections may hold that unread bytes may take besides.
 constexpr std::size_t UnreadDivisor = 2;
 
+/// Beyond this part of the memory, clients that have left get nothing more.
+constexpr std::size_t ScarceDivisor = 2;
+/// Making room looks at all connections.
+constexpr std::chrono::milliseconds MakeRoomInterval { 10 };
+/// Requests that wait for memory look for it again and again.
+constexpr std::size_t MaxWaiting = 64;
+
 SteadyTime now()
 {
     return std::chrono::steady_clock::now();
@@ -49,10 +57,50 @@
 
 bool ConnectionRegistry::hold(Id id, std::size_t bytes)
 {
-    if (m_ledger.hold(id, bytes, now()))
+    // Failure: a crowd has left, and what it had sent before takes the memory of those who still
+    // wait, as the loop comes to the ends of the crowd's connections only behind their bytes.
+    const bool scarce = m_ledger.held() > m_ledger.limit() / ScarceDivisor;
+    if (scarce && bytes > 0 && m_connections.at(id)->hasDisconnected())
+        return false;
+    if (m_ledger.hold(id, bytes))
         return true;
-    giveUp(m_ledger.closeForMemory(id, bytes, now()), Shortage::Memory);
-    return m_ledger.hold(id, bytes, now());
+    if (now() - m_madeRoomAt >= MakeRoomInterval) {
+        m_madeRoomAt = now();
+        makeRoom(id, bytes);
+    }
+    return m_ledger.hold(id, bytes);
+}
+
+void ConnectionRegistry::arrived(Id id, std::size_t bytes)
+{
+    m_ledger.arrived(id, bytes, now());
+}
+
+void ConnectionRegistry::makeRoom(Id id, std::size_t bytes)
+{
+    closeLeft();
+    if (!m_ledger.hold(id, bytes))
+        giveUp(m_ledger.closeForMemory(id, bytes, now()), Shortage::Memory);
+}
+
+std::shared_ptr<bool> ConnectionRegistry::beginWaiting()
+{
+    if (m_waiting.size() >= MaxWaiting) {
+        *m_waiting.front() = false;
+        m_waiting.pop_front();
+    }
+    return m_waiting.emplace_back(std::make_shared<bool>(true));
+}
+
+void ConnectionRegistry::closeLeft()
+{
+    for (const Id id : m_ledger.unfinishedHolders()) {
+        CallerConnection &connection = *m_connections.at(id);
+        if (!connection.hasDisconnected())
+            continue;
+        m_ledger.release(id);
+        connection.close();
+    }
 }
 
 void ConnectionRegistry::giveUpForOthers()
--- a/src/snipestall/serving/connection_ledger.cpp
+++ b/src/snipestall/serving/connection_ledger.cpp
@@ -71,7 +71,16 @@
     Entry &entry = m_entries.at(id);
     entry.stage = stage;
     entry.progressAt = now;
-    entry.heldAtProgress = entry.held;
+    entry.arrivedAtProgress = 0;
+}
+
+void ConnectionLedger::arrived(Id id, std::size_t bytes, SteadyTime now)
+{
+    Entry &entry = m_entries.at(id);
+    if (bytes < entry.arrivedAtProgress + ProgressBytes)
+        return;
+    entry.progressAt = now;
+    entry.arrivedAtProgress = bytes;
 }
 
 std::size_t ConnectionLedger::limit() const
@@ -90,17 +99,13 @@
     return m_held - freed - entry.held + bytes <= most;
 }
 
-bool ConnectionLedger::hold(Id id, std::size_t bytes, SteadyTime now)
+bool ConnectionLedger::hold(Id id, std::size_t bytes)
 {
     Entry &entry = m_entries.at(id);
     if (bytes > entry.held && !hasRoom(entry, bytes, 0))
         return false;
     m_held = m_held - entry.held + bytes;
     entry.held = bytes;
-    if (entry.held >= entry.heldAtProgress + ProgressBytes) {
-        entry.progressAt = now;
-        entry.heldAtProgress = entry.held;
-    }
     return true;
 }
 
@@ -109,7 +114,6 @@
     Entry &entry = m_entries.at(id);
     m_held -= entry.held;
     entry.held = 0;
-    entry.heldAtProgress = 0;
 }
 
 template<typename Condition>
@@ -150,6 +154,16 @@
     return closed;
 }
 
+std::vector<ConnectionLedger::Id> ConnectionLedger::unfinishedHolders() const
+{
+    std::vector<Id> holders;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.held > 0 && ruleOf(entry.stage).mayClose)
+            holders.push_back(id);
+    }
+    return holders;
+}
+
 std::vector<ConnectionLedger::Id> ConnectionLedger::closeForConnections(SteadyTime now) const
 {
     // Idle connections are within the limits of the configuration; they go when no others can.
--- a/src/snipestall/serving/connection_ledger_test.cpp
+++ b/src/snipestall/serving/connection_ledger_test.cpp
@@ -32,7 +32,7 @@
         std::vector<Id> ids;
         while (true) {
             const Id id = open(ConnectionStage::Arriving);
-            if (!m_ledger.hold(id, Megabyte, m_now)) {
+            if (!m_ledger.hold(id, Megabyte)) {
                 m_ledger.close(id);
                 return ids;
             }
@@ -51,7 +51,7 @@
     EXPECT_EQ(ids.size(), LargeLimit / Megabyte);
     EXPECT_EQ(m_ledger.held(), LargeLimit);
     m_ledger.release(ids.front());
-    EXPECT_TRUE(m_ledger.hold(open(ConnectionStage::Arriving), Megabyte, m_now));
+    EXPECT_TRUE(m_ledger.hold(open(ConnectionStage::Arriving), Megabyte));
 }
 
 // Guards against large bodies that keep out all ordinary requests.
@@ -59,8 +59,8 @@
 {
     fill();
     const Id ordinary = open(ConnectionStage::Arriving);
-    EXPECT_TRUE(m_ledger.hold(ordinary, ConnectionLedger::OrdinaryBytes, m_now));
-    EXPECT_FALSE(m_ledger.hold(ordinary, ConnectionLedger::OrdinaryBytes + 1, m_now));
+    EXPECT_TRUE(m_ledger.hold(ordinary, ConnectionLedger::OrdinaryBytes));
+    EXPECT_FALSE(m_ledger.hold(ordinary, ConnectionLedger::OrdinaryBytes + 1));
     EXPECT_EQ(m_ledger.held(), LargeLimit + ConnectionLedger::OrdinaryBytes);
 }
 
@@ -70,9 +70,9 @@
     const std::vector<Id> ids = fill();
     m_now += 300ms;
     const Id next = open(ConnectionStage::Arriving);
-    ASSERT_FALSE(m_ledger.hold(next, Megabyte, m_now));
+    ASSERT_FALSE(m_ledger.hold(next, Megabyte));
     EXPECT_FALSE(m_ledger.closeForMemory(next, Megabyte, m_now).empty());
-    EXPECT_TRUE(m_ledger.hold(next, Megabyte, m_now));
+    EXPECT_TRUE(m_ledger.hold(next, Megabyte));
 }
 
 // Guards against clients that send single bytes so as to count as active.
@@ -82,7 +82,7 @@
     for (int i = 1; i <= 30; ++i) {
         m_now += 10ms;
         for (const Id id : ids)
-            m_ledger.hold(id, Megabyte + static_cast<std::size_t>(i), m_now);
+            m_ledger.arrived(id, static_cast<std::size_t>(i), m_now);
     }
     const Id next = open(ConnectionStage::Arriving);
     EXPECT_FALSE(m_ledger.closeForMemory(next, Megabyte, m_now).empty());
@@ -99,6 +99,17 @@
     EXPECT_EQ(m_ledger.held(), LargeLimit);
 }
 
+// Guards against a request that has its memory and is taken for stalled while it arrives.
+TEST_F(ConnectionLedgerTest, BytesThatArriveAreProgress)
+{
+    const std::vector<Id> ids = fill();
+    m_now += 300ms;
+    for (const Id id : ids)
+        m_ledger.arrived(id, Megabyte / 2, m_now);
+    const Id next = open(ConnectionStage::Arriving);
+    EXPECT_TRUE(m_ledger.closeForMemory(next, Megabyte, m_now).empty());
+}
+
 // Guards against a request that is given up while it runs.
 TEST_F(ConnectionLedgerTest, ARunningRequestIsNotGivenUp)
 {
@@ -116,8 +127,8 @@
 {
     m_ledger.setLargestBody(Limit);
     for (int i = 0; i < 2; ++i)
-        EXPECT_TRUE(m_ledger.hold(open(ConnectionStage::Arriving), Limit, m_now));
-    EXPECT_FALSE(m_ledger.hold(open(ConnectionStage::Arriving), Limit, m_now));
+        EXPECT_TRUE(m_ledger.hold(open(ConnectionStage::Arriving), Limit));
+    EXPECT_FALSE(m_ledger.hold(open(ConnectionStage::Arriving), Limit));
 }
 
 // Guards against idle connections that are closed while others hold unfinished requests.
