HTTP server: the limit on connections has a name of its own

Besides, connections that wait were kept in a list that is searched for each request, which grows with the idle connections of servers that have no limit.

Change: HttpServerOptions::connectionLimit; waiting connections are kept by number.

--- a/include/snipestall/wire/http_server.hpp
+++ b/include/snipestall/wire/http_server.hpp
@@ -33,7 +33,7 @@
     std::optional<TlsFiles> tls;
     /// Maximum number of connections; 0 for any number. Beyond it, the connection that has waited
     /// for longest for a whole request is closed for a new one.
-    std::size_t maxConnections = 0;
+    std::size_t connectionLimit = 0;
 };
 
 /// HTTP/1.1 listener that runs one coroutine per connection on the thread of the I/O loop.
--- a/src/snipestall/gateway/gateway.cpp
+++ b/src/snipestall/gateway/gateway.cpp
@@ -49,7 +49,7 @@
 {
     wire::HttpServerOptions options;
     options.maxBody = 0;
-    options.maxConnections = 64;
+    options.connectionLimit = 64;
     return options;
 }
 
--- a/src/snipestall/wire/http_server.cpp
+++ b/src/snipestall/wire/http_server.cpp
@@ -16,7 +16,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -204,16 +204,17 @@
     bool closeOldestWaiting();
 
     std::size_t connections = 0;
-    /// Connections that wait for a whole request, in the order in which they began to.
-    std::list<beast::tcp_stream *> waiting;
+    /// Connections that wait for a whole request, by the order in which they began to.
+    std::map<std::uint64_t, beast::tcp_stream *> waiting;
+    std::uint64_t nextWaiting = 0;
 };
 
 bool HttpServer::State::closeOldestWaiting()
 {
     if (waiting.empty())
         return false;
-    waiting.front()->close();
-    waiting.pop_front();
+    waiting.begin()->second->close();
+    waiting.erase(waiting.begin());
     return true;
 }
 
@@ -229,7 +230,7 @@
             co_await sleepFor(AcceptPause);
             continue;
         }
-        const bool full = options.maxConnections > 0 && connections >= options.maxConnections;
+        const bool full = options.connectionLimit > 0 && connections >= options.connectionLimit;
         if (full && !closeOldestWaiting())
             continue;
         beast::error_code ignored;
@@ -262,8 +263,9 @@
     parser.body_limit(options.maxBody);
     parser.header_limit(MaxHeaderBytes);
     stream.expires_after(ReadTimeout);
-    waiting.push_back(&stream);
-    auto leave = [this, &stream] { waiting.remove(&stream); };
+    const std::uint64_t number = nextWaiting++;
+    waiting.emplace(number, &stream);
+    const auto leave = [this, number] { waiting.erase(number); };
     const std::shared_ptr<void> left(nullptr, [leave](void *) { leave(); });
     std::string body;
     beast::error_code ec;
