Requests get memory in the order in which they wait for it

In its log, requests of the crowd were given up three at a time, and 32 that still arrived took what was freed in small parts, each time before the one that needed 1 MB looked again.

Change: only the request that has waited for longest books memory, and making room for it is not limited to once per 10 ms. Bodies above 128 KB that arrive meanwhile wait behind it. A body without an announced length books twice what has arrived, so that it waits a few times only.

Why it works: those who wait before a request also give up before it, and what they hold is released then.

--- a/include/snipestall/gateway/connection_registry.hpp
+++ b/include/snipestall/gateway/connection_registry.hpp
@@ -36,6 +36,13 @@
     /// A place among the few requests that wait for memory. It becomes false when a later one takes
     /// it: the request is to be refused then.
     [[nodiscard]] std::shared_ptr<bool> beginWaiting();
+    /// Books as hold() does if it is the turn of the request that waits at this place.
+    bool holdInTurn(const std::shared_ptr<bool> &place, Id id, std::size_t bytes);
+    /// Whether a body of this size need not wait behind others.
+    [[nodiscard]] bool mayHoldNow(std::size_t bytes) const
+    {
+        return m_waiting.empty() || bytes <= serving::ConnectionLedger::OrdinaryBytes;
+    }
     void endWaiting(const std::shared_ptr<bool> &place) { std::erase(m_waiting, place); }
     /// Gives up connections so that others can be accepted.
     void giveUpForOthers();
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -264,7 +264,7 @@
     bool found = false;
     while (*place && !found && !m_readingStopped && std::chrono::steady_clock::now() < until) {
         co_await wire::sleepFor(MemoryWaitTick);
-        found = !m_readingStopped && m_registry->hold(m_id, bytes);
+        found = !m_readingStopped && m_registry->holdInTurn(place, m_id, bytes);
     }
     m_registry->endWaiting(place);
     co_return found;
@@ -315,12 +315,13 @@
         const std::string piece = parser.takeBody();
         const std::size_t arrived = body.size() + piece.size();
         m_registry->arrived(m_id, arrived);
-        if (arrived > booked && m_registry->hold(m_id, arrived)) {
+        if (arrived > booked && m_registry->mayHoldNow(arrived)
+            && m_registry->hold(m_id, arrived)) {
             booked = arrived;
         } else if (arrived > booked) {
             // A request that has waited for memory gets all that it needs: otherwise many wait for
             // each other, each with a part of its body.
-            booked = std::max(announced, arrived + UncheckedBytes);
+            booked = std::max(announced, 2 * arrived);
             if (!co_await awaitMemory(booked))
                 co_return RequestRead::NoMemory;
         }
--- a/src/snipestall/gateway/caller_connection_test.cpp
+++ b/src/snipestall/gateway/caller_connection_test.cpp
@@ -183,6 +183,24 @@
     EXPECT_TRUE(other.holdAnswer(2 * Body));
 }
 
+// Guards against a request that waits for memory in vain, because later ones that need less take
+// what is freed.
+TEST_F(LittleMemoryTest, RequestsGetMemoryInTheOrderInWhichTheyWait)
+{
+    constexpr std::size_t Large = 2 * serving::ConnectionLedger::OrdinaryBytes;
+    const ConnectionRegistry::Id id = m_registry->add(*m_connection);
+    EXPECT_TRUE(m_registry->mayHoldNow(Large));
+    const auto first = m_registry->beginWaiting();
+    const auto second = m_registry->beginWaiting();
+    EXPECT_FALSE(m_registry->mayHoldNow(Large));
+    EXPECT_TRUE(m_registry->mayHoldNow(1));
+    EXPECT_FALSE(m_registry->holdInTurn(second, id, 1));
+    EXPECT_TRUE(m_registry->holdInTurn(first, id, 1));
+    m_registry->endWaiting(first);
+    EXPECT_TRUE(m_registry->holdInTurn(second, id, 1));
+    m_registry->remove(id);
+}
+
 class ShortIdleTest : public CallerLinkTest
 {
 protected:
--- a/src/snipestall/gateway/connection_registry.cpp
+++ b/src/snipestall/gateway/connection_registry.cpp
@@ -92,6 +92,17 @@
     return m_waiting.emplace_back(std::make_shared<bool>(true));
 }
 
+// Failure: those who need little take what is freed, again and again, and one that needs more waits
+// in vain.
+bool ConnectionRegistry::holdInTurn(const std::shared_ptr<bool> &place, Id id, std::size_t bytes)
+{
+    if (m_waiting.empty() || m_waiting.front() != place)
+        return false;
+    if (!m_ledger.hold(id, bytes))
+        makeRoom(id, bytes);
+    return m_ledger.hold(id, bytes);
+}
+
 void ConnectionRegistry::closeLeft()
 {
     for (const Id id : m_ledger.unfinishedHolders()) {
