Bodies of ordinary size don't wait for the room that a large one needs

A body up to 128 KB that finds no memory waited behind large ones, also while there was room for it, and could be refused then.

Change: the order holds for bodies above 128 KB only.

--- a/include/snipestall/gateway/connection_registry.hpp
+++ b/include/snipestall/gateway/connection_registry.hpp
@@ -36,7 +36,8 @@
     /// A place among the few requests that wait for memory. It becomes false when a later one takes
     /// it: the request is to be refused then.
     [[nodiscard]] std::shared_ptr<bool> beginWaiting();
-    /// Books as hold() does if it is the turn of the request that waits at this place.
+    /// Books as hold() does if it is the turn of the request that waits at this place, or its body
+    /// is of ordinary size.
     bool holdInTurn(const std::shared_ptr<bool> &place, Id id, std::size_t bytes);
     /// Whether a body of this size need not wait behind others.
     [[nodiscard]] bool mayHoldNow(std::size_t bytes) const
--- a/src/snipestall/gateway/connection_registry.cpp
+++ b/src/snipestall/gateway/connection_registry.cpp
@@ -96,6 +96,9 @@
 // in vain.
 bool ConnectionRegistry::holdInTurn(const std::shared_ptr<bool> &place, Id id, std::size_t bytes)
 {
+    // Bodies of ordinary size don't wait for the room that a large one needs.
+    if (bytes <= serving::ConnectionLedger::OrdinaryBytes)
+        return hold(id, bytes);
     if (m_waiting.empty() || m_waiting.front() != place)
         return false;
     if (!m_ledger.hold(id, bytes))
