--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # Python and need no build; this only checks that they can be read.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -B - common-2/deployment.py 6/case.py 7/case.py 8/case.py <<'PY'
+python3 -B - common-2/deployment.py 6/case.py 7/case.py 8/case.py 9/case.py <<'PY'
 import ast
 import sys
 
