A stream whose run was stopped for a move does not end as complete

Its server is being reclaimed; the gateway had ordered the move of the run, and the server answered 503.

Cause: with `lastSeq` a server stops the run before it copies it. The code knew "moved" and "not moved", and took the latter for "not stopped". Without a length, the end of a run that was stopped looks like the end of a whole answer.

Change: a move ends as moved, kept at its source, not stopped, or unknown. If the run may have stopped, only an end that the answer itself states counts (length, last chunk). After 503 with a handle the run goes on at its source, as the protocol allows, within the drain time after the notice less 0.6 s for the way of the notice, and before the server leaves. 404 and a connection that was not opened stop nothing, so a stream that ended by itself beside a move stays whole. What was stopped by this instance is no loss of the server and no failure of its version.

Why it works: nothing but a stated end completes a stream whose run was, or may have been, stopped by us.

--- a/include/snipestall/gateway/backend_call.hpp
+++ b/include/snipestall/gateway/backend_call.hpp
@@ -78,6 +78,8 @@
     [[nodiscard]] const Head &head() const { return m_parser->head(); }
     /// Length of the answer's body as the server has announced it; 0 if it has not.
     [[nodiscard]] std::size_t announcedBytes() const;
+    /// Returns whether the answer itself says where it ends, rather than the end of its connection.
+    [[nodiscard]] bool isFramed() const { return !m_parser->need_eof(); }
     wire::Task<BodyRead> readBody(SteadyTime deadline);
     /// Closes the connection, which makes the server drop the request. Pending operations return.
     void abort();
--- a/include/snipestall/gateway/request_relay.hpp
+++ b/include/snipestall/gateway/request_relay.hpp
@@ -66,7 +66,7 @@
         Failed,
         /// The deadline of the request has passed.
         TimedOut,
-        /// The run has been moved to another server, where it continues.
+        /// The run was stopped for a move, and continues with the next attempt.
         Moved,
     };
 
@@ -209,11 +209,14 @@
     void stopReclaimWatch();
     /// The server stops soon: moves the run to another one.
     void beginMove(const serving::ServerStatePtr &source);
-    /// Waits for a move that is in progress; returns true if the run continues at another server.
-    wire::Task<bool> awaitMove();
-    /// Waits while the target of a completed move rests and has taken a moved run meanwhile.
+    /// Waits for a move that is in progress.
+    wire::Task<void> awaitMove();
+    /// Handles the end of an answer whose run has or may have been stopped by a move. Returns Moved
+    /// if the run can continue: at the target, or at `source`, which has kept its KV cache.
+    AttemptEnd endOfStoppedRun(const serving::ServerStatePtr &source);
+    /// Waits while the server that continues the run rests and has taken a moved run meanwhile.
     wire::Task<void> awaitTargetOfMove();
-    /// Returns the target of a completed move as the choice for the next attempt.
+    /// Returns the server that continues the run as the choice for the next attempt.
     serving::ServerChoice finishMove();
     void handleCallerLeft();
     void recordCallerLeft();
@@ -263,6 +266,8 @@
     std::optional<serving::RepeatCredit> m_repeat;
     std::optional<StreamWatch::Handle> m_streamHandle;
     std::shared_ptr<StreamMove> m_move;
+    /// Whether the run continues at the server that was to be left; it is not moved again.
+    bool m_continuesAtSource = false;
     /// Location of the KV cache of the run that the next attempt continues.
     std::string m_kvCacheSource;
     std::uint64_t m_fingerprint = 0;
--- a/include/snipestall/gateway/stream_move.hpp
+++ b/include/snipestall/gateway/stream_move.hpp
@@ -11,9 +11,10 @@
 struct StreamMove
 {
     serving::ServerStatePtr target;
-    bool ended = false;
-    /// Set when the run has stopped and its KV cache is at the target.
-    std::optional<platform::MovedStream> moved;
+    /// Set when the call has ended.
+    std::optional<platform::StreamMoveResult> result;
+
+    [[nodiscard]] bool mayHaveStopped() const { return !result || result->mayHaveStopped(); }
 };
 
 } // namespace snipestall::gateway
--- a/include/snipestall/serving/server_notices.hpp
+++ b/include/snipestall/serving/server_notices.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -44,6 +45,8 @@
     /// The server leaves, as it has said at `saidAt`. Returns whether that is new.
     bool setLeaving(const std::string &server, LeavingSource source, SteadyTime saidAt);
     [[nodiscard]] bool isLeaving(const std::string &server) const;
+    /// When the server has said that it leaves, as far as this instance knows; null if it has not.
+    [[nodiscard]] std::optional<SteadyTime> leavingSince(const std::string &server) const;
     /// What other instances can't read in the list, newest first; a limited number.
     [[nodiscard]] std::vector<LeavingReport> leavingReports(SteadyTime now) const;
 
--- a/include/snipestall/serving/server_table.hpp
+++ b/include/snipestall/serving/server_table.hpp
@@ -133,6 +133,9 @@
     bool saidItLeaves(const std::string &server, SteadyTime saidAt);
     /// Forgets the rests that are over, and returns the keys of their servers.
     std::vector<std::string> endRests(SteadyTime now) { return m_notices.endRests(now); }
+    /// Whether a run that the server has stopped may be sent back there: it takes requests for the
+    /// drain time after it has said that it leaves.
+    [[nodiscard]] bool mayReturnTo(const ServerState &server, SteadyTime now) const;
     /// Counts a request that is about to be sent to the server.
     static void requestSent(ServerState &server, SteadyTime now);
     /// The server has accepted a request that was sent at `sentAt`.
@@ -176,6 +179,9 @@
     /// reports.
     static constexpr std::chrono::milliseconds ListPropagationDelay { 800 };
 
+    /// A notice reaches this instance, and a request the server, within this time.
+    static constexpr std::chrono::milliseconds NoticeLag { 600 };
+
     std::chrono::milliseconds m_drain;
     std::chrono::milliseconds m_readmitDelay;
     std::map<std::string, ServerStatePtr> m_servers;
--- a/src/snipestall/gateway/request_relay.cpp
+++ b/src/snipestall/gateway/request_relay.cpp
@@ -433,8 +433,9 @@
 VersionRecorder::Outcome RequestRelay::outcomeOf(CallStart start, AttemptEnd end) const
 {
     using Outcome = VersionRecorder::Outcome;
+    const bool stopped = m_move != nullptr && m_move->mayHaveStopped();
     if (m_callerGone || m_cancelled || m_replacement || end == AttemptEnd::NotRun
-        || end == AttemptEnd::Moved)
+        || end == AttemptEnd::Moved || (stopped && end == AttemptEnd::Failed))
         return Outcome::Unknown;
     if (m_answerLost || start == CallStart::Lost)
         return Outcome::Lost;
--- a/src/snipestall/gateway/request_relay_answer.cpp
+++ b/src/snipestall/gateway/request_relay_answer.cpp
@@ -196,9 +196,13 @@
             m_answer.abort();
             co_return AttemptEnd::Final;
         }
-        if (co_await awaitMove())
-            co_return AttemptEnd::Moved;
-        if (piece.kind == BodyRead::Kind::End && splitter.incompleteEvent().empty())
+        const bool whole = piece.kind == BodyRead::Kind::End && splitter.incompleteEvent().empty();
+        co_await awaitMove();
+        // Without a length, the end of a run that was stopped looks like the end of a whole answer.
+        const bool certain = whole && m_call->isFramed();
+        if (m_move != nullptr && m_move->mayHaveStopped() && !certain)
+            co_return endOfStoppedRun(server);
+        if (whole)
             break;
         co_return handleIncompleteAnswer(piece, server);
     }
--- a/src/snipestall/gateway/request_relay_move.cpp
+++ b/src/snipestall/gateway/request_relay_move.cpp
@@ -26,17 +26,16 @@
 Task<void> callMove(GatewayState &state, std::shared_ptr<StreamMove> move,
                     serving::ServerStatePtr source, std::string attemptId, std::uint64_t lastEvent)
 {
-    auto moved = co_await state.kvCaches.move(source->info.address, attemptId,
-                                              move->target->info.address, lastEvent, MoveTimeout);
+    platform::StreamMoveResult result = co_await state.kvCaches.move(
+        source->info.address, attemptId, move->target->info.address, lastEvent, MoveTimeout);
     logEvent(events::StreamMoved,
              { { "attempt", attemptId },
                { "from", source->info.id },
                { "to", move->target->info.id },
                { "after_event", std::to_string(lastEvent) },
-               { "error", moved ? std::string() : moved.error().message } });
-    if (moved)
-        move->moved = std::move(*moved);
-    move->ended = true;
+               { "result", platform::toText(result.kind) },
+               { "error", result.error } });
+    move->result = std::move(result);
 }
 
 } // namespace
@@ -46,7 +45,7 @@
     const bool movable =
         m_placementRequest.service->engine && m_placementRequest.service->engine->movesRuns;
     // A run that may be repeated is resumed when its server ends.
-    if (!movable || m_route->mayRepeat())
+    if (!movable || m_route->mayRepeat() || m_continuesAtSource)
         return;
     m_streamHandle = m_state.streams.add({ server, [this, server] { beginMove(server); } });
 }
@@ -80,11 +79,25 @@
                 "move");
 }
 
-Task<bool> RequestRelay::awaitMove()
+Task<void> RequestRelay::awaitMove()
 {
-    while (m_move != nullptr && !m_move->ended)
+    while (m_move != nullptr && !m_move->result)
         co_await wire::sleepFor(MoveTick);
-    co_return m_move != nullptr && m_move->moved;
+}
+
+RequestRelay::AttemptEnd RequestRelay::endOfStoppedRun(const serving::ServerStatePtr &source)
+{
+    using Kind = platform::StreamMoveResult::Kind;
+    if (m_move->result->kind == Kind::Moved)
+        return AttemptEnd::Moved;
+    const SteadyTime now = m_state.clock.steadyNow();
+    if (m_move->result->kind != Kind::KeptAtSource || !m_state.servers.mayReturnTo(*source, now))
+        return AttemptEnd::Failed;
+    m_continuesAtSource = true;
+    m_state.limits.requestSent(*source, now);
+    serving::ServerTable::requestSent(*source, now);
+    m_move->target = source;
+    return AttemptEnd::Moved;
 }
 
 Task<void> RequestRelay::awaitTargetOfMove()
@@ -98,7 +111,7 @@
 serving::ServerChoice RequestRelay::finishMove()
 {
     const auto move = std::exchange(m_move, nullptr);
-    m_kvCacheSource = move->moved->kvCacheSource;
+    m_kvCacheSource = move->result->kvCacheSource;
     serving::ServerChoice placed;
     placed.server = move->target;
     return placed;
--- a/src/snipestall/serving/server_notices.cpp
+++ b/src/snipestall/serving/server_notices.cpp
@@ -62,6 +62,14 @@
     return m_leaving.contains(server);
 }
 
+std::optional<SteadyTime> ServerNotices::leavingSince(const std::string &server) const
+{
+    const auto found = m_leaving.find(server);
+    if (found == m_leaving.end())
+        return std::nullopt;
+    return found->second.saidAt;
+}
+
 std::vector<LeavingReport> ServerNotices::leavingReports(SteadyTime now) const
 {
     std::vector<LeavingReport> reports;
--- a/src/snipestall/serving/server_table.cpp
+++ b/src/snipestall/serving/server_table.cpp
@@ -76,6 +76,14 @@
         state.leavesAt = now + m_drain;
 }
 
+bool ServerTable::mayReturnTo(const ServerState &server, SteadyTime now) const
+{
+    if (server.departed || (server.leavesAt && now >= *server.leavesAt))
+        return false;
+    const auto since = m_notices.leavingSince(server.key);
+    return !since || now - *since < m_drain - NoticeLag;
+}
+
 PutResult ServerTable::awaitRenewals(const BackendServer &server, SteadyTime now)
 {
     if (server.leaving) {
--- a/src/snipestall/serving/server_table_test.cpp
+++ b/src/snipestall/serving/server_table_test.cpp
@@ -45,6 +45,32 @@
     EXPECT_EQ(table.find("i-1")->leavesAt, Start + 2500ms);
 }
 
+// Guards against a run that goes on at the server that stopped it when that takes no requests any
+// more: its drain time is over, or it has left.
+TEST(ServerTable, ARunMayReturnToItsServerWithinTheDrainTimeAndBeforeItLeaves)
+{
+    ServerTable table(2000ms);
+    BackendServer leaving = server("i-1");
+    table.put(leaving, Start);
+    const ServerStatePtr state = table.find("i-1");
+    EXPECT_TRUE(table.mayReturnTo(*state, Start + 10s));
+    leaving.leaving = true;
+    leaving.leavesIn = 2500ms;
+    table.put(leaving, Start + 10s);
+    leaving.leavesIn = 1500ms;
+    table.put(leaving, Start + 11s);
+    EXPECT_TRUE(table.mayReturnTo(*state, Start + 11399ms));
+    EXPECT_FALSE(table.mayReturnTo(*state, Start + 11400ms));
+
+    BackendServer soon = server("i-2", true);
+    soon.leavesIn = 500ms;
+    table.put(soon, Start);
+    EXPECT_TRUE(table.mayReturnTo(*table.find("i-2"), Start + 499ms));
+    EXPECT_FALSE(table.mayReturnTo(*table.find("i-2"), Start + 500ms));
+    const ServerStatePtr removed = table.remove("i-2");
+    EXPECT_FALSE(table.mayReturnTo(*removed, Start + 100ms));
+}
+
 TEST(ServerTable, AnIncarnationThatLeftIsNotAddedAgain)
 {
     ServerTable table;
