A part of an answer is not whole because a pending upload took the reset

Cause: a socket reports its error once. The pending write takes ECONNRESET, and the read after it returns 0, which is the end of an answer without a length. BackendCall kept of the write only whether it had succeeded, for the reuse of the connection.

Change: the write is pending, written or failed. The end of an answer without a length counts only once the request is written; it waits for a pending write until the deadline. Answers with a length or chunks state their end and are as before.

Why it works: whichever operation takes the error, the answer is complete only if neither has got one.

HttpClient (store, duties, moves) writes all of a request before it reads, so nothing is pending there; callers' uploads and gRPC have framing.

--- a/include/snipestall/gateway/backend_call.hpp
+++ b/include/snipestall/gateway/backend_call.hpp
@@ -51,7 +51,9 @@
 /// Failures it guards against: an answer to an earlier request arrives late on a reused connection
 /// (it is recognized by the attempt id that servers echo, and dropped); an answer arrives before
 /// the request's body is written (the connection is not reused); bytes follow the end of an answer
-/// (the connection is not reused).
+/// (the connection is not reused); the connection is reset while the request is being written, and
+/// the write takes the error that the socket reports once, so that a read finds the end of the
+/// stream (an answer without a length is then not complete).
 class BackendCall : public std::enable_shared_from_this<BackendCall>
 {
 public:
@@ -96,10 +98,14 @@
 private:
     using Parser = wire::MessageParser<false>;
 
+    enum class WriteState { Pending, Written, Failed };
+
     wire::Task<bool> connect(std::chrono::milliseconds timeout);
     static wire::Task<void> writeRequest(std::shared_ptr<BackendCall> call);
     wire::Task<boost::system::error_code> readHead(SteadyTime deadline);
     wire::Task<boost::system::error_code> discardBody(SteadyTime deadline);
+    /// Waits until the request is written or can't be. Returns whether it is.
+    wire::Task<bool> awaitWritten(SteadyTime deadline);
     /// Returns an unused connection to the pool if it can be reused, and closes it otherwise.
     void releaseUnsent(bool connected);
     void logUnreadable(const boost::system::error_code &error) const;
@@ -121,7 +127,7 @@
     bool m_maybeSent = false;
     bool m_refused = false;
     bool m_connectionRejected = false;
-    bool m_requestWritten = false;
+    WriteState m_writeState = WriteState::Pending;
     bool m_aborted = false;
 };
 
--- a/src/snipestall/gateway/backend_call.cpp
+++ b/src/snipestall/gateway/backend_call.cpp
@@ -5,6 +5,7 @@
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/backend_pool.hpp"
 #include "snipestall/wire/message_reader.hpp"
+#include "snipestall/wire/signal.hpp"
 #include "snipestall/wire/socket_options.hpp"
 #include "snipestall/wire/spawn.hpp"
 
@@ -35,6 +36,7 @@
 /// A connection is dropped this long before the server would close it, so that no request is sent
 /// while the server closes the connection.
 constexpr milliseconds IdleMargin { 700 };
+constexpr milliseconds WriteTick { 2 };
 /// Interim responses and bytes of an answer to another request that are read before the answer. A
 /// faulty server may send them without end.
 constexpr int MaxInterimResponses = 16;
@@ -107,7 +109,7 @@
 {
     auto [error, bytes] =
         co_await http::async_write(call->m_connection->stream, call->m_request, UseTuple);
-    call->m_requestWritten = !error;
+    call->m_writeState = error ? WriteState::Failed : WriteState::Written;
 }
 
 void BackendCall::resetParser()
@@ -238,6 +240,11 @@
                                  {} };
         }
     }
+    if (!isFramed() && !co_await awaitWritten(deadline)) {
+        const bool timedOut = !m_aborted && m_writeState == WriteState::Pending;
+        abort();
+        co_return BodyRead { timedOut ? BodyRead::Kind::TimedOut : BodyRead::Kind::Broken, {} };
+    }
     const auto answer =
         platform::readServerResponse(m_parser->head().result_int(), m_parser->head());
     if (answer.attemptId == m_attemptId)
@@ -245,9 +252,18 @@
     co_return BodyRead { BodyRead::Kind::End, {} };
 }
 
+// A server may end its answer before it has read a long request, so a write that is still pending
+// doesn't show yet whether the connection was reset.
+Task<bool> BackendCall::awaitWritten(SteadyTime deadline)
+{
+    while (m_writeState == WriteState::Pending && !m_aborted && m_clock.steadyNow() < deadline)
+        co_await wire::sleepFor(WriteTick);
+    co_return m_writeState == WriteState::Written && !m_aborted;
+}
+
 void BackendCall::keepConnection()
 {
-    const bool whole = m_requestWritten && m_connection->buffer.size() == 0;
+    const bool whole = m_writeState == WriteState::Written && m_connection->buffer.size() == 0;
     if (m_aborted || !whole || !m_parser->keep_alive() || m_parser->need_eof()) {
         abort();
         return;
