An answer with a status below 100, 101, or a folded line in its head is a fault

But a number below 200 counted as an interim response, so a whole head right behind 000, 099 or 101 was passed on as the answer. A line that begins with a blank was joined to the field before it: behind the seal, the caller got another seal.

The parser's own tests of the same fail before and pass after, for statuses, folded lines, and names with a blank in front (a folded line, too).

Change: the parser of responses refuses a status below 100 and folded lines (RFC 9112, 5.2 allows a proxy to join or to refuse); a call of a server refuses 101, which nobody asks for. Requests may have folded lines as before.

Why it works: the parser is the one place in which heads of servers, of the store and of other instances are read.

--- a/include/snipestall/wire/message_parser.hpp
+++ b/include/snipestall/wire/message_parser.hpp
@@ -19,7 +19,9 @@
 /// Failures it guards against, which Beast's own parser doesn't: framing without end (see
 /// FramingBudget); a field that is too long for the container of the head (an error here, an
 /// exception there); trailer fields that pass for fields of the head (they are dropped here); a
-/// head of thousands of fields, each of which is compared with the others.
+/// head of thousands of fields, each of which is compared with the others; in a response, a status
+/// below 100, which passes for an interim response there, and a line that begins with a blank,
+/// which changes the value of the field before it there.
 template<bool IsRequest>
 class MessageParser final : public boost::beast::http::basic_parser<IsRequest>
 {
--- a/src/snipestall/gateway/backend_call.cpp
+++ b/src/snipestall/gateway/backend_call.cpp
@@ -4,6 +4,7 @@
 #include "snipestall/base/event_catalogue.hpp"
 #include "snipestall/base/log.hpp"
 #include "snipestall/gateway/backend_pool.hpp"
+#include "snipestall/wire/interim_response.hpp"
 #include "snipestall/wire/message_reader.hpp"
 #include "snipestall/wire/signal.hpp"
 #include "snipestall/wire/socket_options.hpp"
@@ -37,12 +38,9 @@
 /// while the server closes the connection.
 constexpr milliseconds IdleMargin { 700 };
 constexpr milliseconds WriteTick { 2 };
-/// Interim responses and bytes of an answer to another request that are read before the answer. A
-/// faulty server may send them without end.
-constexpr int MaxInterimResponses = 16;
+/// Bytes of an answer to another request that are read before the answer. A faulty server may send
+/// them without end.
 constexpr std::size_t MaxDiscardedBytes = 512 * 1024;
-/// First status code that is not an interim response.
-constexpr unsigned FirstFinalStatus = 200;
 
 /// Returns how long the connection may stay idle. The server states its timeout in whole seconds.
 milliseconds idleTimeoutOf(const http::fields &fields)
@@ -124,21 +122,23 @@
 Task<boost::system::error_code> BackendCall::readHead(SteadyTime deadline)
 {
     int interim = 0;
-    while (interim <= MaxInterimResponses) {
+    while (interim <= wire::MaxInterimResponses) {
         resetParser();
         setDeadline(deadline);
         if (const auto error =
                 co_await wire::readMessage(m_connection->stream, m_connection->buffer, *m_parser))
             co_return error;
         m_lastReceivedAt = m_clock.steadyNow();
-        if (m_parser->head().result_int() < FirstFinalStatus) {
+        const unsigned status = m_parser->head().result_int();
+        if (status == wire::SwitchingProtocols)
+            break;
+        if (status < wire::FirstFinalStatus) {
             ++interim;
             continue;
         }
         if (m_headObserver)
             m_headObserver(m_parser->head());
-        const auto answer =
-            platform::readServerResponse(m_parser->head().result_int(), m_parser->head());
+        const auto answer = platform::readServerResponse(status, m_parser->head());
         if (answer.attemptId == m_attemptId)
             co_return beast::error_code();
         // An answer without an attempt id can't be distinguished from the answer to another
--- a/src/snipestall/wire/message_parser.cpp
+++ b/src/snipestall/wire/message_parser.cpp
@@ -16,6 +16,15 @@
 /// in 16 bits, and throws if they are longer.
 constexpr std::size_t MaxFieldBytes = std::numeric_limits<std::uint16_t>::max() - 2;
 constexpr std::size_t MaxFields = 500;
+/// A lower number is no status; it would pass for an interim response.
+constexpr int MinStatus = 100;
+
+/// Whether a line of the head continues the one before it.
+bool hasFoldedLine(beast::string_view head)
+{
+    return head.find("\n ") != beast::string_view::npos
+        || head.find("\n\t") != beast::string_view::npos;
+}
 
 } // namespace
 
@@ -48,6 +57,11 @@
     const std::size_t bodyBefore = m_body.size();
     ErrorCode error;
     const std::size_t used = this->put(buffer.data(), error);
+    if constexpr (!IsRequest) {
+        const Text read(static_cast<const char *>(buffer.data().data()), used);
+        if (inHead && !error && hasFoldedLine(read))
+            error = http::error::bad_obs_fold;
+    }
     buffer.consume(used);
     if (inHead)
         return error;
@@ -82,9 +96,11 @@
 
 template<bool IsRequest>
 void MessageParser<IsRequest>::on_response_impl(int status, Text reason, int version,
-                                                ErrorCode & /*error*/)
+                                                ErrorCode &error)
 {
     if constexpr (!IsRequest) {
+        if (status < MinStatus)
+            error = http::error::bad_status;
         m_head.result(static_cast<unsigned>(status));
         m_head.version(version);
         m_head.reason(reason);
--- a/src/snipestall/wire/message_parser_test.cpp
+++ b/src/snipestall/wire/message_parser_test.cpp
@@ -175,6 +175,72 @@
     EXPECT_LT(buffer.size(), sizeof("1\r\na\r\n"));
 }
 
+Parsed parseResponse(std::string_view text, std::size_t pieceBytes)
+{
+    MessageParser<false> parser;
+    return parse(parser, text, pieceBytes);
+}
+
+bool isFault(const Parsed &parsed)
+{
+    return parsed.error && parsed.error != http::error::need_more;
+}
+
+// Guards against a status that is no number of three digits from 100 on: below 100 it passes for an
+// interim response, and the head behind it for the answer.
+TEST(MessageParserTest, AResponseWithoutAProperStatusIsAFault)
+{
+    for (const char *status : { "000", "099", "00", "0", "2000", "20x", "-20", "+20", "" }) {
+        for (const std::size_t pieceBytes : { 1U, 1000U }) {
+            const std::string text = std::string("HTTP/1.1 ") + status
+                + " OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n";
+            EXPECT_TRUE(isFault(parseResponse(text, pieceBytes))) << status;
+        }
+    }
+    EXPECT_TRUE(parseResponse("HTTP/1.1 100 Continue\r\n\r\n", 1000).done);
+}
+
+// Guards against a line that begins with a blank and so changes the value of the field before it,
+// as a server in trouble writes it: the seal of an answer, or its length.
+TEST(MessageParserTest, AFoldedLineInAResponseIsAFault)
+{
+    for (const char *line : { " X-Odd: 1", "\tX-Odd: 1", " ", "  1" }) {
+        for (const char *field : { "X-Seal: a", "Content-Length: 2", "Date: b" }) {
+            const std::string lines = std::string(field) + "\r\n" + line + "\r\n";
+            for (const std::size_t pieceBytes : { 1U, 1000U }) {
+                const Parsed first =
+                    parseResponse("HTTP/1.1 200 OK\r\n" + lines + "\r\n", pieceBytes);
+                EXPECT_TRUE(isFault(first)) << lines;
+                const Parsed last = parseResponse("HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n" + lines
+                                                      + "X-A: 1\r\n\r\n",
+                                                  pieceBytes);
+                EXPECT_TRUE(isFault(last)) << lines;
+            }
+        }
+    }
+    const Parsed body =
+        parseResponse("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n\n a\n\tb", 1000);
+    EXPECT_FALSE(body.error) << body.error.message();
+    EXPECT_EQ(body.body, "\n a\n\tb");
+}
+
+// Guards against a field whose name holds a blank or a control byte and that is passed on, or that
+// hides where the answer ends.
+TEST(MessageParserTest, AFieldNameWithABlankOrAControlByteIsAFault)
+{
+    using namespace std::string_literals;
+    for (const char *name : { "X-Odd", "Content-Length", "Transfer-Encoding", "X-Seal" }) {
+        for (const std::string &odd : { " "s, "\t"s, "\x01"s, "\0"s, "\x7f"s, "\xe9"s, "\r"s }) {
+            for (const std::string &line :
+                 { name + odd + ": 1", odd + name + ": 1", "X" + odd + name + ": 1" }) {
+                const Parsed parsed = parseResponse(
+                    "HTTP/1.1 200 OK\r\nX-A: 1\r\n" + line + "\r\nX-B: 2\r\n\r\n", 1000);
+                EXPECT_TRUE(isFault(parsed)) << line;
+            }
+        }
+    }
+}
+
 TEST(MessageParserTest, ABodyBeforeAFaultIsKept)
 {
     MessageParser<false> parser;
