HTTP client: an interim response is not the answer

Callers saw nothing: found while looking for the cause of the MIXED reports where answers of the store, of duties and of moves are read.

Cause: HttpClient took the first head for the answer. An interim response has no body, so the call ended with its status and the connection was kept; the answer that came behind it was read as that of the next call on the connection, of another row or another write.

Why it works: a call ends only with a final status, or with an error, after which its connection is closed.

--- a/src/snipestall/wire/http_client.cpp
+++ b/src/snipestall/wire/http_client.cpp
@@ -1,6 +1,7 @@
 #include "snipestall/wire/http_client.hpp"
 
 #include "snipestall/wire/http_stream.hpp"
+#include "snipestall/wire/interim_response.hpp"
 #include "snipestall/wire/message_reader.hpp"
 #include "snipestall/wire/socket_options.hpp"
 
@@ -11,6 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -99,18 +101,24 @@
         , m_endpoint(std::move(endpoint))
         , m_connection(std::move(connection))
         , m_idleTimeout(idleTimeout)
-    {
-        m_parser.body_limit(MaxResponseBytes);
-    }
+    { }
 
     Task<beast::error_code> readHead()
     {
-        m_connection->stream.expires_after(m_idleTimeout);
-        if (const auto error =
-                co_await readMessage(m_connection->stream, m_connection->buffer, m_parser))
-            co_return error;
-        const auto &head = m_parser.head();
-        m_head.status = head.result_int();
+        unsigned status = 0;
+        for (int interim = 0; status < FirstFinalStatus; ++interim) {
+            if (interim > MaxInterimResponses || status == SwitchingProtocols)
+                co_return http::make_error_code(http::error::bad_status);
+            m_parser.emplace();
+            m_parser->body_limit(MaxResponseBytes);
+            m_connection->stream.expires_after(m_idleTimeout);
+            if (const auto error =
+                    co_await readMessage(m_connection->stream, m_connection->buffer, *m_parser))
+                co_return error;
+            status = m_parser->head().result_int();
+        }
+        const auto &head = m_parser->head();
+        m_head.status = static_cast<int>(status);
         for (const auto &field : head)
             m_head.fields.set(std::string(field.name_string()), std::string(field.value()));
         co_return beast::error_code();
@@ -121,16 +129,16 @@
     Task<Result<std::optional<std::string>>> read() override
     {
         while (true) {
-            std::string bytes = m_parser.takeBody();
+            std::string bytes = m_parser->takeBody();
             if (!bytes.empty())
                 co_return std::optional<std::string>(std::move(bytes));
-            if (m_parser.is_done())
+            if (m_parser->is_done())
                 break;
             if (m_connection == nullptr)
                 co_return connectionLost(m_endpoint, asio::error::operation_aborted);
             m_connection->stream.expires_after(m_idleTimeout);
             if (const auto error =
-                    co_await readMessage(m_connection->stream, m_connection->buffer, m_parser))
+                    co_await readMessage(m_connection->stream, m_connection->buffer, *m_parser))
                 co_return connectionLost(m_endpoint, error);
         }
         release();
@@ -148,7 +156,7 @@
     {
         if (m_connection == nullptr)
             return;
-        if (m_parser.keep_alive())
+        if (m_parser->keep_alive())
             m_state->returnIdle(m_endpoint, std::move(m_connection));
         m_connection.reset();
     }
@@ -157,7 +165,7 @@
     Endpoint m_endpoint;
     ConnectionPtr m_connection;
     std::chrono::milliseconds m_idleTimeout;
-    MessageParser<false> m_parser;
+    std::optional<MessageParser<false>> m_parser;
     HttpResponse m_head;
 };
 
--- a/src/snipestall/wire/http_test.cpp
+++ b/src/snipestall/wire/http_test.cpp
@@ -2,14 +2,18 @@
 #include "snipestall/wire/http_exchange.hpp"
 #include "snipestall/wire/http_server.hpp"
 #include "snipestall/wire/http_stream.hpp"
+#include "snipestall/wire/signal.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <chrono>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -152,6 +156,58 @@
     }
 }
 
+/// Accepts one connection, answers its first request with these bytes, the interim ones some time
+/// before the others, and its second request with the last ones.
+Task<void> answerTwice(boost::asio::ip::tcp::acceptor &acceptor, std::string interim,
+                       std::string first, std::string second)
+{
+    using boost::asio::use_awaitable;
+    auto socket = co_await acceptor.async_accept(use_awaitable);
+    for (const std::string &bytes : { first, second }) {
+        std::string request;
+        co_await boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(request),
+                                               "\r\n\r\n", use_awaitable);
+        if (!interim.empty()) {
+            co_await boost::asio::async_write(socket, boost::asio::buffer(interim), use_awaitable);
+            co_await sleepFor(std::chrono::milliseconds(20));
+            interim.clear();
+        }
+        co_await boost::asio::async_write(socket, boost::asio::buffer(bytes), use_awaitable);
+    }
+}
+
+// Guards against an interim response that is taken for the answer: the answer behind it is then
+// read as that of the next call on the connection.
+TEST_F(HttpTest, AnInterimResponseIsNotTheAnswer)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+    for (const std::string interim :
+         { "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n" }) {
+        boost::asio::ip::tcp::acceptor acceptor(m_io,
+                                                { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        boost::asio::co_spawn(m_io, answerTwice(acceptor, interim, ok + "first", ok + "other"),
+                              boost::asio::detached);
+        const Endpoint endpoint { "127.0.0.1", acceptor.local_endpoint().port() };
+        for (const char *body : { "first", "other" }) {
+            const auto response = fetch(endpoint, HttpRequest { "GET", "/", {}, "" });
+            ASSERT_TRUE(response.has_value()) << response.error().message;
+            EXPECT_EQ(response->status, 200);
+            EXPECT_EQ(response->body, body);
+        }
+    }
+}
+
+TEST_F(HttpTest, ASwitchOfProtocolsThatNobodyAskedForIsNoAnswer)
+{
+    boost::asio::ip::tcp::acceptor acceptor(m_io,
+                                            { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    const std::string switched = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    boost::asio::co_spawn(m_io, answerTwice(acceptor, "", switched, ""), boost::asio::detached);
+    const Endpoint endpoint { "127.0.0.1", acceptor.local_endpoint().port() };
+    EXPECT_FALSE(fetch(endpoint, HttpRequest { "GET", "/", {}, "" }).has_value());
+}
+
 TEST(EndpointTest, ParsesIpAddressesOnly)
 {
     EXPECT_EQ(Endpoint::parse("127.0.0.1:80")->port, 80);
