--- a/tests/gateway/listing_test.cpp
+++ b/tests/gateway/listing_test.cpp
@@ -6,6 +6,8 @@
 #include "snipestall/base/random.hpp"
 
 #include <array>
+#include <string>
+#include <vector>
 
 namespace snipestall::gateway {
 namespace {
@@ -97,6 +99,63 @@
     });
 }
 
+// Guards against instances that end, or that follow the list no more, because one entry is nested
+// very deeply, holds a number that is too large, or names no port. The second instance gets the
+// entries from the first one as well.
+TEST_F(ListingTest, OddEntriesNeitherEndAnInstanceNorStopItsReading)
+{
+    const std::string address = R"(,"address":"127.0.0.1:)";
+    const std::string begin = R"({"service":"ledger","zone":"east","state":"ready","slotCount":)";
+    const std::string large = std::string(400, '9');
+    const std::vector<std::string> odd {
+        std::string(20000, '['),
+        std::string(20000, '[') + std::string(20000, ']'),
+        begin + "4" + address + R"(9","x":)" + std::string(5000, '[') + std::string(5000, ']')
+            + "}",
+        begin + "1e999" + address + "9\"}",
+        begin + large + address + "9\"}",
+        begin + "18446744073709551616" + address + "9\"}",
+        begin + "-1" + address + "9\"}",
+        begin + "4,\"born\":9007199254740992" + address + "9\"}",
+        begin + "4,\"born\":1e308" + address + "9\"}",
+        begin + "4,\"state\":\"draining\",\"leaves_ms\":1e300" + address + "9\"}",
+        begin + "4" + address + "70000\"}",
+        begin + "4" + address + "99999999999\"}",
+        begin + "4" + address + "-1\"}",
+        begin + "4" + address + "0\"}",
+        begin + "4" + address + "\"}",
+        begin + R"(4,"address":7})",
+        begin + R"("4","address":["127.0.0.1:9"]})",
+        "",
+        "null",
+        "\xff\xfe",
+    };
+    m_store.put({ "op", "", "config" }, GatewayTestConfig);
+    m_store.put({ "servers", "", m_first.id() }, m_first.entry());
+    const Instance other = startInstance(settingsOf("edge-2"));
+    run([this, &odd, &other]() -> Task<void> {
+        co_await untilServing(other.metrics, 1);
+        co_await untilServing(m_metrics, 1);
+        for (std::size_t i = 0; i < odd.size(); ++i) {
+            for (const char *table : { "servers", "instances" })
+                m_store.put({ table, "", "odd-" + std::to_string(i) }, odd[i]);
+        }
+        co_await wire::sleepFor(500ms);
+        m_store.put({ "servers", "", m_second.id() }, m_second.entry());
+        m_store.remove({ "servers", "", m_first.id() });
+        for (const wire::Endpoint &callers : { m_callers, other.callers }) {
+            HttpResponse response;
+            do {
+                response = co_await fetch(callers, "/safe/x");
+            } while (response.fields.find("X-Server-Seal") != "seal-i-2");
+            for (int i = 0; i < 20; ++i) {
+                response = co_await fetch(callers, "/once/x", "POST");
+                EXPECT_EQ(response.status, 200);
+            }
+        }
+    });
+}
+
 // Guards against sending requests to a server that has left: another program has overwritten its
 // entry, and nothing removes what that program wrote.
 TEST_F(ListingTest, AnOverwrittenEntryNamesNoServerUntilItIsRenewed)
