Callers that pause in reading for some seconds are not reset

The gateway logged the request as answered.

Cause: TCP_USER_TIMEOUT of 1.5 s on callers' connections. The kernel counts the time of a closed window, too, so a caller that acknowledges everything but reads nothing counts as gone. The gateway's own limit for one piece of an answer is 10 s.

Evidence: CallerLinkTest.ACallerThatPausesInReadingGetsTheWholeAnswer, 10 MB to a caller that reads nothing for 3 s.

Change: the kernel's limit is 10 s on callers' connections. Those to servers, the store and peers keep 1.5 s.

Why it works: the kernel no longer ends what the gateway itself would still wait for. A caller that closes is seen at once as before; one that vanishes without a close is found later.

--- a/include/snipestall/wire/socket_options.hpp
+++ b/include/snipestall/wire/socket_options.hpp
@@ -3,17 +3,25 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/socket_base.hpp>
 
+#include <chrono>
 #include <cstddef>
 
 namespace snipestall::wire {
 
+/// About a hundred round trips between the data centres of one region, so that packet loss alone
+/// doesn't end a connection.
+inline constexpr std::chrono::milliseconds LostServerTime { 1500 };
+
 /// Configures a connection so that the loss of a peer is detected even if no reset arrives.
 ///
 /// When a peer loses power or is disconnected from the network, no reset arrives, and calls would
-/// hang until their timeout. With these options, unacknowledged bytes end the connection after the
-/// TCP user timeout, and keep-alive probes detect the loss while this side only waits for a
-/// response.
-void detectLostPeer(boost::asio::ip::tcp::socket &socket);
+/// hang until their timeout. With these options, unacknowledged bytes end the connection after
+/// `limit`, and keep-alive probes detect the loss while this side only waits for a response.
+///
+/// The kernel counts the time in which a peer that is there takes nothing in as well, so `limit` is
+/// at least how long the peer may pause in reading.
+void detectLostPeer(boost::asio::ip::tcp::socket &socket,
+                    std::chrono::milliseconds limit = LostServerTime);
 
 /// What the kernel holds of a connection that is limited by limitUnreadBytes(), at most: it doubles
 /// the size that it is given.
--- a/src/snipestall/gateway/caller_connection.cpp
+++ b/src/snipestall/gateway/caller_connection.cpp
@@ -95,7 +95,7 @@
     , m_idleTimer(m_stream.get_executor())
     , m_readTimer(m_stream.get_executor())
 {
-    wire::detectLostPeer(m_stream.socket());
+    wire::detectLostPeer(m_stream.socket(), WriteTimeout);
 }
 
 CallerConnection::~CallerConnection()
--- a/src/snipestall/gateway/caller_connection_test.cpp
+++ b/src/snipestall/gateway/caller_connection_test.cpp
@@ -1,21 +1,26 @@
 #include "snipestall/gateway/caller_connection.hpp"
 
 #include "snipestall/gateway/connection_registry.hpp"
+#include "snipestall/wire/signal.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <chrono>
 #include <functional>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace snipestall::gateway {
 namespace {
@@ -86,6 +91,49 @@
     EXPECT_EQ(m_read, RequestRead::Closed);
 }
 
+// Guards against an answer that is reset because its caller, which is there, reads nothing for some
+// seconds.
+TEST_F(CallerLinkTest, ACallerThatPausesInReadingGetsTheWholeAnswer)
+{
+    constexpr std::size_t PieceBytes = 100000;
+    constexpr int Pieces = 100;
+    send("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    bool ended = false;
+    boost::asio::co_spawn(
+        m_io,
+        [this, &ended]() -> Task<void> {
+            while (!m_read)
+                co_await wire::sleepFor(1ms);
+            boost::beast::http::response_header<> head;
+            head.version(11);
+            head.result(200);
+            bool written = co_await m_connection->beginStream(std::move(head));
+            for (int i = 0; i < Pieces && written; ++i) {
+                std::string piece(PieceBytes, 'x');
+                written = co_await m_connection->writePiece(std::move(piece));
+            }
+            ended = written && co_await m_connection->endStream();
+        },
+        boost::asio::detached);
+    std::size_t received = 0;
+    boost::asio::co_spawn(
+        m_io,
+        [this, &received]() -> Task<void> {
+            co_await wire::sleepFor(3s);
+            std::vector<char> bytes(PieceBytes);
+            boost::system::error_code error;
+            while (!error && received < Pieces * PieceBytes)
+                received += co_await m_caller.async_read_some(
+                    boost::asio::buffer(bytes),
+                    boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        },
+        boost::asio::detached);
+    m_io.restart();
+    m_io.run_for(20s);
+    EXPECT_TRUE(ended);
+    EXPECT_GE(received, Pieces * PieceBytes);
+}
+
 // Guards against a body that is read whole although its request is refused in any case.
 TEST_F(CallerLinkTest, ALargeBodyOfARefusedRequestIsNotRead)
 {
--- a/src/snipestall/wire/socket_options.cpp
+++ b/src/snipestall/wire/socket_options.cpp
@@ -15,9 +15,6 @@
 template<int Name>
 using TcpOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
 
-/// About a hundred round trips between the data centres of one region, so that packet loss alone
-/// doesn't end a connection.
-constexpr int UserTimeoutMs = 1500;
 /// The shortest time that the kernel supports.
 constexpr int KeepAliveIdleS = 1;
 constexpr int KeepAliveIntervalS = 1;
@@ -25,7 +22,7 @@
 
 } // namespace
 
-void detectLostPeer(tcp::socket &socket)
+void detectLostPeer(tcp::socket &socket, std::chrono::milliseconds limit)
 {
     boost::system::error_code ignored; // A socket without the options still works.
     socket.set_option(tcp::no_delay(true), ignored);
@@ -33,7 +30,7 @@
     socket.set_option(TcpOption<TCP_KEEPIDLE>(KeepAliveIdleS), ignored);
     socket.set_option(TcpOption<TCP_KEEPINTVL>(KeepAliveIntervalS), ignored);
     socket.set_option(TcpOption<TCP_KEEPCNT>(KeepAliveProbes), ignored);
-    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(UserTimeoutMs), ignored);
+    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(static_cast<int>(limit.count())), ignored);
 }
 
 void resetOnClose(tcp::socket &socket)
