Test: an instance cut off from the store mixes no software versions

Tried, not shown: an instance whose path to the store is cut, refusing and hanging, while servers of a second version join and streams begin on both through another instance. 40 streams, taken up three times in 0.9 s at the instance that is cut off: each goes on at its version or is refused as not run. It passes without a change of the code; by reading, an instance takes a single version for granted only within a time after a read of the store that is shorter than the time for which a new version waits.

--- a/tests/gateway/stream_origin_test.cpp
+++ b/tests/gateway/stream_origin_test.cpp
@@ -282,6 +282,37 @@
     });
 }
 
+// Guards against a stream of a new version that goes on at the old one, because its caller takes it
+// up at an instance that was cut off from the store when the new version joined.
+TEST_F(StreamOriginTest, AnInstanceThatIsCutOffFromTheStoreMixesNoVersions)
+{
+    m_store.put({ "op", "", "config" }, GatewayTestConfig);
+    for (const TestBackend *backend : { &m_first, &m_third })
+        list(*backend);
+    TestLink toStore(m_io, m_store.endpoint());
+    GatewaySettings settings = settingsOf("edge-2");
+    settings.store = toStore.endpoint();
+    const Instance cutOff = startInstance(settings);
+    run([this, &toStore, &cutOff]() -> Task<void> {
+        co_await untilServing(m_metrics, 2);
+        co_await untilServing(cutOff.metrics, 2);
+        for (const auto kind : { TestLink::Cut::Refuse, TestLink::Cut::Hang }) {
+            toStore.cut(kind);
+            for (const TestBackend *backend : { &m_second, &m_fourth })
+                list(*backend);
+            co_await untilBothVersionsBegin(m_callers);
+            const auto begun = co_await begin(m_callers);
+            for (int i = 0; i < 3; ++i) {
+                co_await resumeAll(begun, cutOff.callers);
+                co_await wire::sleepFor(300ms);
+            }
+            toStore.cut(TestLink::Cut::None);
+            co_await wire::sleepFor(ReportTime);
+            EXPECT_GE(co_await resumeAll(begun, cutOff.callers), MinContinued);
+        }
+    });
+}
+
 // Guards against a stream of one service that goes on at another service of its route.
 TEST_F(StreamOriginTest, AStreamGoesOnAtItsServiceOfTwo)
 {
